Lay out the design, the base packages and the module interfaces

Cause: the project starts empty; modules are to be written side by side. Change: the design page, the build with its formatter, linter, sanitizer and test runs, the base and model packages, and the headers through which flow core, control core, store client and wire codec meet. Conclusion: modules can be implemented against fixed interfaces.

--- /dev/null
+++ b/src/base/log.h
@@ -0,0 +1,54 @@
+/**
+ * @file log.h
+ * Structured logs through GLib: one line of key=value pairs for each event.
+ */
+#ifndef BASE_LOG_H
+#define BASE_LOG_H
+
+#include <stdint.h>
+
+#include "base/str.h"
+
+enum log_level { LOG_DEBUG, LOG_INFO, LOG_WARN, LOG_ERROR };
+
+enum log_field_kind { LOG_FIELD_END, LOG_FIELD_STR, LOG_FIELD_INT };
+
+struct log_field {
+    enum log_field_kind kind;
+    const char *key;
+    struct str s;
+    int64_t i;
+};
+
+#define LOG_S(key, str)                                                       \
+    {                                                                         \
+        LOG_FIELD_STR, (key), (str), 0                                        \
+    }
+#define LOG_C(key, cstr)                                                      \
+    {                                                                         \
+        LOG_FIELD_STR, (key), str_from(cstr), 0                               \
+    }
+#define LOG_I(key, n)                                                         \
+    {                                                                         \
+        LOG_FIELD_INT, (key), {0}, (int64_t)(n)                               \
+    }
+
+/**
+ * Writes one line, for example
+ * LOG_EVENT(LOG_INFO, "zone_out", LOG_S("zone", z), LOG_I("version", v)).
+ */
+#define LOG_EVENT(level, event, ...)                                          \
+    log_write((level), (event),                                               \
+              (struct log_field[]){__VA_ARGS__ __VA_OPT__(, ){0}})
+
+void log_write(enum log_level level, const char *event,
+               const struct log_field *fields);
+
+/** Sets the lowest level that is written and the node name of each line. */
+void log_init(enum log_level lowest, struct str node);
+
+/** Appends fields as key=value text; values are quoted where needed. */
+void log_format(struct buf *out, const char *event,
+                const struct log_field *fields);
+
+#endif
--- /dev/null
+++ b/src/base/str.h
@@ -0,0 +1,75 @@
+/**
+ * @file str.h
+ * Length-counted strings. struct str is a view or an owned copy, as its
+ * holder's comment says; struct buf is an owned, growing buffer. Memory
+ * exhaustion ends the process.
+ */
+#ifndef BASE_STR_H
+#define BASE_STR_H
+
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** Bytes with a length; not necessarily NUL-terminated unless owned. */
+struct str {
+    const char *ptr;
+    size_t len;
+};
+
+/** A growing byte buffer; ptr[len] is always NUL once it is non-empty. */
+struct buf {
+    char *ptr;
+    size_t len;
+    size_t cap;
+};
+
+/** printf arguments for "%.*s". */
+#define STR_FMT(s) (int)(s).len, (s).ptr ? (s).ptr : ""
+
+/** A view of a string literal. */
+#define STR_LIT(lit) ((struct str){"" lit, sizeof(lit) - 1})
+
+/** A view of a NUL-terminated string; NULL gives the empty string. */
+struct str str_from(const char *s);
+
+/** A view of @p len bytes. */
+struct str str_of(const char *s, size_t len);
+
+/** An owned, NUL-terminated copy; free with str_free. */
+struct str str_dup(struct str s);
+
+/** Frees an owned string and empties it. Usable with CLEAN. */
+void str_free(struct str *s);
+
+bool str_eq(struct str a, struct str b);
+bool str_eq_c(struct str a, const char *b);
+int str_cmp(struct str a, struct str b);
+bool str_starts(struct str s, struct str prefix);
+
+/** Parses a decimal integer that fills the whole string. */
+bool str_to_i64(struct str s, int64_t *out);
+
+void buf_append(struct buf *b, const void *p, size_t len);
+void buf_append_str(struct buf *b, struct str s);
+void buf_printf(struct buf *b, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+
+/** Empties the buffer and keeps its memory. */
+void buf_clear(struct buf *b);
+
+/** Frees the buffer's memory. Usable with CLEAN. */
+void buf_free(struct buf *b);
+
+/** A view of the buffer's bytes, valid until it changes. */
+struct str buf_str(const struct buf *b);
+
+/** Hands the bytes out as an owned string; the buffer is empty after. */
+struct str buf_take(struct buf *b);
+
+/** calloc, malloc and realloc that end the process when memory runs out. */
+void *mem_zero(size_t count, size_t size);
+void *mem_grow(void *p, size_t count, size_t size);
+
+#endif
--- /dev/null
+++ b/src/control/control.h
@@ -0,0 +1,97 @@
+/**
+ * @file control.h
+ * The control core of a node: membership, documents, freshness, operators'
+ * edits, claim buckets, credits for cold endpoints and orders, behind one
+ * state machine. No I/O.
+ */
+#ifndef CONTROL_CONTROL_H
+#define CONTROL_CONTROL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "control/outbox.h"
+
+enum control_event_kind {
+    CONTROL_EV_TICK,
+    CONTROL_EV_MSG,   /**< from another node */
+    CONTROL_EV_STORE, /**< result of a CONTROL_ACT_STORE */
+    CONTROL_EV_ASK,   /**< from a flow core */
+    CONTROL_EV_ADMIN, /**< an operator's request */
+    CONTROL_EV_LEAVE, /**< begin a graceful leave */
+};
+
+#define ADMIN_VERB_LIST(X)                                                    \
+    X(SHOW, "show")     /* configuration and its revision */                  \
+    X(STATUS, "status") /* nodes, zones, endpoints, freshness */              \
+    X(EDIT, "edit")     /* {"change","by","base","set":[{path,value,          \
+                           reason}]}; value null deletes */                   \
+    X(APPLY, "apply")   /* {"change","by","base","config":{...}} */
+
+enum admin_verb {
+#define X(id, name) ADMIN_##id,
+    ADMIN_VERB_LIST(X)
+#undef X
+};
+
+struct control_event {
+    enum control_event_kind kind;
+    union {
+        struct msg msg;
+        struct store_result store;
+        struct {
+            int thread;
+            struct ask ask;
+        } ask;
+        struct {
+            uint64_t id; /**< repeated in the admin_reply */
+            enum admin_verb verb;
+            struct str body; /**< JSON; may be empty */
+            int64_t deadline_us;
+        } admin;
+    };
+};
+
+struct control_peer {
+    uint64_t node;
+    struct str address;
+};
+
+struct control_options {
+    uint64_t node; /**< 64-bit id, from the name in the settings */
+    struct str name;
+    uint64_t incarnation;
+    struct str address; /**< where other nodes reach this one */
+    struct str zone;
+    struct str region;
+    struct str curve_public; /**< Z85, 40 characters; may be empty */
+    uint64_t seed;
+    int claim_buckets;
+    int store_writes_per_s; /**< the whole fleet's budget */
+    int peer_count;         /**< seeds from the settings */
+    const struct control_peer *peers;
+};
+
+struct control;
+
+/** Strings of @p opts are copied. */
+struct control *control_new(const struct control_options *opts,
+                            int64_t now_us);
+void control_free(struct control *c);
+
+void control_step(struct control *c, int64_t now_us,
+                  const struct control_event *ev);
+
+/** Takes the next action. Its strings are valid until the next step. */
+bool control_next(struct control *c, struct control_action *out);
+
+/** When the core next needs CONTROL_EV_TICK. */
+int64_t control_wakeup(const struct control *c);
+
+/** True if the node has a configuration, is in the roster and is fresh. */
+bool control_ready(const struct control *c, int64_t now_us);
+
+/** Appends the core's counters as Prometheus text. */
+void control_metrics(const struct control *c, struct buf *out);
+
+#endif
--- /dev/null
+++ b/src/control/outbox.h
@@ -0,0 +1,69 @@
+/**
+ * @file outbox.h
+ * The actions that the control modules emit, in order. Strings in actions
+ * are copied into the outbox and live until outbox_clear.
+ */
+#ifndef CONTROL_OUTBOX_H
+#define CONTROL_OUTBOX_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/str.h"
+#include "model/ask.h"
+#include "model/snapshot.h"
+#include "store/store.h"
+#include "wire/msg.h"
+
+enum control_action_kind {
+    CONTROL_ACT_SEND,     /**< a message to another node */
+    CONTROL_ACT_STORE,    /**< an operation on the key-value service */
+    CONTROL_ACT_REPLY,    /**< to one flow core */
+    CONTROL_ACT_NOTICE,   /**< to all flow cores of this node */
+    CONTROL_ACT_SNAPSHOT, /**< new snapshot for all flow cores */
+    CONTROL_ACT_FRESH,    /**< new work may be sent until fresh_until_us */
+    CONTROL_ACT_ADMIN,    /**< answer to an operator's request */
+    CONTROL_ACT_LEFT,     /**< graceful leave is complete */
+};
+
+/** Answer to CONTROL_EV_ADMIN. */
+struct admin_reply {
+    uint64_t id;
+    enum errkind error; /**< ERRKIND_NONE: done */
+    struct str body;    /**< JSON */
+};
+
+struct control_action {
+    enum control_action_kind kind;
+    union {
+        struct {
+            uint64_t to;
+            struct str address; /**< "tcp://IP:PORT" */
+            struct msg msg;
+        } send;
+        struct store_op store;
+        struct {
+            int thread;
+            struct reply reply;
+        } reply;
+        struct snapshot *snapshot; /**< the receiver takes the reference */
+        int64_t fresh_until_us;
+        struct admin_reply admin;
+    };
+};
+
+struct outbox;
+
+struct outbox *outbox_new(void);
+void outbox_free(struct outbox *o);
+
+/** Appends a deep copy of the action (a snapshot's reference moves in). */
+void outbox_push(struct outbox *o, const struct control_action *a);
+
+/** Takes the oldest action; its strings stay valid until outbox_clear. */
+bool outbox_next(struct outbox *o, struct control_action *out);
+
+/** Drops all actions and releases their memory. */
+void outbox_clear(struct outbox *o);
+
+#endif
--- /dev/null
+++ b/src/flow/flow.h
@@ -0,0 +1,207 @@
+/**
+ * @file flow.h
+ * The request path of one traffic thread as a state machine: admission,
+ * queues, routing, retries, claims and whole answers for all requests of the
+ * thread. No I/O: events and the time go in, actions come out.
+ *
+ * Strings in events are borrowed for the duration of flow_step. Strings in
+ * actions are valid until the next flow_step or flow_free.
+ */
+#ifndef FLOW_FLOW_H
+#define FLOW_FLOW_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/errkind.h"
+#include "base/str.h"
+#include "model/ask.h"
+#include "model/snapshot.h"
+
+/** A caller's request, as received; all checks are the flow core's. */
+struct flow_request {
+    uint64_t req;          /**< chosen by the edge, unique per flow core */
+    struct str request_id; /**< for logs, traces and endpoint headers */
+    struct str pipeline;
+    struct str token;    /**< bearer token; empty if missing */
+    struct str key;      /**< Idempotency-Key; empty if missing */
+    struct str deadline; /**< X-Deadline-Ms as text; empty if missing */
+    struct str body;
+    bool stream;
+};
+
+#define CALL_FAULT_LIST(X)                                                    \
+    X(REFUSED, "refused")     /* no connection was made */                    \
+    X(RESET, "reset")         /* connection lost before a whole answer */     \
+    X(TRUNCATED, "truncated") /* ended early without end marker */            \
+    X(CROSSED, "crossed")     /* the answer belongs to another attempt */     \
+    X(TIMEOUT, "timeout")     /* the call's deadline passed */
+
+enum call_fault {
+#define X(id, name) CALL_##id,
+    CALL_FAULT_LIST(X)
+#undef X
+};
+
+/** What an endpoint's answer headers said. */
+struct call_report {
+    struct str start_id; /**< X-Start-Id, may be empty */
+    bool has_load;
+    int in_flight;
+    int queued;
+    bool cold;
+    bool leaving; /**< X-Leaving was set */
+};
+
+enum flow_event_kind {
+    FLOW_EV_TICK,
+    FLOW_EV_SNAPSHOT, /**< the core takes a reference */
+    FLOW_EV_FRESH,    /**< new work may be sent until fresh_until_us */
+    FLOW_EV_REQUEST,
+    FLOW_EV_CALLER_GONE,
+    FLOW_EV_CALL_BYTES, /**< any bytes of an answer came (for silence) */
+    FLOW_EV_CALL_TOKEN, /**< one token of a streamed answer */
+    FLOW_EV_CALL_DONE,  /**< whole answer */
+    FLOW_EV_CALL_FAILED,
+    FLOW_EV_PROBE, /**< result of FLOW_ACT_PROBE */
+    FLOW_EV_REPLY, /**< from the control core */
+    FLOW_EV_DRAIN, /**< refuse new requests, finish the others */
+};
+
+struct flow_event {
+    enum flow_event_kind kind;
+    union {
+        struct snapshot *snapshot;
+        int64_t fresh_until_us;
+        struct flow_request request;
+        uint64_t caller_gone; /**< req */
+        uint64_t call_bytes;  /**< attempt */
+        struct {
+            uint64_t attempt;
+            int index; /**< position in the whole answer, from 0 */
+            struct str text;
+        } call_token;
+        struct {
+            uint64_t attempt;
+            int http_status;
+            struct str body; /**< for a stream: text of all tokens is known
+                                  from call_token; body is empty */
+            struct call_report report;
+        } call_done;
+        struct {
+            uint64_t attempt;
+            enum call_fault fault;
+            bool unsent; /**< certain that no byte was sent */
+        } call_failed;
+        struct {
+            struct str endpoint;
+            bool ok;
+            struct call_report report;
+        } probe;
+        struct reply reply;
+    };
+};
+
+enum flow_action_kind {
+    FLOW_ACT_CALL,
+    FLOW_ACT_CANCEL, /**< abandon an attempt; close its connection */
+    FLOW_ACT_PROBE,  /**< GET /health on a fresh connection */
+    FLOW_ACT_TOKEN,  /**< pass one token to the caller */
+    FLOW_ACT_ANSWER,
+    FLOW_ACT_REFUSE,
+    FLOW_ACT_ASK,  /**< to the control core */
+    FLOW_ACT_SPAN, /**< a finished span of a trace */
+};
+
+/** One finished hop of a request. Times are the core's now_us. */
+struct flow_span {
+    uint64_t req;
+    const char *name; /**< static: "queue", "call", "claim", "credit", ... */
+    int stage;        /**< -1: none */
+    uint64_t attempt; /**< 0: none */
+    struct str endpoint;
+    int64_t start_us;
+    int64_t end_us;
+    const char *outcome; /**< static */
+};
+
+struct flow_action {
+    enum flow_action_kind kind;
+    union {
+        struct {
+            uint64_t req;
+            uint64_t attempt; /**< unique per node incarnation */
+            int stage;
+            struct str request_id;
+            struct str stage_name;
+            struct str endpoint;
+            struct str url; /**< whole URL */
+            struct str body;
+            int64_t deadline_us; /**< absolute, in the core's clock */
+            bool stream;
+            bool fresh_connection;
+            bool final_check; /**< non-repeatable: drop the call and report
+                                   CALL_FAILED unsent if the deadline has
+                                   passed when the first byte would go */
+        } call;
+        uint64_t cancel; /**< attempt */
+        struct {
+            struct str endpoint;
+            struct str url;
+        } probe;
+        struct {
+            uint64_t req;
+            int index;
+            struct str text;
+        } token;
+        struct {
+            uint64_t req;
+            struct str body; /**< whole answer as JSON */
+        } answer;
+        struct {
+            uint64_t req;
+            enum errkind error;
+            struct str message;
+            int64_t retry_after_ms; /**< 0: none */
+        } refuse;
+        struct ask ask;
+        struct flow_span span;
+    };
+};
+
+/** Routing and queue policy; the last two are baselines for measurements. */
+enum flow_policy {
+    FLOW_POLICY_FULL,
+    FLOW_POLICY_ROUND_ROBIN,
+    FLOW_POLICY_LEAST_IN_FLIGHT,
+};
+
+struct flow_options {
+    uint64_t node;
+    uint64_t incarnation;
+    int thread; /**< 0..255, in the high byte of attempts and credits */
+    uint64_t seed;
+    enum flow_policy policy;
+};
+
+struct flow;
+
+struct flow *flow_new(const struct flow_options *opts);
+void flow_free(struct flow *f);
+
+/** Feeds one event. Events for unknown requests or attempts are ignored. */
+void flow_step(struct flow *f, int64_t now_us, const struct flow_event *ev);
+
+/** Takes the next action of the last step. @return false if none is left */
+bool flow_next(struct flow *f, struct flow_action *out);
+
+/** When the core next needs FLOW_EV_TICK; INT64_MAX if never. */
+int64_t flow_wakeup(const struct flow *f);
+
+/** Requests not yet answered or refused. */
+int flow_open_requests(const struct flow *f);
+
+/** Appends the core's counters as Prometheus text with a thread label. */
+void flow_metrics(const struct flow *f, struct buf *out);
+
+#endif
--- /dev/null
+++ b/src/model/snapshot.c
@@ -0,0 +1,67 @@
+#include "model/snapshot.h"
+
+#include <ck_pr.h>
+#include <stdlib.h>
+
+static void
+release(struct snapshot *s)
+{
+    fleet_free(s->fleet);
+    vmlist_free(s->vmlist);
+}
+
+struct snapshot *
+snapshot_new(struct fleet *fleet, struct vmlist *vmlist,
+             int64_t config_revision, struct str own_zone)
+{
+    struct snapshot *s = mem_zero(1, sizeof(*s));
+    s->refs = 1;
+    s->config_revision = config_revision;
+    s->node_count = 1;
+    s->fleet = fleet;
+    s->vmlist = vmlist;
+    s->release = release;
+    s->own_zone = fleet_zone_find(fleet, own_zone);
+    int count = vmlist ? vmlist->endpoint_count : 0;
+    s->endpoints = mem_zero((size_t)count, sizeof(*s->endpoints));
+    for (int i = 0; i < count; i++) {
+        const struct vmlist_endpoint *e = &vmlist->endpoints[i];
+        int pool = fleet_pool_find(fleet, e->pool);
+        int zone = fleet_zone_find(fleet, e->zone);
+        if (pool < 0 || zone < 0) {
+            continue;
+        }
+        s->endpoints[s->endpoint_count++] = (struct snapshot_endpoint){
+            .id = e->id,
+            .url = e->url,
+            .vm = e->vm,
+            .pool = pool,
+            .zone = zone,
+            .usable = !e->leaving && !fleet->zones[zone].out &&
+                      !fleet_vm_out(fleet, e->vm),
+        };
+    }
+    return s;
+}
+
+struct snapshot *
+snapshot_ref(struct snapshot *s)
+{
+    ck_pr_inc_64(&s->refs);
+    return s;
+}
+
+void
+snapshot_unref(struct snapshot *s)
+{
+    bool last = false;
+    if (!s) {
+        return;
+    }
+    ck_pr_dec_64_zero(&s->refs, &last);
+    if (last) {
+        s->release(s);
+        free(s->endpoints);
+        free(s);
+    }
+}
--- /dev/null
+++ b/src/model/vmlist.c
@@ -0,0 +1,81 @@
+#include "model/vmlist.h"
+
+#include <stdlib.h>
+
+static struct str
+text(const json_t *obj, const char *key)
+{
+    const json_t *v = json_object_get(obj, key);
+    if (!json_is_string(v)) {
+        return (struct str){0};
+    }
+    return str_of(json_string_value(v), json_string_length(v));
+}
+
+static void
+add_vm(struct vmlist *v, size_t at, const json_t *vm, struct buf *errors)
+{
+    struct str name = text(vm, "vm");
+    struct str zone = text(vm, "zone");
+    struct str state = text(vm, "state");
+    if (!name.len || !zone.len) {
+        buf_printf(errors, "vms[%zu]: needs vm and zone\n", at);
+        return;
+    }
+    bool leaving = str_eq_c(state, "leaving");
+    if (!leaving && !str_eq_c(state, "live")) {
+        buf_printf(errors, "vms[%zu].state: must be live or leaving\n", at);
+        return;
+    }
+    size_t i;
+    json_t *e;
+    json_array_foreach(json_object_get(vm, "endpoints"), i, e)
+    {
+        struct vmlist_endpoint ep = {text(e, "id"),  text(e, "pool"),
+                                     text(e, "url"), name,
+                                     zone,           leaving};
+        if (!ep.id.len || !ep.pool.len || !ep.url.len) {
+            buf_printf(errors,
+                       "vms[%zu].endpoints[%zu]: needs id, pool and url\n", at,
+                       i);
+            continue;
+        }
+        v->endpoints =
+            mem_grow(v->endpoints, (size_t)v->endpoint_count + 1, sizeof(ep));
+        v->endpoints[v->endpoint_count++] = ep;
+    }
+}
+
+enum status
+vmlist_parse(struct str in, struct vmlist **out, struct buf *errors)
+{
+    json_error_t je;
+    json_t *doc = json_loadb(in.ptr, in.len, JSON_REJECT_DUPLICATES, &je);
+    json_t *vms = json_object_get(doc, "vms");
+    if (!json_is_array(vms)) {
+        json_decref(doc);
+        return err_set(ST_INVALID, "VM list: %s",
+                       doc ? "needs an array vms" : je.text);
+    }
+    struct vmlist *v = mem_zero(1, sizeof(*v));
+    v->doc = doc;
+    size_t i;
+    json_t *vm;
+    json_array_foreach(vms, i, vm)
+    {
+        add_vm(v, i, vm, errors);
+    }
+    *out = v;
+    return ST_OK;
+}
+
+void
+vmlist_free(struct vmlist *v)
+{
+    if (!v) {
+        return;
+    }
+    json_decref(v->doc);
+    free(v->endpoints);
+    free(v);
+}
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,65 @@
+/**
+ * @file settings.h
+ * Local settings of one node, from a TOML file that is checked as a whole.
+ */
+#ifndef SETTINGS_SETTINGS_H
+#define SETTINGS_SETTINGS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/err.h"
+#include "base/str.h"
+
+#define SETTINGS_MAX_PEERS 512
+
+struct settings_peer {
+    struct str name;
+    struct str address;    /**< "tcp://IP:PORT" */
+    struct str public_key; /**< Z85, 40 characters */
+};
+
+/** All strings are owned. Tables and keys of the file are in brackets. */
+struct settings {
+    struct str name;           /**< [node] name */
+    struct str zone;           /**< [node] zone */
+    struct str region;         /**< [node] region */
+    struct str listen_address; /**< [http] address, an IP number */
+    int listen_port;           /**< [http] port */
+    struct str tls_cert;       /**< [http] tls_cert, path; empty: none */
+    struct str tls_key;        /**< [http] tls_key, path */
+    bool plain_http;           /**< [http] plain = true, asked for by name */
+    int max_connections;       /**< [http] max_connections */
+    int max_connections_per_caller; /**< [http] max_connections_per_caller */
+    int receive_timeout_ms;         /**< [http] receive_timeout_ms */
+    int max_header_bytes;           /**< [http] max_header_bytes */
+    int traffic_threads;            /**< [traffic] threads */
+    struct str link_address;        /**< [link] address, "tcp://IP:PORT" */
+    struct str link_public;         /**< [link] public_key, Z85 */
+    struct str link_secret; /**< [link] secret_key, Z85; never logged */
+    int peer_count;
+    struct settings_peer
+        *peers; /**< [[link.peer]] name, address, public_key */
+    int store_url_count;
+    struct str *store_urls; /**< [store] urls */
+    int store_writes_per_s; /**< [store] writes_per_s, whole fleet */
+    int store_reads_per_s;  /**< [store] reads_per_s, whole fleet */
+    int claim_buckets;      /**< [claims] buckets */
+    int balancer_wait_ms;   /**< [drain] balancer_wait_ms */
+    int drain_limit_ms;     /**< [drain] limit_ms */
+    struct str log_level;   /**< [log] level */
+    uint64_t seed;          /**< [node] seed; 0: from the system */
+};
+
+/**
+ * Reads and checks a file. Every unknown key, wrong type, value out of range
+ * and contradiction is appended to @p errors as "FILE: KEY: message".
+ */
+enum status settings_load(const char *path, struct settings *out,
+                          struct buf *errors);
+/** As settings_load, from text; @p path is only named in messages. */
+enum status settings_parse(struct str toml, const char *path,
+                           struct settings *out, struct buf *errors);
+void settings_free(struct settings *s);
+
+#endif
--- /dev/null
+++ b/src/store/store.h
@@ -0,0 +1,45 @@
+/**
+ * @file store.h
+ * Operations on the platform's key-value service. The control core emits
+ * store_op and is fed store_result; store.c performs them over HTTP.
+ */
+#ifndef STORE_STORE_H
+#define STORE_STORE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/str.h"
+
+enum store_op_kind {
+    STORE_GET,
+    STORE_CAS,   /**< put if mod_revision == expect (0: key is absent) */
+    STORE_WATCH, /**< wait until mod_revision of the key exceeds expect;
+                      one result, then the operation has ended */
+};
+
+struct store_op {
+    uint64_t id; /**< chosen by the caller; repeated in the result */
+    enum store_op_kind kind;
+    struct str key;
+    struct str value; /**< CAS */
+    int64_t expect;   /**< CAS, WATCH */
+    int64_t timeout_us;
+};
+
+enum store_outcome {
+    STORE_OK,
+    STORE_ABSENT,   /**< GET: no such key */
+    STORE_CONFLICT, /**< CAS: revision differs; nothing was written */
+    STORE_FAILED,   /**< certain that nothing was written */
+    STORE_LOST,     /**< no answer: a CAS may have taken effect */
+};
+
+struct store_result {
+    uint64_t id;
+    enum store_outcome outcome;
+    int64_t revision; /**< mod_revision of the key after the operation */
+    struct str value; /**< GET, WATCH */
+};
+
+#endif
--- /dev/null
+++ b/src/wire/msg.h
@@ -0,0 +1,146 @@
+/**
+ * @file msg.h
+ * Messages between nodes and their MessagePack codec. Loss, duplication and
+ * reordering of any message is harmless; each type says why.
+ */
+#ifndef WIRE_MSG_H
+#define WIRE_MSG_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/err.h"
+#include "base/hash.h"
+#include "base/str.h"
+#include "model/ask.h"
+
+#define MSG_VERSION 1
+#define MSG_MAX_DELTAS 8
+#define MSG_MAX_BYTES (1536 * 1024)
+
+enum doc_kind { DOC_CONFIG, DOC_ROSTER, DOC_VMS, DOC_COUNT };
+
+enum member_state { MEMBER_ALIVE, MEMBER_SUSPECT, MEMBER_DEAD, MEMBER_LEFT };
+
+/** One piece of gossip. A delta is applied only if it is newer than what is
+ * known, so repeats and late arrivals change nothing. */
+struct gossip {
+    enum gossip_kind { GOSSIP_MEMBER, GOSSIP_ENDPOINT, GOSSIP_SUSPECT } kind;
+    union {
+        struct {
+            uint64_t node;
+            uint64_t incarnation;
+            enum member_state state;
+        } member;
+        struct {
+            struct str endpoint;
+            struct str start_id;
+            uint64_t seq; /**< rises with each change of state */
+            bool cold;
+        } endpoint;
+        struct suspect_notice suspect;
+    };
+};
+
+/** Body of PING, PING_REQ and ACK. */
+struct probe_body {
+    uint64_t seq;    /**< repeated by the ACK */
+    uint64_t target; /**< PING_REQ: the node to probe */
+    int64_t revisions[DOC_COUNT];
+    int64_t contact_roster; /**< roster revision that contacts refers to */
+    struct str contacts;    /**< ages in 100 ms, one byte each: [0] the store,
+                                 [1+i] roster member i; 255: 25.5 s or more */
+    int gossip_count;
+    struct gossip gossip[MSG_MAX_DELTAS];
+};
+
+struct doc_body {
+    enum doc_kind doc;
+    int64_t revision;
+    struct str bytes; /**< DOC only */
+};
+
+#define MSG_CREDITS_MAX 64
+
+/** Answer to CREDIT_QUERY: the sender now uses only the asker's credits for
+ * the endpoint; held credits and uncounted calls in flight. */
+struct credit_state {
+    struct str endpoint;
+    uint64_t query; /**< repeated from the query */
+    int in_flight;  /**< calls in flight without a credit */
+    int count;
+    uint64_t credits[MSG_CREDITS_MAX];
+};
+
+struct credit_query {
+    struct str endpoint;
+    uint64_t query;
+};
+
+/*
+ * id, name, union field, body type. Why loss, repeats and order are harmless:
+ * PING, PING_REQ, ACK: periodic; matched by sequence; contents only rise.
+ * DOC_GET, DOC, DOC_ACK: revisions only rise; repeated by probes.
+ * LEAVE: a hint; probes find a leaver as well.
+ * CLAIM: asked again by the same attempt id until answered; idempotent.
+ * CLAIM_REPLY: matched by attempt and verb; a late grant is abandoned.
+ * CREDIT, CREDIT_RELEASE: idempotent per credit id; credits expire.
+ * CREDIT_REPLY: matched by credit id; a late grant is released.
+ * CREDIT_QUERY, CREDIT_STATE: repeated until answered or settled.
+ */
+#define MSG_LIST(X)                                                           \
+    X(PING, "ping", probe, struct probe_body)                                 \
+    X(PING_REQ, "ping_req", probe, struct probe_body)                         \
+    X(ACK, "ack", probe, struct probe_body)                                   \
+    X(DOC_GET, "doc_get", doc, struct doc_body)                               \
+    X(DOC, "doc", doc, struct doc_body)                                       \
+    X(DOC_ACK, "doc_ack", doc, struct doc_body)                               \
+    X(LEAVE, "leave", probe, struct probe_body)                               \
+    X(CLAIM, "claim", claim, struct claim_ask)                                \
+    X(CLAIM_REPLY, "claim_reply", claim_reply, struct claim_reply)            \
+    X(CREDIT, "credit", credit, struct credit_ask)                            \
+    X(CREDIT_REPLY, "credit_reply", credit_reply, struct credit_reply)        \
+    X(CREDIT_RELEASE, "credit_release", credit_release,                       \
+      struct credit_release)                                                  \
+    X(CREDIT_QUERY, "credit_query", credit_query, struct credit_query)        \
+    X(CREDIT_STATE, "credit_state", credit_state, struct credit_state)        \
+    X(COLD, "cold", cold, struct cold_notice)
+
+enum msg_type {
+#define X(id, name, field, type) MSG_##id,
+    MSG_LIST(X)
+#undef X
+        MSG_TYPE_COUNT
+};
+
+struct msg {
+    enum msg_type type;
+    uint64_t from;        /**< node id */
+    uint64_t incarnation; /**< of the sender's process */
+    union {
+        struct probe_body probe;
+        struct doc_body doc;
+        struct claim_ask claim;
+        struct claim_reply claim_reply;
+        struct credit_ask credit;
+        struct credit_reply credit_reply;
+        struct credit_release credit_release;
+        struct credit_query credit_query;
+        struct credit_state credit_state;
+        struct cold_notice cold;
+    };
+};
+
+const char *msg_type_name(enum msg_type t);
+
+/** Appends the encoded message. */
+void msg_encode(const struct msg *m, struct buf *out);
+
+/**
+ * Decodes one message. Strings in @p out point into @p bytes.
+ * @return ST_INVALID for malformed, truncated or oversized bytes and for an
+ * unknown version or type
+ */
+enum status msg_decode(struct str bytes, struct msg *out);
+
+#endif
--- /dev/null
+++ b/tests/test_base.c
@@ -0,0 +1,103 @@
+/* Guards against malformed log lines, wrong integer parsing and an error
+ * table whose kinds contradict the request protocol. */
+#include <glib.h>
+
+#include "base/errkind.h"
+#include "base/hash.h"
+#include "base/hist.h"
+#include "base/log.h"
+#include "base/str.h"
+#include "base/clean.h"
+
+static void
+test_integers(void)
+{
+    static const struct {
+        const char *in;
+        bool ok;
+        int64_t value;
+    } rows[] = {
+        {"0", true, 0},       {"-12", true, -12},
+        {"8000", true, 8000}, {"", false, 0},
+        {"12x", false, 0},    {" 1", false, 0},
+        {"+1", false, 0},     {"1e3", false, 0},
+        {"-", false, 0},      {"9223372036854775808", false, 0},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        int64_t v = 0;
+        g_assert_cmpint(str_to_i64(str_from(rows[i].in), &v), ==, rows[i].ok);
+        g_assert_cmpint(v, ==, rows[i].value);
+    }
+}
+
+static void
+test_log_quoting(void)
+{
+    CLEAN(buf_free) struct buf out = {0};
+    struct log_field fields[] = {LOG_C("a", "plain"),
+                                 LOG_C("b", "two words"),
+                                 LOG_C("c", "line\nbreak \"q\""),
+                                 LOG_C("d", ""),
+                                 LOG_I("n", -3),
+                                 {0}};
+    log_format(&out, "e", fields);
+    g_assert_cmpstr(out.ptr, ==,
+                    "event=e a=plain b=\"two words\" "
+                    "c=\"line\\x0abreak \\\"q\\\"\" d=\"\" n=-3");
+}
+
+static void
+test_error_table(void)
+{
+    for (int k = 1; k < ERRKIND_COUNT; k++) {
+        const struct errkind_info *e = errkind_info(k);
+        g_assert_cmpint(e->http_status, >=, 400);
+        g_assert_cmpint(e->http_status, <, 600);
+        g_assert_nonnull(e->message);
+        for (int j = 1; j < k; j++) {
+            g_assert_cmpstr(e->name, !=, errkind_info(j)->name);
+        }
+    }
+}
+
+static void
+test_digest_parts(void)
+{
+    struct str a[] = {STR_LIT("ab"), STR_LIT("c")};
+    struct str b[] = {STR_LIT("a"), STR_LIT("bc")};
+    struct digest d = digest_of(a, 2);
+    struct digest back;
+    char hex[33];
+    g_assert_false(digest_eq(d, digest_of(b, 2)));
+    digest_hex(d, hex);
+    g_assert_true(digest_from_hex(str_from(hex), &back));
+    g_assert_true(digest_eq(d, back));
+    g_assert_false(digest_from_hex(STR_LIT("xyz"), &back));
+}
+
+static void
+test_quantiles(void)
+{
+    struct hist h;
+    hist_init(&h, 0);
+    g_assert_cmpint(hist_quantile(&h, 0.5), ==, 0);
+    for (int i = 1; i <= 1000; i++) {
+        hist_add(&h, i * 100);
+    }
+    g_assert_cmpint(hist_quantile(&h, 0.5), >, 45000);
+    g_assert_cmpint(hist_quantile(&h, 0.5), <, 55000);
+    g_assert_cmpint(hist_quantile(&h, 0.99), >, 90000);
+    g_assert_cmpint(hist_quantile(&h, 0.99), <, 109000);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/base/integers", test_integers);
+    g_test_add_func("/base/log-quoting", test_log_quoting);
+    g_test_add_func("/base/error-table", test_error_table);
+    g_test_add_func("/base/digest-parts", test_digest_parts);
+    g_test_add_func("/base/quantiles", test_quantiles);
+    return g_test_run();
+}
