Make the outbox header self-contained

Cause: outbox.h used enum errkind without its header, so files that included it first did not compile. Change: include base/errkind.h.

--- a/src/control/outbox.h
+++ b/src/control/outbox.h
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "base/errkind.h"
 #include "base/str.h"
 #include "model/ask.h"
 #include "model/snapshot.h"
