Add the request path of one traffic thread as a state machine

Cause: the daemon needs the interface of src/flow/flow.h to run requests.

Claims, credits, retries and suspects are written but have no tests of their own yet.

--- /dev/null
+++ b/src/flow/admit.c
@@ -0,0 +1,45 @@
+#include "flow/admit.h"
+
+#include "flow/pool.h"
+
+static int64_t
+queue_wait_us(const struct flow *f, const struct pool *p,
+              const struct request *r)
+{
+    if (fairq_length(p->queue) == 0) {
+        return 0;
+    }
+    double slots = pool_capacity(f, p);
+    int64_t ahead = fairq_ahead_us(p->queue, r->pipeline->class, r->team->id,
+                                   r->team_settings[FLEET_TEAM_WEIGHT]);
+    return (int64_t)((double)ahead / (slots < 1 ? 1 : slots));
+}
+
+int64_t
+admit_need_us(const struct flow *f, const struct request *r)
+{
+    int64_t sum = 0;
+    for (int i = r->stage; i < r->pipeline->stage_count; i++) {
+        const struct pool *p = r->pools[i];
+        if (r->results[i]) {
+            continue;
+        }
+        sum += estimate_p50(&p->estimate, estimate_size(r->call_body.len));
+        sum += queue_wait_us(f, p, r);
+    }
+    return sum;
+}
+
+bool
+admit_ok(const struct flow *f, const struct request *r, int64_t need_us)
+{
+    if (f->now_us + need_us <= r->deadline_us) {
+        return true;
+    }
+    const struct pool *p = r->pools[r->stage];
+    int in_flight = 0;
+    for (int i = 0; i < p->count; i++) {
+        in_flight += p->endpoints[i]->in_flight;
+    }
+    return in_flight == 0 && fairq_length(p->queue) == 0;
+}
--- /dev/null
+++ b/src/flow/fairq.h
@@ -0,0 +1,58 @@
+/**
+ * @file fairq.h
+ * Bounded queue of one pool: start-time fair queueing over teams within each
+ * class; classes in order of priority, except that bulk work that has waited
+ * for bulk_max_wait goes first. In FIFO mode only arrival order counts.
+ * Entries are intrusive and owned by the caller.
+ */
+#ifndef FLOW_FAIRQ_H
+#define FLOW_FAIRQ_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "model/fleet.h"
+
+struct fairq_flow;
+
+struct fairq_entry {
+    uint64_t team;       /**< any stable id */
+    int64_t weight;      /**< of the team, at least 1 */
+    int64_t cost_us;     /**< expected work */
+    int64_t need_us;     /**< expected time until the whole answer */
+    int64_t deadline_us; /**< absolute */
+    enum req_class class;
+    /* Owned by the queue while queued. */
+    int64_t queued_us;
+    uint64_t seq;
+    double start;
+    struct fairq_flow *flow;
+    struct fairq_entry *prev, *next;
+};
+
+struct fairq;
+
+struct fairq *fairq_new(bool fifo);
+void fairq_free(struct fairq *q);
+
+/** Maximum length and waiting bound of bulk work. */
+void fairq_set(struct fairq *q, int limit, int64_t bulk_max_wait_us);
+
+/** Adds an entry. @return the entry dropped because the queue is full,
+ * possibly @p e itself, or NULL. */
+struct fairq_entry *fairq_push(struct fairq *q, int64_t now_us,
+                               struct fairq_entry *e);
+
+/** The entry to serve next, which stays queued; NULL if empty. */
+struct fairq_entry *fairq_peek(struct fairq *q, int64_t now_us);
+void fairq_remove(struct fairq *q, struct fairq_entry *e);
+int fairq_length(const struct fairq *q);
+
+/** Sum of cost_us of the entries that would be served before new work of
+ * the class and team: own entries, and of each other team as much as its
+ * fair share admits. */
+int64_t fairq_ahead_us(const struct fairq *q, enum req_class class,
+                       uint64_t team, int64_t weight);
+
+#endif
--- /dev/null
+++ b/src/flow/flow.c
@@ -0,0 +1,245 @@
+#include "flow/flow.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+
+#include "flow/call.h"
+#include "flow/claim.h"
+#include "flow/core.h"
+#include "flow/credit.h"
+#include "flow/health.h"
+#include "flow/pool.h"
+#include "flow/request.h"
+#include "flow/stage.h"
+
+struct flow *
+flow_new(const struct flow_options *opts)
+{
+    struct flow *f = mem_zero(1, sizeof(*f));
+    f->opts = *opts;
+    f->full = opts->policy == FLOW_POLICY_FULL;
+    f->suspects = suspects_new();
+    rng_seed(&f->rng, opts->seed);
+    return f;
+}
+
+void
+flow_free(struct flow *f)
+{
+    if (!f) {
+        return;
+    }
+    size_t at = 0;
+    struct call *c;
+    while ((c = map_next(&f->calls, &at))) {
+        free(c);
+    }
+    at = 0;
+    struct request *r;
+    while ((r = map_next(&f->requests, &at))) {
+        request_destroy(r);
+    }
+    map_free(&f->calls);
+    map_free(&f->requests);
+    claim_free(f);
+    credit_free_all(f);
+    core_end(f);
+    pool_free_all(f);
+    snapshot_unref(f->snap);
+    suspects_free(f->suspects);
+    timers_free(&f->timers);
+    free(f);
+}
+
+static void
+run_timers(struct flow *f)
+{
+    struct timer t;
+    while (timers_pop(&f->timers, f->now_us, &t)) {
+        switch (t.kind) {
+        case TIMER_DEADLINE:
+            request_deadline(f, t.id);
+            break;
+        case TIMER_RETRY:
+            stage_timer(f, t.id);
+            break;
+        case TIMER_SILENCE:
+            call_silence_timer(f, t.id);
+            break;
+        case TIMER_HEDGE:
+            call_hedge_timer(f, t.id);
+            break;
+        case TIMER_CREDIT:
+            credit_timer(f, t.id);
+            break;
+        case TIMER_ENDPOINT:
+            health_timer(f, t.id);
+            break;
+        case TIMER_POOL: {
+            struct pool *p = map_get(&f->pools, t.id);
+            if (p) {
+                pool_touch(f, p);
+            }
+            break;
+        }
+        }
+    }
+}
+
+static void
+reply(struct flow *f, const struct reply *r)
+{
+    switch (r->kind) {
+    case REPLY_CLAIM:
+        claim_reply(f, &r->claim);
+        break;
+    case REPLY_CREDIT:
+        credit_reply(f, &r->credit);
+        break;
+    case REPLY_ENDPOINT:
+        health_notice(f, &r->endpoint);
+        break;
+    case REPLY_SUSPECT:
+        suspects_set(f->suspects, f->now_us, r->suspect.content,
+                     r->suspect.strikes, r->suspect.hold_us);
+        break;
+    }
+}
+
+static void
+apply(struct flow *f, const struct flow_event *ev)
+{
+    switch (ev->kind) {
+    case FLOW_EV_TICK:
+        break;
+    case FLOW_EV_SNAPSHOT:
+        pool_snapshot(f, ev->snapshot);
+        break;
+    case FLOW_EV_FRESH:
+        f->fresh_until_us = ev->fresh_until_us;
+        pool_touch_all(f);
+        break;
+    case FLOW_EV_REQUEST:
+        request_arrive(f, &ev->request);
+        break;
+    case FLOW_EV_CALLER_GONE:
+        request_caller_gone(f, ev->caller_gone);
+        break;
+    case FLOW_EV_CALL_BYTES:
+        call_bytes(f, ev->call_bytes);
+        break;
+    case FLOW_EV_CALL_TOKEN:
+        call_token(f, ev->call_token.attempt, ev->call_token.index,
+                   ev->call_token.text);
+        break;
+    case FLOW_EV_CALL_DONE:
+        call_answer(f, ev->call_done.attempt, ev->call_done.http_status,
+                    ev->call_done.body, &ev->call_done.report);
+        break;
+    case FLOW_EV_CALL_FAILED:
+        call_failed(f, ev->call_failed.attempt, ev->call_failed.fault,
+                    ev->call_failed.unsent);
+        break;
+    case FLOW_EV_PROBE:
+        health_probed(f, ev->probe.endpoint, ev->probe.ok, &ev->probe.report);
+        break;
+    case FLOW_EV_REPLY:
+        reply(f, &ev->reply);
+        break;
+    case FLOW_EV_DRAIN:
+        f->draining = true;
+        break;
+    }
+}
+
+void
+flow_step(struct flow *f, int64_t now_us, const struct flow_event *ev)
+{
+    core_begin(f, now_us);
+    claim_sweep(f);
+    /* Due timers first: an event must not overtake an expired deadline. */
+    run_timers(f);
+    apply(f, ev);
+    while (f->dirty) {
+        struct pool *p = f->dirty;
+        f->dirty = p->dirty_next;
+        p->dirty = false;
+        stage_dispatch(f, p);
+    }
+}
+
+bool
+flow_next(struct flow *f, struct flow_action *out)
+{
+    if (f->action_next == f->action_count) {
+        return false;
+    }
+    *out = f->actions[f->action_next++];
+    return true;
+}
+
+int64_t
+flow_wakeup(const struct flow *f)
+{
+    return timers_next(&f->timers);
+}
+
+int
+flow_open_requests(const struct flow *f)
+{
+    return (int)f->requests.count;
+}
+
+static void
+metric(struct buf *out, const char *name, const char *help, const char *type)
+{
+    buf_printf(out, "# HELP camphorfall_flow_%s %s\n", name, help);
+    buf_printf(out, "# TYPE camphorfall_flow_%s %s\n", name, type);
+}
+
+void
+flow_metrics(const struct flow *f, struct buf *out)
+{
+    static const struct {
+        const char *name, *help;
+    } counters[] = {
+#define X(id, name, help) [COUNT_##id] = {name "_total", help},
+        FLOW_COUNTER_LIST(X)
+#undef X
+    };
+    int t = f->opts.thread;
+    for (int i = 0; i < COUNT_COUNT; i++) {
+        metric(out, counters[i].name, counters[i].help, "counter");
+        buf_printf(out, "camphorfall_flow_%s{thread=\"%d\"} %" PRIu64 "\n",
+                   counters[i].name, t, f->counts[i]);
+    }
+    metric(out, "refusals_total", "refusals by kind", "counter");
+    for (int k = 1; k < ERRKIND_COUNT; k++) {
+        if (f->refused[k]) {
+            buf_printf(out,
+                       "camphorfall_flow_refusals_total{thread=\"%d\","
+                       "kind=\"%s\"} %" PRIu64 "\n",
+                       t, errkind_info((enum errkind)k)->name, f->refused[k]);
+        }
+    }
+    metric(out, "stage_calls_total", "calls by kind of stage", "counter");
+    metric(out, "stage_busy_us_total", "endpoint time used, in microseconds",
+           "counter");
+    for (int k = 0; k < STAGE_KIND_COUNT; k++) {
+        const char *kind = stage_kind_name((enum stage_kind)k);
+        buf_printf(out,
+                   "camphorfall_flow_stage_calls_total{thread=\"%d\","
+                   "stage=\"%s\"} %" PRIu64 "\n",
+                   t, kind, f->stage_calls[k]);
+        buf_printf(out,
+                   "camphorfall_flow_stage_busy_us_total{thread=\"%d\","
+                   "stage=\"%s\"} %" PRIu64 "\n",
+                   t, kind, f->stage_busy_us[k]);
+    }
+    metric(out, "open_requests", "requests not yet ended", "gauge");
+    buf_printf(out, "camphorfall_flow_open_requests{thread=\"%d\"} %d\n", t,
+               flow_open_requests(f));
+    metric(out, "suspects", "contents with strikes", "gauge");
+    buf_printf(out, "camphorfall_flow_suspects{thread=\"%d\"} %d\n", t,
+               suspects_count(f->suspects));
+}
--- /dev/null
+++ b/src/flow/health.c
@@ -0,0 +1,240 @@
+#include "flow/health.h"
+
+#include <stdlib.h>
+
+#include "base/clean.h"
+#include "flow/call.h"
+#include "flow/credit.h"
+#include "flow/pool.h"
+#include "flow/request.h"
+
+/* A probe without a result is repeated after this time. */
+#define PROBE_US (1 * SECOND)
+#define SLOW_FACTOR 4
+#define SLOW_TIMES 3
+#define JUDGE_EVERY 10
+
+/* Calls in flight that the owner of a cold endpoint does not count. */
+static int
+uncounted(const struct flow *f, const struct endpoint *ep)
+{
+    int n = 0;
+    size_t at = 0;
+    struct call *c;
+    if (ep->in_flight == 0) {
+        return 0;
+    }
+    while ((c = map_next(&f->calls, &at))) {
+        n += c->ep == ep && !credit_valid(f, c->credit);
+    }
+    return n;
+}
+
+static void
+tell_cold(struct flow *f, struct endpoint *ep, bool detected)
+{
+    core_ask(f, ASK_COLD)->cold = (struct cold_notice){
+        .endpoint = core_keep(f, ep->id),
+        .start_id = core_keep(f, ep->start_id),
+        .in_flight = uncounted(f, ep),
+        .detected = detected,
+    };
+}
+
+void
+health_cold(struct flow *f, struct endpoint *ep)
+{
+    if (ep->cold || !f->full) {
+        return;
+    }
+    ep->cold = true;
+    ep->detected = true;
+    ep->slow_first = 0;
+    f->counts[COUNT_COLD]++;
+    tell_cold(f, ep, true);
+    pool_touch(f, ep->pool);
+}
+
+void
+health_report(struct flow *f, struct endpoint *ep,
+              const struct call_report *report)
+{
+    if (report->start_id.len && !str_eq(report->start_id, ep->start_id)) {
+        bool restarted = ep->start_id.len > 0;
+        str_free(&ep->start_id);
+        ep->start_id = str_dup(report->start_id);
+        if (restarted) {
+            ep->leaving = false;
+            hist_init(&ep->warm, 256);
+            if (ep->cold && f->full) {
+                tell_cold(f, ep, true);
+            }
+            health_cold(f, ep);
+        }
+    }
+    if (report->leaving) {
+        ep->leaving = true;
+        pool_touch(f, ep->pool);
+    }
+    if (report->has_load) {
+        ep->reported = report->in_flight + report->queued;
+        ep->reported_us = f->now_us;
+        if (report->cold) {
+            health_cold(f, ep);
+        }
+    }
+}
+
+void
+health_first_byte(struct flow *f, struct endpoint *ep, int64_t us)
+{
+    if (ep->cold) {
+        return;
+    }
+    int64_t p95 = estimate_at(&ep->warm, 0.95, -1);
+    if (p95 > 0 && us > SLOW_FACTOR * p95) {
+        if (++ep->slow_first >= SLOW_TIMES) {
+            health_cold(f, ep);
+        }
+        return;
+    }
+    ep->slow_first = 0;
+    hist_add(&ep->warm, us);
+}
+
+static int
+by_value(const void *a, const void *b)
+{
+    double x = *(const double *)a;
+    double y = *(const double *)b;
+    return (x > y) - (x < y);
+}
+
+static double
+median(double *v, int n)
+{
+    qsort(v, (size_t)n, sizeof(*v), by_value);
+    return n ? v[(n - 1) / 2] : 0;
+}
+
+static void
+eject(struct flow *f, struct endpoint *ep)
+{
+    outlier_eject(&ep->outlier, f->now_us);
+    f->counts[COUNT_EJECTIONS]++;
+    timers_add(&f->timers, ep->outlier.until_us, TIMER_ENDPOINT, ep->hash);
+}
+
+void
+health_judge(struct flow *f, struct endpoint *ep)
+{
+    struct pool *p = ep->pool;
+    if (ep->outlier.answers % JUDGE_EVERY || ep->outlier.ejected) {
+        return;
+    }
+    CLEAN_FREE double *failures =
+        mem_zero((size_t)p->count, sizeof(*failures));
+    CLEAN_FREE double *latency = mem_zero((size_t)p->count, sizeof(*latency));
+    int judged = 0;
+    int timed = 0;
+    int ejected = 0;
+    for (int i = 0; i < p->count; i++) {
+        const struct outlier *o = &p->endpoints[i]->outlier;
+        ejected += o->ejected;
+        if (o->answers > 0 && !o->ejected) {
+            failures[judged++] = o->failures;
+        }
+        if (o->latency_us > 0 && !o->ejected) {
+            latency[timed++] = o->latency_us;
+        }
+    }
+    int most = outlier_max(p->count, p->settings[FLEET_EJECT_MAX_PCT]);
+    if (ejected < most && outlier_far(&ep->outlier, median(failures, judged),
+                                      median(latency, timed))) {
+        eject(f, ep);
+    }
+}
+
+void
+health_probe(struct flow *f, struct endpoint *ep)
+{
+    if (ep->probe_us && f->now_us - ep->probe_us < PROBE_US) {
+        return;
+    }
+    ep->probe_us = f->now_us;
+    f->counts[COUNT_PROBES]++;
+    struct buf url = {0};
+    buf_append_str(&url, ep->url);
+    buf_append_str(&url, STR_LIT("/health"));
+    struct str kept = core_keep(f, buf_str(&url));
+    buf_free(&url);
+    struct flow_action *a = core_emit(f, FLOW_ACT_PROBE);
+    a->probe.endpoint = ep->id;
+    a->probe.url = kept;
+}
+
+void
+health_probed(struct flow *f, struct str endpoint, bool ok,
+              const struct call_report *report)
+{
+    struct endpoint *ep = map_get(&f->endpoints, hash64(endpoint));
+    if (!ep) {
+        return;
+    }
+    ep->probe_us = 0;
+    bool died = !ok || (report->start_id.len && ep->start_id.len &&
+                        !str_eq(report->start_id, ep->start_id));
+    if (ok) {
+        health_report(f, ep, report);
+    }
+    else {
+        health_cold(f, ep);
+    }
+    struct request *r = ep->waiting;
+    ep->waiting = NULL;
+    while (r) {
+        struct request *next = r->probe_next;
+        r->lost = NULL;
+        call_verdict(f, r, died);
+        r = next;
+    }
+    call_probed(f, ep, ok);
+    if (ep->outlier.ejected && f->now_us >= ep->outlier.until_us) {
+        if (ok) {
+            outlier_return(&ep->outlier, f->now_us);
+            pool_touch(f, ep->pool);
+        }
+        else {
+            eject(f, ep);
+        }
+    }
+}
+
+void
+health_timer(struct flow *f, uint64_t hash)
+{
+    struct endpoint *ep = map_get(&f->endpoints, hash);
+    if (ep && ep->outlier.ejected && f->now_us >= ep->outlier.until_us) {
+        health_probe(f, ep);
+        timers_add(&f->timers, f->now_us + PROBE_US, TIMER_ENDPOINT, hash);
+    }
+}
+
+void
+health_notice(struct flow *f, const struct endpoint_notice *n)
+{
+    struct endpoint *ep = map_get(&f->endpoints, hash64(n->endpoint));
+    if (!ep || !f->full) {
+        return;
+    }
+    ep->detected = false;
+    ep->cold = n->cold;
+    if (n->cold) {
+        tell_cold(f, ep, false);
+    }
+    else {
+        ep->slow_first = 0;
+        credit_drop_unused(f, ep);
+    }
+    pool_touch(f, ep->pool);
+}
--- /dev/null
+++ b/src/flow/health.h
@@ -0,0 +1,35 @@
+/**
+ * @file health.h
+ * What is known of endpoints: load reports, coldness, probes, ejection.
+ */
+#ifndef FLOW_HEALTH_H
+#define FLOW_HEALTH_H
+
+#include "flow/core.h"
+
+/** Applies the report of an answer or a probe. */
+void health_report(struct flow *f, struct endpoint *ep,
+                   const struct call_report *report);
+
+/** The endpoint was found cold: from now on only with credits. */
+void health_cold(struct flow *f, struct endpoint *ep);
+
+/** Time to a first byte; three in a row far above its own warm p95 mean a
+ * cold endpoint. */
+void health_first_byte(struct flow *f, struct endpoint *ep, int64_t us);
+
+/** Ejects the endpoint if it is far from its pool's medians. */
+void health_judge(struct flow *f, struct endpoint *ep);
+
+/** Probes on a fresh connection, unless a probe is under way. */
+void health_probe(struct flow *f, struct endpoint *ep);
+void health_probed(struct flow *f, struct str endpoint, bool ok,
+                   const struct call_report *report);
+
+/** End of an ejection. */
+void health_timer(struct flow *f, uint64_t hash);
+
+/** Cold or warm, by the control core. */
+void health_notice(struct flow *f, const struct endpoint_notice *n);
+
+#endif
--- /dev/null
+++ b/src/flow/limit.h
@@ -0,0 +1,33 @@
+/**
+ * @file limit.h
+ * Adaptive limit of this core's calls in flight on one endpoint: additive
+ * increase and multiplicative decrease on the latency gradient (recent
+ * service time against its long-term floor).
+ */
+#ifndef FLOW_LIMIT_H
+#define FLOW_LIMIT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct limit {
+    double value;
+    int cap;
+    double recent_us; /**< fast moving average of service time */
+    double floor_us;  /**< slow estimate of the unloaded service time */
+    int64_t cut_us;   /**< time of the last decrease */
+};
+
+/** Starts at the cap, which is max_in_flight. */
+void limit_init(struct limit *l, int cap);
+
+/** Changes the cap; a limit at its old cap follows it. */
+void limit_set_cap(struct limit *l, int cap);
+
+/** Learns from an answer. @p in_flight counts the answered call.
+ * @p overload: the endpoint refused for load (429, 503). */
+void limit_answer(struct limit *l, int64_t now_us, int64_t service_us,
+                  int in_flight, bool overload);
+int limit_get(const struct limit *l);
+
+#endif
--- /dev/null
+++ b/src/flow/pool.c
@@ -0,0 +1,412 @@
+#include "flow/pool.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "flow/credit.h"
+
+#define AFFINITY_SLOTS 1024
+/* A remote zone is used when the local one is this much worse. */
+#define SPILL 1.5
+/* A prefix hint is followed up to this multiple of the mean load. */
+#define AFFINITY_LOAD 1.25
+/* A load report says little after this time. */
+#define REPORT_US (1 * SECOND)
+
+struct pool *
+pool_get(struct flow *f, struct str name)
+{
+    uint64_t hash = hash64(name);
+    struct pool *p = map_get(&f->pools, hash);
+    if (!p) {
+        p = mem_zero(1, sizeof(*p));
+        p->name = str_dup(name);
+        p->hash = hash;
+        p->index = -1;
+        p->queue = fairq_new(!f->full);
+        p->affinity = mem_zero(AFFINITY_SLOTS, sizeof(*p->affinity));
+        estimate_init(&p->estimate);
+        retry_init(&p->retries);
+        retry_init(&p->hedges);
+        map_put(&f->pools, hash, p);
+    }
+    return p;
+}
+
+struct team *
+pool_team(struct flow *f, struct str name)
+{
+    uint64_t hash = hash64(name);
+    struct team *t = map_get(&f->teams, hash);
+    if (!t) {
+        t = mem_zero(1, sizeof(*t));
+        t->name = str_dup(name);
+        t->id = hash;
+        retry_init(&t->retries);
+        retry_init(&t->hedges);
+        map_put(&f->teams, hash, t);
+    }
+    return t;
+}
+
+void
+pool_touch(struct flow *f, struct pool *p)
+{
+    if (!p->dirty) {
+        p->dirty = true;
+        p->dirty_next = f->dirty;
+        f->dirty = p;
+    }
+}
+
+void
+pool_touch_all(struct flow *f)
+{
+    size_t at = 0;
+    struct pool *p;
+    while ((p = map_next(&f->pools, &at))) {
+        pool_touch(f, p);
+    }
+}
+
+void
+pool_endpoint_free(struct endpoint *ep)
+{
+    str_free(&ep->id);
+    str_free(&ep->url);
+    str_free(&ep->start_id);
+    free(ep);
+}
+
+static void
+take_endpoint(struct flow *f, const struct snapshot *s,
+              const struct snapshot_endpoint *in)
+{
+    uint64_t hash = hash64(in->id);
+    struct endpoint *ep = map_get(&f->endpoints, hash);
+    struct pool *p = pool_get(f, s->fleet->pools[in->pool].name);
+    int cap = (int)p->settings[FLEET_MAX_IN_FLIGHT];
+    if (!ep) {
+        ep = mem_zero(1, sizeof(*ep));
+        ep->id = str_dup(in->id);
+        ep->hash = hash;
+        ep->url = str_dup(in->url);
+        hist_init(&ep->warm, 256);
+        limit_init(&ep->limit, cap);
+        map_put(&f->endpoints, hash, ep);
+    }
+    else if (!str_eq(ep->url, in->url)) {
+        str_free(&ep->url);
+        ep->url = str_dup(in->url);
+    }
+    ep->pool = p;
+    ep->zone = in->zone;
+    ep->usable = in->usable;
+    ep->gone = false;
+    limit_set_cap(&ep->limit, cap);
+    /* A snapshot made before an own detection was heard of says warm; only
+     * a notice takes such an endpoint out of the cold state. */
+    if (in->cold || !ep->detected) {
+        ep->cold = in->cold;
+    }
+    p->endpoints = mem_grow(p->endpoints, (size_t)p->count + 1,
+                            sizeof(struct endpoint *));
+    p->endpoints[p->count++] = ep;
+}
+
+/* Endpoints that left the list go once nothing refers to them. */
+static void
+sweep(struct flow *f)
+{
+    struct map kept = {0};
+    size_t at = 0;
+    struct endpoint *ep;
+    while ((ep = map_next(&f->endpoints, &at))) {
+        if (ep->gone && ep->in_flight == 0 && ep->credits == 0 &&
+            !ep->waiting) {
+            ep->dead_next = f->dead_endpoints;
+            f->dead_endpoints = ep;
+            continue;
+        }
+        map_put(&kept, ep->hash, ep);
+    }
+    map_free(&f->endpoints);
+    f->endpoints = kept;
+}
+
+void
+pool_snapshot(struct flow *f, struct snapshot *s)
+{
+    snapshot_ref(s);
+    size_t at = 0;
+    struct pool *p;
+    while ((p = map_next(&f->pools, &at))) {
+        p->index = -1;
+        p->count = 0;
+        p->settings = s->fleet->defaults;
+    }
+    for (int i = 0; i < s->fleet->pool_count; i++) {
+        p = pool_get(f, s->fleet->pools[i].name);
+        p->index = i;
+        p->settings = s->fleet->pools[i].settings;
+        fairq_set(p->queue, (int)p->settings[FLEET_QUEUE_LIMIT],
+                  p->settings[FLEET_BULK_MAX_WAIT_MS] * MS);
+    }
+    at = 0;
+    struct endpoint *ep;
+    while ((ep = map_next(&f->endpoints, &at))) {
+        ep->gone = true;
+        ep->usable = false;
+    }
+    for (int i = 0; i < s->endpoint_count; i++) {
+        take_endpoint(f, s, &s->endpoints[i]);
+    }
+    snapshot_unref(f->snap);
+    f->snap = s;
+    sweep(f);
+    pool_touch_all(f);
+}
+
+bool
+pool_endpoint_usable(const struct endpoint *ep)
+{
+    return ep->usable && !ep->gone && !ep->leaving;
+}
+
+int
+pool_usable_count(const struct pool *p)
+{
+    int n = 0;
+    for (int i = 0; i < p->count; i++) {
+        n += pool_endpoint_usable(p->endpoints[i]);
+    }
+    return n;
+}
+
+static int
+limit_of(const struct flow *f, const struct endpoint *ep)
+{
+    if (!f->full) {
+        return ep->limit.cap;
+    }
+    int n =
+        (int)(limit_get(&ep->limit) * outlier_share(&ep->outlier, f->now_us));
+    return n < 1 ? 1 : n;
+}
+
+int
+pool_room(const struct flow *f, const struct endpoint *ep)
+{
+    if (!pool_endpoint_usable(ep)) {
+        return 0;
+    }
+    int room = limit_of(f, ep) - ep->in_flight;
+    if (!f->full) {
+        return room > 0 ? room : 0;
+    }
+    if (ep->outlier.ejected || ep->alone) {
+        return 0;
+    }
+    if (ep->cold) {
+        int credits = credit_usable(f, ep);
+        room = credits < room ? credits : room;
+    }
+    return room > 0 ? room : 0;
+}
+
+double
+pool_capacity(const struct flow *f, const struct pool *p)
+{
+    double sum = 0;
+    for (int i = 0; i < p->count; i++) {
+        const struct endpoint *ep = p->endpoints[i];
+        if (!pool_endpoint_usable(ep) || ep->outlier.ejected) {
+            continue;
+        }
+        sum += ep->cold && f->full ? 1 + ep->in_flight : limit_of(f, ep);
+    }
+    return sum;
+}
+
+static bool
+was_tried(const struct request *r, const struct endpoint *ep)
+{
+    for (int i = 0; i < r->tried_count; i++) {
+        if (r->tried[i] == ep->hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Expected completion time, in arbitrary units within one pool. */
+static double
+cost_of(const struct flow *f, const struct endpoint *ep,
+        const struct request *r, double service_us)
+{
+    double load = ep->in_flight;
+    if (f->now_us - ep->reported_us < REPORT_US &&
+        ep->reported > ep->in_flight) {
+        /* Other nodes' calls, by a report that lags: half its weight. */
+        load += (ep->reported - ep->in_flight) * 0.5;
+    }
+    double us =
+        ep->outlier.latency_us > 0 ? ep->outlier.latency_us : service_us;
+    double cost = (load + 1) * (us > 1 ? us : 1) / limit_of(f, ep);
+    /* Fast failures must not attract work. */
+    cost /= 1.05 - (ep->outlier.failures < 1 ? ep->outlier.failures : 1);
+    if (r->tried_zone >= 0) {
+        return ep->zone == r->tried_zone ? cost * 4 : cost;
+    }
+    bool local =
+        !f->snap || f->snap->own_zone < 0 || ep->zone == f->snap->own_zone;
+    return local ? cost : cost * SPILL;
+}
+
+static struct endpoint *
+by_affinity(struct flow *f, struct pool *p, const struct request *r)
+{
+    int64_t hold_us = p->settings[FLEET_AFFINITY_MS] * MS;
+    struct affinity_slot *s = &p->affinity[r->prefix % AFFINITY_SLOTS];
+    if (r->tried_count || s->prefix != r->prefix || !r->prefix ||
+        f->now_us - s->seen_us > hold_us) {
+        return NULL;
+    }
+    struct endpoint *ep = map_get(&f->endpoints, s->endpoint);
+    if (!ep || ep->pool != p || ep->cold || ep->reserved ||
+        pool_room(f, ep) == 0) {
+        return NULL;
+    }
+    int total = 1;
+    int n = 0;
+    for (int i = 0; i < p->count; i++) {
+        if (pool_endpoint_usable(p->endpoints[i])) {
+            total += p->endpoints[i]->in_flight;
+            n++;
+        }
+    }
+    double bound = AFFINITY_LOAD * total / n;
+    return ep->in_flight + 1 <= (bound < 1 ? 1 : bound) ? ep : NULL;
+}
+
+static struct endpoint *
+plain(struct flow *f, struct pool *p)
+{
+    struct endpoint *best = NULL;
+    for (int i = 0; i < p->count; i++) {
+        int at = (p->next + i) % p->count;
+        struct endpoint *ep = p->endpoints[at];
+        if (pool_room(f, ep) == 0) {
+            continue;
+        }
+        if (f->opts.policy == FLOW_POLICY_ROUND_ROBIN) {
+            p->next = (at + 1) % p->count;
+            return ep;
+        }
+        if (!best || ep->in_flight < best->in_flight) {
+            best = ep;
+        }
+    }
+    p->next = p->count ? (p->next + 1) % p->count : 0;
+    return best;
+}
+
+/* Keeps the least loaded endpoint free, so that it becomes idle. */
+static void
+reserve(struct flow *f, struct pool *p)
+{
+    struct endpoint *best = NULL;
+    for (int i = 0; i < p->count; i++) {
+        struct endpoint *ep = p->endpoints[i];
+        if (!pool_endpoint_usable(ep) || ep->outlier.ejected || ep->cold) {
+            continue;
+        }
+        if (ep->reserved) {
+            return;
+        }
+        if (!best || ep->in_flight < best->in_flight) {
+            best = ep;
+        }
+    }
+    /* The last warm endpoint is not taken from the others. */
+    if (best && pool_capacity(f, p) > limit_of(f, best)) {
+        best->reserved = true;
+    }
+}
+
+struct endpoint *
+pool_choose(struct flow *f, struct pool *p, const struct request *r, bool idle)
+{
+    if (p->count == 0) {
+        return NULL;
+    }
+    if (!f->full) {
+        return plain(f, p);
+    }
+    bool generate = r->pipeline->stages[r->stage].kind == STAGE_GENERATE;
+    struct endpoint *best = generate && !idle ? by_affinity(f, p, r) : NULL;
+    if (best) {
+        return best;
+    }
+    double service_us =
+        (double)estimate_p50(&p->estimate, estimate_size(r->call_body.len));
+    double best_cost = 0;
+    struct endpoint *again = NULL; /* best of those already tried */
+    double again_cost = 0;
+    bool untried = false;
+    p->next = (p->next + 1) % p->count;
+    for (int i = 0; i < p->count; i++) {
+        struct endpoint *ep = p->endpoints[(p->next + i) % p->count];
+        bool tried = was_tried(r, ep);
+        untried |= !tried && pool_endpoint_usable(ep) && !ep->cold &&
+                   !ep->outlier.ejected;
+        if (pool_room(f, ep) == 0 || (idle && ep->in_flight > 0) ||
+            (!idle && ep->reserved)) {
+            continue;
+        }
+        double cost = cost_of(f, ep, r, service_us);
+        /* Credits are short-lived and bring capacity back: used first. */
+        cost = ep->cold ? cost * 0.01 : cost;
+        if (tried ? !again || cost < again_cost : !best || cost < best_cost) {
+            *(tried ? &again : &best) = ep;
+            *(tried ? &again_cost : &best_cost) = cost;
+        }
+    }
+    best = best || untried ? best : again;
+    if (best && generate) {
+        p->affinity[r->prefix % AFFINITY_SLOTS] =
+            (struct affinity_slot){r->prefix, best->hash, f->now_us};
+    }
+    if (idle && !best) {
+        reserve(f, p);
+    }
+    return best;
+}
+
+void
+pool_free_all(struct flow *f)
+{
+    size_t at = 0;
+    struct endpoint *ep;
+    while ((ep = map_next(&f->endpoints, &at))) {
+        pool_endpoint_free(ep);
+    }
+    map_free(&f->endpoints);
+    at = 0;
+    struct pool *p;
+    while ((p = map_next(&f->pools, &at))) {
+        str_free(&p->name);
+        fairq_free(p->queue);
+        free(p->endpoints);
+        free(p->affinity);
+        free(p);
+    }
+    map_free(&f->pools);
+    at = 0;
+    struct team *t;
+    while ((t = map_next(&f->teams, &at))) {
+        str_free(&t->name);
+        free(t);
+    }
+    map_free(&f->teams);
+}
--- /dev/null
+++ b/src/flow/suspect.c
@@ -0,0 +1,109 @@
+#include "flow/suspect.h"
+
+#include <stdlib.h>
+
+#include "flow/map.h"
+
+/* Bounds memory; when full, a new strike replaces the one that ends first. */
+#define MOST 4096
+
+struct entry {
+    struct digest d;
+    int strikes;
+    int64_t until_us;
+};
+
+struct suspects {
+    struct map map; /* digest.lo -> struct entry */
+};
+
+struct suspects *
+suspects_new(void)
+{
+    return mem_zero(1, sizeof(struct suspects));
+}
+
+void
+suspects_free(struct suspects *s)
+{
+    if (!s) {
+        return;
+    }
+    size_t at = 0;
+    struct entry *e;
+    while ((e = map_next(&s->map, &at))) {
+        free(e);
+    }
+    map_free(&s->map);
+    free(s);
+}
+
+static struct entry *
+find(const struct suspects *s, int64_t now_us, struct digest d)
+{
+    struct entry *e = map_get(&s->map, d.lo);
+    return e && e->d.hi == d.hi && e->until_us > now_us ? e : NULL;
+}
+
+int
+suspects_get(const struct suspects *s, int64_t now_us, struct digest d)
+{
+    struct entry *e = find(s, now_us, d);
+    return e ? e->strikes : 0;
+}
+
+static void
+make_room(struct suspects *s)
+{
+    if (s->map.count < MOST) {
+        return;
+    }
+    struct entry *first = NULL;
+    struct entry *e;
+    size_t at = 0;
+    while ((e = map_next(&s->map, &at))) {
+        if (!first || e->until_us < first->until_us) {
+            first = e;
+        }
+    }
+    if (first) {
+        free(map_del(&s->map, first->d.lo));
+    }
+}
+
+void
+suspects_set(struct suspects *s, int64_t now_us, struct digest d, int strikes,
+             int64_t hold_us)
+{
+    struct entry *e = find(s, now_us, d);
+    if (strikes <= 0) {
+        if (e) {
+            free(map_del(&s->map, d.lo));
+        }
+        return;
+    }
+    if (!e) {
+        free(map_del(&s->map, d.lo));
+        make_room(s);
+        e = mem_zero(1, sizeof(*e));
+        e->d = d;
+        map_put(&s->map, d.lo, e);
+    }
+    e->strikes = strikes > e->strikes ? strikes : e->strikes;
+    e->until_us =
+        now_us + hold_us > e->until_us ? now_us + hold_us : e->until_us;
+}
+
+int
+suspects_strike(struct suspects *s, int64_t now_us, struct digest d,
+                int64_t hold_us)
+{
+    suspects_set(s, now_us, d, suspects_get(s, now_us, d) + 1, hold_us);
+    return suspects_get(s, now_us, d);
+}
+
+int
+suspects_count(const struct suspects *s)
+{
+    return (int)s->map.count;
+}
--- /dev/null
+++ b/src/flow/timers.h
@@ -0,0 +1,46 @@
+/**
+ * @file timers.h
+ * Binary heap of timers. A timer names its object by id; timers of objects
+ * that are gone are dropped when they expire.
+ */
+#ifndef FLOW_TIMERS_H
+#define FLOW_TIMERS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum timer_kind {
+    TIMER_DEADLINE, /**< id: req */
+    TIMER_RETRY,    /**< id: req */
+    TIMER_SILENCE,  /**< id: attempt */
+    TIMER_HEDGE,    /**< id: attempt */
+    TIMER_CREDIT,   /**< id: credit */
+    TIMER_ENDPOINT, /**< id: hash of the endpoint id */
+    TIMER_POOL,     /**< id: hash of the pool name */
+};
+
+struct timer {
+    int64_t at_us;
+    uint64_t id;
+    enum timer_kind kind;
+};
+
+/** Zero-initialised: empty. */
+struct timers {
+    struct timer *heap;
+    size_t count;
+    size_t cap;
+};
+
+void timers_add(struct timers *t, int64_t at_us, enum timer_kind kind,
+                uint64_t id);
+
+/** Takes one timer that is due at @p now_us. */
+bool timers_pop(struct timers *t, int64_t now_us, struct timer *out);
+
+/** INT64_MAX if there is none. */
+int64_t timers_next(const struct timers *t);
+void timers_free(struct timers *t);
+
+#endif
