--- a/src/flow/call.c
+++ b/src/flow/call.c
@@ -336,14 +336,15 @@
 }
 
 static void
-answer_action(struct flow *f, struct call *c, int http_status, struct str body)
+answer_action(struct flow *f, struct call *c, int http_status, struct str body,
+              bool warm)
 {
     struct request *r = c->r;
     claim_done(f, r, c->stage, http_status, body);
     bool ok = http_status / 100 == 2;
     r->results[c->stage] = ok ? result_of(c, body) : NULL;
-    end_call(f, c, ok || http_status / 100 == 4 ? END_OK : END_FAILED,
-             !c->ep->cold, ok ? "ok" : "status");
+    end_call(f, c, ok || http_status / 100 == 4 ? END_OK : END_FAILED, warm,
+             ok ? "ok" : "status");
     if (ok) {
         stage_begin(f, r);
     }
@@ -355,23 +356,11 @@
     }
 }
 
-void
-call_answer(struct flow *f, uint64_t attempt, int http_status, struct str body,
-            const struct call_report *report)
+static void
+answer_repeatable(struct flow *f, struct call *c, int http_status,
+                  struct str body, bool warm)
 {
-    struct call *c = map_get(&f->calls, attempt);
-    if (!c) {
-        f->counts[COUNT_LATE]++;
-        return;
-    }
     struct request *r = c->r;
-    heard(f, c);
-    health_report(f, c->ep, report);
-    if (!stage_of(c)->repeatable) {
-        answer_action(f, c, http_status, body);
-        return;
-    }
-    bool warm = report->has_load && !report->cold;
     if (http_status / 100 == 2) {
         json_t *result = result_of(c, body);
         if (!result) {
@@ -394,6 +383,27 @@
     lost(f, c, busy ? END_OVERLOAD : END_FAILED, false, "status");
 }
 
+void
+call_answer(struct flow *f, uint64_t attempt, int http_status, struct str body,
+            const struct call_report *report)
+{
+    struct call *c = map_get(&f->calls, attempt);
+    if (!c) {
+        f->counts[COUNT_LATE]++;
+        return;
+    }
+    struct endpoint *ep = c->ep;
+    bool warm = report->has_load && !report->cold;
+    heard(f, c);
+    if (stage_of(c)->repeatable) {
+        answer_repeatable(f, c, http_status, body, warm);
+    }
+    else {
+        answer_action(f, c, http_status, body, warm);
+    }
+    health_report(f, ep, report);
+}
+
 void
 call_failed(struct flow *f, uint64_t attempt, enum call_fault fault,
             bool unsent)
@@ -408,21 +418,23 @@
         return;
     }
     switch (fault) {
-    case CALL_REFUSED:
-        health_cold(f, c->ep);
-        break;
     case CALL_CROSSED:
         f->counts[COUNT_CROSSED]++;
         break;
     case CALL_TRUNCATED:
         f->counts[COUNT_BROKEN]++;
         break;
+    case CALL_REFUSED:
     case CALL_RESET:
     case CALL_TIMEOUT:
         break;
     }
     bool died = !unsent && (fault == CALL_RESET || fault == CALL_TRUNCATED);
+    struct endpoint *ep = c->ep;
     lost(f, c, unsent ? END_UNSENT : END_FAILED, died, names[fault]);
+    if (fault == CALL_REFUSED) {
+        health_cold(f, ep);
+    }
 }
 
 void
--- a/src/flow/core.h
+++ b/src/flow/core.h
@@ -77,8 +77,11 @@
     bool cold;
     bool detected;    /**< cold by own observation, not yet confirmed */
     int64_t probe_us; /**< time of the probe under way, 0 if none */
-    bool reserved;    /**< kept free for a suspect request */
-    bool alone;       /**< runs a suspect request */
+    struct endpoint *tell_next; /**< in f->telling */
+    bool telling;               /**< a cold notice is due in this step */
+    bool tell_own;              /**< it reports an own detection */
+    bool reserved;              /**< kept free for a suspect request */
+    bool alone;                 /**< runs a suspect request */
     int in_flight;
     int slow_first;      /**< slow first tokens in a row */
     struct str start_id; /**< owned */
@@ -238,6 +241,7 @@
     struct call *dead_calls;
     struct endpoint *dead_endpoints;
     struct pool *dirty;
+    struct endpoint *telling;
     int64_t swept_us; /**< given_up was last swept */
     /* Actions of the step, and memory for their strings. */
     struct flow_action *actions;
--- a/src/flow/credit.c
+++ b/src/flow/credit.c
@@ -20,9 +20,17 @@
     enum credit_state state;
     int64_t asked_us;
     int64_t expires_us;  /* 0: never granted */
+    int64_t due_us;      /* of its newest timer; earlier ones are void */
     struct credit *next; /* in ep->held */
 };
 
+static void
+arm(struct flow *f, struct credit *c, int64_t at_us)
+{
+    c->due_us = at_us;
+    timers_add(&f->timers, at_us, TIMER_CREDIT, c->id);
+}
+
 static void
 ask(struct flow *f, struct credit *c)
 {
@@ -86,7 +94,7 @@
             wanted--;
             map_put(&f->credits, c->id, c);
             ask(f, c);
-            timers_add(&f->timers, f->now_us + ANSWER_US, TIMER_CREDIT, c->id);
+            arm(f, c, f->now_us + ANSWER_US);
         }
     }
 }
@@ -97,7 +105,7 @@
     int64_t wait = retry_us > 10 * MS ? retry_us : 10 * MS;
     struct endpoint *ep = c->ep;
     if (c->state == CREDIT_USED) {
-        timers_add(&f->timers, f->now_us + wait, TIMER_CREDIT, c->id);
+        arm(f, c, f->now_us + wait);
         return;
     }
     ep->credit_retry_us = f->now_us + wait;
@@ -137,7 +145,7 @@
         drop_unused(f, c);
         return;
     }
-    timers_add(&f->timers, f->now_us + UNUSED_US, TIMER_CREDIT, c->id);
+    arm(f, c, f->now_us + UNUSED_US);
     pool_touch(f, c->ep->pool);
 }
 
@@ -145,25 +153,23 @@
 credit_timer(struct flow *f, uint64_t id)
 {
     struct credit *c = map_get(&f->credits, id);
-    if (!c) {
+    if (!c || f->now_us < c->due_us) {
         return;
     }
+    struct pool *p = c->ep->pool;
     switch (c->state) {
     case CREDIT_ASKED:
-        if (f->now_us - c->asked_us >= ANSWER_US) {
-            struct endpoint *ep = c->ep;
-            drop_unused(f, c);
-            pool_touch(f, ep->pool);
-        }
+        drop_unused(f, c);
+        pool_touch(f, p);
         break;
     case CREDIT_HELD:
         drop_unused(f, c);
         break;
     case CREDIT_USED:
-        if (c->ep->cold && f->now_us - c->asked_us >= LIFE_US / 4) {
+        if (c->ep->cold) {
             ask(f, c);
         }
-        timers_add(&f->timers, f->now_us + LIFE_US / 2, TIMER_CREDIT, id);
+        arm(f, c, f->now_us + LIFE_US / 2);
         break;
     }
 }
@@ -192,8 +198,7 @@
             unhold(c);
             ep->credits--;
             c->state = CREDIT_USED;
-            timers_add(&f->timers, c->asked_us + LIFE_US / 2, TIMER_CREDIT,
-                       c->id);
+            arm(f, c, c->asked_us + LIFE_US / 2);
             return c;
         }
     }
--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -160,6 +160,7 @@
     /* Due timers first: an event must not overtake an expired deadline. */
     run_timers(f);
     apply(f, ev);
+    health_flush(f);
     while (f->dirty) {
         struct pool *p = f->dirty;
         f->dirty = p->dirty_next;
--- a/src/flow/health.c
+++ b/src/flow/health.c
@@ -30,15 +30,33 @@
     return n;
 }
 
+/* Notices go out at the end of the step, when calls that ended in it are no
+ * longer counted. */
 static void
 tell_cold(struct flow *f, struct endpoint *ep, bool detected)
 {
-    core_ask(f, ASK_COLD)->cold = (struct cold_notice){
-        .endpoint = core_keep(f, ep->id),
-        .start_id = core_keep(f, ep->start_id),
-        .in_flight = uncounted(f, ep),
-        .detected = detected,
-    };
+    ep->tell_own |= detected;
+    if (!ep->telling) {
+        ep->telling = true;
+        ep->tell_next = f->telling;
+        f->telling = ep;
+    }
+}
+
+void
+health_flush(struct flow *f)
+{
+    while (f->telling) {
+        struct endpoint *ep = f->telling;
+        f->telling = ep->tell_next;
+        core_ask(f, ASK_COLD)->cold = (struct cold_notice){
+            .endpoint = core_keep(f, ep->id),
+            .start_id = core_keep(f, ep->start_id),
+            .in_flight = uncounted(f, ep),
+            .detected = ep->tell_own,
+        };
+        ep->telling = ep->tell_own = false;
+    }
 }
 
 void
--- a/src/flow/health.h
+++ b/src/flow/health.h
@@ -29,6 +29,9 @@
 /** End of an ejection. */
 void health_timer(struct flow *f, uint64_t hash);
 
+/** Emits the cold notices of this step. */
+void health_flush(struct flow *f);
+
 /** Cold or warm, by the control core. */
 void health_notice(struct flow *f, const struct endpoint_notice *n);
 
--- a/src/flow/pool.c
+++ b/src/flow/pool.c
@@ -307,7 +307,7 @@
             best = ep;
         }
     }
-    p->next = p->count ? (p->next + 1) % p->count : 0;
+    p->next = (p->next + 1) % p->count;
     return best;
 }
 
--- a/tests/flow_script.c
+++ b/tests/flow_script.c
@@ -393,6 +393,9 @@
     }
     g_strfreev(lines);
     flow_free(s.f);
-    g_assert_cmpstr(s.out.ptr, ==, want.ptr);
+    if (!str_eq(buf_str(&s.out), buf_str(&want))) {
+        g_test_message("expected:\n%s\nactual:\n%s", want.ptr, s.out.ptr);
+        g_test_fail();
+    }
     buf_free(&s.out);
 }
