--- a/src/flow/admit.c
+++ b/src/flow/admit.c
@@ -41,5 +41,6 @@
     for (int i = 0; i < p->count; i++) {
         in_flight += p->endpoints[i]->in_flight;
     }
-    return in_flight == 0 && fairq_length(p->queue) == 0;
+    int others = fairq_length(p->queue) - (r->state == REQ_QUEUED);
+    return in_flight == 0 && others == 0;
 }
--- a/src/flow/call.c
+++ b/src/flow/call.c
@@ -33,14 +33,14 @@
     case END_OK:
         hist_add(&e->service[estimate_size(c->r->call_body.len)], us);
         limit_answer(&ep->limit, f->now_us, us, ep->in_flight, false);
-        outlier_answer(&ep->outlier, true, us);
+        outlier_answer(&ep->outlier, f->now_us, true, us);
         break;
     case END_OVERLOAD:
         limit_answer(&ep->limit, f->now_us, us, ep->in_flight, true);
-        outlier_answer(&ep->outlier, false, 0);
+        outlier_answer(&ep->outlier, f->now_us, false, 0);
         break;
     case END_FAILED:
-        outlier_answer(&ep->outlier, false, 0);
+        outlier_answer(&ep->outlier, f->now_us, false, 0);
         break;
     case END_UNSENT:
     case END_DROPPED:
--- a/src/flow/outlier.c
+++ b/src/flow/outlier.c
@@ -1,17 +1,21 @@
 #include "flow/outlier.h"
 
+#include <math.h>
+
 #define ENOUGH 10
+#define HALF_LIFE_US 5000000LL
 #define EJECT_US 5000000LL
 #define EJECT_MAX_US 60000000LL
 #define SLOW_START_US 10000000LL
 #define FORGET_US 60000000LL
 
 void
-outlier_answer(struct outlier *o, bool ok, int64_t service_us)
+outlier_answer(struct outlier *o, int64_t now_us, bool ok, int64_t service_us)
 {
     o->answers++;
-    /* The first answers weigh as in a plain mean. */
-    double a = o->answers < ENOUGH ? 1.0 / o->answers : 1.0 / ENOUGH;
+    o->failed_us = ok ? o->failed_us : now_us;
+    /* The first answers weigh as in a mean with one success before them. */
+    double a = o->answers < ENOUGH ? 1.0 / (o->answers + 1) : 1.0 / ENOUGH;
     o->failures += ((ok ? 0 : 1) - o->failures) * a;
     if (ok) {
         double us = (double)service_us;
@@ -19,6 +23,13 @@
     }
 }
 
+double
+outlier_failures(const struct outlier *o, int64_t now_us)
+{
+    return o->failures *
+           exp2(-(double)(now_us - o->failed_us) / (double)HALF_LIFE_US);
+}
+
 bool
 outlier_far(const struct outlier *o, double median_failures,
             double median_latency_us)
--- a/src/flow/outlier.h
+++ b/src/flow/outlier.h
@@ -12,6 +12,7 @@
 struct outlier {
     double failures;   /**< moving share of failed calls */
     double latency_us; /**< moving average of service time */
+    int64_t failed_us; /**< time of the last failure */
     int answers;       /**< since the last ejection */
     int ejections;     /**< in a row */
     bool ejected;
@@ -20,7 +21,12 @@
 };
 
 /** Learns from a finished call; @p service_us is ignored if it failed. */
-void outlier_answer(struct outlier *o, bool ok, int64_t service_us);
+void outlier_answer(struct outlier *o, int64_t now_us, bool ok,
+                    int64_t service_us);
+
+/** Share of failed calls for routing; it halves every 5 s without a failure,
+ * so that an endpoint that is avoided for it gets another try. */
+double outlier_failures(const struct outlier *o, int64_t now_us);
 
 /** True if the endpoint is far from the pool's medians; they are of its
  * endpoints' moving values. */
--- a/src/flow/pool.c
+++ b/src/flow/pool.c
@@ -254,7 +254,7 @@
         ep->outlier.latency_us > 0 ? ep->outlier.latency_us : service_us;
     double cost = (load + 1) * (us > 1 ? us : 1) / limit_of(f, ep);
     /* Fast failures must not attract work. */
-    cost /= 1.05 - (ep->outlier.failures < 1 ? ep->outlier.failures : 1);
+    cost /= 1.05 - outlier_failures(&ep->outlier, f->now_us);
     if (r->tried_zone >= 0) {
         return ep->zone == r->tried_zone ? cost * 4 : cost;
     }
--- a/tests/flow_script.c
+++ b/tests/flow_script.c
@@ -393,8 +393,17 @@
     }
     g_strfreev(lines);
     flow_free(s.f);
-    if (!str_eq(buf_str(&s.out), buf_str(&want))) {
-        g_test_message("expected:\n%s\nactual:\n%s", want.ptr, s.out.ptr);
+    struct str got = buf_str(&s.out);
+    struct str exp = buf_str(&want);
+    if (!str_eq(got, exp)) {
+        size_t at = 0;
+        size_t line = 0;
+        for (; at < exp.len && at < got.len && exp.ptr[at] == got.ptr[at];
+             at++) {
+            line = exp.ptr[at] == '\n' ? at + 1 : line;
+        }
+        g_test_message("expected:\n%s\nactual:\n%s", exp.ptr + line,
+                       got.ptr + line);
         g_test_fail();
     }
     buf_free(&s.out);
--- /dev/null
+++ b/tests/test_fairq.c
@@ -0,0 +1,125 @@
+/* Guards against a large team that starves small ones, bulk work that waits
+ * for ever or goes before its turn, and queues that drop the wrong entry. */
+#include <glib.h>
+#include <stdio.h>
+
+#include "flow/fairq.h"
+
+/* A script of pushes "TEAM CLASS WEIGHT DEADLINE" named 0.., "." pops; the
+ * names popped or dropped (with !) in order. Time advances by 1 ms a word. */
+static const struct {
+    const char *name; /* the failure it guards against */
+    bool fifo;
+    int limit;
+    const char *script;
+    const char *want;
+} rows[] = {
+    {"a team with more work goes first", false, 10, "a1 a1 a1 b1 . . . .",
+     "0 3 1 2 "},
+    {"weights are not kept", false, 10, "a1 a1 a1 a1 b3 b3 b3 . . . . .",
+     "0 4 5 6 1 "},
+    {"an idle team saves up its share", false, 20,
+     "a1 a1 . . . a1 a1 a1 b1 b1 . . . .", "0 1 5 2 6 3 "},
+    {"arrival order is lost in FIFO mode", true, 10, "a1 a1 b1 A1 . . . .",
+     "0 1 2 3 "},
+    {"classes out of order", false, 10, "B1 A1 a1 . . .", "2 1 0 "},
+    {"a full queue drops one that can meet its deadline", false, 2,
+     "a1/900 b1/200 b1/800 . .", "!1 0 2 "},
+    {"of equal entries an older one is dropped", false, 2,
+     "a1/900 b1/900 b1/900 . .", "!2 0 1 "},
+    {"FIFO drops a queued entry", true, 2, "a1/900 b1/2 b1/800 . .",
+     "!2 0 1 "},
+};
+
+static void
+test_rows(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct fairq *q = fairq_new(rows[i].fifo);
+        struct fairq_entry e[16] = {0};
+        GString *got = g_string_new("");
+        gchar **w = g_strsplit(rows[i].script, " ", 0);
+        int n = 0;
+        int64_t now = 0;
+        fairq_set(q, rows[i].limit, 1000000);
+        for (int k = 0; w[k]; k++, now += 1000) {
+            struct fairq_entry *out;
+            char team = 0;
+            int weight = 0;
+            int deadline = 1000;
+            if (*w[k] == '.') {
+                out = fairq_peek(q, now);
+                if (out) {
+                    fairq_remove(q, out);
+                    g_string_append_printf(got, "%d ", (int)(out - e));
+                }
+                continue;
+            }
+            sscanf(w[k], "%c%d/%d", &team, &weight, &deadline);
+            e[n].team = (uint64_t)team;
+            /* a, b: interactive; A: action; B: bulk */
+            e[n].class = team == 'A'   ? CLASS_ACTION
+                         : team == 'B' ? CLASS_BULK
+                                       : CLASS_INTERACTIVE;
+            e[n].weight = weight;
+            e[n].cost_us = 1000;
+            e[n].deadline_us = deadline * 1000;
+            out = fairq_push(q, now, &e[n++]);
+            if (out) {
+                g_string_append_printf(got, "!%d ", (int)(out - e));
+            }
+        }
+        g_test_message("%s", rows[i].name);
+        g_assert_cmpstr(got->str, ==, rows[i].want);
+        g_strfreev(w);
+        g_string_free(got, TRUE);
+        fairq_free(q);
+    }
+}
+
+/* Guards against bulk work that interactive work keeps back beyond its
+ * bound, and bulk work that is preferred before it. */
+static void
+test_bulk_wait(void)
+{
+    struct fairq *q = fairq_new(false);
+    struct fairq_entry bulk = {.class = CLASS_BULK, .weight = 1};
+    struct fairq_entry live = {.class = CLASS_INTERACTIVE, .weight = 1};
+    fairq_set(q, 10, 10000);
+    fairq_push(q, 0, &bulk);
+    fairq_push(q, 5000, &live);
+    g_assert_true(fairq_peek(q, 9999) == &live);
+    g_assert_true(fairq_peek(q, 10000) == &bulk);
+    fairq_free(q);
+}
+
+/* Guards against waits estimated from other teams' whole backlog. */
+static void
+test_ahead(void)
+{
+    struct fairq *q = fairq_new(false);
+    struct fairq_entry e[12] = {0};
+    fairq_set(q, 100, 1000000);
+    for (int i = 0; i < 12; i++) {
+        e[i].team = i < 10 ? 1 : 2;
+        e[i].weight = 1;
+        e[i].cost_us = 100;
+        e[i].class = CLASS_INTERACTIVE;
+        fairq_push(q, 0, &e[i]);
+    }
+    g_assert_cmpint(fairq_ahead_us(q, CLASS_INTERACTIVE, 1, 1), ==, 1200);
+    g_assert_cmpint(fairq_ahead_us(q, CLASS_INTERACTIVE, 2, 1), ==, 500);
+    g_assert_cmpint(fairq_ahead_us(q, CLASS_INTERACTIVE, 3, 1), ==, 200);
+    g_assert_cmpint(fairq_ahead_us(q, CLASS_ACTION, 3, 1), ==, 1200);
+    fairq_free(q);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/fairq/rows", test_rows);
+    g_test_add_func("/fairq/bulk_wait", test_bulk_wait);
+    g_test_add_func("/fairq/ahead", test_ahead);
+    return g_test_run();
+}
