Judge endpoints by latency that answer lengths do not change

Cause: reading the limit showed that service times of streams of mixed lengths would look like overload, since the floor was the shortest answer seen. A slow endpoint whose calls were always beaten by hedges was never judged. Each new request tried a dead endpoint's credit once.

Change: the gradient compares a fast with a slow moving average; streams count with their first token. The loser of a hedge counts as at least as slow as its elapsed time. A refused connection holds back credit questions for 250 ms, doubling to 4 s. Silence timers replace each other.

Conclusion: limits no longer shrink because answers differ in length.

--- a/src/flow/call.c
+++ b/src/flow/call.c
@@ -15,7 +15,14 @@
 #define PROBE_WAIT_US (250 * MS)
 
 /* How a call ended, for what is learned from it. */
-enum call_end { END_OK, END_FAILED, END_OVERLOAD, END_UNSENT, END_DROPPED };
+enum call_end {
+    END_OK,
+    END_SLOWER, /* another call of the stage answered first */
+    END_FAILED,
+    END_OVERLOAD,
+    END_UNSENT,
+    END_DROPPED,
+};
 
 static const struct fleet_stage *
 stage_of(const struct call *c)
@@ -29,10 +36,17 @@
     struct endpoint *ep = c->ep;
     struct estimate *e = &ep->pool->estimate;
     int64_t us = f->now_us - c->start_us;
+    /* The length of a stream says nothing of its endpoint. */
+    bool stream = stage_of(c)->kind == STAGE_GENERATE && c->first_us;
+    int64_t latency_us = stream ? c->first_us - c->start_us : us;
     switch (end) {
     case END_OK:
         hist_add(&e->service[estimate_size(c->r->call_body.len)], us);
-        limit_answer(&ep->limit, f->now_us, us, ep->in_flight, false);
+        limit_answer(&ep->limit, f->now_us, latency_us, ep->in_flight, false);
+        outlier_answer(&ep->outlier, f->now_us, true, latency_us);
+        ep->refusals = 0;
+        break;
+    case END_SLOWER:
         outlier_answer(&ep->outlier, f->now_us, true, us);
         break;
     case END_OVERLOAD:
@@ -86,6 +100,17 @@
     end_call(f, c, END_DROPPED, false, outcome);
 }
 
+/* The elapsed time is a lower bound of the loser's latency. Without it a
+ * slow endpoint would never show, since hedges cut its calls short. */
+static void
+cancel_loser(struct flow *f, struct call *c)
+{
+    bool slow = !c->hedge && !c->first_us;
+    core_emit(f, FLOW_ACT_CANCEL)->cancel = c->attempt;
+    f->counts[COUNT_CANCELS]++;
+    end_call(f, c, slow ? END_SLOWER : END_DROPPED, false, "hedged");
+}
+
 static void
 cancel_others(struct flow *f, struct request *r, const struct call *keep)
 {
@@ -93,7 +118,7 @@
     while (c) {
         struct call *next = c->next;
         if (c != keep) {
-            call_cancel(f, c, "hedged");
+            cancel_loser(f, c);
         }
         c = next;
     }
@@ -232,13 +257,19 @@
             c->silence_us = silence_wait_us(
                 &p->estimate, true, p->settings[FLEET_SILENCE_FLOOR_MS] * MS,
                 c->r->deadline_us - f->now_us);
-            timers_add(&f->timers, f->now_us + c->silence_us, TIMER_SILENCE,
-                       c->attempt);
+            call_listen(f, c, f->now_us + c->silence_us);
         }
     }
     c->byte_us = f->now_us;
 }
 
+void
+call_listen(struct flow *f, struct call *c, int64_t at_us)
+{
+    c->listen_us = at_us;
+    timers_add(&f->timers, at_us, TIMER_SILENCE, c->attempt);
+}
+
 void
 call_bytes(struct flow *f, uint64_t attempt)
 {
@@ -433,7 +464,7 @@
     struct endpoint *ep = c->ep;
     lost(f, c, unsent ? END_UNSENT : END_FAILED, died, names[fault]);
     if (fault == CALL_REFUSED) {
-        health_cold(f, ep);
+        health_refused(f, ep);
     }
 }
 
@@ -441,7 +472,7 @@
 call_silence_timer(struct flow *f, uint64_t attempt)
 {
     struct call *c = map_get(&f->calls, attempt);
-    if (!c) {
+    if (!c || f->now_us < c->listen_us) {
         return;
     }
     int64_t due = c->byte_us + c->silence_us;
@@ -450,7 +481,7 @@
         health_probe(f, c->ep);
         due = f->now_us + c->silence_us;
     }
-    timers_add(&f->timers, due, TIMER_SILENCE, attempt);
+    call_listen(f, c, due);
 }
 
 static void
--- a/src/flow/call.h
+++ b/src/flow/call.h
@@ -22,6 +22,8 @@
  * blame. The request waits in no list. */
 void call_verdict(struct flow *f, struct request *r, bool died);
 
+/** Arms the silence rule's timer; earlier ones are void. */
+void call_listen(struct flow *f, struct call *c, int64_t at_us);
 void call_silence_timer(struct flow *f, uint64_t attempt);
 
 /** A probe of the endpoint ended: decides on its silent calls. */
--- a/src/flow/core.h
+++ b/src/flow/core.h
@@ -84,6 +84,7 @@
     bool alone;                 /**< runs a suspect request */
     int in_flight;
     int slow_first;      /**< slow first tokens in a row */
+    int refusals;        /**< refused connections in a row */
     struct str start_id; /**< owned */
     int reported;        /**< in-flight plus queue by its load report */
     int64_t reported_us;
@@ -211,6 +212,7 @@
     int64_t first_us;   /**< first byte, 0 before */
     int64_t byte_us;    /**< newest byte */
     int64_t silence_us; /**< wait allowed since byte_us */
+    int64_t listen_us;  /**< time of the valid TIMER_SILENCE */
     int resume_from;
     int next_index; /**< -1 before the first token */
     size_t pos;     /**< in r->text of the next token's text */
--- a/src/flow/health.c
+++ b/src/flow/health.c
@@ -13,6 +13,7 @@
 #define SLOW_FACTOR 4
 #define SLOW_TIMES 3
 #define JUDGE_EVERY 10
+#define REFUSED_US (250 * MS)
 
 /* Calls in flight that the owner of a cold endpoint does not count. */
 static int
@@ -73,6 +74,21 @@
     pool_touch(f, ep->pool);
 }
 
+void
+health_refused(struct flow *f, struct endpoint *ep)
+{
+    health_cold(f, ep);
+    if (!f->full) {
+        return;
+    }
+    /* Credits of a dead endpoint would attract each new request once. */
+    int64_t wait = REFUSED_US << (ep->refusals < 4 ? ep->refusals : 4);
+    ep->refusals++;
+    ep->credit_retry_us = f->now_us + wait;
+    timers_add(&f->timers, ep->credit_retry_us, TIMER_POOL, ep->pool->hash);
+    credit_drop_unused(f, ep);
+}
+
 void
 health_report(struct flow *f, struct endpoint *ep,
               const struct call_report *report)
--- a/src/flow/limit.c
+++ b/src/flow/limit.c
@@ -1,9 +1,12 @@
 #include "flow/limit.h"
 
-/* Service time above this multiple of the floor means queueing inside the
- * endpoint. Batching engines slow down up to about 2x at full batches. */
-#define GRADIENT 2.5
+/* Recent latency above this multiple of the long-term one means queueing
+ * inside the endpoint. Batching engines slow down up to about 1.5x at full
+ * batches. */
+#define GRADIENT 2.0
 #define DECREASE 0.85
+#define RECENT 0.1
+#define LONG 0.01
 
 void
 limit_init(struct limit *l, int cap)
@@ -35,24 +38,24 @@
 }
 
 void
-limit_answer(struct limit *l, int64_t now_us, int64_t service_us,
+limit_answer(struct limit *l, int64_t now_us, int64_t latency_us,
              int in_flight, bool overload)
 {
     if (overload) {
         cut(l, now_us);
         return;
     }
-    double us = (double)(service_us > 1 ? service_us : 1);
-    l->recent_us += (us - l->recent_us) * (l->recent_us > 0 ? 0.2 : 1);
-    if (l->floor_us <= 0 || us < l->floor_us) {
-        l->floor_us = us;
+    double us = (double)(latency_us > 1 ? latency_us : 1);
+    if (l->long_us <= 0) {
+        l->recent_us = l->long_us = us;
     }
-    else {
-        /* The floor rises slowly, so that a lasting change of the service
-         * time is not taken for load for ever. */
-        l->floor_us += (us - l->floor_us) * 0.01;
+    l->recent_us += (us - l->recent_us) * RECENT;
+    l->long_us += (us - l->long_us) * LONG;
+    if (l->long_us > GRADIENT * l->recent_us) {
+        /* Recovers from a time of overload, which raised the average. */
+        l->long_us *= 0.95;
     }
-    if (l->recent_us > GRADIENT * l->floor_us && in_flight > 1) {
+    if (l->recent_us > GRADIENT * l->long_us && in_flight > 1) {
         cut(l, now_us);
     }
     else if (in_flight * 2 >= (int)l->value) {
--- a/src/flow/limit.h
+++ b/src/flow/limit.h
@@ -1,8 +1,8 @@
 /**
  * @file limit.h
  * Adaptive limit of this core's calls in flight on one endpoint: additive
- * increase and multiplicative decrease on the latency gradient (recent
- * service time against its long-term floor).
+ * increase and multiplicative decrease on the latency gradient (recent average
+ * against long-term average).
  */
 #ifndef FLOW_LIMIT_H
 #define FLOW_LIMIT_H
@@ -13,8 +13,8 @@
 struct limit {
     double value;
     int cap;
-    double recent_us; /**< fast moving average of service time */
-    double floor_us;  /**< slow estimate of the unloaded service time */
+    double recent_us; /**< fast moving average of latency */
+    double long_us;   /**< slow moving average */
     int64_t cut_us;   /**< time of the last decrease */
 };
 
@@ -24,9 +24,10 @@
 /** Changes the cap; a limit at its old cap follows it. */
 void limit_set_cap(struct limit *l, int cap);
 
-/** Learns from an answer. @p in_flight counts the answered call.
+/** Learns from an answer. @p latency_us must not depend on the length of the
+ * answer. @p in_flight counts the answered call.
  * @p overload: the endpoint refused for load (429, 503). */
-void limit_answer(struct limit *l, int64_t now_us, int64_t service_us,
+void limit_answer(struct limit *l, int64_t now_us, int64_t latency_us,
                   int in_flight, bool overload);
 int limit_get(const struct limit *l);
 
--- a/src/flow/stage.c
+++ b/src/flow/stage.c
@@ -195,8 +195,7 @@
     c->silence_us = silence_wait_us(&p->estimate, false,
                                     p->settings[FLEET_SILENCE_FLOOR_MS] * MS,
                                     r->deadline_us - f->now_us);
-    timers_add(&f->timers, f->now_us + c->silence_us, TIMER_SILENCE,
-               c->attempt);
+    call_listen(f, c, f->now_us + c->silence_us);
     int64_t p95 = estimate_at(&p->estimate.first, 0.95, -1);
     if (p95 > 0 && !c->hedge && !c->alone && stage_of(r)->repeatable) {
         timers_add(&f->timers, f->now_us + p95, TIMER_HEDGE, c->attempt);
