--- a/src/model/ask.h
+++ b/src/model/ask.h
@@ -31,7 +31,11 @@
 #undef X
 };
 
-/** A request about one claim key. DONE and ABANDON have no reply. */
+/** Longest answer, in bytes, that is kept in a claim record. */
+#define CLAIM_ANSWER_MAX 1024
+
+/** A request about one claim key. Flow cores get no reply to DONE and ABANDON;
+ * between nodes CLAIM_CLOSED acknowledges them. */
 struct claim_ask {
     enum claim_verb verb;
     struct digest key;
@@ -40,7 +44,8 @@
     int64_t valid_us;  /**< time until the attempt's deadline; relative, so
                             that it can cross nodes */
     int http_status;   /**< DONE only */
-    struct str answer; /**< DONE only; borrowed */
+    struct str answer; /**< DONE only; borrowed. Longer than CLAIM_ANSWER_MAX:
+                            not kept; cut to one byte above it on the wire */
 };
 
 #define CLAIM_STATE_LIST(X)                                                   \
@@ -50,7 +55,8 @@
     X(HELD, "held")                                                           \
     X(BUSY, "busy")                                                           \
     X(MISMATCH, "mismatch")                                                   \
-    X(UNAVAILABLE, "unavailable")
+    X(UNAVAILABLE, "unavailable")                                             \
+    X(CLOSED, "closed")
 
 enum claim_state {
 #define X(id, name) CLAIM_##id,
@@ -59,7 +65,8 @@
 };
 
 struct claim_reply {
-    enum claim_verb verb; /**< of the request answered: OPEN or CLAIM */
+    enum claim_verb verb; /**< of the request answered; flow cores see only
+                               OPEN and CLAIM */
     enum claim_state state;
     struct digest key;
     struct attempt_id attempt; /**< the attempt that asked */
--- /dev/null
+++ b/src/wire/msg.c
@@ -0,0 +1,363 @@
+#include "wire/msg.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+#define NAME_MAX_BYTES 512
+#define CONTACTS_MAX_BYTES 4096
+#define HEADER_MAX_BYTES 3
+
+/* One pass over the fields of a message. Encoding makes a counting pass and a
+ * writing pass, so that the same field list serves both directions. A message
+ * is one flat array of integers, booleans and byte strings: containers are
+ * refused before the library sees them, so no count in hostile bytes makes it
+ * allocate. */
+struct io {
+    enum { IO_COUNT, IO_WRITE, IO_READ } mode;
+    msgpack_packer pk;
+    uint32_t fields; /**< counted, or still to be read */
+    struct str in;
+    size_t at;
+    bool bad;
+};
+
+static int
+write_cb(void *data, const char *p, size_t len)
+{
+    buf_append(data, p, len);
+    return 0;
+}
+
+/* Reads the next object; anything but a scalar of type @p a or @p b makes the
+ * message malformed. */
+static bool
+read_scalar(struct io *io, msgpack_object_type a, msgpack_object_type b,
+            msgpack_object *out)
+{
+    if (io->bad || io->fields == 0 || io->at >= io->in.len) {
+        io->bad = true;
+        return false;
+    }
+    unsigned char c = (unsigned char)io->in.ptr[io->at];
+    if ((c >= 0x80 && c <= 0x9f) || c >= 0xdc) {
+        io->bad = c < 0xe0;
+    }
+    msgpack_unpacked u;
+    msgpack_unpacked_init(&u);
+    if (!io->bad && msgpack_unpack_next(&u, io->in.ptr, io->in.len, &io->at) ==
+                        MSGPACK_UNPACK_SUCCESS) {
+        *out = u.data;
+        io->bad = u.data.type != a && u.data.type != b;
+    }
+    else {
+        io->bad = true;
+    }
+    msgpack_unpacked_destroy(&u);
+    io->fields--;
+    return !io->bad;
+}
+
+static void
+io_u64(struct io *io, uint64_t *v)
+{
+    msgpack_object o;
+    switch (io->mode) {
+    case IO_COUNT:
+        io->fields++;
+        break;
+    case IO_WRITE:
+        msgpack_pack_uint64(&io->pk, *v);
+        break;
+    case IO_READ:
+        if (read_scalar(io, MSGPACK_OBJECT_POSITIVE_INTEGER,
+                        MSGPACK_OBJECT_POSITIVE_INTEGER, &o)) {
+            *v = o.via.u64;
+        }
+        break;
+    }
+}
+
+/* A number in [0, max]. */
+static void
+io_i64(struct io *io, int64_t *v, int64_t max)
+{
+    uint64_t u = *v < 0 ? 0 : (uint64_t)*v;
+    io_u64(io, &u);
+    if (io->mode == IO_READ && !io->bad) {
+        io->bad = u > (uint64_t)max;
+        *v = (int64_t)u;
+    }
+}
+
+static void
+io_int(struct io *io, int *v, int max)
+{
+    int64_t i = *v;
+    io_i64(io, &i, max);
+    *v = (int)i;
+}
+
+#define IO_ENUM(io, field, count)                                             \
+    do {                                                                      \
+        int e_ = (int)(field);                                                \
+        io_int((io), &e_, (count)-1);                                         \
+        (field) = e_;                                                         \
+    } while (0)
+
+static void
+io_bool(struct io *io, bool *v)
+{
+    msgpack_object o;
+    switch (io->mode) {
+    case IO_COUNT:
+        io->fields++;
+        break;
+    case IO_WRITE:
+        *v ? msgpack_pack_true(&io->pk) : msgpack_pack_false(&io->pk);
+        break;
+    case IO_READ:
+        if (read_scalar(io, MSGPACK_OBJECT_BOOLEAN, MSGPACK_OBJECT_BOOLEAN,
+                        &o)) {
+            *v = o.via.boolean;
+        }
+        break;
+    }
+}
+
+static void
+io_str(struct io *io, struct str *v, size_t max)
+{
+    msgpack_object o;
+    switch (io->mode) {
+    case IO_COUNT:
+        io->fields++;
+        break;
+    case IO_WRITE:
+        msgpack_pack_bin(&io->pk, v->len);
+        msgpack_pack_bin_body(&io->pk, v->ptr, v->len);
+        break;
+    case IO_READ:
+        if (read_scalar(io, MSGPACK_OBJECT_BIN, MSGPACK_OBJECT_BIN, &o)) {
+            *v = str_of(o.via.bin.ptr, o.via.bin.size);
+            io->bad = v->len > max;
+        }
+        break;
+    }
+}
+
+static void
+io_digest(struct io *io, struct digest *d)
+{
+    io_u64(io, &d->hi);
+    io_u64(io, &d->lo);
+}
+
+static void
+io_attempt(struct io *io, struct attempt_id *a)
+{
+    io_u64(io, &a->node);
+    io_u64(io, &a->incarnation);
+    io_u64(io, &a->seq);
+}
+
+static void
+io_gossip(struct io *io, struct gossip *g)
+{
+    IO_ENUM(io, g->kind, GOSSIP_SUSPECT + 1);
+    if (io->bad) {
+        return;
+    }
+    switch (g->kind) {
+    case GOSSIP_MEMBER:
+        io_u64(io, &g->member.node);
+        io_u64(io, &g->member.incarnation);
+        IO_ENUM(io, g->member.state, MEMBER_LEFT + 1);
+        break;
+    case GOSSIP_ENDPOINT:
+        io_str(io, &g->endpoint.endpoint, NAME_MAX_BYTES);
+        io_str(io, &g->endpoint.start_id, NAME_MAX_BYTES);
+        io_u64(io, &g->endpoint.seq);
+        io_bool(io, &g->endpoint.cold);
+        break;
+    case GOSSIP_SUSPECT:
+        io_digest(io, &g->suspect.content);
+        io_int(io, &g->suspect.strikes, INT32_MAX);
+        io_i64(io, &g->suspect.hold_us, INT64_MAX);
+        break;
+    }
+}
+
+static void
+io_probe(struct io *io, struct probe_body *b)
+{
+    io_u64(io, &b->seq);
+    io_u64(io, &b->target);
+    for (int i = 0; i < DOC_COUNT; i++) {
+        io_i64(io, &b->revisions[i], INT64_MAX);
+    }
+    io_i64(io, &b->contact_roster, INT64_MAX);
+    io_str(io, &b->contacts, CONTACTS_MAX_BYTES);
+    io_int(io, &b->gossip_count, MSG_MAX_DELTAS);
+    for (int i = 0; !io->bad && i < b->gossip_count; i++) {
+        io_gossip(io, &b->gossip[i]);
+    }
+}
+
+static void
+io_doc(struct io *io, struct doc_body *b)
+{
+    IO_ENUM(io, b->doc, DOC_COUNT);
+    io_i64(io, &b->revision, INT64_MAX);
+    io_str(io, &b->bytes, MSG_MAX_BYTES);
+}
+
+static void
+io_claim(struct io *io, struct claim_ask *b)
+{
+    IO_ENUM(io, b->verb, CLAIM_VERB_ABANDON + 1);
+    io_digest(io, &b->key);
+    io_digest(io, &b->body);
+    io_attempt(io, &b->attempt);
+    io_i64(io, &b->valid_us, INT64_MAX);
+    io_int(io, &b->http_status, 999);
+    io_str(io, &b->answer, CLAIM_ANSWER_MAX + 1);
+}
+
+static void
+io_claim_reply(struct io *io, struct claim_reply *b)
+{
+    IO_ENUM(io, b->verb, CLAIM_VERB_ABANDON + 1);
+    IO_ENUM(io, b->state, CLAIM_CLOSED + 1);
+    io_digest(io, &b->key);
+    io_attempt(io, &b->attempt);
+    io_int(io, &b->http_status, 999);
+    io_bool(io, &b->answer_kept);
+    io_str(io, &b->answer, CLAIM_ANSWER_MAX);
+}
+
+static void
+io_credit(struct io *io, struct credit_ask *b)
+{
+    io_u64(io, &b->credit);
+    io_str(io, &b->endpoint, NAME_MAX_BYTES);
+    io_i64(io, &b->lifetime_us, CREDIT_LIFE_MAX_US);
+}
+
+static void
+io_credit_reply(struct io *io, struct credit_reply *b)
+{
+    io_u64(io, &b->credit);
+    io_str(io, &b->endpoint, NAME_MAX_BYTES);
+    io_bool(io, &b->granted);
+    io_i64(io, &b->retry_us, INT64_MAX);
+}
+
+static void
+io_credit_release(struct io *io, struct credit_release *b)
+{
+    io_u64(io, &b->credit);
+    io_str(io, &b->endpoint, NAME_MAX_BYTES);
+    io_bool(io, &b->used);
+    io_bool(io, &b->ok);
+    io_bool(io, &b->reported_warm);
+}
+
+static void
+io_credit_query(struct io *io, struct credit_query *b)
+{
+    io_str(io, &b->endpoint, NAME_MAX_BYTES);
+    io_u64(io, &b->query);
+}
+
+static void
+io_credit_state(struct io *io, struct credit_state *b)
+{
+    io_str(io, &b->endpoint, NAME_MAX_BYTES);
+    io_u64(io, &b->query);
+    io_int(io, &b->in_flight, INT32_MAX);
+    io_int(io, &b->count, MSG_CREDITS_MAX);
+    for (int i = 0; !io->bad && i < b->count; i++) {
+        io_u64(io, &b->credits[i]);
+    }
+}
+
+static void
+io_cold(struct io *io, struct cold_notice *b)
+{
+    io_str(io, &b->endpoint, NAME_MAX_BYTES);
+    io_str(io, &b->start_id, NAME_MAX_BYTES);
+    io_int(io, &b->in_flight, INT32_MAX);
+    io_bool(io, &b->detected);
+}
+
+static void
+io_msg(struct io *io, struct msg *m)
+{
+    uint64_t version = MSG_VERSION;
+    io_u64(io, &version);
+    io->bad = io->bad || version != MSG_VERSION;
+    IO_ENUM(io, m->type, MSG_TYPE_COUNT);
+    io_u64(io, &m->from);
+    io_u64(io, &m->incarnation);
+    if (io->bad) {
+        return;
+    }
+    switch (m->type) {
+#define X(id, name, field, type)                                              \
+    case MSG_##id:                                                            \
+        io_##field(io, &m->field);                                            \
+        break;
+        MSG_LIST(X)
+#undef X
+    case MSG_TYPE_COUNT:
+        io->bad = true;
+        break;
+    }
+}
+
+const char *
+msg_type_name(enum msg_type t)
+{
+    static const char *const names[] = {
+#define X(id, name, field, type) name,
+        MSG_LIST(X)
+#undef X
+    };
+    return t < MSG_TYPE_COUNT ? names[t] : "unknown";
+}
+
+void
+msg_encode(const struct msg *m, struct buf *out)
+{
+    struct msg copy = *m;
+    struct io io = {.mode = IO_COUNT};
+    io_msg(&io, &copy);
+    io.mode = IO_WRITE;
+    msgpack_packer_init(&io.pk, out, write_cb);
+    msgpack_pack_array(&io.pk, io.fields);
+    io_msg(&io, &copy);
+}
+
+enum status
+msg_decode(struct str bytes, struct msg *out)
+{
+    struct io io = {.mode = IO_READ, .in = bytes};
+    const unsigned char *p = (const unsigned char *)bytes.ptr;
+    memset(out, 0, sizeof(*out));
+    if (bytes.len < HEADER_MAX_BYTES || bytes.len > MSG_MAX_BYTES) {
+        return err_set(ST_INVALID, "message of %zu bytes", bytes.len);
+    }
+    if ((p[0] & 0xf0) == 0x90) {
+        io.fields = p[0] & 0x0f;
+        io.at = 1;
+    }
+    else if (p[0] == 0xdc) {
+        io.fields = (uint32_t)p[1] << 8 | p[2];
+        io.at = HEADER_MAX_BYTES;
+    }
+    io_msg(&io, out);
+    if (io.bad || io.fields != 0 || io.at != bytes.len) {
+        return err_set(ST_INVALID, "malformed message near byte %zu", io.at);
+    }
+    return ST_OK;
+}
--- /dev/null
+++ b/tests/test_msg.c
@@ -0,0 +1,155 @@
+/* Guards against messages whose fields change on the way between nodes and
+ * against malformed bytes that are accepted or read out of bounds. */
+#include <glib.h>
+#include <string.h>
+
+#include "base/clean.h"
+#include "wire/msg.h"
+
+#define BIG 0xfedcba9876543210ULL
+
+static const struct msg rows[] = {
+    {MSG_PING, BIG, 2, .probe = {.seq = 1}},
+    {MSG_PING_REQ, 1, 2, .probe = {.seq = 1, .target = BIG}},
+    {MSG_ACK, 1, 2,
+     .probe = {7,
+               0,
+               {1, 2, INT64_MAX},
+               9,
+               {"\0\1\377", 3},
+               3,
+               {{GOSSIP_MEMBER, .member = {BIG, 4, MEMBER_LEFT}},
+                {GOSSIP_ENDPOINT, .endpoint = {{"e1", 2}, {"s", 1}, 12, true}},
+                {GOSSIP_SUSPECT, .suspect = {{BIG, 1}, 2, 300000000}}}}},
+    {MSG_LEAVE, 1, 2, .probe = {.seq = 1}},
+    {MSG_DOC_GET, 1, 2, .doc = {.doc = DOC_VMS}},
+    {MSG_DOC, 1, 2, .doc = {DOC_CONFIG, 5, {"{}", 2}}},
+    {MSG_DOC_ACK, 1, 2, .doc = {.doc = DOC_ROSTER, .revision = 8}},
+    {MSG_CLAIM, 1, 2,
+     .claim = {CLAIM_VERB_DONE,
+               {BIG, 2},
+               {3, BIG},
+               {1, 2, BIG},
+               8000000,
+               201,
+               {"a\0b", 3}}},
+    {MSG_CLAIM_REPLY, 1, 2,
+     .claim_reply = {CLAIM_VERB_ABANDON,
+                     CLAIM_CLOSED,
+                     {1, 2},
+                     {1, 2, 3},
+                     200,
+                     true,
+                     {"x", 1}}},
+    {MSG_CREDIT, 1, 2, .credit = {BIG, {"e", 1}, CREDIT_LIFE_MAX_US}},
+    {MSG_CREDIT_REPLY, 1, 2, .credit_reply = {1, {"e", 1}, false, 70}},
+    {MSG_CREDIT_RELEASE, 1, 2,
+     .credit_release = {1, {"e", 1}, true, false, true}},
+    {MSG_CREDIT_QUERY, 1, 2, .credit_query = {{"e", 1}, BIG}},
+    {MSG_CREDIT_STATE, 1, 2, .credit_state = {{"e", 1}, BIG, 3, 2, {BIG, 9}}},
+    {MSG_COLD, 1, 2, .cold = {{"e", 1}, {"", 0}, 4, true}},
+};
+
+static void
+test_round_trip(void)
+{
+    bool seen[MSG_TYPE_COUNT] = {false};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        CLEAN(buf_free) struct buf a = {0};
+        CLEAN(buf_free) struct buf b = {0};
+        struct msg m;
+        msg_encode(&rows[i], &a);
+        g_assert_cmpint(msg_decode(buf_str(&a), &m), ==, ST_OK);
+        g_assert_cmpint(m.type, ==, rows[i].type);
+        seen[m.type] = true;
+        msg_encode(&m, &b);
+        g_assert_cmpmem(a.ptr, a.len, b.ptr, b.len);
+    }
+    for (int t = 0; t < MSG_TYPE_COUNT; t++) {
+        g_assert_true(seen[t]);
+    }
+    CLEAN(buf_free) struct buf a = {0};
+    struct msg m;
+    msg_encode(&rows[7], &a);
+    msg_decode(buf_str(&a), &m);
+    g_assert_cmpuint(m.claim.key.hi, ==, BIG);
+    g_assert_cmpuint(m.claim.body.lo, ==, BIG);
+    g_assert_cmpuint(m.claim.attempt.seq, ==, BIG);
+    g_assert_cmpint(m.claim.http_status, ==, 201);
+    g_assert_cmpmem(m.claim.answer.ptr, m.claim.answer.len, "a\0b", 3);
+}
+
+/* Every prefix is refused; every single-byte change and every appended byte
+ * is refused or gives a message that encodes within the limits. Bytes are
+ * copied to the heap so that the address sanitizer sees reads past the end. */
+static void
+test_damage(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        CLEAN(buf_free) struct buf a = {0};
+        struct msg m;
+        msg_encode(&rows[i], &a);
+        for (size_t n = 0; n < a.len; n++) {
+            char *p = g_memdup2(a.ptr, n + 1);
+            char *cut = g_memdup2(a.ptr, n ? n : 1);
+            g_assert_cmpint(msg_decode(str_of(cut, n), &m), ==, ST_INVALID);
+            g_free(p);
+            g_free(cut);
+            for (int c = 0; c < 256; c++) {
+                char *q = g_memdup2(a.ptr, a.len);
+                CLEAN(buf_free) struct buf back = {0};
+                q[n] = (char)c;
+                if (msg_decode(str_of(q, a.len), &m) == ST_OK) {
+                    g_assert_cmpint(m.type, <, MSG_TYPE_COUNT);
+                    msg_encode(&m, &back);
+                }
+                g_free(q);
+            }
+        }
+        buf_append(&a, "\0", 1);
+        g_assert_cmpint(msg_decode(buf_str(&a), &m), ==, ST_INVALID);
+    }
+}
+
+static void
+test_refused(void)
+{
+    /* Each row: bytes, why they are refused. */
+    static const struct {
+        struct str in;
+        const char *why;
+    } bad[] = {
+        {STR_LIT("\x94\x02\x00\x01\x01"), "unknown version"},
+        {STR_LIT("\x94\x01\x7f\x01\x01"), "unknown type"},
+        {STR_LIT("\x94\x01\xff\x01\x01"), "negative type"},
+        {STR_LIT("\x96\x01\x04\x01\x01\x00\x00"), "too few fields"},
+        {STR_LIT("\x97\x01\x04\x01\x01\x07\x00\xc4\x00"), "unknown document"},
+        {STR_LIT("\x97\x01\x04\x01\x01\x00\x00\xa0"), "text for bytes"},
+        {STR_LIT("\x97\x01\x04\x01\x01\x00\x00\xdd\xff\xff\xff\xff"),
+         "nested container of huge count"},
+        {STR_LIT("\xdd\xff\xff\xff\xff\x01\x04"), "array of huge count"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        struct msg m;
+        if (msg_decode(bad[i].in, &m) != ST_INVALID) {
+            g_error("accepted: %s", bad[i].why);
+        }
+    }
+    struct msg m = rows[3];
+    CLEAN(buf_free) struct buf a = {0};
+    m.probe.gossip_count = 0;
+    m.type = MSG_CREDIT;
+    m.credit = (struct credit_ask){1, {"e", 1}, CREDIT_LIFE_MAX_US + 1};
+    msg_encode(&m, &a);
+    g_assert_cmpint(msg_decode(buf_str(&a), &m), ==, ST_INVALID);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/msg/round-trip", test_round_trip);
+    g_test_add_func("/msg/damage", test_damage);
+    g_test_add_func("/msg/refused", test_refused);
+    return g_test_run();
+}
