Add membership, documents and operators' edits as state machines

Cause: the fleet side of the control core had interfaces only. Change: SWIM membership over the roster with the contact vector and freshness (member, peers, contact, gossipq), the three documents (docs), changes of the roster by CAS (join), strikes (strikes) and edits on the JSON configuration (edit). Conclusion: the parts can be joined into the control core.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -19,6 +19,7 @@
     CONTROL_EV_ASK,   /**< from a flow core */
     CONTROL_EV_ADMIN, /**< an operator's request */
     CONTROL_EV_LEAVE, /**< begin a graceful leave */
+    CONTROL_EV_HINT,  /**< the link to a node failed: probe it at once */
 };
 
 #define ADMIN_VERB_LIST(X)                                                    \
@@ -49,6 +50,7 @@
             struct str body; /**< JSON; may be empty */
             int64_t deadline_us;
         } admin;
+        uint64_t hint; /**< node id */
     };
 };
 
@@ -60,14 +62,16 @@
 struct control_options {
     uint64_t node; /**< 64-bit id, from the name in the settings */
     struct str name;
-    uint64_t incarnation;
-    struct str address; /**< where other nodes reach this one */
+    uint64_t incarnation; /**< must exceed that of earlier processes of the
+                               node, for instance the wall clock in ms */
+    struct str address;   /**< where other nodes reach this one */
     struct str zone;
     struct str region;
     struct str curve_public; /**< Z85, 40 characters; may be empty */
     uint64_t seed;
     int claim_buckets;
     int store_writes_per_s; /**< the whole fleet's budget */
+    int threads;            /**< flow cores of this node; 0 counts as 1 */
     int peer_count;         /**< seeds from the settings */
     const struct control_peer *peers;
 };
@@ -82,13 +86,16 @@
 void control_step(struct control *c, int64_t now_us,
                   const struct control_event *ev);
 
-/** Takes the next action. Its strings are valid until the next step. */
+/** Takes the next action. Its strings are valid until the next step, which
+ * drops actions that were not taken. A message with an empty address goes
+ * back over the connection on which the node was heard. */
 bool control_next(struct control *c, struct control_action *out);
 
 /** When the core next needs CONTROL_EV_TICK. */
 int64_t control_wakeup(const struct control *c);
 
-/** True if the node has a configuration, is in the roster and is fresh. */
+/** True if the node has a configuration and a VM list (or knows that there is
+ * none), is in the roster, is fresh and is not leaving. */
 bool control_ready(const struct control *c, int64_t now_us);
 
 /** Appends the core's counters as Prometheus text. */
--- /dev/null
+++ b/src/control/strikes.c
@@ -0,0 +1,95 @@
+#include "control/strikes.h"
+
+#include <stdlib.h>
+
+#define ENTRIES_MAX 4096
+/* Queued copies of older strikes are sent within this time. */
+#define CLEARED_US 15000000
+
+struct entry {
+    struct digest content;
+    int strikes;
+    bool cleared; /* strikes up to this count are ignored */
+    int64_t until_us;
+};
+
+struct strikes {
+    int count;
+    struct entry entries[ENTRIES_MAX];
+};
+
+struct strikes *
+strikes_new(void)
+{
+    return mem_zero(1, sizeof(struct strikes));
+}
+
+void
+strikes_free(struct strikes *s)
+{
+    free(s);
+}
+
+/* The entry of the content; expired entries met on the way are dropped. */
+static struct entry *
+find(struct strikes *s, int64_t now_us, struct digest content)
+{
+    int i = 0;
+    while (i < s->count) {
+        struct entry *e = &s->entries[i];
+        if (now_us >= e->until_us) {
+            *e = s->entries[--s->count];
+        }
+        else if (digest_eq(e->content, content)) {
+            return e;
+        }
+        else {
+            i++;
+        }
+    }
+    return NULL;
+}
+
+static struct entry *
+soonest(struct strikes *s)
+{
+    struct entry *e = &s->entries[0];
+    for (int i = 1; i < s->count; i++) {
+        if (s->entries[i].until_us < e->until_us) {
+            e = &s->entries[i];
+        }
+    }
+    return e;
+}
+
+bool
+strikes_apply(struct strikes *s, int64_t now_us,
+              const struct suspect_notice *n)
+{
+    struct entry *e = find(s, now_us, n->content);
+    if (!e && n->strikes == 0) {
+        return false;
+    }
+    if (n->strikes == 0) {
+        if (e->cleared) {
+            return false;
+        }
+        e->cleared = true;
+        e->until_us = now_us + CLEARED_US;
+        return true;
+    }
+    if (e && n->strikes <= e->strikes) {
+        return false;
+    }
+    if (!e) {
+        e = s->count < ENTRIES_MAX ? &s->entries[s->count++] : soonest(s);
+    }
+    *e = (struct entry){n->content, n->strikes, false, now_us + n->hold_us};
+    return true;
+}
+
+int
+strikes_count(const struct strikes *s)
+{
+    return s->count;
+}
--- /dev/null
+++ b/src/model/edit.h
@@ -0,0 +1,63 @@
+/**
+ * @file edit.h
+ * Operators' edits on the JSON configuration: parsing of requests, conflict
+ * detection by the changes kept in the document, and application.
+ *
+ * The member "changes" of the document holds the last 64 changes as
+ * {"change","by","base","paths"}, where base is the revision of the document
+ * that the change replaced. Revisions of one record rise with each write, so
+ * a change is contained in revision R exactly if its base is below R.
+ */
+#ifndef MODEL_EDIT_H
+#define MODEL_EDIT_H
+
+#include <jansson.h>
+
+#include "base/err.h"
+#include "base/str.h"
+
+#define EDIT_CHANGES_KEPT 64
+#define EDIT_DOCUMENT_MAX (1000 * 1000)
+
+struct edit;
+
+/**
+ * Parses {"change","by","base","set":[{"path","value","reason"}]}, or with
+ * @p whole {"change","by","base","config":{...}}. A value of null deletes.
+ * All faults are appended to @p errors, one per line.
+ * @return ST_OK and an owned *out, or ST_INVALID
+ */
+enum status edit_parse(struct str body, bool whole, struct edit **out,
+                       struct buf *errors);
+void edit_free(struct edit *e);
+
+/** Change id; valid as long as the edit. */
+struct str edit_change(const struct edit *e);
+
+/** Revision that the operator saw. */
+int64_t edit_base(const struct edit *e);
+
+enum edit_outcome {
+    EDIT_APPLIED,
+    EDIT_REPEATED, /**< the document contains this change already */
+    EDIT_CONFLICT, /**< a path was changed after the base revision */
+    EDIT_FAULTY,
+};
+
+/**
+ * Applies the edit to the document of @p revision (empty and 0 if there is
+ * none). EDIT_APPLIED: the new document is appended to @p out, and it passes
+ * fleet_parse. EDIT_CONFLICT and EDIT_FAULTY: @p why gets one line per
+ * conflict ("PATH was changed by WHO (change ID)") or fault.
+ */
+enum edit_outcome edit_apply(const struct edit *e, struct str doc,
+                             int64_t revision, struct buf *out,
+                             struct buf *why);
+
+/** True if the document contains a change with this id. */
+bool edit_contains(struct str doc, struct str change);
+
+/** Removes every token hash from a configuration. */
+void edit_redact(json_t *config);
+
+#endif
--- /dev/null
+++ b/tests/sim.c
@@ -0,0 +1,320 @@
+#include "tests/sim.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum kind { EV_MSG, EV_ANSWER, EV_APPLY, EV_WATCH };
+
+struct sim_event {
+    int64_t at_us;
+    uint64_t seq;
+    enum kind kind;
+    int node;
+    struct str bytes; /* owned: message, or value of an answer */
+    struct store_result result;
+    struct store_op op; /* key and value owned */
+};
+
+void
+sim_init(struct sim *s, int count, uint64_t seed, void *arg)
+{
+    memset(s, 0, sizeof(*s));
+    rng_seed(&s->rng, seed);
+    s->count = count;
+    s->arg = arg;
+    s->delay_us = 500;
+    s->jitter_us = 500;
+    for (int i = 0; i < count; i++) {
+        s->ids[i] = (uint64_t)i + 1;
+        s->up[i] = true;
+        s->wake_us[i] = 0;
+    }
+}
+
+static void
+release(struct sim_event *e)
+{
+    str_free(&e->bytes);
+    str_free(&e->op.key);
+    str_free(&e->op.value);
+}
+
+void
+sim_clear(struct sim *s)
+{
+    for (size_t i = 0; i < s->heap_count; i++) {
+        release(&s->heap[i]);
+    }
+    for (int i = 0; i < s->key_count; i++) {
+        str_free(&s->keys[i].value);
+    }
+    free(s->heap);
+}
+
+static bool
+before(const struct sim_event *a, const struct sim_event *b)
+{
+    return a->at_us < b->at_us || (a->at_us == b->at_us && a->seq < b->seq);
+}
+
+static void
+push(struct sim *s, struct sim_event e)
+{
+    if (s->heap_count == s->heap_cap) {
+        s->heap_cap = s->heap_cap ? s->heap_cap * 2 : 256;
+        s->heap = mem_grow(s->heap, s->heap_cap, sizeof(*s->heap));
+    }
+    e.seq = s->next_seq++;
+    size_t i = s->heap_count++;
+    while (i && before(&e, &s->heap[(i - 1) / 2])) {
+        s->heap[i] = s->heap[(i - 1) / 2];
+        i = (i - 1) / 2;
+    }
+    s->heap[i] = e;
+}
+
+static struct sim_event
+pop(struct sim *s)
+{
+    struct sim_event top = s->heap[0];
+    struct sim_event last = s->heap[--s->heap_count];
+    size_t i = 0;
+    for (;;) {
+        size_t k = 2 * i + 1;
+        if (k >= s->heap_count) {
+            break;
+        }
+        if (k + 1 < s->heap_count && before(&s->heap[k + 1], &s->heap[k])) {
+            k++;
+        }
+        if (!before(&s->heap[k], &last)) {
+            break;
+        }
+        s->heap[i] = s->heap[k];
+        i = k;
+    }
+    s->heap[i] = last;
+    return top;
+}
+
+struct sim_key *
+sim_key(struct sim *s, struct str key)
+{
+    for (int i = 0; i < s->key_count; i++) {
+        if (str_eq_c(key, s->keys[i].name)) {
+            return &s->keys[i];
+        }
+    }
+    struct sim_key *k = &s->keys[s->key_count++];
+    memcpy(k->name, key.ptr, key.len);
+    return k;
+}
+
+/* Answers the watches of a key that were passed by a write. */
+static void
+wake_watches(struct sim *s, const struct sim_key *k)
+{
+    for (size_t i = 0; i < s->heap_count; i++) {
+        struct sim_event *e = &s->heap[i];
+        if (e->kind == EV_WATCH && str_eq_c(e->op.key, k->name) &&
+            e->result.outcome == STORE_LOST) {
+            struct sim_event hit = {.kind = EV_ANSWER,
+                                    .at_us = s->now_us + 1000,
+                                    .node = e->node,
+                                    .bytes = str_dup(k->value)};
+            hit.result =
+                (struct store_result){e->op.id, STORE_OK, k->revision, {0}};
+            e->result.outcome = STORE_ABSENT; /* spent */
+            push(s, hit);
+        }
+    }
+}
+
+static void
+put(struct sim *s, struct sim_key *k, struct str value)
+{
+    str_free(&k->value);
+    k->value = str_dup(value);
+    k->revision = ++s->revision;
+    wake_watches(s, k);
+}
+
+int64_t
+sim_put(struct sim *s, const char *key, struct str value)
+{
+    struct sim_key *k = sim_key(s, str_from(key));
+    put(s, k, value);
+    return k->revision;
+}
+
+static void
+store(struct sim *s, int node, const struct store_op *op)
+{
+    struct sim_event e = {.kind = EV_ANSWER, .node = node};
+    struct sim_key *k = sim_key(s, op->key);
+    bool lost = s->store_loss > 0 && rng_unit(&s->rng) < s->store_loss;
+    int64_t quick = s->now_us + 1000 + (int64_t)rng_below(&s->rng, 2000);
+    s->store_calls++;
+    e.result.id = op->id;
+    e.at_us = quick;
+    if (s->store_down || s->no_store[node]) {
+        bool refused = rng_below(&s->rng, 2);
+        e.result.outcome = refused ? STORE_FAILED : STORE_LOST;
+        e.at_us = refused ? quick : s->now_us + op->timeout_us;
+        push(s, e);
+        return;
+    }
+    switch (op->kind) {
+    case STORE_GET:
+        e.result.outcome = k->revision ? STORE_OK : STORE_ABSENT;
+        e.result.revision = k->revision;
+        e.bytes = str_dup(k->value);
+        s->store_bytes += (int64_t)k->value.len;
+        break;
+    case STORE_WATCH:
+        if (k->revision > op->expect) {
+            e.result.outcome = STORE_OK;
+            e.result.revision = k->revision;
+            e.bytes = str_dup(k->value);
+            break;
+        }
+        e.kind = EV_WATCH;
+        e.op = *op;
+        e.op.key = str_dup(op->key);
+        e.op.value = (struct str){0};
+        e.result.outcome = STORE_LOST;
+        e.at_us = s->now_us + op->timeout_us;
+        push(s, e);
+        return;
+    case STORE_CAS:
+        if (lost && rng_below(&s->rng, 2)) {
+            /* The write arrives late, after the caller's time-out or not. */
+            struct sim_event late = {.kind = EV_APPLY, .op = *op};
+            late.at_us = s->now_us + (int64_t)rng_below(&s->rng, 3000000);
+            late.op.key = str_dup(op->key);
+            late.op.value = str_dup(op->value);
+            push(s, late);
+        }
+        else if (k->revision != op->expect) {
+            e.result.outcome = STORE_CONFLICT;
+        }
+        else if (!lost || rng_below(&s->rng, 2)) {
+            put(s, k, op->value);
+            e.result.revision = k->revision;
+        }
+        break;
+    }
+    if (lost) {
+        str_free(&e.bytes);
+        e.result.outcome = STORE_LOST;
+        e.at_us = s->now_us + op->timeout_us;
+    }
+    push(s, e);
+}
+
+static int
+index_of(const struct sim *s, uint64_t id)
+{
+    return id >= 1 && id <= (uint64_t)s->count ? (int)id - 1 : -1;
+}
+
+void
+sim_action(struct sim *s, int node, const struct control_action *a)
+{
+    if (a->kind == CONTROL_ACT_STORE) {
+        store(s, node, &a->store);
+    }
+    if (a->kind != CONTROL_ACT_SEND) {
+        return;
+    }
+    int to = index_of(s, a->send.to);
+    struct buf bytes = {0};
+    msg_encode(&a->send.msg, &bytes);
+    s->messages++;
+    s->bytes += (int64_t)bytes.len;
+    if (to < 0 || s->group[to] != s->group[node] ||
+        rng_unit(&s->rng) < s->loss) {
+        buf_free(&bytes);
+        return;
+    }
+    struct sim_event e = {.kind = EV_MSG, .node = to};
+    e.at_us = s->now_us + s->delay_us +
+              (int64_t)rng_below(&s->rng, (uint64_t)s->jitter_us + 1);
+    e.bytes = buf_take(&bytes);
+    push(s, e);
+}
+
+void
+sim_step(struct sim *s, int node, const struct control_event *ev)
+{
+    s->step(s->arg, node, ev);
+    s->wake_us[node] = s->wakeup(s->arg, node);
+}
+
+static void
+deliver(struct sim *s, struct sim_event *e)
+{
+    struct control_event ev = {0};
+    struct sim_key *k;
+    switch (e->kind) {
+    case EV_MSG:
+        ev.kind = CONTROL_EV_MSG;
+        if (s->up[e->node] && msg_decode(e->bytes, &ev.msg) == ST_OK) {
+            sim_step(s, e->node, &ev);
+        }
+        break;
+    case EV_WATCH:
+        if (e->result.outcome != STORE_LOST) {
+            break;
+        }
+        e->result.id = e->op.id;
+        /* fall through */
+    case EV_ANSWER:
+        ev.kind = CONTROL_EV_STORE;
+        ev.store = e->result;
+        ev.store.value = e->bytes;
+        if (s->up[e->node]) {
+            sim_step(s, e->node, &ev);
+        }
+        break;
+    case EV_APPLY:
+        k = sim_key(s, e->op.key);
+        if (k->revision == e->op.expect) {
+            put(s, k, e->op.value);
+        }
+        break;
+    }
+}
+
+void
+sim_run(struct sim *s, int64_t until_us)
+{
+    static const struct control_event tick = {.kind = CONTROL_EV_TICK};
+    for (;;) {
+        int64_t at = s->heap_count ? s->heap[0].at_us : INT64_MAX;
+        int node = -1;
+        for (int i = 0; i < s->count; i++) {
+            if (s->up[i] && s->wake_us[i] < at) {
+                at = s->wake_us[i];
+                node = i;
+            }
+        }
+        if (at > until_us) {
+            break;
+        }
+        if (at > s->now_us) {
+            s->now_us = at;
+        }
+        if (node >= 0) {
+            sim_step(s, node, &tick);
+            if (s->wake_us[node] <= s->now_us) {
+                s->wake_us[node] = s->now_us + 1000;
+            }
+            continue;
+        }
+        struct sim_event e = pop(s);
+        deliver(s, &e);
+        release(&e);
+    }
+    s->now_us = until_us;
+}
--- /dev/null
+++ b/tests/test_docs.c
@@ -0,0 +1,310 @@
+/* Guards against documents that go back to an older revision, faulty
+ * documents that replace good ones, store calls that grow with the fleet, a
+ * herd of calls when the store recovers, and nodes that a pushed document
+ * does not reach. */
+#include <glib.h>
+#include <string.h>
+
+#include "base/clean.h"
+#include "control/docs.h"
+#include "tests/sim.h"
+
+#define SECOND INT64_C(1000000)
+#define NODES_MAX 400
+#define GOOD "{\"defaults\":{\"deadline_ms\":5000}}"
+
+struct world {
+    struct sim sim;
+    struct docs *d[NODES_MAX];
+    struct view_member members[NODES_MAX];
+    struct view view[NODES_MAX];
+    int64_t probe_us[NODES_MAX];
+    struct outbox *out;
+    int64_t docs_sent;
+};
+
+static void
+drain(struct world *w, int node)
+{
+    struct control_action a;
+    while (outbox_next(w->out, &a)) {
+        w->docs_sent +=
+            a.kind == CONTROL_ACT_SEND && a.send.msg.type == MSG_DOC;
+        sim_action(&w->sim, node, &a);
+    }
+    outbox_clear(w->out);
+}
+
+/* Stands in for a probe: the node hears the revisions of two others. */
+static void
+probe(struct world *w, int node)
+{
+    for (int i = 0; i < 2; i++) {
+        int64_t revisions[DOC_COUNT];
+        int peer = (int)rng_below(&w->sim.rng, (uint64_t)w->sim.count);
+        if (!w->sim.up[peer] || w->sim.group[peer] != w->sim.group[node]) {
+            continue;
+        }
+        for (int k = 0; k < DOC_COUNT; k++) {
+            revisions[k] = docs_get(w->d[peer], (enum doc_kind)k).revision;
+        }
+        docs_peer(w->d[node], w->sim.now_us, &w->view[node], w->sim.ids[peer],
+                  revisions, w->out);
+    }
+}
+
+static void
+step(void *arg, int node, const struct control_event *ev)
+{
+    struct world *w = arg;
+    int64_t now = w->sim.now_us;
+    if (ev->kind == CONTROL_EV_MSG) {
+        docs_msg(w->d[node], now, &w->view[node], &ev->msg, w->out);
+    }
+    else if (ev->kind == CONTROL_EV_STORE) {
+        docs_store(w->d[node], now, &ev->store);
+    }
+    else {
+        /* The store's contacts reach all nodes unless it is down. */
+        docs_tick(w->d[node], now, &w->view[node],
+                  w->sim.store_down ? 10 * SECOND : 0, w->out);
+        if (now >= w->probe_us[node]) {
+            w->probe_us[node] = now + SECOND / 2;
+            probe(w, node);
+        }
+    }
+    drain(w, node);
+}
+
+static int64_t
+wakeup(void *arg, int node)
+{
+    struct world *w = arg;
+    int64_t at = docs_wakeup(w->d[node]);
+    return at < w->probe_us[node] ? at : w->probe_us[node];
+}
+
+static struct world *
+world_new(int count, uint64_t seed)
+{
+    struct world *w = mem_zero(1, sizeof(*w));
+    sim_init(&w->sim, count, seed, w);
+    w->sim.step = step;
+    w->sim.wakeup = wakeup;
+    w->out = outbox_new();
+    for (int i = 0; i < count; i++) {
+        struct docs_options o = {w->sim.ids[i], 1, seed};
+        w->members[i] = (struct view_member){
+            .node = w->sim.ids[i], .alive = true, .in_roster = true};
+        w->view[i] = (struct view){w->sim.ids[i], 1, count, w->members};
+        w->d[i] = docs_new(&o, 0);
+    }
+    sim_put(&w->sim, "cf/config", STR_LIT(GOOD));
+    sim_put(&w->sim, "cf/roster", STR_LIT("{\"members\":[]}"));
+    sim_put(&w->sim, "platform/vms", STR_LIT("{\"vms\":[]}"));
+    return w;
+}
+
+static void
+world_free(struct world *w)
+{
+    for (int i = 0; i < w->sim.count; i++) {
+        docs_free(w->d[i]);
+    }
+    sim_clear(&w->sim);
+    outbox_free(w->out);
+    free(w);
+}
+
+/* Rows of documents that arrive one after another, and the revision of the
+ * kind that is in force afterwards. */
+static const struct {
+    enum doc_kind kind;
+    int64_t revision;
+    const char *bytes;
+    int64_t in_force;
+} rows[] = {
+    {DOC_CONFIG, 10, GOOD, 10},
+    {DOC_CONFIG, 9, "{}", 10},
+    {DOC_CONFIG, 10, "{}", 10},
+    {DOC_CONFIG, 11, "{\"colour\":1}", 10},
+    {DOC_CONFIG, 11, "{\"defaults\":", 10},
+    {DOC_CONFIG, 12, "{}", 12},
+    {DOC_ROSTER, 3, "{\"members\":[{}]}", 0},
+    {DOC_ROSTER, 3, "{\"members\":[]}", 3},
+    {DOC_VMS, 4, "{}", 0},
+    {DOC_VMS, 4, "{\"vms\":[]}", 4},
+};
+
+static void
+test_rows(void)
+{
+    struct world *w = world_new(2, 1);
+    CLEAN(buf_free) struct buf metrics = {0};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct msg m = {.type = MSG_DOC, .from = 2, .incarnation = 1};
+        struct control_action a;
+        int acks = 0;
+        m.doc.doc = rows[i].kind;
+        m.doc.revision = rows[i].revision;
+        m.doc.bytes = str_from(rows[i].bytes);
+        docs_msg(w->d[0], 0, &w->view[0], &m, w->out);
+        while (outbox_next(w->out, &a)) {
+            g_assert_cmpint(a.send.msg.type, ==, MSG_DOC_ACK);
+            acks += a.send.msg.doc.doc == rows[i].kind;
+        }
+        outbox_clear(w->out);
+        g_assert_cmpint(docs_get(w->d[0], rows[i].kind).revision, ==,
+                        rows[i].in_force);
+        /* Only what is in force is acknowledged. */
+        g_assert_cmpint(acks, ==, rows[i].revision <= rows[i].in_force);
+    }
+    docs_metrics(w->d[0], &metrics);
+    g_assert_nonnull(strstr(metrics.ptr, "docs_rejected_total 4\n"));
+    g_assert_nonnull(strstr(metrics.ptr, "docs_stale_total 1\n"));
+    world_free(w);
+}
+
+/* A faulty configuration in the store leaves the old one in force, and reads
+ * of it still count as contact. A store that lost its data does not. */
+static void
+test_faulty_store(void)
+{
+    struct world *w = world_new(3, 2);
+    sim_run(&w->sim, 2 * SECOND);
+    int64_t good = docs_get(w->d[0], DOC_CONFIG).revision;
+    int64_t bad = sim_put(&w->sim, "cf/config", STR_LIT("{\"x\":1}"));
+    sim_run(&w->sim, 6 * SECOND);
+    g_assert_cmpint(docs_get(w->d[0], DOC_CONFIG).revision, ==, good);
+    g_assert_cmpint(docs_faulty(w->d[0]), ==, bad);
+    g_assert_cmpint(docs_contact(w->d[0]), >, 5 * SECOND);
+    sim_key(&w->sim, STR_LIT("cf/config"))->revision = 0;
+    sim_run(&w->sim, 9 * SECOND);
+    g_assert_cmpint(docs_get(w->d[0], DOC_CONFIG).revision, ==, good);
+    g_assert_cmpint(docs_contact(w->d[0]), <, 7 * SECOND);
+    world_free(w);
+}
+
+static void
+test_store_calls(void)
+{
+    /* Calls a second in the fleet: 2 + 0.5 + 0.5 for each watcher, and the
+     * watches, which last 30 s. During an outage watchers back off to a read
+     * in 4 s (half to one and a half of that, drawn at random), and so do the
+     * others, which together stay below 4 a second. */
+    static const struct {
+        int count;
+        int watchers;
+    } sizes[] = {{1, 3}, {5, 3}, {9, 3}, {10, 4}, {40, 7}, {390, 16}};
+    for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        int n = sizes[i].watchers;
+        g_assert_cmpint(docs_watchers(sizes[i].count), ==, n);
+        n = n < sizes[i].count ? n : sizes[i].count;
+        struct world *w = world_new(sizes[i].count, 10 + i);
+        sim_run(&w->sim, 10 * SECOND);
+        int64_t before = w->sim.store_calls;
+        sim_run(&w->sim, 30 * SECOND);
+        g_assert_cmpint(w->sim.store_calls - before, <=,
+                        20 * 3 * n * 12 / 10 + 2 * n);
+        g_assert_cmpint(w->sim.store_calls - before, >=, 20 * 3 * n * 8 / 10);
+        w->sim.store_down = true;
+        sim_run(&w->sim, 40 * SECOND);
+        before = w->sim.store_calls;
+        sim_run(&w->sim, 100 * SECOND);
+        int others = (sizes[i].count - n) * 15;
+        others = others < 240 ? others : 240;
+        g_assert_cmpint(w->sim.store_calls - before, <=,
+                        (15 * n + others) * 3 / 2);
+        /* On recovery the calls of any 100 ms stay below the number that a
+         * herd of all watchers would send at once. */
+        w->sim.store_down = false;
+        int64_t put =
+            sim_put(&w->sim, "platform/vms", STR_LIT("{\"vms\":[{}]}"));
+        int64_t peak = 0;
+        for (int t = 1; t <= 80; t++) {
+            before = w->sim.store_calls;
+            sim_run(&w->sim, 100 * SECOND + t * SECOND / 10);
+            before = w->sim.store_calls - before;
+            peak = before > peak ? before : peak;
+        }
+        g_assert_cmpint(peak, <=, n + 4);
+        for (int k = 0; k < w->sim.count; k++) {
+            g_assert_cmpint(docs_get(w->d[k], DOC_VMS).revision, ==, put);
+        }
+        world_free(w);
+    }
+}
+
+/* A document written by one node reaches all alive nodes; with the tree no
+ * node sends more than 17 copies, and at most two reach a node on average. */
+static void
+test_push(void)
+{
+    static const struct {
+        int count;
+        int dead_every; /* every n-th node is down; 0: none */
+        int64_t within_us;
+    } sizes[] = {{5, 0, 10000},
+                 {64, 0, 10000},
+                 {390, 0, 10000},
+                 {390, 7, 10000},
+                 {390, 2, 10000}};
+    for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        struct world *w = world_new(sizes[i].count, 20 + i);
+        int alive = sizes[i].count;
+        sim_run(&w->sim, 5 * SECOND);
+        for (int k = 1; sizes[i].dead_every && k < w->sim.count; k++) {
+            if (k % sizes[i].dead_every == 0) {
+                w->sim.up[k] = false;
+                w->members[k].alive = false;
+                alive--;
+            }
+        }
+        w->docs_sent = 0;
+        docs_offer(w->d[1], &w->view[1], DOC_CONFIG, 99, STR_LIT("{}"), true,
+                   w->out);
+        if (w->sim.count > 64) {
+            g_assert_cmpint(docs_get(w->d[1], DOC_CONFIG).revision, ==, 99);
+        }
+        drain(w, 1);
+        g_assert_cmpint(w->docs_sent, <=, 64);
+        sim_run(&w->sim, 5 * SECOND + sizes[i].within_us);
+        for (int k = 0; k < w->sim.count; k++) {
+            g_assert_true(!w->sim.up[k] ||
+                          docs_get(w->d[k], DOC_CONFIG).revision == 99);
+        }
+        g_assert_cmpint(w->docs_sent, <=, 2 * alive);
+        world_free(w);
+    }
+}
+
+/* Documents spread without the store, from the one node that has them. */
+static void
+test_from_peers(void)
+{
+    struct world *w = world_new(5, 30);
+    w->sim.store_down = true;
+    sim_run(&w->sim, 5 * SECOND);
+    docs_offer(w->d[2], &w->view[2], DOC_CONFIG, 7, STR_LIT(GOOD), false,
+               w->out);
+    drain(w, 2);
+    sim_run(&w->sim, 8 * SECOND);
+    for (int k = 0; k < 5; k++) {
+        g_assert_cmpint(docs_get(w->d[k], DOC_CONFIG).revision, ==, 7);
+        g_assert_true(docs_known(w->d[k], DOC_CONFIG));
+        g_assert_false(docs_known(w->d[k], DOC_VMS));
+    }
+    world_free(w);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/docs/rows", test_rows);
+    g_test_add_func("/docs/faulty_store", test_faulty_store);
+    g_test_add_func("/docs/store_calls", test_store_calls);
+    g_test_add_func("/docs/push", test_push);
+    g_test_add_func("/docs/from_peers", test_from_peers);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/test_edit.c
@@ -0,0 +1,194 @@
+/* Guards against edits that overwrite a racing operator's change, are applied
+ * twice, lose the record of who changed what, or are accepted with faults or
+ * without a reason. */
+#include <glib.h>
+#include <string.h>
+
+#include "base/clean.h"
+#include "model/edit.h"
+#include "model/fleet.h"
+
+#define START                                                                 \
+    "{\"defaults\":{\"deadline_ms\":8000},\"zones\":{\"okha\":{\"region\":"   \
+    "\"s\"},\"mandvi\":{\"region\":\"s\"}},\"pools\":{\"enc\":{\"kind\":"     \
+    "\"encode\"}}}"
+
+/* One edit: change id, author, base revision, list of settings. */
+#define EDIT(id, by, base, set)                                               \
+    "{\"change\":\"" id "\",\"by\":\"" by "\",\"base\":" #base                \
+    ",\"set\":[" set "]}"
+#define SET(path, value) "{\"path\":\"" path "\",\"value\":" value "}"
+#define SET_R(path, value, why)                                               \
+    "{\"path\":\"" path "\",\"value\":" value ",\"reason\":\"" why "\"}"
+
+/* Applies an edit to *doc in place. Faults of the request count as faults of
+ * the edit. */
+static enum edit_outcome
+run(const char *body, bool whole, struct str *doc, int64_t revision,
+    struct buf *why)
+{
+    CLEAN(buf_free) struct buf out = {0};
+    struct edit *e = NULL;
+    if (edit_parse(str_from(body), whole, &e, why) != ST_OK) {
+        return EDIT_FAULTY;
+    }
+    enum edit_outcome r = edit_apply(e, *doc, revision, &out, why);
+    g_assert_true(edit_base(e) >= 0);
+    edit_free(e);
+    g_assert_cmpint(r == EDIT_APPLIED, ==, out.len > 0);
+    if (r == EDIT_APPLIED) {
+        str_free(doc);
+        *doc = buf_take(&out);
+    }
+    return r;
+}
+
+/* Rows are applied in order; the revision rises by 10 with each that is
+ * applied, from 10. */
+static const struct {
+    const char *body;
+    bool whole;
+    enum edit_outcome want;
+    const char *says; /* in the new document, or in the complaint */
+} rows[] = {
+    {EDIT("c1", "ann", 10, SET("defaults/deadline_ms", "5000")), false,
+     EDIT_APPLIED, "\"deadline_ms\":5000"},
+    /* Another path, same old base: merged. */
+    {EDIT("c2", "bob", 10, SET_R("zones_out/okha", "true", "flood")), false,
+     EDIT_APPLIED, "{\"reason\":\"flood\",\"by\":\"bob\"}"},
+    /* Same path, ancestor and descendant of a changed path: conflict. */
+    {EDIT("c3", "cid", 10, SET("defaults/deadline_ms", "1000")), false,
+     EDIT_CONFLICT, "defaults/deadline_ms was changed by ann (change c1)"},
+    {EDIT("c3", "cid", 10, SET("zones_out", "{}")), false, EDIT_CONFLICT,
+     "zones_out/okha was changed by bob (change c2)"},
+    {EDIT("c3", "cid", 20, SET("zones_out/okha/reason", "\"dry\"")), false,
+     EDIT_CONFLICT, "zones_out/okha was changed by bob"},
+    {EDIT("c3", "cid", 10, SET_R("vms_out/v1", "{}", "disk")), false,
+     EDIT_APPLIED, "\"vms_out\":{\"v1\":{\"reason\":\"disk\""},
+    /* The change is recognised, whatever was changed after it. */
+    {EDIT("c1", "ann", 10, SET("defaults/deadline_ms", "5000")), false,
+     EDIT_REPEATED, NULL},
+    {EDIT("c1", "eve", 10, SET("defaults/deadline_ms", "5000")), false,
+     EDIT_FAULTY, "the id was used by ann"},
+    /* After reading again the conflict is gone. */
+    {EDIT("c4", "cid", 40, SET("defaults/deadline_ms", "1000")), false,
+     EDIT_APPLIED, "\"deadline_ms\":1000"},
+    {EDIT("c5", "cid", 50, SET("zones_out/okha", "null")), false, EDIT_APPLIED,
+     "\"zones_out\":{}"},
+    {EDIT("c6", "cid", 60, SET("zones_out/okha", "null")), false, EDIT_FAULTY,
+     "zones_out/okha: no such setting"},
+    {EDIT("c6", "cid", 60, SET("zones_out/okha", "true")), false, EDIT_FAULTY,
+     "zones_out/okha: a reason is required"},
+    {EDIT("c6", "cid", 60, SET("vms_out/v1", "{}")), false, EDIT_FAULTY,
+     "vms_out/v1: a reason is required"},
+    {EDIT("c6", "cid", 60,
+          SET("exceptions/x1", "{\"scope\":\"pool/enc\",\"setting\":"
+                               "\"queue_limit\",\"value\":5}")),
+     false, EDIT_FAULTY, "exceptions/x1: a reason is required"},
+    {EDIT("c6", "cid", 60, SET("defaults/deadline_ms/x", "1")), false,
+     EDIT_FAULTY, "no such setting"},
+    /* All faults at once, nothing applied. */
+    {EDIT("c6", "cid", 60,
+          SET("defaults/deadline_ms", "1") "," SET("defaults/colour", "1")),
+     false, EDIT_FAULTY, "defaults/colour: unknown setting"},
+    {EDIT("c6", "cid", 60, SET("changes", "[]")), false, EDIT_FAULTY,
+     "changes cannot be edited"},
+    {EDIT("c6", "cid", 60, SET("a//b", "1")), false, EDIT_FAULTY,
+     "empty part"},
+    {EDIT("c6", "cid", 60,
+          SET("defaults", "{}") "," SET("defaults/deadline_ms", "1")),
+     false, EDIT_FAULTY, "overlaps with set/0"},
+    {EDIT("c6", "cid", 61, SET("defaults", "{}")), false, EDIT_FAULTY,
+     "base: newer"},
+    {"{\"by\":\"a\"}", false, EDIT_FAULTY, "change: must have"},
+    {"[]", false, EDIT_FAULTY, "must be an object"},
+    /* A whole document merges with nothing, and keeps the history. */
+    {"{\"change\":\"c7\",\"by\":\"dan\",\"base\":50,\"config\":{}}", true,
+     EDIT_CONFLICT, "zones_out/okha was changed by cid"},
+    {"{\"change\":\"c7\",\"by\":\"dan\",\"base\":60,\"config\":" START "}",
+     true, EDIT_APPLIED, "\"change\":\"c1\""},
+    {EDIT("c8", "eve", 60, SET("vms_out/v1", "null")), false, EDIT_CONFLICT,
+     "vms_out"},
+    {EDIT("c8", "eve", 60, SET("pools/gen", "{\"kind\":\"generate\"}")), false,
+     EDIT_APPLIED, "\"gen\""},
+    /* A path is an ancestor of another only at a slash. */
+    {EDIT("c9", "eve", 80, SET("pools/enc/model", "\"m\"")), false,
+     EDIT_APPLIED, "\"model\":\"m\""},
+    {EDIT("c10", "ann", 80, SET("pools/en", "{\"kind\":\"encode\"}")), false,
+     EDIT_APPLIED, "\"en\""},
+};
+
+static void
+test_rows(void)
+{
+    struct str doc = str_dup(STR_LIT(START));
+    int64_t revision = 10;
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        CLEAN(buf_free) struct buf why = {0};
+        struct str before = str_dup(doc);
+        enum edit_outcome r =
+            run(rows[i].body, rows[i].whole, &doc, revision, &why);
+        if (r != rows[i].want) {
+            g_error("row %zu: outcome %d: %s", i, r, why.ptr);
+        }
+        const char *text = r == EDIT_APPLIED ? doc.ptr : why.ptr;
+        if (rows[i].says && !strstr(text, rows[i].says)) {
+            g_error("row %zu lacks '%s': %s", i, rows[i].says, text);
+        }
+        g_assert_true(r == EDIT_APPLIED || str_eq(before, doc));
+        revision += r == EDIT_APPLIED ? 10 : 0;
+        str_free(&before);
+    }
+    str_free(&doc);
+}
+
+/* A base older than the kept changes, or a document written by something
+ * else, cannot be merged safely. */
+static void
+test_history(void)
+{
+    struct str doc = str_dup(STR_LIT(START));
+    CLEAN(buf_free) struct buf why = {0};
+    const char *late =
+        EDIT("late", "ann", 10, SET("zones/porbandar", "{\"region\":\"s\"}"));
+    g_assert_cmpint(run(late, false, &doc, 20, &why), ==, EDIT_CONFLICT);
+    g_assert_nonnull(strstr(why.ptr, "without a recorded change"));
+    for (int i = 0; i <= EDIT_CHANGES_KEPT; i++) {
+        CLEAN_FREE char *body = g_strdup_printf(
+            EDIT("h%d", "bob", 10, SET("defaults/deadline_ms", "%d")), i,
+            1000 + i);
+        char *base = strstr(body, "\"base\":10");
+        g_assert_nonnull(base);
+        CLEAN_FREE char *mine =
+            g_strdup_printf("%.*s\"base\":%d%s", (int)(base - body), body,
+                            10 + 10 * i, base + strlen("\"base\":10"));
+        g_assert_cmpint(run(mine, false, &doc, 10 + 10 * i, &why), ==,
+                        EDIT_APPLIED);
+    }
+    g_assert_false(edit_contains(doc, STR_LIT("h0")));
+    g_assert_true(edit_contains(doc, STR_LIT("h1")));
+    g_assert_cmpint(run(late, false, &doc, 660, &why), ==, EDIT_CONFLICT);
+    g_assert_nonnull(strstr(why.ptr, "older than the last 64 changes"));
+    str_free(&doc);
+}
+
+static void
+test_redact(void)
+{
+    json_t *c = json_pack("{s:{s:{s:s}}}", "teams", "t", "token_hash", "ab");
+    edit_redact(c);
+    g_assert_cmpuint(
+        json_object_size(json_object_get(json_object_get(c, "teams"), "t")),
+        ==, 0);
+    json_decref(c);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/edit/rows", test_rows);
+    g_test_add_func("/edit/history", test_history);
+    g_test_add_func("/edit/redact", test_redact);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/test_member.c
@@ -0,0 +1,382 @@
+/* Guards against dead members that stay in the view, live members that are
+ * removed from it, nodes that stay fresh when cut off or with an old
+ * configuration, and restarted voters that count for a majority before they
+ * have the documents that their predecessor acknowledged. */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clean.h"
+#include "control/contact.h"
+#include "control/member.h"
+#include "control/strikes.h"
+#include "tests/sim.h"
+
+#define SECOND INT64_C(1000000)
+#define NODES_MAX 64
+
+struct world {
+    struct sim sim;
+    struct member *m[NODES_MAX];
+    struct outbox *out;
+    int64_t revisions[NODES_MAX][DOC_COUNT];
+    struct roster *roster;
+};
+
+static int
+no_gossip(void *arg, struct gossip *out, int max)
+{
+    (void)arg;
+    (void)out;
+    (void)max;
+    return 0;
+}
+
+static void
+drop_gossip(void *arg, int64_t now_us, const struct gossip *g)
+{
+    (void)arg;
+    (void)now_us;
+    (void)g;
+}
+
+static void
+drain(struct world *w, int node)
+{
+    struct control_action a;
+    while (outbox_next(w->out, &a)) {
+        sim_action(&w->sim, node, &a);
+    }
+    outbox_clear(w->out);
+}
+
+static void
+step(void *arg, int node, const struct control_event *ev)
+{
+    struct world *w = arg;
+    struct member *m = w->m[node];
+    if (ev->kind == CONTROL_EV_MSG) {
+        member_msg(m, w->sim.now_us, &ev->msg, w->out);
+    }
+    else {
+        member_tick(m, w->sim.now_us, w->out);
+    }
+    member_fresh_until(m, w->sim.now_us);
+    drain(w, node);
+}
+
+static int64_t
+wakeup(void *arg, int node)
+{
+    return member_wakeup(((struct world *)arg)->m[node]);
+}
+
+static void
+start(struct world *w, int i, uint64_t incarnation)
+{
+    struct member_options o = {
+        .node = w->sim.ids[i],
+        .incarnation = incarnation,
+        .address = STR_LIT("tcp://127.0.0.1:1"),
+        .region = STR_LIT("s"),
+        .seed = 77,
+        .hooks = {w, no_gossip, drop_gossip},
+    };
+    member_free(w->m[i]);
+    w->m[i] = member_new(&o, w->sim.now_us);
+    member_roster(w->m[i], w->sim.now_us, w->roster);
+    member_revisions(w->m[i], w->revisions[i], 0);
+    w->sim.wake_us[i] = w->sim.now_us;
+}
+
+/* Members that have all read the store once, at time 0. */
+static struct world *
+world_new(int count, uint64_t seed)
+{
+    struct world *w = mem_zero(1, sizeof(*w));
+    CLEAN(buf_free) struct buf text = {0};
+    buf_printf(&text, "{\"members\":[");
+    for (int i = 0; i < count; i++) {
+        buf_printf(&text,
+                   "%s{\"id\":\"%016x\",\"address\":\"a\",\"region\":\"s\","
+                   "\"incarnation\":1,\"vote\":true}",
+                   i ? "," : "", i + 1);
+    }
+    buf_printf(&text, "]}");
+    g_assert_cmpint(roster_parse(buf_str(&text), &w->roster), ==, ST_OK);
+    sim_init(&w->sim, count, seed, w);
+    w->sim.step = step;
+    w->sim.wakeup = wakeup;
+    w->out = outbox_new();
+    for (int i = 0; i < count; i++) {
+        w->revisions[i][DOC_CONFIG] = 5;
+        w->revisions[i][DOC_ROSTER] = 6;
+        start(w, i, 1);
+        member_store_contact(w->m[i], 0);
+        g_assert_true(member_fresh_until(w->m[i], 0) > 0);
+    }
+    return w;
+}
+
+static void
+world_free(struct world *w)
+{
+    for (int i = 0; i < w->sim.count; i++) {
+        member_free(w->m[i]);
+    }
+    sim_clear(&w->sim);
+    outbox_free(w->out);
+    roster_free(w->roster);
+    free(w);
+}
+
+static int64_t
+fresh_left(struct world *w, int i)
+{
+    return member_fresh_until(w->m[i], w->sim.now_us) - w->sim.now_us;
+}
+
+static bool
+sees_alive(struct world *w, int i, int other)
+{
+    return view_find(member_view(w->m[i]), w->sim.ids[other])->alive;
+}
+
+/* The store is down all the time. Freshness may never come near its end, and
+ * no live member may be taken for dead. */
+static void
+test_steady(void)
+{
+    static const struct {
+        int count;
+        int64_t least_us;
+    } rows[] = {{1, SECOND}, {2, SECOND},  {5, SECOND},
+                {9, SECOND}, {16, SECOND}, {50, SECOND}};
+    for (size_t r = 0; r < G_N_ELEMENTS(rows); r++) {
+        struct world *w = world_new(rows[r].count, r);
+        for (int64_t t = 3 * SECOND; t < 30 * SECOND; t += SECOND / 10) {
+            sim_run(&w->sim, t);
+            for (int i = 0; i < w->sim.count; i++) {
+                g_assert_cmpint(fresh_left(w, i), >=, rows[r].least_us);
+                g_assert_cmpint(view_alive_count(member_view(w->m[i])), ==,
+                                w->sim.count);
+            }
+        }
+        world_free(w);
+    }
+}
+
+static void
+test_death(void)
+{
+    /* Bounds of the design page: 4.5 s at 5 nodes; in larger rosters a round
+     * robin of n / 2 rounds is added at worst, shared by all members. */
+    static const struct {
+        int count;
+        double loss;
+        int64_t within_us;
+    } rows[] = {{3, 0, 4500000},  {5, 0, 4500000},  {5, 0.1, 6000000},
+                {16, 0, 6000000}, {50, 0, 8000000}, {50, 0.1, 10000000}};
+    for (size_t r = 0; r < G_N_ELEMENTS(rows); r++) {
+        struct world *w = world_new(rows[r].count, 100 + r);
+        w->sim.loss = rows[r].loss;
+        sim_run(&w->sim, 5 * SECOND);
+        w->sim.up[1] = false;
+        sim_run(&w->sim, 5 * SECOND + rows[r].within_us);
+        for (int i = 0; i < w->sim.count; i++) {
+            g_assert_true(i == 1 || !sees_alive(w, i, 1));
+        }
+        /* A new process under the same id is alive again. */
+        w->sim.loss = 0;
+        w->sim.up[1] = true;
+        start(w, 1, 2);
+        sim_run(&w->sim, 20 * SECOND);
+        for (int i = 0; i < w->sim.count; i++) {
+            g_assert_cmpint(view_alive_count(member_view(w->m[i])), ==,
+                            w->sim.count);
+            g_assert_cmpint(fresh_left(w, i), >, 0);
+        }
+        world_free(w);
+    }
+}
+
+/* Nodes that are cut off for a time: those without a majority stop within
+ * the freshness time, all are back soon after the cut is healed. */
+static void
+test_partition(void)
+{
+    static const struct {
+        int count;
+        int cut; /* the last nodes are cut off from the others */
+        int64_t cut_us;
+    } rows[] = {{5, 2, 3 * SECOND},  {5, 2, 60 * SECOND}, {5, 1, SECOND},
+                {4, 2, 10 * SECOND}, {9, 4, 10 * SECOND}, {2, 1, 5 * SECOND}};
+    for (size_t r = 0; r < G_N_ELEMENTS(rows); r++) {
+        struct world *w = world_new(rows[r].count, 200 + r);
+        int major = rows[r].count - rows[r].cut;
+        int64_t fresh = contact_fresh_time(rows[r].count);
+        int64_t heal = 10 * SECOND + rows[r].cut_us;
+        sim_run(&w->sim, 10 * SECOND);
+        for (int i = major; i < w->sim.count; i++) {
+            w->sim.group[i] = 1;
+        }
+        for (int64_t t = 10 * SECOND; t < heal; t += SECOND / 5) {
+            sim_run(&w->sim, t);
+            for (int i = 0; i < w->sim.count; i++) {
+                bool majority = i < major && major > rows[r].count / 2;
+                if (majority || t > 10 * SECOND + fresh) {
+                    g_assert_cmpint(fresh_left(w, i) > 0, ==, majority);
+                    g_assert_cmpint(member_majority(w->m[i], t), ==, majority);
+                }
+            }
+        }
+        memset(w->sim.group, 0, sizeof(w->sim.group));
+        sim_run(&w->sim, heal + 6 * SECOND);
+        for (int i = 0; i < w->sim.count; i++) {
+            g_assert_cmpint(fresh_left(w, i), >, 0);
+            g_assert_cmpint(view_alive_count(member_view(w->m[i])), ==,
+                            w->sim.count);
+        }
+        world_free(w);
+    }
+}
+
+/* A contact counts only on nodes that have the sender's documents. */
+static void
+test_merge_rule(void)
+{
+    static const struct {
+        enum doc_kind kind;
+        bool faulty; /* the newer configuration does not parse here */
+        bool fresh;
+    } rows[] = {{DOC_CONFIG, false, false},
+                {DOC_CONFIG, true, true},
+                {DOC_ROSTER, false, false},
+                {DOC_VMS, false, true}};
+    for (size_t r = 0; r < G_N_ELEMENTS(rows); r++) {
+        struct world *w = world_new(3, 300 + r);
+        for (int i = 0; i < 2; i++) {
+            w->revisions[i][rows[r].kind] = 9;
+            member_revisions(w->m[i], w->revisions[i], 0);
+        }
+        member_revisions(w->m[2], w->revisions[2], rows[r].faulty ? 9 : 0);
+        sim_run(&w->sim, 10 * SECOND);
+        g_assert_cmpint(fresh_left(w, 2) > 0, ==, rows[r].fresh);
+        g_assert_cmpint(fresh_left(w, 0), >, 0);
+        world_free(w);
+    }
+}
+
+/* Of three voters one is cut off and one restarts: no majority is left that
+ * has what was acknowledged before. With two others in contact, it counts. */
+static void
+test_unsettled(void)
+{
+    for (int cut = 0; cut < 2; cut++) {
+        struct world *w = world_new(3, 400);
+        sim_run(&w->sim, 5 * SECOND);
+        w->sim.group[0] = cut;
+        start(w, 2, 2);
+        sim_run(&w->sim, 15 * SECOND);
+        g_assert_cmpint(member_settled(w->m[2]), ==, !cut);
+        g_assert_cmpint(fresh_left(w, 2) > 0, ==, !cut);
+        g_assert_cmpint(fresh_left(w, 1) > 0, ==, !cut);
+        /* Reading the store settles it. */
+        member_store_contact(w->m[2], w->sim.now_us);
+        g_assert_cmpint(fresh_left(w, 2), >, 0);
+        sim_run(&w->sim, 20 * SECOND);
+        g_assert_cmpint(fresh_left(w, 1), >, 0);
+        world_free(w);
+    }
+}
+
+static void
+test_leave(void)
+{
+    struct world *w = world_new(5, 500);
+    enum member_state state = MEMBER_ALIVE;
+    int64_t since;
+    sim_run(&w->sim, 5 * SECOND);
+    w->sim.group[4] = 1; /* misses the notice, learns by gossip */
+    member_leave(w->m[0], w->sim.now_us, w->out);
+    drain(w, 0);
+    sim_run(&w->sim, 6 * SECOND);
+    w->sim.group[4] = 0;
+    /* The leaver still answers and pings; it stays out of the view. */
+    sim_run(&w->sim, 9 * SECOND);
+    for (int i = 1; i < 5; i++) {
+        g_assert_false(sees_alive(w, i, 0));
+        member_state_of(w->m[i], 1, &state, &since);
+        g_assert_cmpint(state, ==, MEMBER_LEFT);
+    }
+    world_free(w);
+}
+
+static void
+test_confirmed(void)
+{
+    struct world *w = world_new(5, 600);
+    struct str s = STR_LIT("s");
+    sim_run(&w->sim, 3 * SECOND);
+    g_assert_true(member_confirmed(w->m[0], s, DOC_CONFIG, 5));
+    g_assert_false(member_confirmed(w->m[0], s, DOC_CONFIG, 6));
+    member_acked(w->m[0], 2, 1, DOC_CONFIG, 6);
+    member_acked(w->m[0], 3, 1, DOC_CONFIG, 6);
+    g_assert_false(member_confirmed(w->m[0], s, DOC_CONFIG, 6));
+    /* An acknowledgement by an earlier process does not count. */
+    member_acked(w->m[0], 4, 0, DOC_CONFIG, 6);
+    g_assert_false(member_confirmed(w->m[0], s, DOC_CONFIG, 6));
+    member_acked(w->m[0], 4, 1, DOC_CONFIG, 6);
+    g_assert_true(member_confirmed(w->m[0], s, DOC_CONFIG, 6));
+    g_assert_true(member_confirmed(w->m[0], STR_LIT("t"), DOC_CONFIG, 6));
+    g_assert_cmpint(member_newest(w->m[0], DOC_CONFIG), ==, 6);
+    world_free(w);
+}
+
+static void
+test_small(void)
+{
+    static const struct {
+        int members;
+        int64_t fresh_us;
+    } rows[] = {{5, 2000000},
+                {8, 2000000},
+                {9, 2500000},
+                {50, 3500000},
+                {390, 5000000}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        g_assert_cmpint(contact_fresh_time(rows[i].members), ==,
+                        rows[i].fresh_us);
+    }
+    /* Rows of time in s, strikes, and whether they are news. */
+    static const int strikes[][3] = {
+        {0, 1, 1}, {0, 1, 0}, {1, 2, 1}, {1, 1, 0},   {2, 0, 1},
+        {2, 0, 0}, {3, 2, 0}, {4, 3, 1}, {400, 1, 1}, {401, 0, 1}};
+    struct strikes *s = strikes_new();
+    for (size_t i = 0; i < G_N_ELEMENTS(strikes); i++) {
+        struct suspect_notice n = {{1, 2}, strikes[i][1], 300 * SECOND};
+        g_assert_cmpint(strikes_apply(s, strikes[i][0] * SECOND, &n), ==,
+                        strikes[i][2]);
+    }
+    g_assert_cmpint(strikes_count(s), ==, 1);
+    strikes_free(s);
+    struct roster *bad = NULL;
+    g_assert_cmpint(
+        roster_parse(STR_LIT("{\"members\":[{\"id\":\"x\"}]}"), &bad), ==,
+        ST_INVALID);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/member/small", test_small);
+    g_test_add_func("/member/steady", test_steady);
+    g_test_add_func("/member/death", test_death);
+    g_test_add_func("/member/partition", test_partition);
+    g_test_add_func("/member/merge_rule", test_merge_rule);
+    g_test_add_func("/member/unsettled", test_unsettled);
+    g_test_add_func("/member/leave", test_leave);
+    g_test_add_func("/member/confirmed", test_confirmed);
+    return g_test_run();
+}
