--- a/src/wire/msg.c
+++ b/src/wire/msg.c
@@ -1,17 +1,16 @@
 #include "wire/msg.h"
 
-#include <msgpack.h>
 #include <string.h>
 
+#include "wire/scalar.h"
+
 #define NAME_MAX_BYTES 512
 #define CONTACTS_MAX_BYTES 4096
 #define HEADER_MAX_BYTES 3
 
 /* One pass over the fields of a message. Encoding makes a counting pass and a
  * writing pass, so that the same field list serves both directions. A message
- * is one flat array of integers, booleans and byte strings: containers are
- * refused before the library sees them, so no count in hostile bytes makes it
- * allocate. */
+ * is one flat array of integers, booleans and byte strings. */
 struct io {
     enum { IO_COUNT, IO_WRITE, IO_READ } mode;
     msgpack_packer pk;
@@ -21,38 +20,12 @@
     bool bad;
 };
 
-static int
-write_cb(void *data, const char *p, size_t len)
-{
-    buf_append(data, p, len);
-    return 0;
-}
-
-/* Reads the next object; anything but a scalar of type @p a or @p b makes the
- * message malformed. */
+/* Reads the next object; any other type makes the message malformed. */
 static bool
-read_scalar(struct io *io, msgpack_object_type a, msgpack_object_type b,
-            msgpack_object *out)
+read_scalar(struct io *io, msgpack_object_type type, msgpack_object *out)
 {
-    if (io->bad || io->fields == 0 || io->at >= io->in.len) {
-        io->bad = true;
-        return false;
-    }
-    unsigned char c = (unsigned char)io->in.ptr[io->at];
-    if ((c >= 0x80 && c <= 0x9f) || c >= 0xdc) {
-        io->bad = c < 0xe0;
-    }
-    msgpack_unpacked u;
-    msgpack_unpacked_init(&u);
-    if (!io->bad && msgpack_unpack_next(&u, io->in.ptr, io->in.len, &io->at) ==
-                        MSGPACK_UNPACK_SUCCESS) {
-        *out = u.data;
-        io->bad = u.data.type != a && u.data.type != b;
-    }
-    else {
-        io->bad = true;
-    }
-    msgpack_unpacked_destroy(&u);
+    io->bad = io->bad || io->fields == 0 ||
+              !scalar_next(io->in, &io->at, out) || out->type != type;
     io->fields--;
     return !io->bad;
 }
@@ -69,8 +42,7 @@
         msgpack_pack_uint64(&io->pk, *v);
         break;
     case IO_READ:
-        if (read_scalar(io, MSGPACK_OBJECT_POSITIVE_INTEGER,
-                        MSGPACK_OBJECT_POSITIVE_INTEGER, &o)) {
+        if (read_scalar(io, MSGPACK_OBJECT_POSITIVE_INTEGER, &o)) {
             *v = o.via.u64;
         }
         break;
@@ -116,8 +88,7 @@
         *v ? msgpack_pack_true(&io->pk) : msgpack_pack_false(&io->pk);
         break;
     case IO_READ:
-        if (read_scalar(io, MSGPACK_OBJECT_BOOLEAN, MSGPACK_OBJECT_BOOLEAN,
-                        &o)) {
+        if (read_scalar(io, MSGPACK_OBJECT_BOOLEAN, &o)) {
             *v = o.via.boolean;
         }
         break;
@@ -137,7 +108,7 @@
         msgpack_pack_bin_body(&io->pk, v->ptr, v->len);
         break;
     case IO_READ:
-        if (read_scalar(io, MSGPACK_OBJECT_BIN, MSGPACK_OBJECT_BIN, &o)) {
+        if (read_scalar(io, MSGPACK_OBJECT_BIN, &o)) {
             *v = str_of(o.via.bin.ptr, o.via.bin.size);
             io->bad = v->len > max;
         }
@@ -333,7 +304,7 @@
     struct io io = {.mode = IO_COUNT};
     io_msg(&io, &copy);
     io.mode = IO_WRITE;
-    msgpack_packer_init(&io.pk, out, write_cb);
+    msgpack_packer_init(&io.pk, out, scalar_write);
     msgpack_pack_array(&io.pk, io.fields);
     io_msg(&io, &copy);
 }
