--- /dev/null
+++ b/src/control/confedit.c
@@ -0,0 +1,445 @@
+#include "control/confedit.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/rng.h"
+#include "model/edit.h"
+
+#define OP_TAG (UINT64_C(0xd2) << 56)
+#define OP_MASK (UINT64_C(0xff) << 56)
+#define OPEN_MAX 64
+#define TIMEOUT_US 1000000
+#define RETRY_MIN_US 50000
+#define RETRY_MAX_US 1000000
+/* The first probe for missing acknowledgements; pushes are answered faster
+ * than this when nothing is lost. */
+#define POKE_FIRST_US 250000
+#define POKE_US 500000
+
+enum phase {
+    PHASE_QUEUED, /* waits for its turn or for a retry */
+    PHASE_READ,
+    PHASE_WRITE,
+    PHASE_CONFIRM,
+};
+
+struct request {
+    uint64_t id;
+    struct edit *edit;
+    int64_t deadline_us;
+    enum phase phase;
+    uint64_t op;
+    int64_t expect;  /* revision that the CAS in flight replaces */
+    bool read_first; /* this node's copy may be too old */
+    bool uncertain;  /* a CAS without an answer may still take effect */
+    int64_t lost_expect;
+    struct str sent;  /* owned: document of the CAS in flight */
+    int64_t revision; /* CONFIRM: the document that contains the change */
+    int64_t next_us;
+    int64_t wait_us;
+};
+
+struct confedit {
+    struct rng rng;
+    uint64_t next_op;
+    int count;
+    struct request *list[OPEN_MAX]; /* in order of arrival */
+    uint64_t answered[ERRKIND_COUNT];
+    uint64_t retries;
+};
+
+struct confedit *
+confedit_new(uint64_t node, uint64_t seed)
+{
+    struct confedit *c = mem_zero(1, sizeof(*c));
+    rng_seed(&c->rng, seed ^ (node * 7));
+    return c;
+}
+
+static void
+request_free(struct request *r)
+{
+    edit_free(r->edit);
+    str_free(&r->sent);
+    free(r);
+}
+
+void
+confedit_free(struct confedit *c)
+{
+    if (!c) {
+        return;
+    }
+    for (int i = 0; i < c->count; i++) {
+        request_free(c->list[i]);
+    }
+    free(c);
+}
+
+int
+confedit_open(const struct confedit *c)
+{
+    return c->count;
+}
+
+/* Turns lines of text into a JSON array. */
+static json_t *
+lines(struct str text)
+{
+    json_t *list = json_array();
+    size_t from = 0;
+    for (size_t i = 0; i < text.len; i++) {
+        if (text.ptr[i] == '\n') {
+            json_array_append_new(list,
+                                  json_stringn(text.ptr + from, i - from));
+            from = i + 1;
+        }
+    }
+    return list;
+}
+
+/* Answers an edit; takes the reference to body. */
+static void
+answer(struct confedit *c, uint64_t id, enum errkind error, json_t *body,
+       struct outbox *out)
+{
+    struct control_action a = {.kind = CONTROL_ACT_ADMIN};
+    if (error != ERRKIND_NONE) {
+        json_object_set_new(body, "message",
+                            json_string(errkind_info(error)->message));
+    }
+    char *s = json_dumps(body, JSON_COMPACT);
+    a.admin.id = id;
+    a.admin.error = error;
+    a.admin.body = str_from(s);
+    outbox_push(out, &a);
+    c->answered[error]++;
+    free(s);
+    json_decref(body);
+}
+
+static void
+finish(struct confedit *c, struct request *r, enum errkind error, json_t *body,
+       struct outbox *out)
+{
+    answer(c, r->id, error, body, out);
+    int i = 0;
+    while (c->list[i] != r) {
+        i++;
+    }
+    memmove(&c->list[i], &c->list[i + 1],
+            sizeof(struct request *) * (size_t)(c->count - i - 1));
+    c->count--;
+    request_free(r);
+}
+
+static void
+start_op(struct confedit *c, struct request *r, enum store_op_kind kind,
+         int64_t now_us, struct outbox *out)
+{
+    struct control_action a = {.kind = CONTROL_ACT_STORE};
+    int64_t left = r->deadline_us - now_us;
+    r->op = OP_TAG | ++c->next_op;
+    r->phase = kind == STORE_GET ? PHASE_READ : PHASE_WRITE;
+    a.store.id = r->op;
+    a.store.kind = kind;
+    a.store.key = STR_LIT("cf/config");
+    a.store.expect = r->expect;
+    a.store.value = kind == STORE_CAS ? r->sent : (struct str){0};
+    a.store.timeout_us = left < TIMEOUT_US ? left : TIMEOUT_US;
+    outbox_push(out, &a);
+}
+
+static void
+confirm(struct request *r, int64_t now_us, int64_t revision)
+{
+    r->phase = PHASE_CONFIRM;
+    r->revision = revision;
+    r->next_us = now_us + POKE_FIRST_US;
+}
+
+/* Applies the edit to a document and sends the CAS, or answers. */
+static void
+apply(struct confedit *c, struct request *r, int64_t now_us, struct str doc,
+      int64_t revision, struct outbox *out)
+{
+    struct buf next = {0};
+    struct buf why = {0};
+    switch (edit_apply(r->edit, doc, revision, &next, &why)) {
+    case EDIT_APPLIED:
+        str_free(&r->sent);
+        r->sent = buf_take(&next);
+        r->expect = revision;
+        start_op(c, r, STORE_CAS, now_us, out);
+        break;
+    case EDIT_REPEATED:
+        confirm(r, now_us, revision);
+        break;
+    case EDIT_CONFLICT:
+        finish(c, r, ERRKIND_CONFLICT,
+               json_pack("{s:o s:I}", "conflicts", lines(buf_str(&why)),
+                         "revision", (json_int_t)revision),
+               out);
+        break;
+    case EDIT_FAULTY:
+        finish(c, r, ERRKIND_BAD_REQUEST,
+               json_pack("{s:o}", "faults", lines(buf_str(&why))), out);
+        break;
+    }
+    buf_free(&next);
+    buf_free(&why);
+}
+
+/* One edit of this node reads and writes at a time, so that they do not
+ * conflict with each other. */
+static void
+start_next(struct confedit *c, int64_t now_us, struct docs *d,
+           struct outbox *out)
+{
+    int i = 0;
+    while (i < c->count && c->list[i]->phase == PHASE_CONFIRM) {
+        i++;
+    }
+    if (i == c->count) {
+        return;
+    }
+    struct request *r = c->list[i];
+    struct doc own = docs_get(d, DOC_CONFIG);
+    if (r->phase != PHASE_QUEUED || now_us < r->next_us) {
+        return;
+    }
+    if (r->read_first || own.revision == 0 ||
+        edit_base(r->edit) > own.revision) {
+        start_op(c, r, STORE_GET, now_us, out);
+        return;
+    }
+    apply(c, r, now_us, own.bytes, own.revision, out);
+}
+
+static json_t *
+lacking(struct docs *d, struct member *m, int64_t revision)
+{
+    const struct roster *r = docs_roster(d);
+    json_t *list = json_array();
+    for (int i = 0; i < r->count; i++) {
+        struct str region = r->members[i].region;
+        bool seen = false;
+        for (int k = 0; k < i && !seen; k++) {
+            seen = str_eq(r->members[k].region, region);
+        }
+        if (!seen && !member_confirmed(m, region, DOC_CONFIG, revision)) {
+            json_array_append_new(list, json_stringn(region.ptr, region.len));
+        }
+    }
+    return list;
+}
+
+/* A member that has a newer roster counts by other majorities; its roster
+ * must be in force here first. */
+static bool
+confirmed(struct docs *d, struct member *m, int64_t revision)
+{
+    json_t *list = lacking(d, m, revision);
+    bool all = json_array_size(list) == 0;
+    json_decref(list);
+    return all && docs_get(d, DOC_CONFIG).revision >= revision &&
+           member_newest(m, DOC_ROSTER) <= docs_get(d, DOC_ROSTER).revision;
+}
+
+/* @return true if the request was answered */
+static bool
+check(struct confedit *c, struct request *r, int64_t now_us, struct docs *d,
+      struct member *m, struct outbox *out)
+{
+    if (r->phase == PHASE_CONFIRM && confirmed(d, m, r->revision)) {
+        struct str change = edit_change(r->edit);
+        finish(c, r, ERRKIND_NONE,
+               json_pack("{s:I s:s%}", "revision", (json_int_t)r->revision,
+                         "change", change.ptr, change.len),
+               out);
+        return true;
+    }
+    if (now_us >= r->deadline_us) {
+        if (r->phase == PHASE_CONFIRM) {
+            finish(c, r, ERRKIND_CHANGE_UNCONFIRMED,
+                   json_pack("{s:I s:o}", "revision", (json_int_t)r->revision,
+                             "regions", lacking(d, m, r->revision)),
+                   out);
+        }
+        else if (r->phase == PHASE_WRITE || r->uncertain) {
+            finish(c, r, ERRKIND_CHANGE_UNCONFIRMED,
+                   json_pack("{s:s s:o}", "stored", "unknown", "regions",
+                             lacking(d, m, INT64_MAX)),
+                   out);
+        }
+        else {
+            finish(c, r, ERRKIND_NOT_ACCEPTED, json_object(), out);
+        }
+        return true;
+    }
+    if (r->phase == PHASE_CONFIRM && now_us >= r->next_us) {
+        member_poke(m, now_us, DOC_CONFIG, r->revision, out);
+        r->next_us = now_us + POKE_US;
+    }
+    return false;
+}
+
+void
+confedit_tick(struct confedit *c, int64_t now_us, struct docs *d,
+              struct member *m, struct outbox *out)
+{
+    int i = 0;
+    while (i < c->count) {
+        if (!check(c, c->list[i], now_us, d, m, out)) {
+            i++;
+        }
+    }
+    start_next(c, now_us, d, out);
+}
+
+void
+confedit_begin(struct confedit *c, int64_t now_us, struct docs *d,
+               struct member *m, uint64_t id, bool whole, struct str body,
+               int64_t deadline_us, struct outbox *out)
+{
+    struct buf faults = {0};
+    struct edit *e = NULL;
+    if (edit_parse(body, whole, &e, &faults) != ST_OK) {
+        answer(c, id, ERRKIND_BAD_REQUEST,
+               json_pack("{s:o}", "faults", lines(buf_str(&faults))), out);
+    }
+    else if (c->count == OPEN_MAX) {
+        answer(c, id, ERRKIND_NOT_ACCEPTED, json_object(), out);
+        edit_free(e);
+    }
+    else {
+        struct request *r = mem_zero(1, sizeof(*r));
+        r->id = id;
+        r->edit = e;
+        r->deadline_us = deadline_us;
+        r->next_us = now_us;
+        r->wait_us = RETRY_MIN_US;
+        c->list[c->count++] = r;
+        confedit_tick(c, now_us, d, m, out);
+    }
+    buf_free(&faults);
+}
+
+bool
+confedit_owns_op(const struct confedit *c, uint64_t op)
+{
+    (void)c;
+    return (op & OP_MASK) == OP_TAG;
+}
+
+static void
+retry(struct confedit *c, struct request *r, int64_t now_us)
+{
+    r->phase = PHASE_QUEUED;
+    r->read_first = true;
+    r->next_us = now_us + r->wait_us / 2 +
+                 (int64_t)rng_below(&c->rng, (uint64_t)r->wait_us);
+    r->wait_us = r->wait_us * 2 < RETRY_MAX_US ? r->wait_us * 2 : RETRY_MAX_US;
+    c->retries++;
+}
+
+static void
+read_done(struct confedit *c, struct request *r, int64_t now_us,
+          struct docs *d, struct member *m, const struct store_result *res,
+          struct outbox *out)
+{
+    bool absent = res->outcome == STORE_ABSENT;
+    if (res->outcome != STORE_OK && !absent) {
+        retry(c, r, now_us);
+        return;
+    }
+    int64_t revision = absent ? 0 : res->revision;
+    struct str doc = absent ? (struct str){0} : res->value;
+    bool ours = r->uncertain && edit_contains(doc, edit_change(r->edit));
+    if (!absent) {
+        docs_offer(d, member_view(m), DOC_CONFIG, revision, doc, ours, out);
+    }
+    if (r->uncertain && revision > r->lost_expect) {
+        /* The record has moved on: the lost CAS took effect, or never can. */
+        r->uncertain = false;
+    }
+    apply(c, r, now_us, doc, revision, out);
+}
+
+static void
+write_done(struct confedit *c, struct request *r, int64_t now_us,
+           struct docs *d, struct member *m, const struct store_result *res,
+           struct outbox *out)
+{
+    switch (res->outcome) {
+    case STORE_OK:
+        docs_offer(d, member_view(m), DOC_CONFIG, res->revision, r->sent, true,
+                   out);
+        confirm(r, now_us, res->revision);
+        break;
+    case STORE_LOST:
+        r->uncertain = true;
+        r->lost_expect = r->expect;
+        retry(c, r, now_us);
+        break;
+    case STORE_ABSENT:
+    case STORE_CONFLICT:
+    case STORE_FAILED:
+        retry(c, r, now_us);
+        break;
+    }
+}
+
+void
+confedit_store(struct confedit *c, int64_t now_us, struct docs *d,
+               struct member *m, const struct store_result *res,
+               struct outbox *out)
+{
+    int i = 0;
+    while (i < c->count && c->list[i]->op != res->id) {
+        i++;
+    }
+    if (i == c->count) {
+        return;
+    }
+    struct request *r = c->list[i];
+    r->op = 0;
+    if (r->phase == PHASE_READ) {
+        read_done(c, r, now_us, d, m, res, out);
+    }
+    else {
+        write_done(c, r, now_us, d, m, res, out);
+    }
+}
+
+int64_t
+confedit_wakeup(const struct confedit *c)
+{
+    int64_t at = INT64_MAX;
+    for (int i = 0; i < c->count; i++) {
+        const struct request *r = c->list[i];
+        bool waits = r->phase == PHASE_READ || r->phase == PHASE_WRITE;
+        int64_t t = r->deadline_us;
+        if (!waits && r->next_us < t) {
+            t = r->next_us;
+        }
+        at = t < at ? t : at;
+    }
+    return at;
+}
+
+void
+confedit_metrics(const struct confedit *c, struct buf *out)
+{
+    for (int k = 0; k < ERRKIND_COUNT; k++) {
+        if (c->answered[k]) {
+            buf_printf(out,
+                       "camphorfall_edits_total{answer=\"%s\"} %" PRIu64 "\n",
+                       errkind_info((enum errkind)k)->name, c->answered[k]);
+        }
+    }
+    buf_printf(out, "camphorfall_edit_retries_total %" PRIu64 "\n",
+               c->retries);
+}
--- /dev/null
+++ b/src/control/control.c
@@ -0,0 +1,483 @@
+#include "control/control.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clean.h"
+#include "control/claims.h"
+#include "control/confedit.h"
+#include "control/credits.h"
+#include "control/docs.h"
+#include "control/gossipq.h"
+#include "control/join.h"
+#include "control/member.h"
+#include "control/status.h"
+#include "control/strikes.h"
+
+/* Freshness advances smaller than this are not worth an action. */
+#define FRESH_STEP_US 50000
+/* Snapshots for a changed view alone are bundled: a zone's loss changes it
+ * many times in a row, and only the node count is new. */
+#define VIEW_SNAPSHOT_US 200000
+/* A leave does not wait longer for claims; the store may be down. */
+#define LEAVE_MAX_US 10000000
+
+struct control {
+    uint64_t node;
+    uint64_t incarnation;
+    struct str zone;
+    struct str region;
+    struct outbox *out;
+    struct member *member;
+    struct docs *docs;
+    struct join *join;
+    struct confedit *confedit;
+    struct claims *claims;
+    struct credits *credits;
+    struct strikes *strikes;
+    struct gossipq *suspects;
+    struct snapshot *snapshot; /* the last one published, or NULL */
+    int64_t roster_revision;   /* given to the membership */
+    int64_t config_revision;   /* of the snapshot */
+    int64_t vms_revision;
+    uint64_t view_version;
+    int64_t snapshot_us;
+    int64_t fresh_until_us;
+    int64_t now_us;
+    bool again; /* something changed that timers of modules depend on */
+    bool leaving;
+    bool left;
+    int64_t leave_us;
+    uint64_t messages[MSG_TYPE_COUNT];
+    uint64_t snapshots;
+};
+
+static int
+gossip_out(void *arg, struct gossip *out, int max)
+{
+    struct control *c = arg;
+    int n = gossipq_take(c->suspects, out, max);
+    return n + credits_gossip_out(c->credits, out + n, max - n);
+}
+
+static void
+suspect(struct control *c, int64_t now_us, const struct suspect_notice *n)
+{
+    if (!strikes_apply(c->strikes, now_us, n)) {
+        return;
+    }
+    struct gossip g = {.kind = GOSSIP_SUSPECT, .suspect = *n};
+    struct control_action a = {.kind = CONTROL_ACT_NOTICE};
+    gossipq_put(c->suspects, &g, gossipq_sends(member_view(c->member)->count));
+    a.reply.reply.kind = REPLY_SUSPECT;
+    a.reply.reply.suspect = *n;
+    outbox_push(c->out, &a);
+}
+
+static void
+gossip_in(void *arg, int64_t now_us, const struct gossip *g)
+{
+    struct control *c = arg;
+    switch (g->kind) {
+    case GOSSIP_MEMBER:
+        break;
+    case GOSSIP_ENDPOINT:
+        credits_gossip_in(c->credits, now_us, g, c->out);
+        break;
+    case GOSSIP_SUSPECT:
+        suspect(c, now_us, &g->suspect);
+        break;
+    }
+}
+
+static void
+make_modules(struct control *c, const struct control_options *o,
+             int64_t now_us)
+{
+    struct member_options mo = {
+        .node = o->node,
+        .incarnation = o->incarnation,
+        .name = o->name,
+        .address = o->address,
+        .zone = o->zone,
+        .region = o->region,
+        .seed = o->seed,
+        .peer_count = o->peer_count,
+        .peers = o->peers,
+        .hooks = {c, gossip_out, gossip_in},
+    };
+    struct docs_options docs = {o->node, o->incarnation, o->seed};
+    struct join_options jo = {
+        .self = {o->node, o->incarnation, o->name, o->address, o->zone,
+                 o->region, o->curve_public, false},
+        .seed = o->seed,
+    };
+    struct claims_options claims = {
+        .node = o->node,
+        .incarnation = o->incarnation,
+        .seed = o->seed,
+        .buckets = o->claim_buckets,
+        .store_writes_per_s = o->store_writes_per_s,
+    };
+    struct credits_options credits = {
+        .node = o->node,
+        .incarnation = o->incarnation,
+        .seed = o->seed,
+        .threads = o->threads > 0 ? o->threads : 1,
+    };
+    c->member = member_new(&mo, now_us);
+    c->docs = docs_new(&docs, now_us);
+    c->join = join_new(&jo, now_us);
+    c->confedit = confedit_new(o->node, o->seed);
+    c->claims = claims_new(&claims);
+    c->credits = credits_new(&credits);
+}
+
+struct control *
+control_new(const struct control_options *o, int64_t now_us)
+{
+    struct control *c = mem_zero(1, sizeof(*c));
+    c->node = o->node;
+    c->incarnation = o->incarnation;
+    c->zone = str_dup(o->zone);
+    c->region = str_dup(o->region);
+    c->out = outbox_new();
+    c->strikes = strikes_new();
+    c->suspects = gossipq_new();
+    c->fresh_until_us = INT64_MIN / 4;
+    c->snapshot_us = INT64_MIN / 4;
+    c->now_us = now_us;
+    make_modules(c, o, now_us);
+    return c;
+}
+
+void
+control_free(struct control *c)
+{
+    if (!c) {
+        return;
+    }
+    outbox_free(c->out);
+    snapshot_unref(c->snapshot);
+    member_free(c->member);
+    docs_free(c->docs);
+    join_free(c->join);
+    confedit_free(c->confedit);
+    claims_free(c->claims);
+    credits_free(c->credits);
+    strikes_free(c->strikes);
+    gossipq_free(c->suspects);
+    str_free(&c->zone);
+    str_free(&c->region);
+    free(c);
+}
+
+static void
+publish(struct control *c, int64_t now_us)
+{
+    CLEAN(buf_free) struct buf errors = {0};
+    struct fleet *fleet = NULL;
+    struct vmlist *vms = NULL;
+    struct doc config = docs_get(c->docs, DOC_CONFIG);
+    struct doc list = docs_get(c->docs, DOC_VMS);
+    const struct view *v = member_view(c->member);
+    c->config_revision = config.revision;
+    c->vms_revision = list.revision;
+    c->view_version = v->version;
+    c->snapshot_us = now_us;
+    if (fleet_parse(config.bytes, &fleet, &errors) != ST_OK) {
+        return;
+    }
+    if (list.revision) {
+        vmlist_parse(list.bytes, &vms, &errors);
+    }
+    claims_set_horizon(c->claims,
+                       fleet->defaults[FLEET_CLAIM_HORIZON_MS] * 1000);
+    struct snapshot *s = snapshot_new(fleet, vms, config.revision, c->zone);
+    int alive = view_alive_count(v);
+    s->node_count = alive > 0 ? alive : 1;
+    credits_snapshot(c->credits, now_us, v, s, c->out);
+    for (int i = 0; i < s->endpoint_count; i++) {
+        s->endpoints[i].cold = credits_cold(c->credits, s->endpoints[i].id);
+    }
+    snapshot_unref(c->snapshot);
+    c->snapshot = s;
+    c->snapshots++;
+    struct control_action a = {.kind = CONTROL_ACT_SNAPSHOT,
+                               .snapshot = snapshot_ref(s)};
+    outbox_push(c->out, &a);
+}
+
+/* Passes documents on in the order roster, snapshot, freshness: work that
+ * freshness permits must meet the documents that the freshness is about. */
+static void
+settle(struct control *c, int64_t now_us)
+{
+    int64_t revisions[DOC_COUNT];
+    for (int k = 0; k < DOC_COUNT; k++) {
+        revisions[k] = docs_get(c->docs, (enum doc_kind)k).revision;
+    }
+    if (revisions[DOC_ROSTER] != c->roster_revision) {
+        c->roster_revision = revisions[DOC_ROSTER];
+        member_roster(c->member, now_us, docs_roster(c->docs));
+        c->again = true;
+    }
+    member_revisions(c->member, revisions, docs_faulty(c->docs));
+    member_store_contact(c->member, docs_contact(c->docs));
+    bool view_due = member_view(c->member)->version != c->view_version &&
+                    now_us >= c->snapshot_us + VIEW_SNAPSHOT_US;
+    if (revisions[DOC_CONFIG] &&
+        (revisions[DOC_CONFIG] != c->config_revision ||
+         revisions[DOC_VMS] != c->vms_revision || view_due)) {
+        publish(c, now_us);
+        c->again = true;
+    }
+    int64_t until = member_fresh_until(c->member, now_us);
+    if (c->snapshot && until >= c->fresh_until_us + FRESH_STEP_US) {
+        struct control_action a = {.kind = CONTROL_ACT_FRESH,
+                                   .fresh_until_us = until};
+        c->fresh_until_us = until;
+        outbox_push(c->out, &a);
+    }
+}
+
+static void
+tick(struct control *c, int64_t now_us)
+{
+    c->again = false;
+    member_tick(c->member, now_us, c->out);
+    const struct view *v = member_view(c->member);
+    docs_tick(c->docs, now_us, v, member_store_age(c->member, now_us), c->out);
+    join_tick(c->join, now_us, c->docs, c->member, c->out);
+    claims_tick(c->claims, now_us, v, c->out);
+    credits_tick(c->credits, now_us, v, member_majority(c->member, now_us),
+                 c->out);
+    if (c->leaving && !c->left &&
+        ((join_left(c->join, c->docs, now_us) && claims_idle(c->claims)) ||
+         now_us >= c->leave_us + LEAVE_MAX_US)) {
+        struct control_action a = {.kind = CONTROL_ACT_LEFT};
+        c->left = true;
+        outbox_push(c->out, &a);
+    }
+}
+
+static void
+on_msg(struct control *c, int64_t now_us, const struct msg *m)
+{
+    const struct view *v = member_view(c->member);
+    int64_t seen[DOC_COUNT] = {0};
+    if (m->type < MSG_TYPE_COUNT) {
+        c->messages[m->type]++;
+    }
+    switch (m->type) {
+    case MSG_PING:
+    case MSG_PING_REQ:
+    case MSG_ACK:
+    case MSG_LEAVE:
+        member_msg(c->member, now_us, m, c->out);
+        docs_peer(c->docs, now_us, member_view(c->member), m->from,
+                  m->probe.revisions, c->out);
+        break;
+    case MSG_DOC_ACK:
+        if (m->doc.doc < DOC_COUNT) {
+            seen[m->doc.doc] = m->doc.revision;
+            member_acked(c->member, m->from, m->incarnation, m->doc.doc,
+                         m->doc.revision);
+            docs_peer(c->docs, now_us, v, m->from, seen, c->out);
+        }
+        break;
+    case MSG_DOC_GET:
+    case MSG_DOC:
+        docs_msg(c->docs, now_us, v, m, c->out);
+        break;
+    case MSG_CLAIM:
+    case MSG_CLAIM_REPLY:
+        claims_msg(c->claims, now_us, v, m, c->out);
+        break;
+    case MSG_CREDIT:
+    case MSG_CREDIT_REPLY:
+    case MSG_CREDIT_RELEASE:
+    case MSG_CREDIT_QUERY:
+    case MSG_CREDIT_STATE:
+    case MSG_COLD:
+        credits_msg(c->credits, now_us, v, m, c->out);
+        break;
+    case MSG_TYPE_COUNT:
+        break;
+    }
+}
+
+static void
+on_store(struct control *c, int64_t now_us, const struct store_result *r)
+{
+    if (docs_owns_op(c->docs, r->id)) {
+        docs_store(c->docs, now_us, r);
+    }
+    else if (join_owns_op(c->join, r->id)) {
+        join_store(c->join, now_us, c->docs, c->member, r, c->out);
+    }
+    else if (confedit_owns_op(c->confedit, r->id)) {
+        confedit_store(c->confedit, now_us, c->docs, c->member, r, c->out);
+    }
+    else if (claims_owns_op(c->claims, r->id)) {
+        claims_store(c->claims, now_us, member_view(c->member), r, c->out);
+    }
+}
+
+static void
+on_ask(struct control *c, int64_t now_us, int thread, const struct ask *ask)
+{
+    const struct view *v = member_view(c->member);
+    switch (ask->kind) {
+    case ASK_CLAIM:
+        claims_ask(c->claims, now_us, v, thread, &ask->claim, c->out);
+        break;
+    case ASK_CREDIT:
+    case ASK_CREDIT_RELEASE:
+    case ASK_COLD:
+        credits_ask(c->credits, now_us, v, thread, ask, c->out);
+        break;
+    case ASK_SUSPECT:
+        suspect(c, now_us, &ask->suspect);
+        break;
+    }
+}
+
+static bool
+endpoint_cold(void *arg, struct str endpoint)
+{
+    return credits_cold(((struct control *)arg)->credits, endpoint);
+}
+
+static void
+on_admin(struct control *c, int64_t now_us, const struct control_event *ev)
+{
+    CLEAN(buf_free) struct buf body = {0};
+    struct status_input in = {
+        .now_us = now_us,
+        .docs = c->docs,
+        .member = c->member,
+        .snapshot = c->snapshot,
+        .fresh_until_us = c->fresh_until_us,
+        .ready = control_ready(c, now_us),
+        .leaving = c->leaving,
+        .open_edits = confedit_open(c->confedit),
+        .arg = c,
+        .cold = endpoint_cold,
+    };
+    switch (ev->admin.verb) {
+    case ADMIN_EDIT:
+    case ADMIN_APPLY:
+        confedit_begin(c->confedit, now_us, c->docs, c->member, ev->admin.id,
+                       ev->admin.verb == ADMIN_APPLY, ev->admin.body,
+                       ev->admin.deadline_us, c->out);
+        return;
+    case ADMIN_SHOW:
+        status_show(c->docs, &body);
+        break;
+    case ADMIN_STATUS:
+        status_report(&in, &body);
+        break;
+    }
+    struct control_action a = {.kind = CONTROL_ACT_ADMIN};
+    a.admin.id = ev->admin.id;
+    a.admin.body = buf_str(&body);
+    outbox_push(c->out, &a);
+}
+
+void
+control_step(struct control *c, int64_t now_us, const struct control_event *ev)
+{
+    outbox_clear(c->out);
+    c->now_us = now_us;
+    switch (ev->kind) {
+    case CONTROL_EV_TICK:
+        tick(c, now_us);
+        break;
+    case CONTROL_EV_MSG:
+        on_msg(c, now_us, &ev->msg);
+        break;
+    case CONTROL_EV_STORE:
+        on_store(c, now_us, &ev->store);
+        break;
+    case CONTROL_EV_ASK:
+        on_ask(c, now_us, ev->ask.thread, &ev->ask.ask);
+        break;
+    case CONTROL_EV_ADMIN:
+        on_admin(c, now_us, ev);
+        break;
+    case CONTROL_EV_HINT:
+        member_hint(c->member, now_us, ev->hint, c->out);
+        break;
+    case CONTROL_EV_LEAVE:
+        if (!c->leaving) {
+            c->leaving = true;
+            c->leave_us = now_us;
+            member_leave(c->member, now_us, c->out);
+            join_leave(c->join, now_us);
+        }
+        break;
+    }
+    settle(c, now_us);
+    if (confedit_open(c->confedit)) {
+        confedit_tick(c->confedit, now_us, c->docs, c->member, c->out);
+        settle(c, now_us);
+    }
+}
+
+bool
+control_next(struct control *c, struct control_action *out)
+{
+    return outbox_next(c->out, out);
+}
+
+static int64_t
+sooner(int64_t a, int64_t b)
+{
+    return a < b ? a : b;
+}
+
+int64_t
+control_wakeup(const struct control *c)
+{
+    if (c->again) {
+        return c->now_us;
+    }
+    int64_t at = member_wakeup(c->member);
+    at = sooner(at, docs_wakeup(c->docs));
+    at = sooner(at, join_wakeup(c->join));
+    at = sooner(at, confedit_wakeup(c->confedit));
+    at = sooner(at, claims_wakeup(c->claims));
+    at = sooner(at, credits_wakeup(c->credits));
+    return at;
+}
+
+bool
+control_ready(const struct control *c, int64_t now_us)
+{
+    return c->snapshot && !c->leaving && now_us < c->fresh_until_us &&
+           docs_known(c->docs, DOC_VMS) && join_done(c->join, c->docs);
+}
+
+void
+control_metrics(const struct control *c, struct buf *out)
+{
+    for (int t = 0; t < MSG_TYPE_COUNT; t++) {
+        buf_printf(out,
+                   "camphorfall_messages_received_total{type=\"%s\"} %" PRIu64
+                   "\n",
+                   msg_type_name((enum msg_type)t), c->messages[t]);
+    }
+    buf_printf(out,
+               "camphorfall_snapshots_total %" PRIu64 "\n"
+               "camphorfall_suspect_contents %d\n"
+               "camphorfall_fresh_until_us %" PRId64 "\n",
+               c->snapshots, strikes_count(c->strikes), c->fresh_until_us);
+    member_metrics(c->member, out);
+    docs_metrics(c->docs, out);
+    join_metrics(c->join, out);
+    confedit_metrics(c->confedit, out);
+    claims_metrics(c->claims, out);
+    credits_metrics(c->credits, out);
+}
--- /dev/null
+++ b/tests/fleet_sim.c
@@ -0,0 +1,193 @@
+#include "tests/fleet_sim.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+const char fleet_sim_config[] =
+    "{\"defaults\":{\"deadline_ms\":8000},\"zones\":{"
+    "\"z0\":{\"region\":\"r0\"},\"z1\":{\"region\":\"r1\"}},"
+    "\"pools\":{\"enc\":{\"kind\":\"encode\"}},\"teams\":{\"clerks\":{"
+    "\"token_hash\":\"00000000000000000000000000000000000000000000000000"
+    "00000000000000\"}}}";
+
+static const char vms[] =
+    "{\"vms\":[{\"vm\":\"v1\",\"zone\":\"z0\",\"state\":\"live\","
+    "\"endpoints\":[{\"id\":\"e1\",\"pool\":\"enc\",\"url\":"
+    "\"http://127.0.0.1:9001\"}]},{\"vm\":\"v2\",\"zone\":\"z1\",\"state\":"
+    "\"live\",\"endpoints\":[{\"id\":\"e2\",\"pool\":\"enc\",\"url\":"
+    "\"http://127.0.0.1:9002\"}]}]}";
+
+static void
+take(struct fleet_sim *f, int node, const struct control_action *a)
+{
+    struct fleet_node *n = &f->nodes[node];
+    switch (a->kind) {
+    case CONTROL_ACT_SNAPSHOT:
+        n->config = a->snapshot->config_revision;
+        n->usable = 0;
+        for (int i = 0; i < a->snapshot->endpoint_count; i++) {
+            n->usable += a->snapshot->endpoints[i].usable;
+        }
+        snapshot_unref(a->snapshot);
+        break;
+    case CONTROL_ACT_FRESH:
+        n->fresh_until_us = a->fresh_until_us;
+        break;
+    case CONTROL_ACT_NOTICE:
+        n->notices++;
+        break;
+    case CONTROL_ACT_ADMIN:
+        if (f->on_admin) {
+            f->on_admin(f->arg, node, &a->admin);
+        }
+        break;
+    case CONTROL_ACT_LEFT:
+        n->left = true;
+        break;
+    case CONTROL_ACT_SEND:
+    case CONTROL_ACT_STORE:
+    case CONTROL_ACT_REPLY:
+        sim_action(&f->sim, node, a);
+        break;
+    }
+}
+
+static void
+step(void *arg, int node, const struct control_event *ev)
+{
+    struct fleet_sim *f = arg;
+    struct control_action a;
+    control_step(f->nodes[node].core, f->sim.now_us, ev);
+    while (control_next(f->nodes[node].core, &a)) {
+        take(f, node, &a);
+    }
+    if (f->on_step) {
+        f->on_step(f->arg, node);
+    }
+}
+
+static int64_t
+wakeup(void *arg, int node)
+{
+    return control_wakeup(((struct fleet_sim *)arg)->nodes[node].core);
+}
+
+void
+fleet_sim_start(struct fleet_sim *f, int node)
+{
+    struct fleet_node *n = &f->nodes[node];
+    char name[32];
+    char address[32];
+    char zone[16];
+    char region[16];
+    struct control_peer peers[2];
+    int r = node % f->regions;
+    uint64_t incarnation = n->incarnation + 1;
+    snprintf(name, sizeof(name), "n%d", node);
+    snprintf(address, sizeof(address), "tcp://10.0.%d.%d:7000", node / 256,
+             node % 256);
+    snprintf(zone, sizeof(zone), "z%d", r);
+    snprintf(region, sizeof(region), "r%d", r);
+    for (int i = 0; i < 2; i++) {
+        peers[i].node = f->sim.ids[(node + 1 + i) % f->sim.count];
+        peers[i].address = str_from("tcp://10.0.0.0:7000");
+    }
+    struct control_options o = {
+        .node = f->sim.ids[node],
+        .name = str_from(name),
+        .incarnation = incarnation,
+        .address = str_from(address),
+        .zone = str_from(zone),
+        .region = str_from(region),
+        .seed = f->seed + incarnation,
+        .claim_buckets = 16,
+        .store_writes_per_s = 100,
+        .peer_count = 2,
+        .peers = peers,
+    };
+    control_free(n->core);
+    *n = (struct fleet_node){.incarnation = incarnation,
+                             .fresh_until_us = INT64_MIN / 4};
+    n->core = control_new(&o, f->sim.now_us);
+    f->sim.up[node] = true;
+    f->sim.process[node]++;
+    f->sim.paused_until_us[node] = 0;
+    f->sim.wake_us[node] = f->sim.now_us;
+}
+
+void
+fleet_sim_kill(struct fleet_sim *f, int node)
+{
+    f->sim.up[node] = false;
+    f->nodes[node].fresh_until_us = INT64_MIN / 4;
+}
+
+struct fleet_sim *
+fleet_sim_new(int count, int regions, uint64_t seed)
+{
+    struct fleet_sim *f = mem_zero(1, sizeof(*f));
+    sim_init(&f->sim, count, seed, f);
+    f->sim.step = step;
+    f->sim.wakeup = wakeup;
+    f->regions = regions;
+    f->seed = seed;
+    sim_put(&f->sim, "cf/config", str_from(fleet_sim_config));
+    sim_put(&f->sim, "platform/vms", str_from(vms));
+    for (int i = 0; i < count; i++) {
+        fleet_sim_start(f, i);
+    }
+    return f;
+}
+
+void
+fleet_sim_free(struct fleet_sim *f)
+{
+    for (int i = 0; i < f->sim.count; i++) {
+        control_free(f->nodes[i].core);
+    }
+    sim_clear(&f->sim);
+    free(f);
+}
+
+void
+fleet_sim_run(struct fleet_sim *f, int64_t until_us)
+{
+    sim_run(&f->sim, until_us);
+}
+
+void
+fleet_sim_admin(struct fleet_sim *f, int node, uint64_t id,
+                enum admin_verb verb, const char *body, int64_t deadline_us)
+{
+    struct control_event ev = {.kind = CONTROL_EV_ADMIN};
+    ev.admin.id = id;
+    ev.admin.verb = verb;
+    ev.admin.body = str_from(body);
+    ev.admin.deadline_us = deadline_us;
+    sim_step(&f->sim, node, &ev);
+}
+
+void
+fleet_sim_leave(struct fleet_sim *f, int node)
+{
+    struct control_event ev = {.kind = CONTROL_EV_LEAVE};
+    sim_step(&f->sim, node, &ev);
+}
+
+bool
+fleet_sim_ready(const struct fleet_sim *f, int node)
+{
+    return f->sim.up[node] &&
+           control_ready(f->nodes[node].core, f->sim.now_us);
+}
+
+int
+fleet_sim_converged(struct fleet_sim *f)
+{
+    int64_t newest = sim_key(&f->sim, STR_LIT("cf/config"))->revision;
+    int n = 0;
+    for (int i = 0; i < f->sim.count; i++) {
+        n += fleet_sim_ready(f, i) && f->nodes[i].config == newest;
+    }
+    return n;
+}
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -10,6 +10,7 @@
     uint64_t seq;
     enum kind kind;
     int node;
+    int process;
     struct str bytes; /* owned: message, or value of an answer */
     struct store_result result;
     struct store_op op; /* key and value owned */
@@ -121,6 +122,7 @@
             struct sim_event hit = {.kind = EV_ANSWER,
                                     .at_us = s->now_us + 1000,
                                     .node = e->node,
+                                    .process = e->process,
                                     .bytes = str_dup(k->value)};
             hit.result =
                 (struct store_result){e->op.id, STORE_OK, k->revision, {0}};
@@ -150,7 +152,8 @@
 static void
 store(struct sim *s, int node, const struct store_op *op)
 {
-    struct sim_event e = {.kind = EV_ANSWER, .node = node};
+    struct sim_event e = {
+        .kind = EV_ANSWER, .node = node, .process = s->process[node]};
     struct sim_key *k = sim_key(s, op->key);
     bool lost = s->store_loss > 0 && rng_unit(&s->rng) < s->store_loss;
     int64_t quick = s->now_us + 1000 + (int64_t)rng_below(&s->rng, 2000);
@@ -273,7 +276,7 @@
         ev.kind = CONTROL_EV_STORE;
         ev.store = e->result;
         ev.store.value = e->bytes;
-        if (s->up[e->node]) {
+        if (s->up[e->node] && e->process == s->process[e->node]) {
             sim_step(s, e->node, &ev);
         }
         break;
@@ -294,8 +297,12 @@
         int64_t at = s->heap_count ? s->heap[0].at_us : INT64_MAX;
         int node = -1;
         for (int i = 0; i < s->count; i++) {
-            if (s->up[i] && s->wake_us[i] < at) {
-                at = s->wake_us[i];
+            int64_t wake = s->wake_us[i];
+            if (wake < s->paused_until_us[i]) {
+                wake = s->paused_until_us[i];
+            }
+            if (s->up[i] && wake < at) {
+                at = wake;
                 node = i;
             }
         }
@@ -313,6 +320,11 @@
             continue;
         }
         struct sim_event e = pop(s);
+        if (e.kind != EV_APPLY && s->paused_until_us[e.node] > s->now_us) {
+            e.at_us = s->paused_until_us[e.node];
+            push(s, e);
+            continue;
+        }
         deliver(s, &e);
         release(&e);
     }
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -30,6 +30,8 @@
     bool no_store[SIM_NODES_MAX]; /* cut off from the store */
     int group[SIM_NODES_MAX];     /* only nodes of one group hear each other */
     int64_t wake_us[SIM_NODES_MAX];
+    int64_t paused_until_us[SIM_NODES_MAX]; /* its events wait meanwhile */
+    int process[SIM_NODES_MAX]; /* answers to earlier ones are dropped */
     double loss;
     int64_t delay_us;
     int64_t jitter_us;
