Rename the virtual link of the fleet tests

Change: sim.c is now vnet.c with the prefix vnet_. Conclusion: both simulations can be linked into one archive.

--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -47,7 +47,7 @@
     case CONTROL_ACT_SEND:
     case CONTROL_ACT_STORE:
     case CONTROL_ACT_REPLY:
-        sim_action(&f->sim, node, a);
+        vnet_action(&f->net, node, a);
         break;
     }
 }
@@ -57,7 +57,7 @@
 {
     struct fleet_sim *f = arg;
     struct control_action a;
-    control_step(f->nodes[node].core, f->sim.now_us, ev);
+    control_step(f->nodes[node].core, f->net.now_us, ev);
     while (control_next(f->nodes[node].core, &a)) {
         take(f, node, &a);
     }
@@ -89,11 +89,11 @@
     snprintf(zone, sizeof(zone), "z%d", r);
     snprintf(region, sizeof(region), "r%d", r);
     for (int i = 0; i < 2; i++) {
-        peers[i].node = f->sim.ids[(node + 1 + i) % f->sim.count];
+        peers[i].node = f->net.ids[(node + 1 + i) % f->net.count];
         peers[i].address = str_from("tcp://10.0.0.0:7000");
     }
     struct control_options o = {
-        .node = f->sim.ids[node],
+        .node = f->net.ids[node],
         .name = str_from(name),
         .incarnation = incarnation,
         .address = str_from(address),
@@ -108,17 +108,17 @@
     control_free(n->core);
     *n = (struct fleet_node){.incarnation = incarnation,
                              .fresh_until_us = INT64_MIN / 4};
-    n->core = control_new(&o, f->sim.now_us);
-    f->sim.up[node] = true;
-    f->sim.process[node]++;
-    f->sim.paused_until_us[node] = 0;
-    f->sim.wake_us[node] = f->sim.now_us;
+    n->core = control_new(&o, f->net.now_us);
+    f->net.up[node] = true;
+    f->net.process[node]++;
+    f->net.paused_until_us[node] = 0;
+    f->net.wake_us[node] = f->net.now_us;
 }
 
 void
 fleet_sim_kill(struct fleet_sim *f, int node)
 {
-    f->sim.up[node] = false;
+    f->net.up[node] = false;
     f->nodes[node].fresh_until_us = INT64_MIN / 4;
 }
 
@@ -126,13 +126,13 @@
 fleet_sim_new(int count, int regions, uint64_t seed)
 {
     struct fleet_sim *f = mem_zero(1, sizeof(*f));
-    sim_init(&f->sim, count, seed, f);
-    f->sim.step = step;
-    f->sim.wakeup = wakeup;
+    vnet_init(&f->net, count, seed, f);
+    f->net.step = step;
+    f->net.wakeup = wakeup;
     f->regions = regions;
     f->seed = seed;
-    sim_put(&f->sim, "cf/config", str_from(fleet_sim_config));
-    sim_put(&f->sim, "platform/vms", str_from(vms));
+    vnet_put(&f->net, "cf/config", str_from(fleet_sim_config));
+    vnet_put(&f->net, "platform/vms", str_from(vms));
     for (int i = 0; i < count; i++) {
         fleet_sim_start(f, i);
     }
@@ -142,17 +142,17 @@
 void
 fleet_sim_free(struct fleet_sim *f)
 {
-    for (int i = 0; i < f->sim.count; i++) {
+    for (int i = 0; i < f->net.count; i++) {
         control_free(f->nodes[i].core);
     }
-    sim_clear(&f->sim);
+    vnet_clear(&f->net);
     free(f);
 }
 
 void
 fleet_sim_run(struct fleet_sim *f, int64_t until_us)
 {
-    sim_run(&f->sim, until_us);
+    vnet_run(&f->net, until_us);
 }
 
 void
@@ -164,29 +164,29 @@
     ev.admin.verb = verb;
     ev.admin.body = str_from(body);
     ev.admin.deadline_us = deadline_us;
-    sim_step(&f->sim, node, &ev);
+    vnet_step(&f->net, node, &ev);
 }
 
 void
 fleet_sim_leave(struct fleet_sim *f, int node)
 {
     struct control_event ev = {.kind = CONTROL_EV_LEAVE};
-    sim_step(&f->sim, node, &ev);
+    vnet_step(&f->net, node, &ev);
 }
 
 bool
 fleet_sim_ready(const struct fleet_sim *f, int node)
 {
-    return f->sim.up[node] &&
-           control_ready(f->nodes[node].core, f->sim.now_us);
+    return f->net.up[node] &&
+           control_ready(f->nodes[node].core, f->net.now_us);
 }
 
 int
 fleet_sim_converged(struct fleet_sim *f)
 {
-    int64_t newest = sim_key(&f->sim, STR_LIT("cf/config"))->revision;
+    int64_t newest = vnet_key(&f->net, STR_LIT("cf/config"))->revision;
     int n = 0;
-    for (int i = 0; i < f->sim.count; i++) {
+    for (int i = 0; i < f->net.count; i++) {
         n += fleet_sim_ready(f, i) && f->nodes[i].config == newest;
     }
     return n;
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -1,12 +1,12 @@
 /**
  * @file fleet_sim.h
- * Control cores of a whole fleet on the virtual link and store of sim.h, with
+ * Control cores of a whole fleet on the virtual link and store of vnet.h, with
  * a record of what they told their flow cores and operators.
  */
 #ifndef TESTS_FLEET_SIM_H
 #define TESTS_FLEET_SIM_H
 
-#include "tests/sim.h"
+#include "tests/vnet.h"
 
 struct fleet_node {
     struct control *core;
@@ -19,8 +19,8 @@
 };
 
 struct fleet_sim {
-    struct sim sim;
-    struct fleet_node nodes[SIM_NODES_MAX];
+    struct vnet net;
+    struct fleet_node nodes[VNET_NODES_MAX];
     int regions;
     uint64_t seed;
     void *arg;
--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -7,14 +7,14 @@
 
 #include "base/clean.h"
 #include "control/docs.h"
-#include "tests/sim.h"
+#include "tests/vnet.h"
 
 #define SECOND INT64_C(1000000)
 #define NODES_MAX 400
 #define GOOD "{\"defaults\":{\"deadline_ms\":5000}}"
 
 struct world {
-    struct sim sim;
+    struct vnet net;
     struct docs *d[NODES_MAX];
     struct view_member members[NODES_MAX];
     struct view view[NODES_MAX];
@@ -30,7 +30,7 @@
     while (outbox_next(w->out, &a)) {
         w->docs_sent +=
             a.kind == CONTROL_ACT_SEND && a.send.msg.type == MSG_DOC;
-        sim_action(&w->sim, node, &a);
+        vnet_action(&w->net, node, &a);
     }
     outbox_clear(w->out);
 }
@@ -41,14 +41,14 @@
 {
     for (int i = 0; i < 2; i++) {
         int64_t revisions[DOC_COUNT];
-        int peer = (int)rng_below(&w->sim.rng, (uint64_t)w->sim.count);
-        if (!w->sim.up[peer] || w->sim.group[peer] != w->sim.group[node]) {
+        int peer = (int)rng_below(&w->net.rng, (uint64_t)w->net.count);
+        if (!w->net.up[peer] || w->net.group[peer] != w->net.group[node]) {
             continue;
         }
         for (int k = 0; k < DOC_COUNT; k++) {
             revisions[k] = docs_get(w->d[peer], (enum doc_kind)k).revision;
         }
-        docs_peer(w->d[node], w->sim.now_us, &w->view[node], w->sim.ids[peer],
+        docs_peer(w->d[node], w->net.now_us, &w->view[node], w->net.ids[peer],
                   revisions, w->out);
     }
 }
@@ -57,7 +57,7 @@
 step(void *arg, int node, const struct control_event *ev)
 {
     struct world *w = arg;
-    int64_t now = w->sim.now_us;
+    int64_t now = w->net.now_us;
     if (ev->kind == CONTROL_EV_MSG) {
         docs_msg(w->d[node], now, &w->view[node], &ev->msg, w->out);
     }
@@ -67,7 +67,7 @@
     else {
         /* The store's contacts reach all nodes unless it is down. */
         docs_tick(w->d[node], now, &w->view[node],
-                  w->sim.store_down ? 10 * SECOND : 0, w->out);
+                  w->net.store_down ? 10 * SECOND : 0, w->out);
         if (now >= w->probe_us[node]) {
             w->probe_us[node] = now + SECOND / 2;
             probe(w, node);
@@ -88,30 +88,30 @@
 world_new(int count, uint64_t seed)
 {
     struct world *w = mem_zero(1, sizeof(*w));
-    sim_init(&w->sim, count, seed, w);
-    w->sim.step = step;
-    w->sim.wakeup = wakeup;
+    vnet_init(&w->net, count, seed, w);
+    w->net.step = step;
+    w->net.wakeup = wakeup;
     w->out = outbox_new();
     for (int i = 0; i < count; i++) {
-        struct docs_options o = {w->sim.ids[i], 1, seed};
+        struct docs_options o = {w->net.ids[i], 1, seed};
         w->members[i] = (struct view_member){
-            .node = w->sim.ids[i], .alive = true, .in_roster = true};
-        w->view[i] = (struct view){w->sim.ids[i], 1, count, w->members};
+            .node = w->net.ids[i], .alive = true, .in_roster = true};
+        w->view[i] = (struct view){w->net.ids[i], 1, count, w->members};
         w->d[i] = docs_new(&o, 0);
     }
-    sim_put(&w->sim, "cf/config", STR_LIT(GOOD));
-    sim_put(&w->sim, "cf/roster", STR_LIT("{\"members\":[]}"));
-    sim_put(&w->sim, "platform/vms", STR_LIT("{\"vms\":[]}"));
+    vnet_put(&w->net, "cf/config", STR_LIT(GOOD));
+    vnet_put(&w->net, "cf/roster", STR_LIT("{\"members\":[]}"));
+    vnet_put(&w->net, "platform/vms", STR_LIT("{\"vms\":[]}"));
     return w;
 }
 
 static void
 world_free(struct world *w)
 {
-    for (int i = 0; i < w->sim.count; i++) {
+    for (int i = 0; i < w->net.count; i++) {
         docs_free(w->d[i]);
     }
-    sim_clear(&w->sim);
+    vnet_clear(&w->net);
     outbox_free(w->out);
     free(w);
 }
@@ -171,15 +171,15 @@
 test_faulty_store(void)
 {
     struct world *w = world_new(3, 2);
-    sim_run(&w->sim, 2 * SECOND);
+    vnet_run(&w->net, 2 * SECOND);
     int64_t good = docs_get(w->d[0], DOC_CONFIG).revision;
-    int64_t bad = sim_put(&w->sim, "cf/config", STR_LIT("{\"x\":1}"));
-    sim_run(&w->sim, 6 * SECOND);
+    int64_t bad = vnet_put(&w->net, "cf/config", STR_LIT("{\"x\":1}"));
+    vnet_run(&w->net, 6 * SECOND);
     g_assert_cmpint(docs_get(w->d[0], DOC_CONFIG).revision, ==, good);
     g_assert_cmpint(docs_faulty(w->d[0]), ==, bad);
     g_assert_cmpint(docs_contact(w->d[0]), >, 5 * SECOND);
-    sim_key(&w->sim, STR_LIT("cf/config"))->revision = 0;
-    sim_run(&w->sim, 9 * SECOND);
+    vnet_key(&w->net, STR_LIT("cf/config"))->revision = 0;
+    vnet_run(&w->net, 9 * SECOND);
     g_assert_cmpint(docs_get(w->d[0], DOC_CONFIG).revision, ==, good);
     g_assert_cmpint(docs_contact(w->d[0]), <, 7 * SECOND);
     world_free(w);
@@ -201,34 +201,34 @@
         g_assert_cmpint(docs_watchers(sizes[i].count), ==, n);
         n = n < sizes[i].count ? n : sizes[i].count;
         struct world *w = world_new(sizes[i].count, 10 + i);
-        sim_run(&w->sim, 10 * SECOND);
-        int64_t before = w->sim.store_calls;
-        sim_run(&w->sim, 30 * SECOND);
-        g_assert_cmpint(w->sim.store_calls - before, <=,
+        vnet_run(&w->net, 10 * SECOND);
+        int64_t before = w->net.store_calls;
+        vnet_run(&w->net, 30 * SECOND);
+        g_assert_cmpint(w->net.store_calls - before, <=,
                         20 * 3 * n * 12 / 10 + 2 * n);
-        g_assert_cmpint(w->sim.store_calls - before, >=, 20 * 3 * n * 8 / 10);
-        w->sim.store_down = true;
-        sim_run(&w->sim, 40 * SECOND);
-        before = w->sim.store_calls;
-        sim_run(&w->sim, 100 * SECOND);
+        g_assert_cmpint(w->net.store_calls - before, >=, 20 * 3 * n * 8 / 10);
+        w->net.store_down = true;
+        vnet_run(&w->net, 40 * SECOND);
+        before = w->net.store_calls;
+        vnet_run(&w->net, 100 * SECOND);
         int others = (sizes[i].count - n) * 15;
         others = others < 240 ? others : 240;
-        g_assert_cmpint(w->sim.store_calls - before, <=,
+        g_assert_cmpint(w->net.store_calls - before, <=,
                         (15 * n + others) * 3 / 2);
         /* On recovery the calls of any 100 ms stay below the number that a
          * herd of all watchers would send at once. */
-        w->sim.store_down = false;
+        w->net.store_down = false;
         int64_t put =
-            sim_put(&w->sim, "platform/vms", STR_LIT("{\"vms\":[{}]}"));
+            vnet_put(&w->net, "platform/vms", STR_LIT("{\"vms\":[{}]}"));
         int64_t peak = 0;
         for (int t = 1; t <= 80; t++) {
-            before = w->sim.store_calls;
-            sim_run(&w->sim, 100 * SECOND + t * SECOND / 10);
-            before = w->sim.store_calls - before;
+            before = w->net.store_calls;
+            vnet_run(&w->net, 100 * SECOND + t * SECOND / 10);
+            before = w->net.store_calls - before;
             peak = before > peak ? before : peak;
         }
         g_assert_cmpint(peak, <=, n + 4);
-        for (int k = 0; k < w->sim.count; k++) {
+        for (int k = 0; k < w->net.count; k++) {
             g_assert_cmpint(docs_get(w->d[k], DOC_VMS).revision, ==, put);
         }
         world_free(w);
@@ -252,10 +252,10 @@
     for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
         struct world *w = world_new(sizes[i].count, 20 + i);
         int alive = sizes[i].count;
-        sim_run(&w->sim, 5 * SECOND);
-        for (int k = 1; sizes[i].dead_every && k < w->sim.count; k++) {
+        vnet_run(&w->net, 5 * SECOND);
+        for (int k = 1; sizes[i].dead_every && k < w->net.count; k++) {
             if (k % sizes[i].dead_every == 0) {
-                w->sim.up[k] = false;
+                w->net.up[k] = false;
                 w->members[k].alive = false;
                 alive--;
             }
@@ -263,14 +263,14 @@
         w->docs_sent = 0;
         docs_offer(w->d[1], &w->view[1], DOC_CONFIG, 99, STR_LIT("{}"), true,
                    w->out);
-        if (w->sim.count > 64) {
+        if (w->net.count > 64) {
             g_assert_cmpint(docs_get(w->d[1], DOC_CONFIG).revision, ==, 99);
         }
         drain(w, 1);
         g_assert_cmpint(w->docs_sent, <=, 64);
-        sim_run(&w->sim, 5 * SECOND + sizes[i].within_us);
-        for (int k = 0; k < w->sim.count; k++) {
-            g_assert_true(!w->sim.up[k] ||
+        vnet_run(&w->net, 5 * SECOND + sizes[i].within_us);
+        for (int k = 0; k < w->net.count; k++) {
+            g_assert_true(!w->net.up[k] ||
                           docs_get(w->d[k], DOC_CONFIG).revision == 99);
         }
         g_assert_cmpint(w->docs_sent, <=, 2 * alive);
@@ -283,12 +283,12 @@
 test_from_peers(void)
 {
     struct world *w = world_new(5, 30);
-    w->sim.store_down = true;
-    sim_run(&w->sim, 5 * SECOND);
+    w->net.store_down = true;
+    vnet_run(&w->net, 5 * SECOND);
     docs_offer(w->d[2], &w->view[2], DOC_CONFIG, 7, STR_LIT(GOOD), false,
                w->out);
     drain(w, 2);
-    sim_run(&w->sim, 8 * SECOND);
+    vnet_run(&w->net, 8 * SECOND);
     for (int k = 0; k < 5; k++) {
         g_assert_cmpint(docs_get(w->d[k], DOC_CONFIG).revision, ==, 7);
         g_assert_true(docs_known(w->d[k], DOC_CONFIG));
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -10,13 +10,13 @@
 #include "control/contact.h"
 #include "control/member.h"
 #include "control/strikes.h"
-#include "tests/sim.h"
+#include "tests/vnet.h"
 
 #define SECOND INT64_C(1000000)
 #define NODES_MAX 64
 
 struct world {
-    struct sim sim;
+    struct vnet net;
     struct member *m[NODES_MAX];
     struct outbox *out;
     int64_t revisions[NODES_MAX][DOC_COUNT];
@@ -45,7 +45,7 @@
 {
     struct control_action a;
     while (outbox_next(w->out, &a)) {
-        sim_action(&w->sim, node, &a);
+        vnet_action(&w->net, node, &a);
     }
     outbox_clear(w->out);
 }
@@ -56,12 +56,12 @@
     struct world *w = arg;
     struct member *m = w->m[node];
     if (ev->kind == CONTROL_EV_MSG) {
-        member_msg(m, w->sim.now_us, &ev->msg, w->out);
+        member_msg(m, w->net.now_us, &ev->msg, w->out);
     }
     else {
-        member_tick(m, w->sim.now_us, w->out);
+        member_tick(m, w->net.now_us, w->out);
     }
-    member_fresh_until(m, w->sim.now_us);
+    member_fresh_until(m, w->net.now_us);
     drain(w, node);
 }
 
@@ -75,7 +75,7 @@
 start(struct world *w, int i, uint64_t incarnation)
 {
     struct member_options o = {
-        .node = w->sim.ids[i],
+        .node = w->net.ids[i],
         .incarnation = incarnation,
         .address = STR_LIT("tcp://127.0.0.1:1"),
         .region = STR_LIT("s"),
@@ -83,10 +83,10 @@
         .hooks = {w, no_gossip, drop_gossip},
     };
     member_free(w->m[i]);
-    w->m[i] = member_new(&o, w->sim.now_us);
-    member_roster(w->m[i], w->sim.now_us, w->roster);
+    w->m[i] = member_new(&o, w->net.now_us);
+    member_roster(w->m[i], w->net.now_us, w->roster);
     member_revisions(w->m[i], w->revisions[i], 0);
-    w->sim.wake_us[i] = w->sim.now_us;
+    w->net.wake_us[i] = w->net.now_us;
 }
 
 /* Members that have all read the store once, at time 0. */
@@ -104,9 +104,9 @@
     }
     buf_printf(&text, "]}");
     g_assert_cmpint(roster_parse(buf_str(&text), &w->roster), ==, ST_OK);
-    sim_init(&w->sim, count, seed, w);
-    w->sim.step = step;
-    w->sim.wakeup = wakeup;
+    vnet_init(&w->net, count, seed, w);
+    w->net.step = step;
+    w->net.wakeup = wakeup;
     w->out = outbox_new();
     for (int i = 0; i < count; i++) {
         w->revisions[i][DOC_CONFIG] = 5;
@@ -121,10 +121,10 @@
 static void
 world_free(struct world *w)
 {
-    for (int i = 0; i < w->sim.count; i++) {
+    for (int i = 0; i < w->net.count; i++) {
         member_free(w->m[i]);
     }
-    sim_clear(&w->sim);
+    vnet_clear(&w->net);
     outbox_free(w->out);
     roster_free(w->roster);
     free(w);
@@ -133,13 +133,13 @@
 static int64_t
 fresh_left(struct world *w, int i)
 {
-    return member_fresh_until(w->m[i], w->sim.now_us) - w->sim.now_us;
+    return member_fresh_until(w->m[i], w->net.now_us) - w->net.now_us;
 }
 
 static bool
 sees_alive(struct world *w, int i, int other)
 {
-    return view_find(member_view(w->m[i]), w->sim.ids[other])->alive;
+    return view_find(member_view(w->m[i]), w->net.ids[other])->alive;
 }
 
 /* The store is down all the time. Freshness may never come near its end, and
@@ -155,11 +155,11 @@
     for (size_t r = 0; r < G_N_ELEMENTS(rows); r++) {
         struct world *w = world_new(rows[r].count, r);
         for (int64_t t = 3 * SECOND; t < 30 * SECOND; t += SECOND / 10) {
-            sim_run(&w->sim, t);
-            for (int i = 0; i < w->sim.count; i++) {
+            vnet_run(&w->net, t);
+            for (int i = 0; i < w->net.count; i++) {
                 g_assert_cmpint(fresh_left(w, i), >=, rows[r].least_us);
                 g_assert_cmpint(view_alive_count(member_view(w->m[i])), ==,
-                                w->sim.count);
+                                w->net.count);
             }
         }
         world_free(w);
@@ -179,21 +179,21 @@
                 {16, 0, 6000000}, {50, 0, 8000000}, {50, 0.1, 10000000}};
     for (size_t r = 0; r < G_N_ELEMENTS(rows); r++) {
         struct world *w = world_new(rows[r].count, 100 + r);
-        w->sim.loss = rows[r].loss;
-        sim_run(&w->sim, 5 * SECOND);
-        w->sim.up[1] = false;
-        sim_run(&w->sim, 5 * SECOND + rows[r].within_us);
-        for (int i = 0; i < w->sim.count; i++) {
+        w->net.loss = rows[r].loss;
+        vnet_run(&w->net, 5 * SECOND);
+        w->net.up[1] = false;
+        vnet_run(&w->net, 5 * SECOND + rows[r].within_us);
+        for (int i = 0; i < w->net.count; i++) {
             g_assert_true(i == 1 || !sees_alive(w, i, 1));
         }
         /* A new process under the same id is alive again. */
-        w->sim.loss = 0;
-        w->sim.up[1] = true;
+        w->net.loss = 0;
+        w->net.up[1] = true;
         start(w, 1, 2);
-        sim_run(&w->sim, 20 * SECOND);
-        for (int i = 0; i < w->sim.count; i++) {
+        vnet_run(&w->net, 20 * SECOND);
+        for (int i = 0; i < w->net.count; i++) {
             g_assert_cmpint(view_alive_count(member_view(w->m[i])), ==,
-                            w->sim.count);
+                            w->net.count);
             g_assert_cmpint(fresh_left(w, i), >, 0);
         }
         world_free(w);
@@ -216,13 +216,13 @@
         int major = rows[r].count - rows[r].cut;
         int64_t fresh = contact_fresh_time(rows[r].count);
         int64_t heal = 10 * SECOND + rows[r].cut_us;
-        sim_run(&w->sim, 10 * SECOND);
-        for (int i = major; i < w->sim.count; i++) {
-            w->sim.group[i] = 1;
+        vnet_run(&w->net, 10 * SECOND);
+        for (int i = major; i < w->net.count; i++) {
+            w->net.group[i] = 1;
         }
         for (int64_t t = 10 * SECOND; t < heal; t += SECOND / 5) {
-            sim_run(&w->sim, t);
-            for (int i = 0; i < w->sim.count; i++) {
+            vnet_run(&w->net, t);
+            for (int i = 0; i < w->net.count; i++) {
                 bool majority = i < major && major > rows[r].count / 2;
                 if (majority || t > 10 * SECOND + fresh) {
                     g_assert_cmpint(fresh_left(w, i) > 0, ==, majority);
@@ -230,12 +230,12 @@
                 }
             }
         }
-        memset(w->sim.group, 0, sizeof(w->sim.group));
-        sim_run(&w->sim, heal + 6 * SECOND);
-        for (int i = 0; i < w->sim.count; i++) {
+        memset(w->net.group, 0, sizeof(w->net.group));
+        vnet_run(&w->net, heal + 6 * SECOND);
+        for (int i = 0; i < w->net.count; i++) {
             g_assert_cmpint(fresh_left(w, i), >, 0);
             g_assert_cmpint(view_alive_count(member_view(w->m[i])), ==,
-                            w->sim.count);
+                            w->net.count);
         }
         world_free(w);
     }
@@ -260,7 +260,7 @@
             member_revisions(w->m[i], w->revisions[i], 0);
         }
         member_revisions(w->m[2], w->revisions[2], rows[r].faulty ? 9 : 0);
-        sim_run(&w->sim, 10 * SECOND);
+        vnet_run(&w->net, 10 * SECOND);
         g_assert_cmpint(fresh_left(w, 2) > 0, ==, rows[r].fresh);
         g_assert_cmpint(fresh_left(w, 0), >, 0);
         world_free(w);
@@ -274,17 +274,17 @@
 {
     for (int cut = 0; cut < 2; cut++) {
         struct world *w = world_new(3, 400);
-        sim_run(&w->sim, 5 * SECOND);
-        w->sim.group[0] = cut;
+        vnet_run(&w->net, 5 * SECOND);
+        w->net.group[0] = cut;
         start(w, 2, 2);
-        sim_run(&w->sim, 15 * SECOND);
+        vnet_run(&w->net, 15 * SECOND);
         g_assert_cmpint(member_settled(w->m[2]), ==, !cut);
         g_assert_cmpint(fresh_left(w, 2) > 0, ==, !cut);
         g_assert_cmpint(fresh_left(w, 1) > 0, ==, !cut);
         /* Reading the store settles it. */
-        member_store_contact(w->m[2], w->sim.now_us);
+        member_store_contact(w->m[2], w->net.now_us);
         g_assert_cmpint(fresh_left(w, 2), >, 0);
-        sim_run(&w->sim, 20 * SECOND);
+        vnet_run(&w->net, 20 * SECOND);
         g_assert_cmpint(fresh_left(w, 1), >, 0);
         world_free(w);
     }
@@ -296,14 +296,14 @@
     struct world *w = world_new(5, 500);
     enum member_state state = MEMBER_ALIVE;
     int64_t since;
-    sim_run(&w->sim, 5 * SECOND);
-    w->sim.group[4] = 1; /* misses the notice, learns by gossip */
-    member_leave(w->m[0], w->sim.now_us, w->out);
+    vnet_run(&w->net, 5 * SECOND);
+    w->net.group[4] = 1; /* misses the notice, learns by gossip */
+    member_leave(w->m[0], w->net.now_us, w->out);
     drain(w, 0);
-    sim_run(&w->sim, 6 * SECOND);
-    w->sim.group[4] = 0;
+    vnet_run(&w->net, 6 * SECOND);
+    w->net.group[4] = 0;
     /* The leaver still answers and pings; it stays out of the view. */
-    sim_run(&w->sim, 9 * SECOND);
+    vnet_run(&w->net, 9 * SECOND);
     for (int i = 1; i < 5; i++) {
         g_assert_false(sees_alive(w, i, 0));
         member_state_of(w->m[i], 1, &state, &since);
@@ -317,7 +317,7 @@
 {
     struct world *w = world_new(5, 600);
     struct str s = STR_LIT("s");
-    sim_run(&w->sim, 3 * SECOND);
+    vnet_run(&w->net, 3 * SECOND);
     g_assert_true(member_confirmed(w->m[0], s, DOC_CONFIG, 5));
     g_assert_false(member_confirmed(w->m[0], s, DOC_CONFIG, 6));
     member_acked(w->m[0], 2, 1, DOC_CONFIG, 6);
--- a/tests/sim.c
+++ b/tests/vnet.c
@@ -1,11 +1,11 @@
-#include "tests/sim.h"
+#include "tests/vnet.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 enum kind { EV_MSG, EV_ANSWER, EV_APPLY, EV_WATCH };
 
-struct sim_event {
+struct vnet_event {
     int64_t at_us;
     uint64_t seq;
     enum kind kind;
@@ -17,7 +17,7 @@
 };
 
 void
-sim_init(struct sim *s, int count, uint64_t seed, void *arg)
+vnet_init(struct vnet *s, int count, uint64_t seed, void *arg)
 {
     memset(s, 0, sizeof(*s));
     rng_seed(&s->rng, seed);
@@ -33,7 +33,7 @@
 }
 
 static void
-release(struct sim_event *e)
+release(struct vnet_event *e)
 {
     str_free(&e->bytes);
     str_free(&e->op.key);
@@ -41,7 +41,7 @@
 }
 
 void
-sim_clear(struct sim *s)
+vnet_clear(struct vnet *s)
 {
     for (size_t i = 0; i < s->heap_count; i++) {
         release(&s->heap[i]);
@@ -53,13 +53,13 @@
 }
 
 static bool
-before(const struct sim_event *a, const struct sim_event *b)
+before(const struct vnet_event *a, const struct vnet_event *b)
 {
     return a->at_us < b->at_us || (a->at_us == b->at_us && a->seq < b->seq);
 }
 
 static void
-push(struct sim *s, struct sim_event e)
+push(struct vnet *s, struct vnet_event e)
 {
     if (s->heap_count == s->heap_cap) {
         s->heap_cap = s->heap_cap ? s->heap_cap * 2 : 256;
@@ -74,11 +74,11 @@
     s->heap[i] = e;
 }
 
-static struct sim_event
-pop(struct sim *s)
+static struct vnet_event
+pop(struct vnet *s)
 {
-    struct sim_event top = s->heap[0];
-    struct sim_event last = s->heap[--s->heap_count];
+    struct vnet_event top = s->heap[0];
+    struct vnet_event last = s->heap[--s->heap_count];
     size_t i = 0;
     for (;;) {
         size_t k = 2 * i + 1;
@@ -98,32 +98,32 @@
     return top;
 }
 
-struct sim_key *
-sim_key(struct sim *s, struct str key)
+struct vnet_key *
+vnet_key(struct vnet *s, struct str key)
 {
     for (int i = 0; i < s->key_count; i++) {
         if (str_eq_c(key, s->keys[i].name)) {
             return &s->keys[i];
         }
     }
-    struct sim_key *k = &s->keys[s->key_count++];
+    struct vnet_key *k = &s->keys[s->key_count++];
     memcpy(k->name, key.ptr, key.len);
     return k;
 }
 
 /* Answers the watches of a key that were passed by a write. */
 static void
-wake_watches(struct sim *s, const struct sim_key *k)
+wake_watches(struct vnet *s, const struct vnet_key *k)
 {
     for (size_t i = 0; i < s->heap_count; i++) {
-        struct sim_event *e = &s->heap[i];
+        struct vnet_event *e = &s->heap[i];
         if (e->kind == EV_WATCH && str_eq_c(e->op.key, k->name) &&
             e->result.outcome == STORE_LOST) {
-            struct sim_event hit = {.kind = EV_ANSWER,
-                                    .at_us = s->now_us + 1000,
-                                    .node = e->node,
-                                    .process = e->process,
-                                    .bytes = str_dup(k->value)};
+            struct vnet_event hit = {.kind = EV_ANSWER,
+                                     .at_us = s->now_us + 1000,
+                                     .node = e->node,
+                                     .process = e->process,
+                                     .bytes = str_dup(k->value)};
             hit.result =
                 (struct store_result){e->op.id, STORE_OK, k->revision, {0}};
             e->result.outcome = STORE_ABSENT; /* spent */
@@ -133,7 +133,7 @@
 }
 
 static void
-put(struct sim *s, struct sim_key *k, struct str value)
+put(struct vnet *s, struct vnet_key *k, struct str value)
 {
     str_free(&k->value);
     k->value = str_dup(value);
@@ -142,19 +142,19 @@
 }
 
 int64_t
-sim_put(struct sim *s, const char *key, struct str value)
+vnet_put(struct vnet *s, const char *key, struct str value)
 {
-    struct sim_key *k = sim_key(s, str_from(key));
+    struct vnet_key *k = vnet_key(s, str_from(key));
     put(s, k, value);
     return k->revision;
 }
 
 static void
-store(struct sim *s, int node, const struct store_op *op)
+store(struct vnet *s, int node, const struct store_op *op)
 {
-    struct sim_event e = {
+    struct vnet_event e = {
         .kind = EV_ANSWER, .node = node, .process = s->process[node]};
-    struct sim_key *k = sim_key(s, op->key);
+    struct vnet_key *k = vnet_key(s, op->key);
     bool lost = s->store_loss > 0 && rng_unit(&s->rng) < s->store_loss;
     int64_t quick = s->now_us + 1000 + (int64_t)rng_below(&s->rng, 2000);
     s->store_calls++;
@@ -192,7 +192,7 @@
     case STORE_CAS:
         if (lost && rng_below(&s->rng, 2)) {
             /* The write arrives late, after the caller's time-out or not. */
-            struct sim_event late = {.kind = EV_APPLY, .op = *op};
+            struct vnet_event late = {.kind = EV_APPLY, .op = *op};
             late.at_us = s->now_us + (int64_t)rng_below(&s->rng, 3000000);
             late.op.key = str_dup(op->key);
             late.op.value = str_dup(op->value);
@@ -216,13 +216,13 @@
 }
 
 static int
-index_of(const struct sim *s, uint64_t id)
+index_of(const struct vnet *s, uint64_t id)
 {
     return id >= 1 && id <= (uint64_t)s->count ? (int)id - 1 : -1;
 }
 
 void
-sim_action(struct sim *s, int node, const struct control_action *a)
+vnet_action(struct vnet *s, int node, const struct control_action *a)
 {
     if (a->kind == CONTROL_ACT_STORE) {
         store(s, node, &a->store);
@@ -240,7 +240,7 @@
         buf_free(&bytes);
         return;
     }
-    struct sim_event e = {.kind = EV_MSG, .node = to};
+    struct vnet_event e = {.kind = EV_MSG, .node = to};
     e.at_us = s->now_us + s->delay_us +
               (int64_t)rng_below(&s->rng, (uint64_t)s->jitter_us + 1);
     e.bytes = buf_take(&bytes);
@@ -248,22 +248,22 @@
 }
 
 void
-sim_step(struct sim *s, int node, const struct control_event *ev)
+vnet_step(struct vnet *s, int node, const struct control_event *ev)
 {
     s->step(s->arg, node, ev);
     s->wake_us[node] = s->wakeup(s->arg, node);
 }
 
 static void
-deliver(struct sim *s, struct sim_event *e)
+deliver(struct vnet *s, struct vnet_event *e)
 {
     struct control_event ev = {0};
-    struct sim_key *k;
+    struct vnet_key *k;
     switch (e->kind) {
     case EV_MSG:
         ev.kind = CONTROL_EV_MSG;
         if (s->up[e->node] && msg_decode(e->bytes, &ev.msg) == ST_OK) {
-            sim_step(s, e->node, &ev);
+            vnet_step(s, e->node, &ev);
         }
         break;
     case EV_WATCH:
@@ -277,11 +277,11 @@
         ev.store = e->result;
         ev.store.value = e->bytes;
         if (s->up[e->node] && e->process == s->process[e->node]) {
-            sim_step(s, e->node, &ev);
+            vnet_step(s, e->node, &ev);
         }
         break;
     case EV_APPLY:
-        k = sim_key(s, e->op.key);
+        k = vnet_key(s, e->op.key);
         if (k->revision == e->op.expect) {
             put(s, k, e->op.value);
         }
@@ -290,7 +290,7 @@
 }
 
 void
-sim_run(struct sim *s, int64_t until_us)
+vnet_run(struct vnet *s, int64_t until_us)
 {
     static const struct control_event tick = {.kind = CONTROL_EV_TICK};
     for (;;) {
@@ -313,13 +313,13 @@
             s->now_us = at;
         }
         if (node >= 0) {
-            sim_step(s, node, &tick);
+            vnet_step(s, node, &tick);
             if (s->wake_us[node] <= s->now_us) {
                 s->wake_us[node] = s->now_us + 1000;
             }
             continue;
         }
-        struct sim_event e = pop(s);
+        struct vnet_event e = pop(s);
         if (e.kind != EV_APPLY && s->paused_until_us[e.node] > s->now_us) {
             e.at_us = s->paused_until_us[e.node];
             push(s, e);
