Measure endpoint limits against the latency without load

Change: the base of the gradient falls fast and rises slowly. Cancelled calls count as at least as slow as their elapsed time.

--- a/src/flow/call.c
+++ b/src/flow/call.c
@@ -17,7 +17,7 @@
 /* How a call ended, for what is learned from it. */
 enum call_end {
     END_OK,
-    END_SLOWER, /* another call of the stage answered first */
+    END_SLOWER, /* cancelled: another call was faster, or too late */
     END_FAILED,
     END_OVERLOAD,
     END_UNSENT,
@@ -47,6 +47,11 @@
         ep->refusals = 0;
         break;
     case END_SLOWER:
+        /* The elapsed time is a lower bound of the latency. */
+        if (c->first_us || us < (int64_t)ep->limit.recent_us) {
+            return;
+        }
+        limit_answer(&ep->limit, f->now_us, us, ep->in_flight, false);
         outlier_answer(&ep->outlier, f->now_us, true, us);
         break;
     case END_OVERLOAD:
@@ -97,18 +102,9 @@
 {
     core_emit(f, FLOW_ACT_CANCEL)->cancel = c->attempt;
     f->counts[COUNT_CANCELS]++;
-    end_call(f, c, END_DROPPED, false, outcome);
-}
-
-/* The elapsed time is a lower bound of the loser's latency. Without it a
- * slow endpoint would never show, since hedges cut its calls short. */
-static void
-cancel_loser(struct flow *f, struct call *c)
-{
-    bool slow = !c->hedge && !c->first_us;
-    core_emit(f, FLOW_ACT_CANCEL)->cancel = c->attempt;
-    f->counts[COUNT_CANCELS]++;
-    end_call(f, c, slow ? END_SLOWER : END_DROPPED, false, "hedged");
+    /* Without this a slow endpoint would never show, since hedges and
+     * deadlines cut its calls short. */
+    end_call(f, c, c->hedge ? END_DROPPED : END_SLOWER, false, outcome);
 }
 
 static void
@@ -118,7 +114,7 @@
     while (c) {
         struct call *next = c->next;
         if (c != keep) {
-            cancel_loser(f, c);
+            call_cancel(f, c, "hedged");
         }
         c = next;
     }
--- a/src/flow/limit.c
+++ b/src/flow/limit.c
@@ -1,12 +1,16 @@
 #include "flow/limit.h"
 
-/* Recent latency above this multiple of the long-term one means queueing
- * inside the endpoint. Batching engines slow down up to about 1.5x at full
- * batches. */
-#define GRADIENT 2.0
+/* Recent latency above this multiple of the base means queueing inside the
+ * endpoint. The base lies near the tenth percentile, at about 0.6 of the
+ * mean, so this is about 1.8 times the unloaded mean. */
+#define GRADIENT 3.0
 #define DECREASE 0.85
 #define RECENT 0.1
-#define LONG 0.01
+/* Steps of the base. It falls fast and rises slowly, and ten times more
+ * slowly during overload: lasting overload must not become the measure,
+ * a lasting change of the endpoint must, within some thousand answers. */
+#define FALL 0.02
+#define RISE 0.001
 
 void
 limit_init(struct limit *l, int cap)
@@ -46,16 +50,15 @@
         return;
     }
     double us = (double)(latency_us > 1 ? latency_us : 1);
-    if (l->long_us <= 0) {
-        l->recent_us = l->long_us = us;
+    if (l->base_us <= 0) {
+        l->recent_us = us;
+        l->base_us = us / 2;
     }
     l->recent_us += (us - l->recent_us) * RECENT;
-    l->long_us += (us - l->long_us) * LONG;
-    if (l->long_us > GRADIENT * l->recent_us) {
-        /* Recovers from a time of overload, which raised the average. */
-        l->long_us *= 0.95;
-    }
-    if (l->recent_us > GRADIENT * l->long_us && in_flight > 1) {
+    bool steep = l->recent_us > GRADIENT * l->base_us;
+    double rise = steep ? RISE / 10 : RISE;
+    l->base_us += (us - l->base_us) * (us < l->base_us ? FALL : rise);
+    if (steep && in_flight > 1) {
         cut(l, now_us);
     }
     else if (in_flight * 2 >= (int)l->value) {
--- a/src/flow/limit.h
+++ b/src/flow/limit.h
@@ -2,7 +2,7 @@
  * @file limit.h
  * Adaptive limit of this core's calls in flight on one endpoint: additive
  * increase and multiplicative decrease on the latency gradient (recent average
- * against long-term average).
+ * against the latency without load).
  */
 #ifndef FLOW_LIMIT_H
 #define FLOW_LIMIT_H
@@ -14,7 +14,7 @@
     double value;
     int cap;
     double recent_us; /**< fast moving average of latency */
-    double long_us;   /**< slow moving average */
+    double base_us;   /**< low percentile, without load */
     int64_t cut_us;   /**< time of the last decrease */
 };
 
