Leave places to requests that can make their deadline

Change: with others waiting, a call is sent only if p90 of the service time fits into the time left; otherwise the request is refused at once.

--- a/src/flow/admit.c
+++ b/src/flow/admit.c
@@ -24,7 +24,8 @@
         if (r->results[i]) {
             continue;
         }
-        sum += estimate_p50(&p->estimate, estimate_size(r->call_body.len));
+        sum += estimate_service(&p->estimate, estimate_size(r->call_body.len),
+                                0.5);
         sum += queue_wait_us(f, p, r);
     }
     return sum;
--- a/src/flow/estimate.c
+++ b/src/flow/estimate.c
@@ -26,15 +26,15 @@
 }
 
 int64_t
-estimate_p50(const struct estimate *e, int size)
+estimate_service(const struct estimate *e, int size, double q)
 {
     for (int d = 0; d < ESTIMATE_SIZES; d++) {
         if (size + d < ESTIMATE_SIZES &&
             hist_count(&e->service[size + d]) > 0) {
-            return hist_quantile(&e->service[size + d], 0.5);
+            return hist_quantile(&e->service[size + d], q);
         }
         if (size - d >= 0 && hist_count(&e->service[size - d]) > 0) {
-            return hist_quantile(&e->service[size - d], 0.5);
+            return hist_quantile(&e->service[size - d], q);
         }
     }
     return 0;
--- a/src/flow/estimate.h
+++ b/src/flow/estimate.h
@@ -26,9 +26,9 @@
 /** Size class of a call body: 256 B, 1 KB, 4 KB, 16 KB, 64 KB, more. */
 int estimate_size(size_t body_len);
 
-/** Expected service time; 0 if nothing is known. A class without samples
- * takes its nearest neighbour's value. */
-int64_t estimate_p50(const struct estimate *e, int size);
+/** Service time at quantile @p q; 0 if nothing is known. A class without
+ * samples takes its nearest neighbour's value. */
+int64_t estimate_service(const struct estimate *e, int size, double q);
 
 /** Quantile @p q of @p h, or @p otherwise with fewer than ESTIMATE_ENOUGH
  * samples. */
--- a/src/flow/pool.c
+++ b/src/flow/pool.c
@@ -348,8 +348,8 @@
     if (best) {
         return best;
     }
-    double service_us =
-        (double)estimate_p50(&p->estimate, estimate_size(r->call_body.len));
+    double service_us = (double)estimate_service(
+        &p->estimate, estimate_size(r->call_body.len), 0.5);
     double best_cost = 0;
     struct endpoint *again = NULL; /* best of those already tried */
     double again_cost = 0;
--- a/src/flow/stage.c
+++ b/src/flow/stage.c
@@ -12,6 +12,10 @@
  * room, so that cold endpoints warm up before they are needed. */
 #define WARM_UP_SHARE 8
 
+/* With others waiting, a call that would fail its deadline more often than
+ * this leaves its place to them. */
+#define BUSY_Q 0.9
+
 #define REQUEST_OF(e)                                                         \
     ((struct request *)((char *)(e)-offsetof(struct request, entry)))
 
@@ -77,7 +81,8 @@
     r->entry = (struct fairq_entry){
         .team = r->team->id,
         .weight = r->team_settings[FLEET_TEAM_WEIGHT],
-        .cost_us = estimate_p50(&p->estimate, estimate_size(r->call_body.len)),
+        .cost_us = estimate_service(&p->estimate,
+                                    estimate_size(r->call_body.len), 0.5),
         .need_us = need_us,
         .deadline_us = r->deadline_us,
         .class = r->pipeline->class,
@@ -147,7 +152,8 @@
     struct pool *p = r->pools[r->stage];
     r->state = REQ_OPENING; /* in no list */
     int64_t need_us =
-        f->full ? estimate_p50(&p->estimate, estimate_size(r->call_body.len))
+        f->full ? estimate_service(&p->estimate,
+                                   estimate_size(r->call_body.len), 0.5)
                 : 0;
     if (!may_go_on(f, r, need_us)) {
         return;
@@ -298,7 +304,12 @@
     struct fairq_entry *e;
     while ((e = fairq_peek(p->queue, f->now_us))) {
         struct request *r = REQUEST_OF(e);
-        if (!may_go_on(f, r, e->cost_us)) {
+        int64_t need_us = e->cost_us;
+        if (f->full && fairq_length(p->queue) > 1) {
+            need_us = estimate_service(
+                &p->estimate, estimate_size(r->call_body.len), BUSY_Q);
+        }
+        if (!may_go_on(f, r, need_us)) {
             continue;
         }
         struct endpoint *ep = pool_choose(f, p, r, false);
