Route by the prompt's prefix and test the routing modules

Cause: the affinity hash covered the caller's text, but the prompt begins with the documents; baselines repeated unsent calls more than twice.

Change: the hash covers the first 1 KB of the composed prompt; baselines make at most 2 repeats. Tests of affinity, limits, ejection, budgets, silence and strikes.

--- a/src/flow/call.c
+++ b/src/flow/call.c
@@ -13,6 +13,8 @@
 
 /* A dead process refuses at once; a dead VM does not answer. */
 #define PROBE_WAIT_US (250 * MS)
+/* Of the baseline policies. */
+#define PLAIN_RETRIES 2
 
 /* How a call ended, for what is learned from it. */
 enum call_end {
@@ -139,10 +141,17 @@
         return;
     }
     /* Unsent calls cost the endpoints nothing and need no budget. */
-    bool allowed = unsent    ? r->unsent <= RETRY_UNSENT_MAX
-                   : f->full ? r->tries < RETRY_CALLS_MAX &&
-                                   retry_spend(&p->retries, &r->team->retries)
-                             : r->tries < 3;
+    bool allowed;
+    if (!f->full) {
+        allowed = r->tries + r->unsent <= PLAIN_RETRIES;
+    }
+    else if (unsent) {
+        allowed = r->unsent <= RETRY_UNSENT_MAX;
+    }
+    else {
+        allowed = r->tries < RETRY_CALLS_MAX &&
+                  retry_spend(&p->retries, &r->team->retries);
+    }
     if (!allowed) {
         f->counts[COUNT_RETRIES_DENIED]++;
         request_refuse(f, r, ERRKIND_UPSTREAM_FAILED, "stage %.*s, %d calls",
--- a/src/flow/compose.c
+++ b/src/flow/compose.c
@@ -2,6 +2,8 @@
 
 #include <stdlib.h>
 
+#include "base/hash.h"
+
 static json_t *
 text_of(const struct compose_in *in)
 {
@@ -157,6 +159,20 @@
     return dump(call_body(in, stage, resume_from));
 }
 
+uint64_t
+compose_prefix(const struct compose_in *in, int stage)
+{
+    if (in->pipeline->stages[stage].kind != STAGE_GENERATE) {
+        return 0;
+    }
+    json_t *prompt = prompt_of(in, stage);
+    size_t len = json_string_length(prompt);
+    uint64_t hash =
+        hash64(str_of(json_string_value(prompt), len < 1024 ? len : 1024));
+    json_decref(prompt);
+    return hash;
+}
+
 static json_t *
 reranked(const struct compose_in *in, int stage, json_t *rows)
 {
--- a/src/flow/compose.h
+++ b/src/flow/compose.h
@@ -30,6 +30,9 @@
 struct str compose_body(const struct compose_in *in, int stage,
                         int resume_from);
 
+/** Hash of the first 1 KB of a generate stage's prompt; 0 for other kinds. */
+uint64_t compose_prefix(const struct compose_in *in, int stage);
+
 /** The result in an endpoint's answer, a new reference; NULL if the answer
  * is not whole. A non-repeatable stage has a result in any case, since its
  * action was performed: text that is not JSON becomes a string or null. */
--- a/src/flow/request.c
+++ b/src/flow/request.c
@@ -101,21 +101,6 @@
     return ERRKIND_NONE;
 }
 
-static uint64_t
-prefix_of(json_t *body)
-{
-    static const char *const names[] = {"prompt", "input", "query"};
-    for (int i = 0; i < 3; i++) {
-        json_t *v = json_object_get(body, names[i]);
-        if (json_is_string(v)) {
-            size_t len = json_string_length(v);
-            return hash64(
-                str_of(json_string_value(v), len < 1024 ? len : 1024));
-        }
-    }
-    return 0;
-}
-
 void
 request_arrive(struct flow *f, const struct flow_request *in)
 {
@@ -148,7 +133,6 @@
     r->tried_zone = -1;
     struct str parts[] = {r->pipeline->name, in->body};
     r->content = digest_of(parts, 2);
-    r->prefix = prefix_of(r->json);
     for (int i = 0; i < r->pipeline->stage_count; i++) {
         int p = r->pipeline->stages[i].pool;
         r->pools[i] = pool_get(f, r->snap->fleet->pools[p].name);
--- a/src/flow/stage.c
+++ b/src/flow/stage.c
@@ -123,6 +123,7 @@
     request_compose_in(r, &in);
     str_free(&r->call_body);
     r->call_body = compose_body(&in, next, 0);
+    r->prefix = compose_prefix(&in, next);
     struct pool *p = r->pools[next];
     if (pool_usable_count(p) == 0) {
         request_refuse(f, r, ERRKIND_NO_ENDPOINT, "pool %.*s",
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -24,10 +24,8 @@
     const char *script;
 } rows[] = {
     {"a failed call is repeated at the same endpoint, its late answer counts",
-     TWO "> done a1 500 x\n"
-         "> @600 tick\ncall a2 r1 s s2\n"
-         "> done a1 200 {}\n"
-         "> done a2 200 {}\nanswer r1\n"
+     TWO "> done a1 500 x\n> @600 tick\ncall a2 r1 s s2\n"
+         "> done a1 200 {}\n> done a2 200 {}\nanswer r1\n"
          "> done a2 200 {}\n"},
     {"an answer that is not whole is delivered", TWO "> done a1 200 {\"a\":\n"
                                                      "> @600 tick\n"
@@ -40,12 +38,9 @@
     {"a rejected request is repeated",
      TWO "> done a1 422 x\nrefuse r1 upstream_rejected not_run\n"},
     {"a call is repeated without end",
-     TWO "> done a1 500 x\n"
-         "> @600 tick\ncall a2 r1 s s2\n"
-         "> done a2 500 x\n"
-         "> @1200 tick\ncall a3 r1 s s1\n"
-         "> done a3 500 x\n"
-         "> @1800 tick\ncall a4 r1 s s2\n"
+     TWO "> done a1 500 x\n> @600 tick\ncall a2 r1 s s2\n"
+         "> done a2 500 x\n> @1200 tick\ncall a3 r1 s s1\n"
+         "> done a3 500 x\n> @1800 tick\ncall a4 r1 s s2\n"
          "> done a4 500 x\nrefuse r1 upstream_failed not_run\n"
          "> req 2 plain\ncall a5 r2 s s1\n"
          "> done a5 500 x\nrefuse r2 upstream_failed not_run\n"},
@@ -54,8 +49,7 @@
                                                          "> done a2 200\n"
                                                          "answer r1\n"},
     {"a stream that starts over delivers its beginning twice",
-     GEN "> token a2 0 abc\n"
-         "> token a2 1 def\ntoken r1 2 ef\n"
+     GEN "> token a2 0 abc\n> token a2 1 def\ntoken r1 2 ef\n"
          "> done a2 200\nanswer r1\n"},
     {"a different repeat is joined to the part delivered",
      GEN "> token a2 0 ax\ncancel a2\nrefuse r1 upstream_failed not_run\n"},
@@ -77,17 +71,14 @@
          "cold s2 1 detected\n"
          "> req 3 plain\nrefuse r3 quarantined not_run\n"},
     {"a lost connection counts as a death, a finished suspect stays one",
-     TWO "> fail a1 reset\nprobe s1\n"
-         "> probe s1 ok\n"
-         "> @600 tick\ncall a2 r1 s s2\n"
-         "> fail a2 truncated\nprobe s2\n"
+     TWO "> fail a1 reset\nprobe s1\n> probe s1 ok\n"
+         "> @600 tick\ncall a2 r1 s s2\n> fail a2 truncated\nprobe s2\n"
          "> probe s2 dead\nsuspect 1\ncold s2 0 detected\n"
          "> @1200 tick\ncall a3 r1 s s1\n"
          "> done a3 200 {}\nanswer r1\nsuspect 0\n"},
     {"a strike of another node is not heard of",
      TWO "> fail a1 reset\nprobe s1\n"
-         "> probe s1 dead\nsuspect 1\ncold s1 0 detected\n"
-         "> suspect 2\n"
+         "> probe s1 dead\nsuspect 1\ncold s1 0 detected\n> suspect 2\n"
          "> @600 tick\nrefuse r1 quarantined not_run\n"},
     {"a silent connection keeps its request", TWO "> @2668 tick\nprobe s1\n"
                                                   "> probe s1 ok\ncancel a1\n"
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -27,8 +27,7 @@
           "> claim k1 granted\n"},
     {"a lost answer is sent again, or is called not run",
      SENT "> fail a2 reset\nprobe l1\nrefuse r1 outcome_unknown may_have_run\n"
-          "> probe l1 ok\n"
-          "> claim k1 granted\n"},
+          "> probe l1 ok\n> claim k1 granted\n"},
     {"an unsent action is not repeated under the same grant",
      SENT "> fail a2 refused unsent\ncold l1 0 detected\n"
           "> @700 tick\ncall a3 r1 l l2 final\n"
@@ -40,12 +39,9 @@
      SENT "> done a2 500 no\ndone k1 500 no\n"
           "refuse r1 outcome_unknown may_have_run\n"},
     {"a running action is cancelled with its caller, or is not recorded",
-     SENT "> gone 1\n"
-          "> done a2 200 {}\ndone k1 200 {}\n"},
+     SENT "> gone 1\n> done a2 200 {}\ndone k1 200 {}\n"},
     {"the answer of an action is lost when it comes after the deadline",
-     SENT "> @1400 tick\nprobe l1\n"
-          "> bytes a2\n"
-          "> probe l1 ok\n"
+     SENT "> @1400 tick\nprobe l1\n> bytes a2\n> probe l1 ok\n"
           "> @4001 tick\nprobe l1\n"
           "refuse r1 outcome_unknown may_have_run\nprobe l1\n"
           "> done a2 200 {}\ndone k1 200 {}\n"},
@@ -94,32 +90,27 @@
      START "> req 1 act key=k\nopen k1\n"
            "> claim k1 opened\ncall a1 r1 e e1\n"
            "> done a1 200 " ENC "\nclaim k1\n"
-           "> gone 1\nabandon k1\n"
-           "> claim k1 granted\nabandon k1\n"},
+           "> gone 1\nabandon k1\n> claim k1 granted\nabandon k1\n"},
     {"a node that is not fresh sends a granted action",
      START "> req 1 act key=k\nopen k1\n"
            "> claim k1 opened\ncall a1 r1 e e1\n"
            "> done a1 200 " ENC "\nclaim k1\n"
-           "> fresh 0\n"
-           "> claim k1 granted\n"
+           "> fresh 0\n> claim k1 granted\n"
            "> fresh 100000\ncall a2 r1 l l1 final\n"},
     {"a second action's failure hides that the first was performed",
-     START "> req 1 act2 key=k\nopen k1\nopen k2\n"
-           "> claim k1 opened\n"
+     START "> req 1 act2 key=k\nopen k1\nopen k2\n> claim k1 opened\n"
            "> claim k2 opened\nclaim k1\n"
            "> claim k1 granted\ncall a1 r1 l l1 final\n"
            "> done a1 200 {}\ndone k1 200 {}\nclaim k2\n"
            "> claim k2 unavailable\nrefuse r1 action_done ran\nabandon k2\n"},
     {"a performed action runs again when later stages are repeated",
-     START "> req 1 act2 key=k\nopen k1\nopen k2\n"
-           "> claim k2 opened\n"
+     START "> req 1 act2 key=k\nopen k1\nopen k2\n> claim k2 opened\n"
            "> claim k1 done 200 {}\nclaim k2\n"
            "> claim k2 granted\ncall a1 r1 m l1 final\n"
            "> done a1 200 {}\ndone k2 200 {}\ncall a2 r1 s s1\n"
            "> done a2 400 no\nrefuse r1 action_done ran\n"},
     {"one open action is reported as not run while another was not looked up",
-     START "> req 1 act2 key=k\nopen k1\nopen k2\n"
-           "> claim k1 opened\n"
+     START "> req 1 act2 key=k\nopen k1\nopen k2\n> claim k1 opened\n"
            "> claim k2 busy\nrefuse r1 in_progress may_have_run\n"
            "abandon k1\n"},
 };
--- a/tests/test_credit.c
+++ b/tests/test_credit.c
@@ -22,9 +22,7 @@
           "> done a1 200 {} warm\nrelease c1 used ok warm\nanswer r1\n"
           "> credit c1 ok\nrelease c1\n"},
     {"a refused credit is asked for at once, or never again",
-     COLD "> credit c1 no 300\n"
-          "> @299 tick\n"
-          "> @302 tick\ncredit c2 s1\n"
+     COLD "> credit c1 no 300\n> @299 tick\n> @302 tick\ncredit c2 s1\n"
           "> credit c2 ok\ncall a1 r1 s s1\n"},
     {"a credit is used after its life", COLD "> @900 fresh 0\n"
                                              "> credit c1 ok\n"
@@ -58,18 +56,15 @@
           "> req 2 plain\ncall a2 r2 s s1\n"
           "> req 3 plain\ncall a3 r3 s s1\n"
           "> done a2 200 {} start=B\nanswer r2\ncold s1 1 detected\n"
-          "> req 4 plain\ncredit c1 s1\n"
-          "> snap svc:s1@z1\n"
+          "> req 4 plain\ncredit c1 s1\n> snap svc:s1@z1\n"
           "> notice s1 cold\ncold s1 1\n"
           "> notice s1 warm\ncall a4 r4 s s1\n"},
     {"an endpoint that reports cold gets work without a credit",
      WARM "> done a1 200 {} cold\nanswer r1\ncold s1 0 detected\n"
           "> req 2 plain\ncredit c1 s1\n"},
     {"an endpoint that refused a connection gets work without a credit",
-     WARM "> fail a1 refused unsent\ncold s1 0 detected\n"
-          "> @240 tick\n"
-          "> @252 tick\ncredit c1 s1\n"
-          "> credit c1 ok\ncall a2 r1 s s1\n"
+     WARM "> fail a1 refused unsent\ncold s1 0 detected\n> @240 tick\n"
+          "> @252 tick\ncredit c1 s1\n> credit c1 ok\ncall a2 r1 s s1\n"
           "> fail a2 refused unsent\nrelease c1\n"},
 };
 
--- /dev/null
+++ b/tests/test_pool.c
@@ -0,0 +1,118 @@
+/* Guards against work that goes to the wrong endpoint although a better one
+ * has room, and limits, ejections and waits that move the wrong way. */
+#include <glib.h>
+
+#include "flow/outlier.h"
+#include "flow/limit.h"
+#include "flow/retry.h"
+#include "flow/silence.h"
+#include "flow/suspect.h"
+#include "tests/flow_script.h"
+
+/* Guards against prompts with a common prefix that are spread over engines,
+ * and against an engine overloaded by a popular prefix. */
+static void
+test_affinity(void)
+{
+    flow_script(FLOW_POLICY_FULL,
+                "> snap gen:g1@z1 gen:g2@z1 gen:g3@z1 gen:g4@z1\n"
+                "> fresh 100000\n"
+                "> req 1 gen body={\"input\":\"a\"}\ncall a1 r1 g g2\n"
+                "> token a1 0 x\n> done a1 200\nanswer r1\n"
+                "> req 2 gen body={\"input\":\"a\"}\ncall a2 r2 g g2\n"
+                "> req 3 gen body={\"input\":\"a\"}\ncall a3 r3 g g3\n"
+                "> req 4 gen body={\"input\":\"a\"}\ncall a4 r4 g g4\n");
+}
+
+/* Guards against limits that ignore queueing in an endpoint, fall below 1,
+ * never recover, or shrink because answers vary. */
+static void
+test_limit(void)
+{
+    struct limit l;
+    int64_t now = 0;
+    limit_init(&l, 16);
+    for (int i = 0; i < 400; i++) {
+        limit_answer(&l, now += 100000, 10000 + i * 7919 % 10000, 16, false);
+    }
+    g_assert_cmpint(limit_get(&l), ==, 16);
+    for (int i = 0; i < 100; i++) {
+        limit_answer(&l, now += 200000, 100000, 16, false);
+    }
+    g_assert_cmpint(limit_get(&l), ==, 1);
+    for (int i = 0; i < 400; i++) {
+        limit_answer(&l, now += 100000, 12000, 16, false);
+    }
+    g_assert_cmpint(limit_get(&l), ==, 16);
+    limit_set_cap(&l, 4);
+    g_assert_cmpint(limit_get(&l), ==, 4);
+}
+
+/* Guards against ejections that never grow or end, beyond the cap, or for
+ * what the whole pool suffers from. */
+static void
+test_outlier(void)
+{
+    struct outlier o = {0};
+    static const int seconds[] = {5, 10, 20, 40, 60, 60};
+    for (int i = 0; i < 10; i++) {
+        g_assert_false(outlier_far(&o, 0, 0));
+        outlier_answer(&o, 0, false, 0);
+    }
+    g_assert_true(outlier_far(&o, 0, 0));
+    g_assert_false(outlier_far(&o, 0.8, 0));
+    for (int i = 0; i < 6; i++) {
+        outlier_eject(&o, 0);
+        g_assert_cmpint(o.until_us, ==, seconds[i] * 1000000LL);
+    }
+    outlier_return(&o, 1000000);
+    g_assert_cmpfloat(outlier_share(&o, 2000000), <, 0.25);
+    g_assert_cmpfloat(outlier_share(&o, 11000000), ==, 1);
+    g_assert_cmpint(outlier_max(10, 30), ==, 3);
+    g_assert_cmpint(outlier_max(3, 30), ==, 0);
+}
+
+/* Guards against retry storms, and silence taken for death too early. */
+static void
+test_bounds(void)
+{
+    struct retry_budget a;
+    struct retry_budget b;
+    int spent = 0;
+    retry_init(&a);
+    retry_init(&b);
+    for (int i = 0; i < 1000; i++) {
+        retry_earn(&a, 10);
+        retry_earn(&b, 100);
+        spent += retry_spend(&a, &b);
+    }
+    g_assert_cmpint(spent, <=, 103);
+    struct estimate e;
+    estimate_init(&e);
+    g_assert_cmpint(silence_wait_us(&e, false, 250000, 3000000), ==, 1000000);
+    for (int i = 0; i < 100; i++) {
+        hist_add(&e.first, 500000);
+        hist_add(&e.gap, 1000);
+    }
+    g_assert_cmpint(silence_wait_us(&e, false, 250000, 1), >, 1800000);
+    g_assert_cmpint(silence_wait_us(&e, true, 250000, 1), ==, 250000);
+    struct suspects *s = suspects_new();
+    struct digest d = {1, 2};
+    g_assert_cmpint(suspects_strike(s, 0, d, 100), ==, 1);
+    suspects_set(s, 50, d, 2, 100);
+    suspects_set(s, 60, d, 1, 10);
+    g_assert_cmpint(suspects_get(s, 149, d), ==, 2);
+    g_assert_cmpint(suspects_get(s, 150, d), ==, 0);
+    suspects_free(s);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/pool/affinity", test_affinity);
+    g_test_add_func("/pool/limit", test_limit);
+    g_test_add_func("/pool/outlier", test_outlier);
+    g_test_add_func("/pool/bounds", test_bounds);
+    return g_test_run();
+}
