--- a/tests/flow_script.c
+++ b/tests/flow_script.c
@@ -29,6 +29,12 @@
     "\"pool\":\"svc\",\"path\":\"/s\",\"repeatable\":true}]}},"
     "\"teams\":{\"t\":{\"token_hash\":\"%s\"}}}";
 
+#define X(id, name) name,
+static const char *const verbs[] = {CLAIM_VERB_LIST(X)};
+static const char *const states[] = {CLAIM_STATE_LIST(X)};
+static const char *const faults[] = {CALL_FAULT_LIST(X)};
+#undef X
+
 struct script {
     struct flow *f;
     int64_t now_us;
@@ -94,11 +100,6 @@
 static void
 print_ask(struct script *s, const struct ask *a)
 {
-    static const char *const verbs[] = {
-#define X(id, name) name,
-        CLAIM_VERB_LIST(X)
-#undef X
-    };
     struct buf *b = &s->out;
     int k;
     switch (a->kind) {
@@ -207,11 +208,6 @@
 static void
 parse_claim(struct script *s, gchar **w, struct reply *r)
 {
-    static const char *const states[] = {
-#define X(id, name) name,
-        CLAIM_STATE_LIST(X)
-#undef X
-    };
     int k = atoi(w[1] + 1);
     r->kind = REPLY_CLAIM;
     r->claim = (struct claim_reply){
@@ -245,11 +241,6 @@
 static void
 parse_call(struct script *s, gchar **w, struct flow_event *ev)
 {
-    static const char *const faults[] = {
-#define X(id, name) name,
-        CALL_FAULT_LIST(X)
-#undef X
-    };
     uint64_t attempt = named(s->attempts, w[1]);
     if (!strcmp(w[0], "bytes")) {
         ev->kind = FLOW_EV_CALL_BYTES;
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -27,14 +27,10 @@
      TWO "> done a1 500 x\n> @600 tick\ncall a2 r1 s s2\n"
          "> done a1 200 {}\n> done a2 200 {}\nanswer r1\n"
          "> done a2 200 {}\n"},
-    {"an answer that is not whole is delivered", TWO "> done a1 200 {\"a\":\n"
-                                                     "> @600 tick\n"
-                                                     "call a2 r1 s s2\n"
-                                                     "> fail a2 crossed\n"
-                                                     "> @1200 tick\n"
-                                                     "call a3 r1 s s1\n"
-                                                     "> done a3 200 {}\n"
-                                                     "answer r1\n"},
+    {"an answer that is not whole is delivered to the caller",
+     TWO "> done a1 200 {\"a\":\n> @600 tick\ncall a2 r1 s s2\n"
+         "> fail a2 crossed\n> @1200 tick\ncall a3 r1 s s1\n"
+         "> done a3 200 {}\nanswer r1\n"},
     {"a rejected request is repeated",
      TWO "> done a1 422 x\nrefuse r1 upstream_rejected not_run\n"},
     {"a call is repeated without end",
@@ -44,23 +40,19 @@
          "> done a4 500 x\nrefuse r1 upstream_failed not_run\n"
          "> req 2 plain\ncall a5 r2 s s1\n"
          "> done a5 500 x\nrefuse r2 upstream_failed not_run\n"},
-    {"a stream is not resumed after the last token", GEN "> token a2 2 ef\n"
-                                                         "token r1 2 ef\n"
-                                                         "> done a2 200\n"
-                                                         "answer r1\n"},
+    {"a stream is not resumed after the last token delivered",
+     GEN "> token a2 2 ef\ntoken r1 2 ef\n> done a2 200\nanswer r1\n"},
     {"a stream that starts over delivers its beginning twice",
      GEN "> token a2 0 abc\n> token a2 1 def\ntoken r1 2 ef\n"
          "> done a2 200\nanswer r1\n"},
     {"a different repeat is joined to the part delivered",
      GEN "> token a2 0 ax\ncancel a2\nrefuse r1 upstream_failed not_run\n"},
-    {"a shorter repeat counts as whole", GEN "> token a2 0 ab\n"
-                                             "> done a2 200\n"
-                                             "> @1200 tick\n"
-                                             "call a3 r1 g g1\n"},
-    {"a stream with a gap is delivered", GEN "> token a2 2 ef\ntoken r1 2 ef\n"
-                                             "> token a2 4 ij\ncancel a2\n"
-                                             "> @1200 tick\n"
-                                             "call a3 r1 g g1\n"},
+    {"a repeated stream that ends too early counts as whole",
+     GEN "> token a2 0 ab\n> done a2 200\n> @1200 tick\n"
+         "call a3 r1 g g1\n"},
+    {"a stream with a gap between its tokens is delivered",
+     GEN "> token a2 2 ef\ntoken r1 2 ef\n> token a2 4 ij\ncancel a2\n"
+         "> @1200 tick\ncall a3 r1 g g1\n"},
     {"a request that kills endpoints goes on killing",
      TWO "> fail a1 reset\nprobe s1\n"
          "> probe s1 dead\nsuspect 1\ncold s1 0 detected\n"
@@ -80,20 +72,14 @@
      TWO "> fail a1 reset\nprobe s1\n"
          "> probe s1 dead\nsuspect 1\ncold s1 0 detected\n> suspect 2\n"
          "> @600 tick\nrefuse r1 quarantined not_run\n"},
-    {"a silent connection keeps its request", TWO "> @2668 tick\nprobe s1\n"
-                                                  "> probe s1 ok\ncancel a1\n"
-                                                  "> @2700 tick\n"
-                                                  "call a2 r1 s s2 fresh\n"
-                                                  "> done a1 200 {}\n"
-                                                  "> done a2 200 {}\n"
-                                                  "answer r1\n"},
-    {"a zone is preferred however loaded it is", TWO "> req 2 plain\n"
-                                                     "call a2 r2 s s2\n"
-                                                     "> req 3 plain\n"
-                                                     "call a3 r3 s s1\n"
-                                                     "> req 4 plain\n"
-                                                     "call a4 r4 s s2\n"
-                                                     "> req 5 plain\n"},
+    {"a request waits on a silent connection until its deadline",
+     TWO "> @2668 tick\nprobe s1\n> probe s1 ok\ncancel a1\n"
+         "> @2700 tick\ncall a2 r1 s s2 fresh\n> done a1 200 {}\n"
+         "> done a2 200 {}\nanswer r1\n"},
+    {"the own zone is preferred however loaded its endpoints are",
+     TWO "> req 2 plain\ncall a2 r2 s s2\n> req 3 plain\n"
+         "call a3 r3 s s1\n> req 4 plain\ncall a4 r4 s s2\n"
+         "> req 5 plain\n"},
 };
 
 static void
@@ -138,11 +124,11 @@
 {
     GString *s = g_string_new("> snap svc:s1@z1\n> fresh 100000\n");
     answers(s, 1, 25);
-    g_string_append(s, "> @600 req 26 plain\ncall a26 r26 s s1\n"
-                       "> req 27 plain dl=5\n"
-                       "refuse r27 deadline_unmeetable not_run\n"
-                       "> @605 done a26 200 {}\nanswer r26\n"
-                       "> req 28 plain dl=5\ncall a27 r28 s s1\n");
+    g_string_append(
+        s, "> @600 req 26 plain\ncall a26 r26 s s1\n"
+           "> req 27 plain dl=5\nrefuse r27 deadline_unmeetable not_run\n"
+           "> @605 done a26 200 {}\nanswer r26\n"
+           "> req 28 plain dl=5\ncall a27 r28 s s1\n");
     flow_script(FLOW_POLICY_FULL, s->str);
     g_string_free(s, TRUE);
 }
--- a/tests/test_credit.c
+++ b/tests/test_credit.c
@@ -24,33 +24,23 @@
     {"a refused credit is asked for at once, or never again",
      COLD "> credit c1 no 300\n> @299 tick\n> @302 tick\ncredit c2 s1\n"
           "> credit c2 ok\ncall a1 r1 s s1\n"},
-    {"a credit is used after its life", COLD "> @900 fresh 0\n"
-                                             "> credit c1 ok\n"
-                                             "> @1099 fresh 0\n"
-                                             "> @1101 tick\nrelease c1\n"
-                                             "> fresh 100000\ncredit c2 s1\n"},
+    {"a credit is used after its life, or is kept without use",
+     COLD "> @900 fresh 0\n> credit c1 ok\n> @1099 fresh 0\n"
+          "> @1101 tick\nrelease c1\n> fresh 100000\ncredit c2 s1\n"},
     {"an unanswered question keeps the endpoint out of use",
      COLD "> @1002 tick\nrelease c1\ncredit c2 s1\n"
           "> credit c1 ok\nrelease c1\n"
           "> credit c2 ok\ncall a1 r1 s s1\n"},
-    {"a running call's credit expires", COLD "> credit c1 ok\n"
-                                             "call a1 r1 s s1\n"
-                                             "> bytes a1\n"
-                                             "> @2002 tick\ncredit c1 s1\n"
-                                             "> credit c1 no 500\n"
-                                             "> @2503 tick\ncredit c1 s1\n"
-                                             "> credit c1 ok\n"
-                                             "> done a1 500 x\n"
-                                             "release c1 used\n"},
-    {"more credits asked than there is work", "> snap svc:s1@z1! svc:s2@z1!\n"
-                                              "> fresh 100000\n"
-                                              "> req 1 plain\ncredit c1 s2\n"
-                                              "> req 2 plain\ncredit c2 s1\n"
-                                              "> gone 1\n"
-                                              "> credit c1 ok\n"
-                                              "call a1 r2 s s2\n"
-                                              "> credit c2 ok\n"
-                                              "> @202 tick\nrelease c2\n"},
+    {"the credit of a running call expires and is not renewed",
+     COLD "> credit c1 ok\ncall a1 r1 s s1\n> bytes a1\n"
+          "> @2002 tick\ncredit c1 s1\n> credit c1 no 500\n"
+          "> @2503 tick\ncredit c1 s1\n> credit c1 ok\n> done a1 500 x\n"
+          "release c1 used\n"},
+    {"more credits are asked than there is work in the queue",
+     "> snap svc:s1@z1! svc:s2@z1!\n> fresh 100000\n"
+     "> req 1 plain\ncredit c1 s2\n> req 2 plain\ncredit c2 s1\n"
+     "> gone 1\n> credit c1 ok\ncall a1 r2 s s2\n> credit c2 ok\n"
+     "> @202 tick\nrelease c2\n"},
     {"an endpoint that restarted gets work without a credit",
      WARM "> done a1 200 {} start=A\nanswer r1\n"
           "> req 2 plain\ncall a2 r2 s s1\n"
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -10,34 +10,21 @@
     const char *name; /* the failure it guards against */
     const char *script;
 } rows[] = {
-    {"checks out of order or skipped", "> req 1 plain\n"
-                                       "refuse r1 not_ready not_run\n"
-                                       "> req 2 act key=k\n"
-                                       "refuse r2 claim_unknown may_have_run\n"
-                                       "> snap svc:s1@z1 enc:e1@z1 led:l1@z1\n"
-                                       "> req 3 plain\n"
-                                       "refuse r3 not_ready not_run\n"
-                                       "> req 4 act key=k\n"
-                                       "refuse r4 claim_unknown may_have_run\n"
-                                       "> fresh 100000\n"
-                                       "> req 5 plain tok=x\n"
-                                       "refuse r5 unauthenticated not_run\n"
-                                       "> req 6 none\n"
-                                       "refuse r6 not_found not_run\n"
-                                       "> req 7 plain body=[]\n"
-                                       "refuse r7 bad_request not_run\n"
-                                       "> req 8 plain body={\n"
-                                       "refuse r8 bad_request not_run\n"
-                                       "> req 9 plain dl=0\n"
-                                       "refuse r9 bad_request not_run\n"
-                                       "> req 10 plain dl=1s\n"
-                                       "refuse r10 bad_request not_run\n"
-                                       "> req 11 act\n"
-                                       "refuse r11 key_required not_run\n"
-                                       "> req 12 gen\n"
-                                       "refuse r12 no_endpoint not_run\n"
-                                       "> drain\n> req 13 plain\n"
-                                       "refuse r13 not_ready not_run\n"},
+    {"checks are out of order, skipped, or told with a wrong kind",
+     "> req 1 plain\nrefuse r1 not_ready not_run\n> req 2 act key=k\n"
+     "refuse r2 claim_unknown may_have_run\n"
+     "> snap svc:s1@z1 enc:e1@z1 led:l1@z1\n> req 3 plain\n"
+     "refuse r3 not_ready not_run\n> req 4 act key=k\n"
+     "refuse r4 claim_unknown may_have_run\n> fresh 100000\n"
+     "> req 5 plain tok=x\nrefuse r5 unauthenticated not_run\n"
+     "> req 6 none\nrefuse r6 not_found not_run\n"
+     "> req 7 plain body=[]\nrefuse r7 bad_request not_run\n"
+     "> req 8 plain body={\nrefuse r8 bad_request not_run\n"
+     "> req 9 plain dl=0\nrefuse r9 bad_request not_run\n"
+     "> req 10 plain dl=1s\nrefuse r10 bad_request not_run\n"
+     "> req 11 act\nrefuse r11 key_required not_run\n> req 12 gen\n"
+     "refuse r12 no_endpoint not_run\n> drain\n> req 13 plain\n"
+     "refuse r13 not_ready not_run\n"},
     {"stages out of order, results of a gone request delivered",
      "> snap enc:e1@z1 gen:g1@z1\n> fresh 100000\n"
      "> req 1 eg stream\ncall a1 r1 e e1\n"
@@ -79,16 +66,13 @@
      "> req 2 plain\ncall a3 r2 s s2\n"},
 };
 
-static const char baseline[] = "> snap svc:s1@z1 svc:s2@z2!\n"
-                               "> fresh 100000\n"
-                               "> req 1 plain\ncall a1 r1 s s1\n"
-                               "> req 2 plain\ncall a2 r2 s s2\n"
-                               "> fail a1 reset\n"
-                               "> @600 tick\ncall a3 r1 s s1\n"
-                               "> fail a3 reset\n"
-                               "> @1200 tick\ncall a4 r1 s s2\n"
-                               "> fail a4 reset\n"
-                               "refuse r1 upstream_failed not_run\n";
+static const char baseline[] =
+    "> snap svc:s1@z1 svc:s2@z2!\n"
+    "> fresh 100000\n> req 1 plain\ncall a1 r1 s s1\n"
+    "> req 2 plain\ncall a2 r2 s s2\n> fail a1 reset\n"
+    "> @600 tick\ncall a3 r1 s s1\n> fail a3 reset\n"
+    "> @1200 tick\ncall a4 r1 s s2\n> fail a4 reset\n"
+    "refuse r1 upstream_failed not_run\n";
 
 static void
 test_rows(void)
