Ask one credit at a time of endpoints that refuse

Cause: in the trial simulation with all 20 endpoints cold at the start each node asked about 1,900 credits for 100 granted.

Change: after a refusal one credit of the endpoint is asked at a time; each grant allows one more, up to 4.

--- a/src/flow/core.h
+++ b/src/flow/core.h
@@ -90,6 +90,7 @@
     int64_t reported_us;
     int64_t credit_retry_us;
     int credits;         /**< asked or granted, unused */
+    int credits_more;    /**< credits that may be asked besides the first */
     struct credit *held; /**< granted and unused */
     struct limit limit;
     struct outlier outlier;
--- a/src/flow/credit.c
+++ b/src/flow/credit.c
@@ -84,7 +84,7 @@
             struct endpoint *ep = p->endpoints[(p->next + i) % p->count];
             if (!ep->cold || !pool_endpoint_usable(ep) ||
                 ep->outlier.ejected || ep->credits > round ||
-                f->now_us < ep->credit_retry_us) {
+                round > ep->credits_more || f->now_us < ep->credit_retry_us) {
                 continue;
             }
             struct credit *c = mem_zero(1, sizeof(*c));
@@ -104,6 +104,9 @@
 {
     int64_t wait = retry_us > 10 * MS ? retry_us : 10 * MS;
     struct endpoint *ep = c->ep;
+    /* A refusal says that the endpoint is full: further ones would only be
+     * more messages. */
+    ep->credits_more = 0;
     if (c->state == CREDIT_USED) {
         arm(f, c, f->now_us + wait);
         return;
@@ -139,6 +142,7 @@
         return;
     }
     c->state = CREDIT_HELD;
+    c->ep->credits_more += c->ep->credits_more < MOST - 1;
     c->next = c->ep->held;
     c->ep->held = c;
     if (!c->ep->cold || !pool_endpoint_usable(c->ep)) {
