--- a/src/flow/call.c
+++ b/src/flow/call.c
@@ -32,20 +32,37 @@
     return &c->r->pipeline->stages[c->stage];
 }
 
+static bool
+is_stream(const struct call *c)
+{
+    return stage_of(c)->kind == STAGE_GENERATE;
+}
+
+/* Of streams the time to the first byte counts, as soon as it is known: the
+ * length of an answer says nothing of its endpoint, and waiting for its end
+ * would draw too much work to an endpoint that has just returned. */
+static void
+learn_latency(struct flow *f, struct call *c)
+{
+    struct endpoint *ep = c->ep;
+    int64_t us = f->now_us - c->start_us;
+    limit_answer(&ep->limit, f->now_us, us, ep->in_flight, false);
+    outlier_latency(&ep->outlier, us);
+}
+
 static void
 learn(struct flow *f, struct call *c, enum call_end end)
 {
     struct endpoint *ep = c->ep;
     struct estimate *e = &ep->pool->estimate;
     int64_t us = f->now_us - c->start_us;
-    /* The length of a stream says nothing of its endpoint. */
-    bool stream = stage_of(c)->kind == STAGE_GENERATE && c->first_us;
-    int64_t latency_us = stream ? c->first_us - c->start_us : us;
     switch (end) {
     case END_OK:
         hist_add(&e->service[estimate_size(c->r->call_body.len)], us);
-        limit_answer(&ep->limit, f->now_us, latency_us, ep->in_flight, false);
-        outlier_answer(&ep->outlier, f->now_us, true, latency_us);
+        if (!is_stream(c)) {
+            learn_latency(f, c);
+        }
+        outlier_answer(&ep->outlier, f->now_us, true);
         ep->refusals = 0;
         break;
     case END_SLOWER:
@@ -53,15 +70,15 @@
         if (c->first_us || us < (int64_t)ep->limit.recent_us) {
             return;
         }
-        limit_answer(&ep->limit, f->now_us, us, ep->in_flight, false);
-        outlier_answer(&ep->outlier, f->now_us, true, us);
+        learn_latency(f, c);
+        outlier_answer(&ep->outlier, f->now_us, true);
         break;
     case END_OVERLOAD:
         limit_answer(&ep->limit, f->now_us, us, ep->in_flight, true);
-        outlier_answer(&ep->outlier, f->now_us, false, 0);
+        outlier_answer(&ep->outlier, f->now_us, false);
         break;
     case END_FAILED:
-        outlier_answer(&ep->outlier, f->now_us, false, 0);
+        outlier_answer(&ep->outlier, f->now_us, false);
         break;
     case END_UNSENT:
     case END_DROPPED:
@@ -247,6 +264,9 @@
         int64_t us = f->now_us - c->start_us;
         hist_add(&c->ep->pool->estimate.first, us);
         health_first_byte(f, c->ep, us);
+        if (is_stream(c)) {
+            learn_latency(f, c);
+        }
     }
 }
 
--- a/src/flow/outlier.c
+++ b/src/flow/outlier.c
@@ -10,17 +10,20 @@
 #define FORGET_US 60000000LL
 
 void
-outlier_answer(struct outlier *o, int64_t now_us, bool ok, int64_t service_us)
+outlier_answer(struct outlier *o, int64_t now_us, bool ok)
 {
     o->answers++;
     o->failed_us = ok ? o->failed_us : now_us;
     /* The first answers weigh as in a mean with one success before them. */
     double a = o->answers < ENOUGH ? 1.0 / (o->answers + 1) : 1.0 / ENOUGH;
     o->failures += ((ok ? 0 : 1) - o->failures) * a;
-    if (ok) {
-        double us = (double)service_us;
-        o->latency_us += (us - o->latency_us) * (o->latency_us > 0 ? a : 1);
-    }
+}
+
+void
+outlier_latency(struct outlier *o, int64_t latency_us)
+{
+    double us = (double)latency_us;
+    o->latency_us += (us - o->latency_us) * (o->latency_us > 0 ? 0.1 : 1);
 }
 
 double
--- a/src/flow/outlier.h
+++ b/src/flow/outlier.h
@@ -11,7 +11,7 @@
 
 struct outlier {
     double failures;   /**< moving share of failed calls */
-    double latency_us; /**< moving average of service time */
+    double latency_us; /**< moving average */
     int64_t failed_us; /**< time of the last failure */
     int answers;       /**< since the last ejection */
     int ejections;     /**< in a row */
@@ -20,9 +20,11 @@
     int64_t slow_us;  /**< start of the slow start, 0 if none */
 };
 
-/** Learns from a finished call; @p service_us is ignored if it failed. */
-void outlier_answer(struct outlier *o, int64_t now_us, bool ok,
-                    int64_t service_us);
+/** Learns from a finished call. */
+void outlier_answer(struct outlier *o, int64_t now_us, bool ok);
+
+/** Learns a latency that does not depend on the length of the answer. */
+void outlier_latency(struct outlier *o, int64_t latency_us);
 
 /** Share of failed calls for routing; it halves every 5 s without a failure,
  * so that an endpoint that is avoided for it gets another try. */
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -57,7 +57,7 @@
     static const int seconds[] = {5, 10, 20, 40, 60, 60};
     for (int i = 0; i < 10; i++) {
         g_assert_false(outlier_far(&o, 0, 0));
-        outlier_answer(&o, 0, false, 0);
+        outlier_answer(&o, 0, false);
     }
     g_assert_true(outlier_far(&o, 0, 0));
     g_assert_false(outlier_far(&o, 0.8, 0));
