--- a/src/flow/credit.c
+++ b/src/flow/credit.c
@@ -36,8 +36,8 @@
 {
     c->asked_us = f->now_us;
     f->counts[COUNT_CREDITS_ASKED]++;
-    core_ask(f, ASK_CREDIT)->credit =
-        (struct credit_ask){c->id, c->ep->id, LIFE_US};
+    core_ask(f, ASK_CREDIT)->credit = (struct credit_ask){
+        .credit = c->id, .endpoint = c->ep->id, .lifetime_us = LIFE_US};
 }
 
 static void
