--- a/src/flow/call.c
+++ b/src/flow/call.c
@@ -13,11 +13,13 @@
 
 /* A dead process refuses at once; a dead VM does not answer. */
 #define PROBE_WAIT_US (250 * MS)
+/* Of the baseline policies. */
+#define PLAIN_RETRIES 2
 
 /* How a call ended, for what is learned from it. */
 enum call_end {
     END_OK,
-    END_SLOWER, /* another call of the stage answered first */
+    END_SLOWER, /* cancelled: another call was faster, or too late */
     END_FAILED,
     END_OVERLOAD,
     END_UNSENT,
@@ -30,31 +32,53 @@
     return &c->r->pipeline->stages[c->stage];
 }
 
+static bool
+is_stream(const struct call *c)
+{
+    return stage_of(c)->kind == STAGE_GENERATE;
+}
+
+/* Of streams the time to the first byte counts, as soon as it is known: the
+ * length of an answer says nothing of its endpoint, and waiting for its end
+ * would draw too much work to an endpoint that has just returned. */
+static void
+learn_latency(struct flow *f, struct call *c)
+{
+    struct endpoint *ep = c->ep;
+    int64_t us = f->now_us - c->start_us;
+    limit_answer(&ep->limit, f->now_us, us, ep->in_flight, false);
+    outlier_latency(&ep->outlier, us);
+}
+
 static void
 learn(struct flow *f, struct call *c, enum call_end end)
 {
     struct endpoint *ep = c->ep;
     struct estimate *e = &ep->pool->estimate;
     int64_t us = f->now_us - c->start_us;
-    /* The length of a stream says nothing of its endpoint. */
-    bool stream = stage_of(c)->kind == STAGE_GENERATE && c->first_us;
-    int64_t latency_us = stream ? c->first_us - c->start_us : us;
     switch (end) {
     case END_OK:
         hist_add(&e->service[estimate_size(c->r->call_body.len)], us);
-        limit_answer(&ep->limit, f->now_us, latency_us, ep->in_flight, false);
-        outlier_answer(&ep->outlier, f->now_us, true, latency_us);
+        if (!is_stream(c)) {
+            learn_latency(f, c);
+        }
+        outlier_answer(&ep->outlier, f->now_us, true);
         ep->refusals = 0;
         break;
     case END_SLOWER:
-        outlier_answer(&ep->outlier, f->now_us, true, us);
+        /* The elapsed time is a lower bound of the latency. */
+        if (c->first_us || us < (int64_t)ep->limit.recent_us) {
+            return;
+        }
+        learn_latency(f, c);
+        outlier_answer(&ep->outlier, f->now_us, true);
         break;
     case END_OVERLOAD:
         limit_answer(&ep->limit, f->now_us, us, ep->in_flight, true);
-        outlier_answer(&ep->outlier, f->now_us, false, 0);
+        outlier_answer(&ep->outlier, f->now_us, false);
         break;
     case END_FAILED:
-        outlier_answer(&ep->outlier, f->now_us, false, 0);
+        outlier_answer(&ep->outlier, f->now_us, false);
         break;
     case END_UNSENT:
     case END_DROPPED:
@@ -97,18 +121,9 @@
 {
     core_emit(f, FLOW_ACT_CANCEL)->cancel = c->attempt;
     f->counts[COUNT_CANCELS]++;
-    end_call(f, c, END_DROPPED, false, outcome);
-}
-
-/* The elapsed time is a lower bound of the loser's latency. Without it a
- * slow endpoint would never show, since hedges cut its calls short. */
-static void
-cancel_loser(struct flow *f, struct call *c)
-{
-    bool slow = !c->hedge && !c->first_us;
-    core_emit(f, FLOW_ACT_CANCEL)->cancel = c->attempt;
-    f->counts[COUNT_CANCELS]++;
-    end_call(f, c, slow ? END_SLOWER : END_DROPPED, false, "hedged");
+    /* Without this a slow endpoint would never show, since hedges and
+     * deadlines cut its calls short. */
+    end_call(f, c, c->hedge ? END_DROPPED : END_SLOWER, false, outcome);
 }
 
 static void
@@ -118,7 +133,7 @@
     while (c) {
         struct call *next = c->next;
         if (c != keep) {
-            cancel_loser(f, c);
+            call_cancel(f, c, "hedged");
         }
         c = next;
     }
@@ -143,10 +158,17 @@
         return;
     }
     /* Unsent calls cost the endpoints nothing and need no budget. */
-    bool allowed = unsent    ? r->unsent <= RETRY_UNSENT_MAX
-                   : f->full ? r->tries < RETRY_CALLS_MAX &&
-                                   retry_spend(&p->retries, &r->team->retries)
-                             : r->tries < 3;
+    bool allowed;
+    if (!f->full) {
+        allowed = r->tries + r->unsent <= PLAIN_RETRIES;
+    }
+    else if (unsent) {
+        allowed = r->unsent <= RETRY_UNSENT_MAX;
+    }
+    else {
+        allowed = r->tries < RETRY_CALLS_MAX &&
+                  retry_spend(&p->retries, &r->team->retries);
+    }
     if (!allowed) {
         f->counts[COUNT_RETRIES_DENIED]++;
         request_refuse(f, r, ERRKIND_UPSTREAM_FAILED, "stage %.*s, %d calls",
@@ -242,6 +264,9 @@
         int64_t us = f->now_us - c->start_us;
         hist_add(&c->ep->pool->estimate.first, us);
         health_first_byte(f, c->ep, us);
+        if (is_stream(c)) {
+            learn_latency(f, c);
+        }
     }
 }
 
