Test the size limit of a claim record

Cause: the limit of 900 KB and the order in which answers are dropped were not covered. Change: a table test that fills one record with 1 KB answers, then with claims until they are refused, and encodes it twice. Conclusion: the record stays below what the store accepts.

--- a/tests/test_claims.c
+++ b/tests/test_claims.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <stdlib.h>
 
+#include "control/claim_table.h"
 #include "tests/claim_sim.h"
 
 #define SECOND 1000000LL
@@ -284,6 +285,70 @@
     world_free(w);
 }
 
+static void
+keep_reply(void *ctx, uint64_t to, const struct claim_reply *r)
+{
+    (void)to;
+    *(struct claim_reply *)ctx = *r;
+}
+
+static enum claim_state
+ask_table(struct claim_table *t, struct claim_host *h, enum claim_verb verb,
+          int64_t now_us, int key, uint64_t seq)
+{
+    static char bytes[CLAIM_ANSWER_MAX];
+    struct claim_ask ask = {.verb = verb,
+                            .key = key_of(key),
+                            .attempt = {1, 1, seq},
+                            .valid_us = SECOND,
+                            .answer = {bytes, sizeof(bytes)}};
+    ((struct claim_reply *)h->ctx)->state = CLAIM_CLOSED;
+    claim_table_ask(t, h, now_us, &ask);
+    return ((struct claim_reply *)h->ctx)->state;
+}
+
+/* A full record loses its oldest answers first and then takes no claims; it
+ * never outgrows what the store accepts. */
+static void
+test_full(void)
+{
+    struct claim_reply r;
+    struct view nobody = {0};
+    struct claim_host h = {.ctx = &r,
+                           .reply = keep_reply,
+                           .view = &nobody,
+                           .horizon_us = 600 * SECOND};
+    struct claim_header head = {0};
+    struct claim_table t;
+    struct buf out = {0};
+    int n = 0;
+    claim_table_init(&t);
+    while (ask_table(&t, &h, CLAIM_VERB_CLAIM, n, n, 1) != CLAIM_UNAVAILABLE) {
+        if (n < 2000) {
+            ask_table(&t, &h, CLAIM_VERB_DONE, n, n, 1);
+        }
+        if (n == 1500) {
+            g_assert_cmpint(ask_table(&t, &h, CLAIM_VERB_OPEN, n, 0, 2), ==,
+                            CLAIM_DONE);
+            g_assert_false(r.answer_kept);
+            g_assert_cmpint(ask_table(&t, &h, CLAIM_VERB_OPEN, n, 1500, 2), ==,
+                            CLAIM_DONE);
+            g_assert_true(r.answer_kept);
+            claim_table_encode(&t, n, &head, &out);
+            claim_table_not_committed(&t, &h, n, false);
+            g_assert_cmpuint(out.len, <=, 900 * 1024);
+            buf_clear(&out);
+        }
+        n++;
+    }
+    g_assert_cmpint(n, >, 4000);
+    claim_table_encode(&t, n, &head, &out);
+    g_assert_cmpuint(head.count, ==, (uint32_t)n);
+    g_assert_cmpuint(out.len, <=, 900 * 1024);
+    buf_free(&out);
+    claim_table_free(&t);
+}
+
 static void
 random_flow(struct world *w, struct rng *rng)
 {
@@ -410,6 +475,7 @@
     g_test_add_func("/claims/scripts", test_scripts);
     g_test_add_func("/claims/outage", test_outage);
     g_test_add_func("/claims/horizon", test_horizon);
+    g_test_add_func("/claims/full", test_full);
     g_test_add_func("/claims/random", test_random);
     return g_test_run();
 }
