--- /dev/null
+++ b/src/daemon/bridge.c
@@ -0,0 +1,137 @@
+#include "daemon/bridge.h"
+
+#include <ck_ring.h>
+#include <glib.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+struct bridge {
+    ck_ring_t ring;
+    ck_ring_buffer_t *slots;
+    GQueue waiting;        /* producer only */
+    atomic_bool signalled; /* the eventfd is readable */
+    int fd;
+};
+
+struct bridge *
+bridge_new(unsigned capacity)
+{
+    struct bridge *b = NULL;
+    /* ck_ring keeps its two counters on separate cache lines. */
+    if (posix_memalign((void **)&b, CK_MD_CACHELINE, sizeof(*b)) != 0) {
+        abort();
+    }
+    *b = (struct bridge){.fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)};
+    if (b->fd < 0) {
+        abort();
+    }
+    b->slots = mem_zero(capacity, sizeof(ck_ring_buffer_t));
+    ck_ring_init(&b->ring, capacity);
+    g_queue_init(&b->waiting);
+    return b;
+}
+
+void
+bridge_free(struct bridge *b)
+{
+    struct bridge_msg *m;
+    if (!b) {
+        return;
+    }
+    while ((m = bridge_pop(b)) || (m = g_queue_pop_head(&b->waiting))) {
+        bridge_msg_free(m);
+    }
+    close(b->fd);
+    free(b->slots);
+    free(b);
+}
+
+struct bridge_msg *
+bridge_msg_new(enum bridge_kind kind)
+{
+    struct bridge_msg *m = mem_zero(1, sizeof(*m));
+    m->kind = kind;
+    return m;
+}
+
+void
+bridge_msg_free(struct bridge_msg *m)
+{
+    if (!m) {
+        return;
+    }
+    str_free(&m->text);
+    str_free(&m->team);
+    if (m->snapshot) {
+        snapshot_unref(m->snapshot);
+    }
+    if (m->ask) {
+        ask_free(m->ask);
+    }
+    if (m->reply) {
+        reply_free(m->reply);
+    }
+    free(m);
+}
+
+void
+bridge_wake(struct bridge *b)
+{
+    /* One write wakes the consumer until it clears the flag. */
+    if (!atomic_exchange(&b->signalled, true)) {
+        uint64_t one = 1;
+        write(b->fd, &one, sizeof(one));
+    }
+}
+
+void
+bridge_clear(struct bridge *b)
+{
+    uint64_t n;
+    read(b->fd, &n, sizeof(n));
+    /* Reading the flag orders the messages of earlier wakes before it. */
+    atomic_exchange(&b->signalled, false);
+}
+
+bool
+bridge_flush(struct bridge *b)
+{
+    bool moved = false;
+    while (!g_queue_is_empty(&b->waiting) &&
+           ck_ring_enqueue_spsc(&b->ring, b->slots,
+                                g_queue_peek_head(&b->waiting))) {
+        g_queue_pop_head(&b->waiting);
+        moved = true;
+    }
+    if (moved) {
+        bridge_wake(b);
+    }
+    return g_queue_is_empty(&b->waiting);
+}
+
+void
+bridge_push(struct bridge *b, struct bridge_msg *m)
+{
+    if (g_queue_is_empty(&b->waiting) &&
+        ck_ring_enqueue_spsc(&b->ring, b->slots, m)) {
+        bridge_wake(b);
+        return;
+    }
+    g_queue_push_tail(&b->waiting, m);
+    bridge_flush(b);
+}
+
+int
+bridge_fd(const struct bridge *b)
+{
+    return b->fd;
+}
+
+struct bridge_msg *
+bridge_pop(struct bridge *b)
+{
+    void *m = NULL;
+    return ck_ring_dequeue_spsc(&b->ring, b->slots, &m) ? m : NULL;
+}
--- /dev/null
+++ b/src/edge/http_in.c
@@ -0,0 +1,822 @@
+#include "edge/http_in.h"
+
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/epoll.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+
+#include "base/rng.h"
+
+/* An idle kept-alive connection is closed after this time. */
+#define IDLE_US 60000000
+/* A body this far over its limit is still read, so that the sender sees the
+ * refusal instead of a reset. */
+#define DISCARD_BYTES (1 << 20)
+/* A caller that does not read its stream is cut off at this backlog. */
+#define STREAM_BACKLOG (8 << 20)
+#define DEFAULT_MAX_BODY (1 << 20)
+#define SLOT_BITS 24
+
+enum conn_state { CONN_RECEIVING, CONN_IDLE, CONN_BUSY };
+
+struct conn {
+    TAILQ_ENTRY(conn) link; /* in the list of its state; BUSY: in none */
+    enum conn_state state;
+    int64_t since_us;
+    struct http_in *in;
+    struct MHD_Connection *mhd;
+    int fd;
+    bool closed; /* the caller's side is closed or half-closed */
+    struct loop_source *watch;
+    struct exchange *x;
+};
+TAILQ_HEAD(conn_list, conn);
+
+struct exchange {
+    uint64_t id;
+    struct conn *conn;
+    char request_id[33];
+    struct http_in_request r; /* header strings live in MHD's pool */
+    struct buf body;
+    enum errkind refused; /* found while receiving */
+    const char *why;
+    struct MHD_Response *response;
+    int status;
+    bool handed;
+    bool answered; /* response is set or the stream has ended */
+    bool gone;
+    bool suspended;
+    bool streaming;
+    bool ended;
+    struct buf out; /* stream bytes not yet taken by MHD */
+    size_t out_at;
+};
+
+#define COUNTER_LIST(X)                                                       \
+    X(requests, "requests received")                                          \
+    X(refusals, "refusals sent")                                              \
+    X(gone, "callers that left before their answer")                          \
+    X(slow, "connections closed for slow sending")                            \
+    X(connections, "connections accepted")
+
+struct http_in {
+    struct http_in_options opts;
+    struct loop *loop;
+    struct MHD_Daemon *daemon;
+    struct loop_source *source;
+    bool busy; /* MHD has work that no descriptor announces */
+    bool draining;
+    bool stopping;
+    size_t max_body;
+    struct conn_list receiving;
+    struct conn_list idle;
+    struct exchange **slots;
+    int slot_count;
+    int *free_slots;
+    int free_count;
+    uint64_t generation;
+    int open;
+    struct rng rng;
+#define X(id, text) uint64_t id;
+    struct {
+        COUNTER_LIST(X)
+    } count;
+#undef X
+};
+
+static struct exchange *
+find(const struct http_in *in, uint64_t id)
+{
+    uint64_t slot = id & ((1 << SLOT_BITS) - 1);
+    struct exchange *x =
+        slot < (uint64_t)in->slot_count ? in->slots[slot] : NULL;
+    return x && x->id == id && !x->gone && !x->answered ? x : NULL;
+}
+
+static void
+move(struct conn *c, enum conn_state to)
+{
+    struct http_in *in = c->in;
+    if (c->state == CONN_RECEIVING) {
+        TAILQ_REMOVE(&in->receiving, c, link);
+    }
+    else if (c->state == CONN_IDLE) {
+        TAILQ_REMOVE(&in->idle, c, link);
+    }
+    c->state = to;
+    c->since_us = loop_now_us();
+    if (to == CONN_RECEIVING) {
+        TAILQ_INSERT_TAIL(&in->receiving, c, link);
+    }
+    else if (to == CONN_IDLE) {
+        TAILQ_INSERT_TAIL(&in->idle, c, link);
+    }
+}
+
+static void
+resume(struct exchange *x)
+{
+    if (x->suspended) {
+        x->suspended = false;
+        MHD_resume_connection(x->conn->mhd);
+    }
+    x->conn->in->busy = true;
+}
+
+static void
+leave(struct exchange *x)
+{
+    struct http_in *in = x->conn->in;
+    if (x->gone || x->answered) {
+        return;
+    }
+    x->gone = true;
+    in->count.gone++;
+    if (x->handed && !in->stopping) {
+        in->opts.gone(in->opts.ctx, x->id);
+    }
+    resume(x);
+}
+
+static void
+caller_closed(void *ctx, uint32_t events)
+{
+    struct conn *c = ctx;
+    if (!(events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))) {
+        return;
+    }
+    c->closed = true;
+    if (c->x && c->x->handed) {
+        leave(c->x);
+    }
+}
+
+static void
+notify_connection(void *cls, struct MHD_Connection *mhd, void **socket_ctx,
+                  enum MHD_ConnectionNotificationCode code)
+{
+    struct http_in *in = cls;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        struct conn *c = mem_zero(1, sizeof(*c));
+        c->in = in;
+        c->mhd = mhd;
+        c->fd = MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CONNECTION_FD)
+                    ->connect_fd;
+        c->state = CONN_BUSY;
+        move(c, CONN_RECEIVING);
+        /* Registered once per connection; data does not wake it. */
+        c->watch =
+            loop_add(in->loop, c->fd, EPOLLRDHUP | EPOLLET, caller_closed, c);
+        *socket_ctx = c;
+        in->count.connections++;
+        return;
+    }
+    struct conn *c = *socket_ctx;
+    if (c) {
+        move(c, CONN_BUSY);
+        loop_del(in->loop, c->watch);
+        free(c);
+    }
+}
+
+static struct exchange *
+open_exchange(struct http_in *in, struct conn *c)
+{
+    if (in->free_count == 0) {
+        int n = in->slot_count ? in->slot_count * 2 : 64;
+        in->slots = mem_grow(in->slots, n, sizeof(struct exchange *));
+        in->free_slots = mem_grow(in->free_slots, n, sizeof(int));
+        for (int i = n - 1; i >= in->slot_count; i--) {
+            in->slots[i] = NULL;
+            in->free_slots[in->free_count++] = i;
+        }
+        in->slot_count = n;
+    }
+    struct exchange *x = mem_zero(1, sizeof(*x));
+    int slot = in->free_slots[--in->free_count];
+    in->slots[slot] = x;
+    x->id = ++in->generation << SLOT_BITS | (uint64_t)slot;
+    x->conn = c;
+    c->x = x;
+    snprintf(x->request_id, sizeof(x->request_id),
+             "%016" PRIx64 "%014" PRIx64 "%02x", rng_next(&in->rng),
+             rng_next(&in->rng) >> 8, in->opts.thread & 0xff);
+    in->open++;
+    in->count.requests++;
+    return x;
+}
+
+static void
+completed(void *cls, struct MHD_Connection *mhd, void **con_cls,
+          enum MHD_RequestTerminationCode code)
+{
+    struct http_in *in = cls;
+    struct exchange *x = *con_cls;
+    (void)mhd;
+    if (!x) {
+        return;
+    }
+    x->suspended = false;
+    if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK || !x->answered) {
+        leave(x);
+    }
+    move(x->conn, CONN_IDLE);
+    x->conn->x = NULL;
+    int slot = (int)(x->id & ((1 << SLOT_BITS) - 1));
+    in->slots[slot] = NULL;
+    in->free_slots[in->free_count++] = slot;
+    in->open--;
+    if (x->response) {
+        MHD_destroy_response(x->response);
+    }
+    buf_free(&x->body);
+    buf_free(&x->out);
+    free(x);
+    *con_cls = NULL;
+}
+
+struct scan {
+    struct exchange *x;
+    size_t bytes;
+    bool has_length;
+    bool has_coding;
+    int64_t length;
+    int tokens;
+    int keys;
+    int deadlines;
+};
+
+static bool
+is(const char *name, size_t len, struct str want)
+{
+    return len == want.len && strncasecmp(name, want.ptr, len) == 0;
+}
+
+static enum MHD_Result
+scan_header(void *cls, enum MHD_ValueKind kind, const char *name,
+            size_t name_len, const char *value, size_t value_len)
+{
+    struct scan *s = cls;
+    struct http_in_request *r = &s->x->r;
+    struct str v = str_of(value ? value : "", value_len);
+    (void)kind;
+    s->bytes += name_len + value_len + 4;
+    switch (name_len) {
+    case 6:
+        if (is(name, name_len, STR_LIT("accept"))) {
+            r->stream = memmem(v.ptr, v.len, "text/event-stream", 17) != NULL;
+        }
+        break;
+    case 11:
+        if (is(name, name_len, STR_LIT("traceparent"))) {
+            r->traceparent = v;
+        }
+        break;
+    case 13:
+        if (is(name, name_len, STR_LIT("authorization"))) {
+            s->tokens++;
+            if (v.len > 7 && strncasecmp(v.ptr, "Bearer ", 7) == 0) {
+                r->token = str_of(v.ptr + 7, v.len - 7);
+            }
+        }
+        else if (is(name, name_len, STR_LIT("x-deadline-ms"))) {
+            s->deadlines++;
+            r->deadline = v;
+        }
+        break;
+    case 14:
+        if (is(name, name_len, STR_LIT("content-length"))) {
+            s->has_length = str_to_i64(v, &s->length);
+        }
+        break;
+    case 15:
+        if (is(name, name_len, STR_LIT("idempotency-key"))) {
+            s->keys++;
+            r->key = v;
+        }
+        break;
+    case 17:
+        if (is(name, name_len, STR_LIT("transfer-encoding"))) {
+            s->has_coding = true;
+        }
+        break;
+    default:
+        break;
+    }
+    return MHD_YES;
+}
+
+static bool
+from_loopback(struct MHD_Connection *mhd)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    const struct sockaddr *a = info ? info->client_addr : NULL;
+    if (a && a->sa_family == AF_INET) {
+        const struct sockaddr_in *in4 = (const void *)a;
+        return ntohl(in4->sin_addr.s_addr) >> 24 == 127;
+    }
+    if (a && a->sa_family == AF_INET6) {
+        const struct sockaddr_in6 *in6 = (const void *)a;
+        return IN6_IS_ADDR_LOOPBACK(&in6->sin6_addr);
+    }
+    return false;
+}
+
+/* First call of MHD for a request: the headers are complete. */
+static struct exchange *
+begin(struct http_in *in, struct MHD_Connection *mhd, const char *url,
+      const char *method)
+{
+    struct conn *c =
+        MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+            ->socket_context;
+    if (c->state != CONN_RECEIVING) {
+        move(c, CONN_RECEIVING);
+    }
+    struct exchange *x = open_exchange(in, c);
+    struct scan s = {.x = x};
+    x->r.id = x->id;
+    x->r.method = str_from(method);
+    x->r.path = str_from(url);
+    x->r.request_id = str_of(x->request_id, 32);
+    MHD_get_connection_values_n(mhd, MHD_HEADER_KIND, scan_header, &s);
+    x->r.loopback = from_loopback(mhd);
+    if (s.bytes > (size_t)in->opts.max_header_bytes) {
+        x->refused = ERRKIND_TOO_LARGE;
+        x->why = "headers are too large";
+    }
+    else if ((s.has_length && s.has_coding) || s.tokens > 1 || s.keys > 1 ||
+             s.deadlines > 1) {
+        /* Two lengths or two credentials let a request be read in two
+         * ways. */
+        x->refused = ERRKIND_BAD_REQUEST;
+        x->why = "contradicting headers";
+    }
+    else if (s.has_length && s.length > (int64_t)in->max_body) {
+        x->refused = ERRKIND_TOO_LARGE;
+        x->why = "body is too large";
+    }
+    return x;
+}
+
+static void
+set_response(struct exchange *x, int status, const char *content_type,
+             struct str body, int64_t retry_after_ms)
+{
+    x->response = MHD_create_response_from_buffer(body.len, (void *)body.ptr,
+                                                  MHD_RESPMEM_MUST_COPY);
+    x->status = status;
+    MHD_add_response_header(x->response, "Content-Type", content_type);
+    MHD_add_response_header(x->response, "X-Request-Id", x->request_id);
+    if (retry_after_ms > 0) {
+        char text[24];
+        snprintf(text, sizeof(text), "%" PRId64,
+                 (retry_after_ms + 999) / 1000);
+        MHD_add_response_header(x->response, "Retry-After", text);
+    }
+    if (x->conn->in->draining) {
+        MHD_add_response_header(x->response, "Connection", "close");
+    }
+    x->answered = true;
+}
+
+void
+http_in_refusal(struct buf *out, enum errkind kind, struct str message,
+                struct str request_id)
+{
+    const struct errkind_info *e = errkind_info(kind);
+    if (message.len == 0) {
+        message = str_from(e->message);
+    }
+    json_t *j = json_pack("{s:{s:s,s:s,s:b,s:s%,s:s%}}", "error", "kind",
+                          e->name, "ran", ran_name(e->ran), "retry", e->retry,
+                          "message", message.ptr, message.len, "request_id",
+                          request_id.ptr, request_id.len);
+    if (!j) { /* the message is not UTF-8 */
+        j = json_pack("{s:{s:s,s:s,s:b,s:s,s:s%}}", "error", "kind", e->name,
+                      "ran", ran_name(e->ran), "retry", e->retry, "message",
+                      e->message, "request_id", request_id.ptr,
+                      request_id.len);
+    }
+    char *text = json_dumps(j, JSON_COMPACT);
+    buf_append_str(out, str_from(text));
+    free(text);
+    json_decref(j);
+}
+
+static void
+refuse(struct exchange *x, enum errkind kind, struct str message,
+       int64_t retry_after_ms)
+{
+    struct buf text = {0};
+    http_in_refusal(&text, kind, message, str_of(x->request_id, 32));
+    if (retry_after_ms <= 0 && errkind_info(kind)->http_status == 503) {
+        retry_after_ms = 1000;
+    }
+    set_response(x, errkind_info(kind)->http_status, "application/json",
+                 buf_str(&text), retry_after_ms);
+    x->conn->in->count.refusals++;
+    buf_free(&text);
+}
+
+static bool
+receive(struct http_in *in, struct exchange *x, const char *data, size_t *size)
+{
+    size_t n = *size;
+    if (x->body.len + n > in->max_body && !x->refused) {
+        x->refused = ERRKIND_TOO_LARGE;
+        x->why = "body is too large";
+    }
+    if (x->refused) {
+        /* The length is counted on without keeping the bytes. */
+        x->out_at += n;
+        if (x->out_at > DISCARD_BYTES) {
+            return false;
+        }
+    }
+    else {
+        buf_append(&x->body, data, n);
+    }
+    *size = 0;
+    return true;
+}
+
+static enum MHD_Result
+send_response(struct exchange *x)
+{
+    enum MHD_Result ok =
+        MHD_queue_response(x->conn->mhd, (unsigned)x->status, x->response);
+    MHD_destroy_response(x->response);
+    x->response = NULL;
+    return ok;
+}
+
+static enum MHD_Result
+handle(void *cls, struct MHD_Connection *mhd, const char *url,
+       const char *method, const char *version, const char *data, size_t *size,
+       void **con_cls)
+{
+    struct http_in *in = cls;
+    struct exchange *x = *con_cls;
+    (void)version;
+    if (!x) {
+        x = begin(in, mhd, url, method);
+        *con_cls = x;
+        return MHD_YES;
+    }
+    if (*size > 0) {
+        return receive(in, x, data, size) ? MHD_YES : MHD_NO;
+    }
+    if (!x->handed && !x->answered && !x->gone) {
+        move(x->conn, CONN_BUSY);
+        if (x->conn->closed) {
+            leave(x);
+            return MHD_NO;
+        }
+        if (x->refused) {
+            refuse(x, x->refused, str_from(x->why), 0);
+            return send_response(x);
+        }
+        x->handed = true;
+        x->r.body = buf_str(&x->body);
+        in->opts.request(in->opts.ctx, &x->r);
+        /* The owner keeps no view of the body. */
+        buf_free(&x->body);
+        x->r.body = (struct str){0};
+    }
+    if (x->gone) {
+        return MHD_NO;
+    }
+    if (!x->response) {
+        x->suspended = true;
+        MHD_suspend_connection(mhd);
+        return MHD_YES;
+    }
+    return send_response(x);
+}
+
+static ssize_t
+stream_read(void *cls, uint64_t pos, char *out, size_t max)
+{
+    struct exchange *x = cls;
+    (void)pos;
+    if (x->gone) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    size_t n = x->out.len - x->out_at;
+    if (n == 0) {
+        if (x->ended) {
+            return MHD_CONTENT_READER_END_OF_STREAM;
+        }
+        x->suspended = true;
+        MHD_suspend_connection(x->conn->mhd);
+        return 0;
+    }
+    n = n < max ? n : max;
+    memcpy(out, x->out.ptr + x->out_at, n);
+    x->out_at += n;
+    if (x->out_at == x->out.len) {
+        buf_clear(&x->out);
+        x->out_at = 0;
+    }
+    return (ssize_t)n;
+}
+
+static void
+begin_stream(struct exchange *x)
+{
+    x->response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, 4096,
+                                                    stream_read, x, NULL);
+    x->status = 200;
+    x->streaming = true;
+    MHD_add_response_header(x->response, "Content-Type", "text/event-stream");
+    MHD_add_response_header(x->response, "Cache-Control", "no-store");
+    MHD_add_response_header(x->response, "X-Request-Id", x->request_id);
+    if (x->conn->in->draining) {
+        MHD_add_response_header(x->response, "Connection", "close");
+    }
+}
+
+static void
+push_event(struct exchange *x, const char *event, struct str data)
+{
+    if (!x->streaming) {
+        begin_stream(x);
+    }
+    if (x->out.len - x->out_at > STREAM_BACKLOG) {
+        leave(x);
+        return;
+    }
+    buf_append_str(&x->out, STR_LIT("event: "));
+    buf_append_str(&x->out, str_from(event));
+    buf_append_str(&x->out, STR_LIT("\ndata: "));
+    buf_append_str(&x->out, data);
+    buf_append_str(&x->out, STR_LIT("\n\n"));
+    resume(x);
+}
+
+void
+http_in_answer(struct http_in *in, uint64_t id, int status,
+               const char *content_type, struct str body)
+{
+    struct exchange *x = find(in, id);
+    if (x && !x->streaming) {
+        set_response(x, status, content_type, body, 0);
+        resume(x);
+    }
+}
+
+static void
+end_stream(struct exchange *x)
+{
+    x->ended = true;
+    x->answered = true;
+    resume(x);
+}
+
+void
+http_in_refuse(struct http_in *in, uint64_t id, enum errkind kind,
+               struct str message, int64_t retry_after_ms)
+{
+    struct exchange *x = find(in, id);
+    if (!x) {
+        return;
+    }
+    if (!x->streaming) {
+        refuse(x, kind, message, retry_after_ms);
+        resume(x);
+        return;
+    }
+    struct buf text = {0};
+    http_in_refusal(&text, kind, message, str_of(x->request_id, 32));
+    push_event(x, "error", buf_str(&text));
+    buf_free(&text);
+    in->count.refusals++;
+    if (!x->gone) {
+        end_stream(x);
+    }
+}
+
+void
+http_in_event(struct http_in *in, uint64_t id, const char *event,
+              struct str data)
+{
+    struct exchange *x = find(in, id);
+    if (x) {
+        push_event(x, event, data);
+    }
+}
+
+void
+http_in_end(struct http_in *in, uint64_t id)
+{
+    struct exchange *x = find(in, id);
+    if (x && x->streaming) {
+        end_stream(x);
+    }
+}
+
+static void
+daemon_ready(void *ctx, uint32_t events)
+{
+    (void)events;
+    ((struct http_in *)ctx)->busy = true;
+}
+
+/* Closes connections whose time in a state is over. MHD cannot answer before
+ * the request is complete, so the refusal is written directly; over TLS the
+ * connection is only closed. */
+static void
+expire(struct http_in *in, int64_t now_us)
+{
+    struct conn *c;
+    int64_t limit = in->opts.receive_timeout_ms * 1000LL;
+    while ((c = TAILQ_FIRST(&in->receiving)) && now_us - c->since_us > limit) {
+        if (in->opts.tls_cert.len == 0) {
+            struct buf body = {0};
+            struct buf head = {0};
+            http_in_refusal(&body, ERRKIND_SLOW_SENDER, STR_LIT(""),
+                            c->x ? str_of(c->x->request_id, 32) : STR_LIT(""));
+            buf_printf(&head,
+                       "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
+                       "Content-Type: application/json\r\n"
+                       "Content-Length: %zu\r\n\r\n%s",
+                       body.len, body.ptr);
+            send(c->fd, head.ptr, head.len, MSG_NOSIGNAL | MSG_DONTWAIT);
+            buf_free(&head);
+            buf_free(&body);
+        }
+        in->count.slow++;
+        move(c, CONN_BUSY);
+        shutdown(c->fd, SHUT_RDWR);
+        in->busy = true;
+    }
+    while ((c = TAILQ_FIRST(&in->idle)) && now_us - c->since_us > IDLE_US) {
+        move(c, CONN_BUSY);
+        shutdown(c->fd, SHUT_RDWR);
+        in->busy = true;
+    }
+}
+
+void
+http_in_run(struct http_in *in, int64_t now_us)
+{
+    expire(in, now_us);
+    if (in->busy) {
+        in->busy = false;
+        MHD_run(in->daemon);
+    }
+}
+
+int64_t
+http_in_wakeup(const struct http_in *in, int64_t now_us)
+{
+    if (in->busy) {
+        return now_us;
+    }
+    int64_t at = INT64_MAX;
+    MHD_UNSIGNED_LONG_LONG ms = 0;
+    if (MHD_get_timeout(in->daemon, &ms) == MHD_YES) {
+        at = now_us + (int64_t)ms * 1000;
+    }
+    const struct conn *c = TAILQ_FIRST(&in->receiving);
+    if (c) {
+        int64_t t = c->since_us + in->opts.receive_timeout_ms * 1000LL + 1;
+        at = t < at ? t : at;
+    }
+    c = TAILQ_FIRST(&in->idle);
+    if (c && c->since_us + IDLE_US + 1 < at) {
+        at = c->since_us + IDLE_US + 1;
+    }
+    return at;
+}
+
+int
+http_in_open(const struct http_in *in)
+{
+    return in->open;
+}
+
+int
+http_in_port(const struct http_in *in)
+{
+    return MHD_get_daemon_info(in->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+void
+http_in_set_max_body(struct http_in *in, size_t bytes)
+{
+    in->max_body = bytes;
+}
+
+void
+http_in_drain(struct http_in *in)
+{
+    in->draining = true;
+}
+
+void
+http_in_metrics(const struct http_in *in, struct buf *out)
+{
+#define X(id, text)                                                           \
+    buf_printf(out, "cf_http_in_" #id "_total{thread=\"%d\"} %" PRIu64 "\n",  \
+               in->opts.thread, in->count.id);
+    COUNTER_LIST(X)
+#undef X
+    buf_printf(out, "cf_http_in_open{thread=\"%d\"} %d\n", in->opts.thread,
+               in->open);
+}
+
+enum status
+http_in_new(struct loop *l, const struct http_in_options *opts,
+            struct http_in **out)
+{
+    struct sockaddr_storage addr = {0};
+    struct sockaddr_in *in4 = (void *)&addr;
+    struct sockaddr_in6 *in6 = (void *)&addr;
+    char text[INET6_ADDRSTRLEN];
+    snprintf(text, sizeof(text), "%.*s", STR_FMT(opts->address));
+    unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+    if (inet_pton(AF_INET, text, &in4->sin_addr) == 1) {
+        in4->sin_family = AF_INET;
+        in4->sin_port = htons((uint16_t)opts->port);
+    }
+    else if (inet_pton(AF_INET6, text, &in6->sin6_addr) == 1) {
+        in6->sin6_family = AF_INET6;
+        in6->sin6_port = htons((uint16_t)opts->port);
+        flags |= MHD_USE_IPv6;
+    }
+    else {
+        return err_set(ST_INVALID, "not an IP number: %s", text);
+    }
+    struct MHD_OptionItem tls[] = {
+        {MHD_OPTION_HTTPS_MEM_CERT, 0, (void *)opts->tls_cert.ptr},
+        {MHD_OPTION_HTTPS_MEM_KEY, 0, (void *)opts->tls_key.ptr},
+        {MHD_OPTION_END, 0, NULL},
+    };
+    if (opts->tls_cert.len == 0) {
+        tls[0].option = MHD_OPTION_END;
+    }
+    else {
+        flags |= MHD_USE_TLS;
+    }
+    struct http_in *in = mem_zero(1, sizeof(*in));
+    in->opts = *opts;
+    in->loop = l;
+    in->max_body = DEFAULT_MAX_BODY;
+    TAILQ_INIT(&in->receiving);
+    TAILQ_INIT(&in->idle);
+    rng_seed(&in->rng, opts->seed);
+    /* Headers up to the limit fit the pool besides MHD's own buffers, so
+     * that the refusal is ours and not MHD's text page. */
+    in->daemon = MHD_start_daemon(
+        flags, (uint16_t)opts->port, NULL, NULL, handle, in,
+        MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&addr,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_CONNECTION_LIMIT,
+        (unsigned)opts->max_connections, MHD_OPTION_PER_IP_CONNECTION_LIMIT,
+        (unsigned)opts->max_connections_per_caller,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        (size_t)opts->max_header_bytes * 2 + 16384,
+        MHD_OPTION_NOTIFY_COMPLETED, completed, in,
+        MHD_OPTION_NOTIFY_CONNECTION, notify_connection, in, MHD_OPTION_ARRAY,
+        tls, MHD_OPTION_END);
+    if (!in->daemon) {
+        free(in);
+        return err_set(ST_IO, "cannot listen on %s:%d", text, opts->port);
+    }
+    int fd =
+        MHD_get_daemon_info(in->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+    in->source = loop_add(l, fd, EPOLLIN, daemon_ready, in);
+    *out = in;
+    return ST_OK;
+}
+
+void
+http_in_free(struct http_in *in)
+{
+    if (!in) {
+        return;
+    }
+    /* MHD must not be stopped while connections are suspended. */
+    in->stopping = true;
+    for (int i = 0; i < in->slot_count; i++) {
+        if (in->slots[i]) {
+            leave(in->slots[i]);
+            resume(in->slots[i]);
+        }
+    }
+    MHD_run(in->daemon);
+    loop_del(in->loop, in->source);
+    MHD_stop_daemon(in->daemon);
+    free(in->slots);
+    free(in->free_slots);
+    free(in);
+}
--- /dev/null
+++ b/src/edge/http_out.c
@@ -0,0 +1,760 @@
+#include "edge/http_out.h"
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/epoll.h>
+
+#include "base/clean.h"
+#include "edge/sse.h"
+
+#define SPARE_HANDLES 256
+#define CONNECTIONS_KEPT 4096L
+
+enum { HEADERS_MAX = 9, HEADER_BYTES = 160 };
+
+struct token {
+    int index;
+    struct str text;
+};
+
+struct call {
+    struct http_out *out;
+    CURL *easy;
+    uint64_t attempt; /* 0: a probe */
+    struct str endpoint;
+    struct str body;
+    int64_t deadline_us;
+    bool stream;
+    bool final_check;
+    bool listed; /* in out->active */
+    int sends;   /* times the request was about to be written */
+    bool late;   /* final_check found the deadline passed */
+    bool crossed;
+    bool too_large;
+    bool ended;   /* data: [DONE] came */
+    bool bad_sse; /* a chunk that is no completion */
+    bool headers_done;
+    struct str attempt_text; /* as sent in X-Attempt */
+    bool attempt_ok;
+    bool event_stream;
+    bool framed; /* chunked or with Content-Length */
+    int status;
+    int next_index;
+    struct buf answer;
+    struct sse sse;
+    struct call_report report;
+    struct str start_id;
+    bool bytes;     /* bytes came since the last event */
+    GArray *tokens; /* struct token, not yet handed out */
+    struct curl_slist headers[HEADERS_MAX];
+    char text[HEADERS_MAX][HEADER_BYTES];
+    struct call *next_active;
+};
+
+#define COUNTER_LIST(X)                                                       \
+    X(calls)                                                                  \
+    X(done)                                                                   \
+    X(failed)                                                                 \
+    X(unsent)                                                                 \
+    X(cancelled)                                                              \
+    X(crossed)                                                                \
+    X(probes)                                                                 \
+    X(connections)
+
+struct http_out {
+    struct http_out_options opts;
+    struct loop *loop;
+    CURLM *multi;
+    int64_t timer_us;  /* INT64_MAX: none */
+    GHashTable *calls; /* attempt -> struct call */
+    GPtrArray *probes;
+    struct call *active; /* calls with tokens or bytes to hand out */
+    GPtrArray *refused;  /* could not be started; reported in run */
+    CURL *spare[SPARE_HANDLES];
+    int spare_count;
+#define X(id) uint64_t id;
+    struct {
+        COUNTER_LIST(X)
+    } count;
+#undef X
+};
+
+static void
+activate(struct call *c)
+{
+    if (!c->listed) {
+        c->listed = true;
+        c->next_active = c->out->active;
+        c->out->active = c;
+    }
+}
+
+static void
+drop_tokens(struct call *c)
+{
+    for (guint i = 0; i < c->tokens->len; i++) {
+        str_free(&g_array_index(c->tokens, struct token, i).text);
+    }
+    g_array_set_size(c->tokens, 0);
+}
+
+static void
+call_free(struct call *c)
+{
+    struct http_out *o = c->out;
+    if (c->listed) {
+        struct call **p = &o->active;
+        while (*p != c) {
+            p = &(*p)->next_active;
+        }
+        *p = c->next_active;
+    }
+    if (c->easy) {
+        curl_multi_remove_handle(o->multi, c->easy);
+        if (o->spare_count < SPARE_HANDLES) {
+            o->spare[o->spare_count++] = c->easy;
+        }
+        else {
+            curl_easy_cleanup(c->easy);
+        }
+    }
+    if (c->tokens) {
+        drop_tokens(c);
+        g_array_free(c->tokens, TRUE);
+    }
+    str_free(&c->endpoint);
+    str_free(&c->body);
+    str_free(&c->start_id);
+    buf_free(&c->answer);
+    sse_free(&c->sse);
+    free(c);
+}
+
+static bool
+on_sse(void *ctx, struct str data)
+{
+    struct call *c = ctx;
+    if (c->ended) {
+        return true;
+    }
+    if (str_eq(data, STR_LIT("[DONE]"))) {
+        c->ended = true;
+        return true;
+    }
+    struct sse_token t;
+    if (!sse_token(data, &t)) {
+        c->bad_sse = true;
+        return false;
+    }
+    if (t.has_text) {
+        int index = t.index >= 0 ? t.index : c->next_index;
+        struct token token = {index, t.text};
+        c->next_index = index + 1;
+        g_array_append_val(c->tokens, token);
+    }
+    return true;
+}
+
+static size_t
+on_body(char *p, size_t size, size_t n, void *ctx)
+{
+    struct call *c = ctx;
+    size_t len = size * n;
+    c->bytes = true;
+    activate(c);
+    if (c->stream && c->status == 200 && c->event_stream) {
+        return sse_feed(&c->sse, p, len, on_sse, c) ? len : 0;
+    }
+    if (c->answer.len + len > c->out->opts.max_answer_bytes) {
+        c->too_large = true;
+        return 0;
+    }
+    buf_append(&c->answer, p, len);
+    return len;
+}
+
+static struct str
+trimmed(const char *p, size_t len)
+{
+    while (len && (*p == ' ' || *p == '\t')) {
+        p++;
+        len--;
+    }
+    while (len && strchr("\r\n\t ", p[len - 1])) {
+        len--;
+    }
+    return str_of(p, len);
+}
+
+static bool
+header_is(struct str line, struct str name, struct str *value)
+{
+    if (line.len <= name.len || line.ptr[name.len] != ':' ||
+        strncasecmp(line.ptr, name.ptr, name.len) != 0) {
+        return false;
+    }
+    *value = trimmed(line.ptr + name.len + 1, line.len - name.len - 1);
+    return true;
+}
+
+static void
+read_load(struct call *c, struct str v)
+{
+    json_t *j = json_loadb(v.ptr, v.len, 0, NULL);
+    if (json_is_object(j)) {
+        c->report.has_load = true;
+        c->report.in_flight =
+            (int)json_integer_value(json_object_get(j, "in_flight"));
+        c->report.queued =
+            (int)json_integer_value(json_object_get(j, "queued"));
+        c->report.cold = json_is_true(json_object_get(j, "cold"));
+    }
+    json_decref(j);
+}
+
+static size_t
+on_header(char *p, size_t size, size_t n, void *ctx)
+{
+    struct call *c = ctx;
+    struct str line = str_of(p, size * n);
+    struct str v;
+    c->bytes = true;
+    activate(c);
+    if (str_starts(line, STR_LIT("HTTP/"))) {
+        struct str rest = str_of(p + 5, line.len - 5);
+        const char *space = memchr(rest.ptr, ' ', rest.len);
+        c->status = space ? atoi(space) : 0;
+        c->attempt_ok = false;
+    }
+    else if (header_is(line, STR_LIT("X-Attempt"), &v)) {
+        c->attempt_ok = c->attempt_text.len && str_eq(v, c->attempt_text);
+    }
+    else if (header_is(line, STR_LIT("X-Start-Id"), &v)) {
+        str_free(&c->start_id);
+        c->start_id = str_dup(v);
+    }
+    else if (header_is(line, STR_LIT("Endpoint-Load-Metrics"), &v)) {
+        read_load(c, v);
+    }
+    else if (header_is(line, STR_LIT("X-Leaving"), &v)) {
+        c->report.leaving = !str_eq_c(v, "0") && !str_eq_c(v, "false");
+    }
+    else if (header_is(line, STR_LIT("Content-Type"), &v)) {
+        c->event_stream = str_starts(v, STR_LIT("text/event-stream"));
+    }
+    else if (header_is(line, STR_LIT("Content-Length"), &v) ||
+             header_is(line, STR_LIT("Transfer-Encoding"), &v)) {
+        c->framed = true;
+    }
+    else if (trimmed(p, line.len).len == 0 && c->status >= 200) {
+        c->headers_done = true;
+        if (c->attempt && !c->attempt_ok) {
+            c->crossed = true;
+            return 0;
+        }
+    }
+    return line.len;
+}
+
+/* Called right before the request is written. libcurl repeats a request on
+ * a new connection when a reused one was lost before any answer; the first
+ * copy may have been received, so the repetition is stopped here. */
+static int
+on_prereq(void *ctx, char *remote, char *local, int remote_port,
+          int local_port)
+{
+    struct call *c = ctx;
+    (void)remote;
+    (void)local;
+    (void)remote_port;
+    (void)local_port;
+    if (c->sends > 0) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    if (c->final_check && loop_now_us() >= c->deadline_us) {
+        c->late = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    c->sends++;
+    return CURL_PREREQFUNC_OK;
+}
+
+static void on_socket_event(void *ctx, uint32_t events);
+
+struct watched {
+    struct http_out *out;
+    curl_socket_t fd;
+    struct loop_source *source;
+};
+
+static int
+on_socket(CURL *easy, curl_socket_t fd, int what, void *ctx, void *socket_ctx)
+{
+    struct http_out *o = ctx;
+    struct watched *w = socket_ctx;
+    (void)easy;
+    if (what == CURL_POLL_REMOVE) {
+        if (w) {
+            loop_del(o->loop, w->source);
+            free(w);
+            curl_multi_assign(o->multi, fd, NULL);
+        }
+        return 0;
+    }
+    uint32_t events = (what & CURL_POLL_IN ? EPOLLIN : 0) |
+                      (what & CURL_POLL_OUT ? EPOLLOUT : 0);
+    if (w) {
+        loop_mod(o->loop, w->source, events);
+        return 0;
+    }
+    w = mem_zero(1, sizeof(*w));
+    w->out = o;
+    w->fd = fd;
+    w->source = loop_add(o->loop, fd, events, on_socket_event, w);
+    curl_multi_assign(o->multi, fd, w);
+    return 0;
+}
+
+static int
+on_timer(CURLM *multi, long ms, void *ctx)
+{
+    struct http_out *o = ctx;
+    (void)multi;
+    o->timer_us = ms < 0 ? INT64_MAX : loop_now_us() + ms * 1000LL;
+    return 0;
+}
+
+/* Endpoints are addressed by IP number; a name would need a resolver. */
+static bool
+url_is_numeric(const char *url)
+{
+    unsigned char addr[16];
+    CURLU *u = curl_url();
+    char *host = NULL;
+    bool ok = false;
+    if (curl_url_set(u, CURLUPART_URL, url, 0) == CURLUE_OK &&
+        curl_url_get(u, CURLUPART_HOST, &host, 0) == CURLUE_OK) {
+        size_t len = strlen(host);
+        if (host[0] == '[' && len > 2) {
+            host[len - 1] = 0;
+            ok = inet_pton(AF_INET6, host + 1, addr) == 1;
+        }
+        else {
+            ok = inet_pton(AF_INET, host, addr) == 1;
+        }
+    }
+    curl_free(host);
+    curl_url_cleanup(u);
+    return ok;
+}
+
+static CURL *
+take_handle(struct http_out *o)
+{
+    if (o->spare_count > 0) {
+        return o->spare[--o->spare_count];
+    }
+    CURL *e = curl_easy_init();
+    curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(e, CURLOPT_PROXY, "");
+    curl_easy_setopt(e, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(e, CURLOPT_FOLLOWLOCATION, 0L);
+    curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(e, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(e, CURLOPT_TCP_KEEPIDLE, 10L);
+    curl_easy_setopt(e, CURLOPT_TCP_KEEPINTVL, 5L);
+    curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
+    curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS,
+                     (long)o->opts.connect_timeout_ms);
+    return e;
+}
+
+static struct call *
+new_call(struct http_out *o, const char *url, bool fresh, int64_t timeout_ms)
+{
+    struct call *c = mem_zero(1, sizeof(*c));
+    c->out = o;
+    c->tokens = g_array_new(FALSE, FALSE, sizeof(struct token));
+    c->easy = take_handle(o);
+    curl_easy_setopt(c->easy, CURLOPT_PRIVATE, c);
+    curl_easy_setopt(c->easy, CURLOPT_WRITEDATA, c);
+    curl_easy_setopt(c->easy, CURLOPT_HEADERDATA, c);
+    curl_easy_setopt(c->easy, CURLOPT_PREREQDATA, c);
+    curl_easy_setopt(c->easy, CURLOPT_URL, url);
+    curl_easy_setopt(c->easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
+    curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS,
+                     timeout_ms > 0 ? (long)timeout_ms : 1L);
+    return c;
+}
+
+/* Headers are kept in the call itself, which saves an allocation each. */
+static void add_header(struct call *c, int *n, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
+
+static void
+add_header(struct call *c, int *n, const char *fmt, ...)
+{
+    va_list ap;
+    va_start(ap, fmt);
+    vsnprintf(c->text[*n], HEADER_BYTES, fmt, ap);
+    va_end(ap);
+    c->headers[*n].data = c->text[*n];
+    if (*n > 0) {
+        c->headers[*n - 1].next = &c->headers[*n];
+    }
+    ++*n;
+}
+
+/* Bytes that could end a header line never leave the node. */
+static struct str
+header_value(struct str s)
+{
+    for (size_t i = 0; i < s.len; i++) {
+        if ((unsigned char)s.ptr[i] < ' ' || s.ptr[i] == 127) {
+            return STR_LIT("-");
+        }
+    }
+    return s;
+}
+
+void
+http_out_start(struct http_out *o, const struct flow_action *a,
+               struct str traceparent)
+{
+    int64_t left_ms = (a->call.deadline_us - loop_now_us()) / 1000;
+    CLEAN_FREE char *url = (char *)str_dup(a->call.url).ptr;
+    struct call *c = new_call(o, url, a->call.fresh_connection, left_ms);
+    int n = 0;
+    c->attempt = a->call.attempt;
+    c->deadline_us = a->call.deadline_us;
+    c->stream = a->call.stream;
+    c->final_check = a->call.final_check;
+    c->body = str_dup(a->call.body);
+    add_header(c, &n, "Content-Type: application/json");
+    add_header(c, &n, "Expect:");
+    add_header(c, &n, "Accept: %s",
+               c->stream ? "text/event-stream" : "application/json");
+    add_header(c, &n, "X-Request-Id: %.*s",
+               STR_FMT(header_value(a->call.request_id)));
+    c->attempt_text.len = strlen("X-Attempt: ");
+    c->attempt_text.ptr = c->text[n] + c->attempt_text.len;
+    add_header(c, &n, "X-Attempt: %" PRIu64, c->attempt);
+    c->attempt_text = str_from(c->attempt_text.ptr);
+    add_header(c, &n, "X-Stage: %.*s",
+               STR_FMT(header_value(a->call.stage_name)));
+    add_header(c, &n, "X-Deadline-Ms: %" PRId64, left_ms > 0 ? left_ms : 0);
+    if (traceparent.len) {
+        add_header(c, &n, "traceparent: %.*s",
+                   STR_FMT(header_value(traceparent)));
+    }
+    curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->headers);
+    curl_easy_setopt(c->easy, CURLOPT_POSTFIELDS, c->body.ptr);
+    curl_easy_setopt(c->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     (curl_off_t)c->body.len);
+    o->count.calls++;
+    g_hash_table_insert(o->calls, &c->attempt, c);
+    if (left_ms <= 0 || !url_is_numeric(url) ||
+        curl_multi_add_handle(o->multi, c->easy) != CURLM_OK) {
+        c->late = left_ms <= 0;
+        g_ptr_array_add(o->refused, c);
+    }
+}
+
+void
+http_out_probe(struct http_out *o, struct str endpoint, struct str url)
+{
+    CLEAN_FREE char *text = (char *)str_dup(url).ptr;
+    struct call *c = new_call(o, text, true, o->opts.probe_timeout_ms);
+    c->endpoint = str_dup(endpoint);
+    curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, NULL);
+    curl_easy_setopt(c->easy, CURLOPT_HTTPGET, 1L);
+    curl_easy_setopt(c->easy, CURLOPT_FORBID_REUSE, 1L);
+    o->count.probes++;
+    g_ptr_array_add(o->probes, c);
+    if (!url_is_numeric(text) ||
+        curl_multi_add_handle(o->multi, c->easy) != CURLM_OK) {
+        g_ptr_array_add(o->refused, c);
+    }
+}
+
+static void
+forget(struct http_out *o, struct call *c)
+{
+    if (c->attempt) {
+        g_hash_table_remove(o->calls, &c->attempt);
+    }
+    else {
+        g_ptr_array_remove_fast(o->probes, c);
+        curl_easy_setopt(c->easy, CURLOPT_FORBID_REUSE, 0L);
+    }
+    g_ptr_array_remove_fast(o->refused, c);
+}
+
+void
+http_out_cancel(struct http_out *o, uint64_t attempt)
+{
+    struct call *c = g_hash_table_lookup(o->calls, &attempt);
+    if (c) {
+        forget(o, c);
+        o->count.cancelled++;
+        /* Removing an unfinished transfer closes its connection. */
+        call_free(c);
+    }
+}
+
+static void
+emit(struct http_out *o, const struct flow_event *ev)
+{
+    o->opts.event(o->opts.ctx, ev);
+}
+
+/* Hands out bytes and tokens in order. The owner may cancel any call inside,
+ * so a call is looked up again after each event. */
+static void
+hand_out(struct http_out *o)
+{
+    while (o->active) {
+        struct call *c = o->active;
+        uint64_t attempt = c->attempt;
+        GArray *tokens = c->tokens;
+        bool bytes = c->bytes && attempt;
+        o->active = c->next_active;
+        c->listed = false;
+        c->bytes = false;
+        if (tokens->len > 0) {
+            c->tokens = g_array_new(FALSE, FALSE, sizeof(struct token));
+        }
+        else {
+            tokens = NULL;
+        }
+        if (bytes) {
+            struct flow_event ev = {.kind = FLOW_EV_CALL_BYTES,
+                                    .call_bytes = attempt};
+            emit(o, &ev);
+        }
+        for (guint i = 0; tokens && i < tokens->len; i++) {
+            struct token *t = &g_array_index(tokens, struct token, i);
+            struct flow_event ev = {.kind = FLOW_EV_CALL_TOKEN};
+            ev.call_token.attempt = attempt;
+            ev.call_token.index = t->index;
+            ev.call_token.text = t->text;
+            if (g_hash_table_lookup(o->calls, &attempt)) {
+                emit(o, &ev);
+            }
+            str_free(&t->text);
+        }
+        if (tokens) {
+            g_array_free(tokens, TRUE);
+        }
+    }
+}
+
+static void
+failed(struct flow_event *ev, enum call_fault fault, bool unsent)
+{
+    uint64_t attempt = ev->call_done.attempt;
+    ev->kind = FLOW_EV_CALL_FAILED;
+    ev->call_failed.attempt = attempt;
+    ev->call_failed.fault = fault;
+    ev->call_failed.unsent = unsent;
+}
+
+static void
+judge(struct call *c, CURLcode rc, struct flow_event *ev)
+{
+    bool unsent = c->sends == 0;
+    if (c->crossed) {
+        failed(ev, CALL_CROSSED, false);
+    }
+    else if (c->late || (rc == CURLE_OPERATION_TIMEDOUT &&
+                         loop_now_us() >= c->deadline_us - 2000)) {
+        failed(ev, CALL_TIMEOUT, unsent);
+    }
+    else if (unsent) {
+        failed(ev, CALL_REFUSED, true);
+    }
+    else if (c->bad_sse || c->too_large || rc == CURLE_PARTIAL_FILE ||
+             rc == CURLE_WRITE_ERROR) {
+        failed(ev, CALL_TRUNCATED, false);
+    }
+    else if (rc != CURLE_OK) {
+        failed(ev, c->headers_done ? CALL_TRUNCATED : CALL_RESET, false);
+    }
+    else if (c->stream && c->status == 200 &&
+             (!c->event_stream || !c->ended)) {
+        failed(ev, CALL_TRUNCATED, false);
+    }
+    else if (!(c->stream && c->status == 200) && !c->framed &&
+             c->status != 204) {
+        /* An answer that is delimited by the end of the connection cannot
+         * be told from one that was cut off. */
+        failed(ev, CALL_TRUNCATED, false);
+    }
+    else {
+        ev->call_done.http_status = c->status;
+        ev->call_done.body = buf_str(&c->answer);
+        ev->call_done.report = c->report;
+        ev->call_done.report.start_id = c->start_id;
+    }
+}
+
+static void
+finish(struct http_out *o, struct call *c, CURLcode rc)
+{
+    struct flow_event ev = {.kind = FLOW_EV_CALL_DONE};
+    long connects = 0;
+    curl_easy_getinfo(c->easy, CURLINFO_NUM_CONNECTS, &connects);
+    o->count.connections += (uint64_t)connects;
+    if (!c->attempt) {
+        ev.kind = FLOW_EV_PROBE;
+        ev.probe.endpoint = c->endpoint;
+        ev.probe.ok = rc == CURLE_OK && c->status == 200;
+        ev.probe.report = c->report;
+        ev.probe.report.start_id = c->start_id;
+    }
+    else {
+        ev.call_done.attempt = c->attempt;
+        judge(c, rc, &ev);
+        if (ev.kind == FLOW_EV_CALL_DONE) {
+            o->count.done++;
+        }
+        else {
+            o->count.failed++;
+            o->count.unsent += ev.call_failed.unsent;
+            o->count.crossed += c->crossed;
+        }
+    }
+    forget(o, c);
+    emit(o, &ev);
+    call_free(c);
+}
+
+static void
+collect(struct http_out *o)
+{
+    CURLMsg *m;
+    int left;
+    hand_out(o);
+    while (o->refused->len > 0) {
+        finish(o, g_ptr_array_index(o->refused, 0), CURLE_COULDNT_CONNECT);
+    }
+    while ((m = curl_multi_info_read(o->multi, &left))) {
+        struct call *c = NULL;
+        if (m->msg == CURLMSG_DONE) {
+            curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, (char **)&c);
+            finish(o, c, m->data.result);
+        }
+    }
+}
+
+static void
+on_socket_event(void *ctx, uint32_t events)
+{
+    struct watched *w = ctx;
+    struct http_out *o = w->out;
+    int running;
+    int mask = (events & EPOLLIN ? CURL_CSELECT_IN : 0) |
+               (events & EPOLLOUT ? CURL_CSELECT_OUT : 0) |
+               (events & (EPOLLERR | EPOLLHUP) ? CURL_CSELECT_ERR : 0);
+    curl_multi_socket_action(o->multi, w->fd, mask, &running);
+    collect(o);
+}
+
+void
+http_out_run(struct http_out *o, int64_t now_us)
+{
+    if (o->timer_us <= now_us) {
+        int running;
+        o->timer_us = INT64_MAX;
+        curl_multi_socket_action(o->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    }
+    collect(o);
+}
+
+int64_t
+http_out_wakeup(const struct http_out *o)
+{
+    return o->refused->len > 0 ? 0 : o->timer_us;
+}
+
+int
+http_out_open(const struct http_out *o)
+{
+    return (int)(g_hash_table_size(o->calls) + o->probes->len);
+}
+
+void
+http_out_metrics(const struct http_out *o, int thread, struct buf *out)
+{
+#define X(id)                                                                 \
+    buf_printf(out, "cf_http_out_" #id "_total{thread=\"%d\"} %" PRIu64 "\n", \
+               thread, o->count.id);
+    COUNTER_LIST(X)
+#undef X
+    buf_printf(out, "cf_http_out_open{thread=\"%d\"} %d\n", thread,
+               http_out_open(o));
+}
+
+struct http_out *
+http_out_new(struct loop *l, const struct http_out_options *opts)
+{
+    struct http_out *o = mem_zero(1, sizeof(*o));
+    o->opts = *opts;
+    o->loop = l;
+    if (o->opts.connect_timeout_ms <= 0) {
+        o->opts.connect_timeout_ms = 1000;
+    }
+    if (o->opts.probe_timeout_ms <= 0) {
+        o->opts.probe_timeout_ms = 1000;
+    }
+    if (o->opts.max_answer_bytes == 0) {
+        o->opts.max_answer_bytes = 16 << 20;
+    }
+    o->timer_us = INT64_MAX;
+    o->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+    o->probes = g_ptr_array_new();
+    o->refused = g_ptr_array_new();
+    o->multi = curl_multi_init();
+    curl_multi_setopt(o->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+    curl_multi_setopt(o->multi, CURLMOPT_SOCKETDATA, o);
+    curl_multi_setopt(o->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+    curl_multi_setopt(o->multi, CURLMOPT_TIMERDATA, o);
+    curl_multi_setopt(o->multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
+    curl_multi_setopt(o->multi, CURLMOPT_MAXCONNECTS, CONNECTIONS_KEPT);
+    return o;
+}
+
+void
+http_out_free(struct http_out *o)
+{
+    if (!o) {
+        return;
+    }
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, o->calls);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        call_free(v);
+    }
+    for (guint i = 0; i < o->probes->len; i++) {
+        call_free(g_ptr_array_index(o->probes, i));
+    }
+    for (int i = 0; i < o->spare_count; i++) {
+        curl_easy_cleanup(o->spare[i]);
+    }
+    curl_multi_cleanup(o->multi);
+    g_hash_table_destroy(o->calls);
+    g_ptr_array_free(o->probes, TRUE);
+    g_ptr_array_free(o->refused, TRUE);
+    free(o);
+}
--- /dev/null
+++ b/src/edge/loop.c
@@ -0,0 +1,118 @@
+#include "edge/loop.h"
+
+#include <stddef.h>
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "base/str.h"
+
+#define BATCH 128
+
+struct loop_source {
+    int fd;
+    loop_fn *fn; /* NULL: removed */
+    void *ctx;
+    struct loop_source *next_dead;
+};
+
+struct loop {
+    int fd;
+    struct loop_source *dead;
+};
+
+int64_t
+loop_now_us(void)
+{
+    struct timespec ts;
+    clock_gettime(CLOCK_MONOTONIC, &ts);
+    return ts.tv_sec * 1000000LL + ts.tv_nsec / 1000;
+}
+
+struct loop *
+loop_new(void)
+{
+    int fd = epoll_create1(EPOLL_CLOEXEC);
+    if (fd < 0) {
+        return NULL;
+    }
+    struct loop *l = mem_zero(1, sizeof(*l));
+    l->fd = fd;
+    return l;
+}
+
+/* Removed sources are freed after the batch, since later events of the same
+ * batch may still point to them. */
+static void
+reap(struct loop *l)
+{
+    while (l->dead) {
+        struct loop_source *s = l->dead;
+        l->dead = s->next_dead;
+        free(s);
+    }
+}
+
+void
+loop_free(struct loop *l)
+{
+    if (!l) {
+        return;
+    }
+    reap(l);
+    close(l->fd);
+    free(l);
+}
+
+struct loop_source *
+loop_add(struct loop *l, int fd, uint32_t events, loop_fn *fn, void *ctx)
+{
+    struct loop_source *s = mem_zero(1, sizeof(*s));
+    s->fd = fd;
+    s->fn = fn;
+    s->ctx = ctx;
+    struct epoll_event ev = {.events = events, .data.ptr = s};
+    epoll_ctl(l->fd, EPOLL_CTL_ADD, fd, &ev);
+    return s;
+}
+
+void
+loop_mod(struct loop *l, struct loop_source *s, uint32_t events)
+{
+    struct epoll_event ev = {.events = events, .data.ptr = s};
+    epoll_ctl(l->fd, EPOLL_CTL_MOD, s->fd, &ev);
+}
+
+void
+loop_del(struct loop *l, struct loop_source *s)
+{
+    epoll_ctl(l->fd, EPOLL_CTL_DEL, s->fd, NULL);
+    s->fn = NULL;
+    s->next_dead = l->dead;
+    l->dead = s;
+}
+
+void
+loop_run(struct loop *l, int64_t until_us)
+{
+    struct epoll_event evs[BATCH];
+    struct timespec ts = {0, 0};
+    struct timespec *wait = &ts;
+    int64_t left = until_us == INT64_MAX ? -1 : until_us - loop_now_us();
+    if (until_us == INT64_MAX) {
+        wait = NULL;
+    }
+    else if (left > 0) {
+        ts.tv_sec = left / 1000000;
+        ts.tv_nsec = left % 1000000 * 1000;
+    }
+    int n = epoll_pwait2(l->fd, evs, BATCH, wait, NULL);
+    for (int i = 0; i < n; i++) {
+        struct loop_source *s = evs[i].data.ptr;
+        if (s->fn) {
+            s->fn(s->ctx, evs[i].events);
+        }
+    }
+    reap(l);
+}
--- /dev/null
+++ b/src/wire/link.c
@@ -0,0 +1,410 @@
+#include "wire/link.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#define KEY_BYTES 32
+#define KEY_TEXT 40
+#define MAX_SOCKETS 2048
+#define SEND_LIMIT 256
+#define RECEIVE_LIMIT 4096
+/* Messages handled in one turn, so that other work of the loop gets its
+ * share. */
+#define BATCH 256
+
+#define COUNTER_LIST(X)                                                       \
+    X(sent)                                                                   \
+    X(dropped)                                                                \
+    X(received)                                                               \
+    X(malformed)                                                              \
+    X(denied)
+
+struct peer {
+    char *address;
+    char key[KEY_TEXT + 1];
+    bool fixed;   /* from the options */
+    bool allowed; /* in the last link_set_peers */
+    void *socket; /* NULL until first used */
+};
+
+struct link {
+    struct link_options opts;
+    bool curve;
+    char public_key[KEY_TEXT + 1];
+    char secret_key[KEY_TEXT + 1];
+    char bound[128];
+    void *ctx;
+    void *router;
+    void *zap;
+    GHashTable *peers; /* address -> struct peer */
+    struct buf out;
+#define X(id) uint64_t id;
+    struct {
+        COUNTER_LIST(X)
+    } count;
+#undef X
+};
+
+static void
+set_int(void *socket, int option, int value)
+{
+    zmq_setsockopt(socket, option, &value, sizeof(value));
+}
+
+static void
+peer_free(void *p)
+{
+    struct peer *peer = p;
+    if (peer->socket) {
+        zmq_close(peer->socket);
+    }
+    g_free(peer->address);
+    free(peer);
+}
+
+static struct peer *
+peer_put(struct link *l, const struct link_peer *p)
+{
+    char *address = g_strndup(p->address.ptr, p->address.len);
+    struct peer *peer = g_hash_table_lookup(l->peers, address);
+    char key[KEY_TEXT + 1] = "";
+    if (p->public_key.len == KEY_TEXT) {
+        memcpy(key, p->public_key.ptr, KEY_TEXT);
+    }
+    if (peer && strcmp(peer->key, key) != 0) {
+        if (peer->fixed) {
+            g_free(address);
+            return peer;
+        }
+        /* The node was replaced by one with another key. */
+        g_hash_table_remove(l->peers, address);
+        peer = NULL;
+    }
+    if (!peer) {
+        peer = mem_zero(1, sizeof(*peer));
+        peer->address = address;
+        memcpy(peer->key, key, sizeof(key));
+        g_hash_table_insert(l->peers, peer->address, peer);
+        return peer;
+    }
+    g_free(address);
+    return peer;
+}
+
+static gboolean
+is_stale(gpointer address, gpointer value, gpointer ctx)
+{
+    const struct peer *p = value;
+    (void)address;
+    (void)ctx;
+    return !p->fixed && !p->allowed;
+}
+
+static void
+clear_allowed(gpointer address, gpointer value, gpointer ctx)
+{
+    (void)address;
+    (void)ctx;
+    ((struct peer *)value)->allowed = false;
+}
+
+void
+link_set_peers(struct link *l, const struct link_peer *peers, int count)
+{
+    g_hash_table_foreach(l->peers, clear_allowed, NULL);
+    for (int i = 0; i < count; i++) {
+        peer_put(l, &peers[i])->allowed = true;
+    }
+    g_hash_table_foreach_remove(l->peers, is_stale, NULL);
+}
+
+static bool
+key_allowed(const struct link *l, const unsigned char *key, size_t len)
+{
+    char text[KEY_TEXT + 1];
+    GHashTableIter it;
+    gpointer value;
+    if (len != KEY_BYTES || !zmq_z85_encode(text, key, KEY_BYTES)) {
+        return false;
+    }
+    /* The node itself is a member of its own roster. */
+    if (strcmp(text, l->public_key) == 0) {
+        return true;
+    }
+    g_hash_table_iter_init(&it, l->peers);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        if (strcmp(((struct peer *)value)->key, text) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+enum { ZAP_FRAMES = 7 };
+
+/* One request of the ZeroMQ authentication protocol (RFC 27): version,
+ * request id, domain, address, identity, mechanism, credentials. */
+static bool
+run_zap(struct link *l)
+{
+    zmq_msg_t frames[ZAP_FRAMES];
+    int n = 0;
+    int more = 1;
+    while (more) {
+        zmq_msg_t m;
+        zmq_msg_init(&m);
+        if (zmq_msg_recv(&m, l->zap, ZMQ_DONTWAIT) < 0) {
+            zmq_msg_close(&m);
+            return false;
+        }
+        more = zmq_msg_more(&m);
+        if (n < ZAP_FRAMES) {
+            frames[n++] = m;
+        }
+        else {
+            zmq_msg_close(&m);
+        }
+    }
+    bool ok =
+        n == ZAP_FRAMES && zmq_msg_size(&frames[5]) == 5 &&
+        memcmp(zmq_msg_data(&frames[5]), "CURVE", 5) == 0 &&
+        key_allowed(l, zmq_msg_data(&frames[6]), zmq_msg_size(&frames[6]));
+    l->count.denied += !ok;
+    zmq_send(l->zap, "1.0", 3, ZMQ_SNDMORE);
+    if (n > 1) {
+        zmq_send(l->zap, zmq_msg_data(&frames[1]), zmq_msg_size(&frames[1]),
+                 ZMQ_SNDMORE);
+    }
+    else {
+        zmq_send(l->zap, "", 0, ZMQ_SNDMORE);
+    }
+    zmq_send(l->zap, ok ? "200" : "400", 3, ZMQ_SNDMORE);
+    zmq_send(l->zap, "", 0, ZMQ_SNDMORE);
+    zmq_send(l->zap, "", 0, ZMQ_SNDMORE);
+    zmq_send(l->zap, "", 0, 0);
+    for (int i = 0; i < n; i++) {
+        zmq_msg_close(&frames[i]);
+    }
+    return true;
+}
+
+static bool
+receive(struct link *l)
+{
+    zmq_msg_t m;
+    int more = 1;
+    int frame = 0;
+    while (more) {
+        zmq_msg_init(&m);
+        if (zmq_msg_recv(&m, l->router, ZMQ_DONTWAIT) < 0) {
+            zmq_msg_close(&m);
+            return false;
+        }
+        more = zmq_msg_more(&m);
+        /* Frame 0 is the connection's identity. */
+        if (frame++ == 1 && !more) {
+            struct msg msg;
+            struct str bytes = str_of(zmq_msg_data(&m), zmq_msg_size(&m));
+            if (msg_decode(bytes, &msg) == ST_OK) {
+                l->count.received++;
+                l->opts.message(l->opts.ctx, &msg);
+            }
+            else {
+                l->count.malformed++;
+            }
+        }
+        else if (frame > 2) {
+            l->count.malformed++;
+        }
+        zmq_msg_close(&m);
+    }
+    return true;
+}
+
+bool
+link_run(struct link *l)
+{
+    while (l->zap && run_zap(l)) {
+    }
+    int n = 0;
+    while (n < BATCH && receive(l)) {
+        n++;
+    }
+    return n == BATCH;
+}
+
+int
+link_fds(const struct link *l, int out[2])
+{
+    size_t size = sizeof(out[0]);
+    int n = 1;
+    zmq_getsockopt(l->router, ZMQ_FD, &out[0], &size);
+    if (l->zap) {
+        size = sizeof(out[1]);
+        zmq_getsockopt(l->zap, ZMQ_FD, &out[1], &size);
+        n = 2;
+    }
+    return n;
+}
+
+static bool
+open_socket(struct link *l, struct peer *p)
+{
+    p->socket = zmq_socket(l->ctx, ZMQ_DEALER);
+    if (!p->socket) {
+        return false;
+    }
+    /* A message waits only for an established connection: what is old when
+     * a dead peer returns is of no use to it. */
+    set_int(p->socket, ZMQ_IMMEDIATE, 1);
+    set_int(p->socket, ZMQ_SNDHWM, SEND_LIMIT);
+    set_int(p->socket, ZMQ_LINGER, 200);
+    set_int(p->socket, ZMQ_RECONNECT_IVL, 100);
+    set_int(p->socket, ZMQ_RECONNECT_IVL_MAX, 1000);
+    set_int(p->socket, ZMQ_CONNECT_TIMEOUT, 1000);
+    set_int(p->socket, ZMQ_HEARTBEAT_IVL, 1000);
+    set_int(p->socket, ZMQ_HEARTBEAT_TIMEOUT, 3000);
+    if (l->curve) {
+        zmq_setsockopt(p->socket, ZMQ_CURVE_SERVERKEY, p->key, KEY_TEXT + 1);
+        zmq_setsockopt(p->socket, ZMQ_CURVE_PUBLICKEY, l->public_key,
+                       KEY_TEXT + 1);
+        zmq_setsockopt(p->socket, ZMQ_CURVE_SECRETKEY, l->secret_key,
+                       KEY_TEXT + 1);
+    }
+    if (zmq_connect(p->socket, p->address) != 0) {
+        zmq_close(p->socket);
+        p->socket = NULL;
+        return false;
+    }
+    return true;
+}
+
+bool
+link_send(struct link *l, struct str address, const struct msg *m)
+{
+    char text[128];
+    struct peer *p = NULL;
+    if (address.len < sizeof(text)) {
+        memcpy(text, address.ptr, address.len);
+        text[address.len] = 0;
+        p = g_hash_table_lookup(l->peers, text);
+        if (!p && !l->curve &&
+            g_hash_table_size(l->peers) < MAX_SOCKETS - 16) {
+            struct link_peer open = {.address = address};
+            p = peer_put(l, &open);
+            p->allowed = true;
+        }
+    }
+    if (!p || (l->curve && !p->key[0]) || (!p->socket && !open_socket(l, p))) {
+        l->count.dropped++;
+        return false;
+    }
+    buf_clear(&l->out);
+    msg_encode(m, &l->out);
+    if (zmq_send(p->socket, l->out.ptr, l->out.len, ZMQ_DONTWAIT) < 0) {
+        l->count.dropped++;
+        return false;
+    }
+    l->count.sent++;
+    return true;
+}
+
+const char *
+link_address(const struct link *l)
+{
+    return l->bound;
+}
+
+void
+link_metrics(const struct link *l, struct buf *out)
+{
+#define X(id)                                                                 \
+    buf_printf(out, "cf_link_" #id "_total %" PRIu64 "\n", l->count.id);
+    COUNTER_LIST(X)
+#undef X
+    buf_printf(out, "cf_link_peers %u\n", g_hash_table_size(l->peers));
+}
+
+static bool
+bind_router(struct link *l)
+{
+    l->router = zmq_socket(l->ctx, ZMQ_ROUTER);
+    set_int(l->router, ZMQ_LINGER, 0);
+    set_int(l->router, ZMQ_RCVHWM, RECEIVE_LIMIT);
+    set_int(l->router, ZMQ_HANDSHAKE_IVL, 2000);
+    set_int(l->router, ZMQ_HEARTBEAT_IVL, 1000);
+    set_int(l->router, ZMQ_HEARTBEAT_TIMEOUT, 3000);
+    int64_t largest = MSG_MAX_BYTES;
+    zmq_setsockopt(l->router, ZMQ_MAXMSGSIZE, &largest, sizeof(largest));
+    if (l->curve) {
+        set_int(l->router, ZMQ_CURVE_SERVER, 1);
+        zmq_setsockopt(l->router, ZMQ_CURVE_SECRETKEY, l->secret_key,
+                       KEY_TEXT + 1);
+        zmq_setsockopt(l->router, ZMQ_ZAP_DOMAIN, "nodes", 5);
+        l->zap = zmq_socket(l->ctx, ZMQ_REP);
+        set_int(l->zap, ZMQ_LINGER, 0);
+        if (zmq_bind(l->zap, "inproc://zeromq.zap.01") != 0) {
+            return false;
+        }
+    }
+    char *address = g_strndup(l->opts.address.ptr, l->opts.address.len);
+    int rc = zmq_bind(l->router, address);
+    g_free(address);
+    size_t size = sizeof(l->bound);
+    return rc == 0 &&
+           zmq_getsockopt(l->router, ZMQ_LAST_ENDPOINT, l->bound, &size) == 0;
+}
+
+enum status
+link_new(const struct link_options *opts, struct link **out)
+{
+    if ((opts->public_key.len != 0 || opts->secret_key.len != 0) &&
+        (opts->public_key.len != KEY_TEXT ||
+         opts->secret_key.len != KEY_TEXT)) {
+        return err_set(ST_INVALID, "link keys need 40 characters (Z85)");
+    }
+    struct link *l = mem_zero(1, sizeof(*l));
+    l->opts = *opts;
+    l->curve = opts->public_key.len == KEY_TEXT;
+    if (l->curve) {
+        memcpy(l->public_key, opts->public_key.ptr, KEY_TEXT);
+        memcpy(l->secret_key, opts->secret_key.ptr, KEY_TEXT);
+    }
+    l->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
+    for (int i = 0; i < opts->peer_count; i++) {
+        peer_put(l, &opts->peers[i])->fixed = true;
+    }
+    l->ctx = zmq_ctx_new();
+    zmq_ctx_set(l->ctx, ZMQ_MAX_SOCKETS, MAX_SOCKETS);
+    if (!bind_router(l)) {
+        int e = errno;
+        link_free(l);
+        return err_set(ST_IO, "cannot bind %.*s: %s", STR_FMT(opts->address),
+                       zmq_strerror(e));
+    }
+    *out = l;
+    return ST_OK;
+}
+
+void
+link_free(struct link *l)
+{
+    if (!l) {
+        return;
+    }
+    g_hash_table_destroy(l->peers);
+    if (l->router) {
+        zmq_close(l->router);
+    }
+    /* The ZAP handler closes last: open handshakes wait for it. */
+    if (l->zap) {
+        zmq_close(l->zap);
+    }
+    zmq_ctx_term(l->ctx);
+    buf_free(&l->out);
+    free(l);
+}
--- /dev/null
+++ b/src/wire/link.h
@@ -0,0 +1,56 @@
+/**
+ * @file link.h
+ * ZeroMQ transport between nodes, on the control thread: one bound ROUTER
+ * for all incoming messages and one DEALER for each peer that is sent to.
+ * Nothing blocks; a message that cannot be queued at once is dropped.
+ */
+#ifndef WIRE_LINK_H
+#define WIRE_LINK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/err.h"
+#include "base/str.h"
+#include "wire/msg.h"
+
+/** A node that may connect and be sent to. */
+struct link_peer {
+    struct str address;    /**< "tcp://IP:PORT" */
+    struct str public_key; /**< Z85, 40 characters */
+};
+
+struct link_options {
+    struct str address;    /**< to bind; port "*" is chosen by the system */
+    struct str public_key; /**< Z85; empty: no CURVE, all peers allowed */
+    struct str secret_key;
+    int peer_count; /**< always allowed, whatever link_set_peers says */
+    const struct link_peer *peers;
+    void *ctx;
+    /** A decoded message; its strings are valid during the call. */
+    void (*message)(void *ctx, const struct msg *m);
+};
+
+struct link;
+
+enum status link_new(const struct link_options *opts, struct link **out);
+void link_free(struct link *l);
+
+/** The bound address, owned by the link. */
+const char *link_address(const struct link *l);
+
+/** Replaces the allowed peers besides those of the options. */
+void link_set_peers(struct link *l, const struct link_peer *peers, int count);
+
+/** @return false if the message was dropped */
+bool link_send(struct link *l, struct str address, const struct msg *m);
+
+/** Descriptors to watch for reading; after any is readable, and after each
+ * link_send, call link_run. @return their number */
+int link_fds(const struct link *l, int out[2]);
+/** Receives waiting messages. @return true if more may wait */
+bool link_run(struct link *l);
+
+void link_metrics(const struct link *l, struct buf *out);
+
+#endif
