--- /dev/null
+++ b/src/settings/toml.cc
@@ -0,0 +1,101 @@
+#include "settings/toml.h"
+
+#include <cstdio>
+#include <exception>
+#include <sstream>
+#include <string_view>
+
+#define TOML_EXCEPTIONS 0
+#define TOML_HEADER_ONLY 1
+#include <toml++/toml.h>
+
+namespace {
+
+json_t *convert(const toml::node &node);
+
+json_t *
+convert_table(const toml::table &table)
+{
+    json_t *obj = json_object();
+    for (const auto &[key, value] : table) {
+        json_object_set_new(obj, std::string(key.str()).c_str(),
+                            convert(value));
+    }
+    return obj;
+}
+
+json_t *
+convert_array(const toml::array &array)
+{
+    json_t *arr = json_array();
+    for (const auto &value : array) {
+        json_array_append_new(arr, convert(value));
+    }
+    return arr;
+}
+
+json_t *
+convert(const toml::node &node)
+{
+    if (const auto *t = node.as_table()) {
+        return convert_table(*t);
+    }
+    if (const auto *a = node.as_array()) {
+        return convert_array(*a);
+    }
+    if (const auto *s = node.as_string()) {
+        return json_stringn(s->get().data(), s->get().size());
+    }
+    if (const auto *i = node.as_integer()) {
+        return json_integer(i->get());
+    }
+    if (const auto *f = node.as_floating_point()) {
+        json_t *real = json_real(f->get());
+        // JSON has no infinity and no NaN; null fails every type check.
+        return real ? real : json_null();
+    }
+    if (const auto *b = node.as_boolean()) {
+        return json_boolean(b->get());
+    }
+    std::ostringstream text;
+    node.visit([&text](const auto &value) {
+        if constexpr (toml::is_date<decltype(value)> ||
+                      toml::is_time<decltype(value)> ||
+                      toml::is_date_time<decltype(value)>) {
+            text << value.get();
+        }
+    });
+    return json_string(text.str().c_str());
+}
+
+void
+set_fault(struct toml_fault *fault, int line, int column,
+          std::string_view message)
+{
+    fault->line = line;
+    fault->column = column;
+    std::snprintf(fault->message, sizeof(fault->message), "%.*s",
+                  static_cast<int>(message.size()), message.data());
+}
+
+} // namespace
+
+json_t *
+toml_to_json(const char *text, size_t len, struct toml_fault *fault)
+{
+    try {
+        toml::parse_result result = toml::parse(std::string_view(text, len));
+        if (!result) {
+            const toml::parse_error &e = result.error();
+            set_fault(fault, static_cast<int>(e.source().begin.line),
+                      static_cast<int>(e.source().begin.column),
+                      e.description());
+            return nullptr;
+        }
+        return convert_table(result.table());
+    }
+    catch (const std::exception &e) {
+        set_fault(fault, 0, 0, e.what());
+        return nullptr;
+    }
+}
