Add the daemon's threads and tests of its I/O modules

Cause: a request has to pass HTTP in, the flow core and HTTP out. Found by them: libcurl's end of headers cut by a close counted as a truncated answer, a pipelined request waited for the next event, an oversized body with Expect was read, and a denied link peer never connected again (ZAP status 400, now 300).

--- /dev/null
+++ b/src/daemon/resources.c
@@ -0,0 +1,326 @@
+#include "daemon/traffic_state.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clean.h"
+#include "base/log.h"
+
+/* The control core acknowledges an edit once a majority confirmed it; a
+ * roster that does not answer is reported after this time. */
+#define ADMIN_LIMIT_US 8000000
+#define ANSWER_GRACE_US 1000000
+/* The control thread confirms readiness several times a second; an older
+ * confirmation means that it hangs. */
+#define READY_US 2000000
+#define REQUEST_ID_LENGTH 32
+
+static bool
+is_get(const struct http_in_request *r)
+{
+    return str_eq_c(r->method, "GET") || str_eq_c(r->method, "HEAD");
+}
+
+static void
+refuse(struct traffic *t, uint64_t id, enum errkind kind, const char *message)
+{
+    http_in_refuse(t->in, id, kind, str_from(message), 0);
+}
+
+static void
+wait_for(struct traffic *t, struct bridge_msg *m, bool changes,
+         int64_t limit_us)
+{
+    struct waiting w = {m->id, m->kind, changes, loop_now_us() + limit_us};
+    g_array_append_val(t->waiting, w);
+    bridge_push(t->opts.to_control, m);
+}
+
+static void
+ready(struct traffic *t, const struct http_in_request *r)
+{
+    struct shared *s = t->opts.shared;
+    int64_t at = atomic_load(&s->ready_us);
+    if (atomic_load(&s->phase) != PHASE_RUNNING) {
+        refuse(t, r->id, ERRKIND_NOT_READY, "the node is leaving");
+    }
+    else if (at == 0 || loop_now_us() - at > READY_US || !t->snapshot) {
+        refuse(t, r->id, ERRKIND_NOT_READY, "");
+    }
+    else {
+        http_in_answer(t->in, r->id, 200, "text/plain", STR_LIT("ready\n"));
+    }
+}
+
+static void
+metrics(struct traffic *t, const struct http_in_request *r)
+{
+    struct bridge_msg *m = bridge_msg_new(BRIDGE_METRICS);
+    struct buf text = {0};
+    flow_metrics(t->flow, &text);
+    http_in_metrics(t->in, &text);
+    http_out_metrics(t->out, t->opts.thread, &text);
+    m->id = r->id;
+    m->thread = t->opts.thread;
+    m->text = buf_take(&text);
+    wait_for(t, m, false, ANSWER_GRACE_US);
+}
+
+static void
+answer_trace(struct traffic *t, uint64_t id, struct str request_id,
+             struct str team, bool is_operator)
+{
+    CLEAN(buf_free) struct buf out = {0};
+    if (trace_json(t->traces, request_id, team, is_operator, &out) == ST_OK) {
+        http_in_answer(t->in, id, 200, "application/json", buf_str(&out));
+    }
+    else {
+        refuse(t, id, ERRKIND_NOT_FOUND, "no such trace on this node");
+    }
+}
+
+static int
+thread_of(struct str id)
+{
+    char hex[3] = {0};
+    if (id.len != REQUEST_ID_LENGTH) {
+        return -1;
+    }
+    memcpy(hex, id.ptr + REQUEST_ID_LENGTH - 2, 2);
+    char *end;
+    long n = strtol(hex, &end, 16);
+    return *end ? -1 : (int)n;
+}
+
+static void
+trace(struct traffic *t, const struct http_in_request *r, struct str id)
+{
+    const struct fleet *f = t->snapshot ? t->snapshot->fleet : NULL;
+    int team = f ? fleet_team_auth(f, r->token) : -1;
+    bool is_operator = f && fleet_operator_auth(f, r->token) >= 0;
+    if (team < 0 && !is_operator) {
+        refuse(t, r->id, ERRKIND_UNAUTHENTICATED, "");
+        return;
+    }
+    struct str name = team >= 0 ? f->teams[team].name : STR_LIT("");
+    int thread = thread_of(id);
+    if (thread == t->opts.thread || thread < 0 ||
+        thread >= t->opts.shared->settings->traffic_threads) {
+        answer_trace(t, r->id, id, name, is_operator);
+        return;
+    }
+    /* Another thread holds the trace; the control thread passes it on. */
+    struct bridge_msg *m = bridge_msg_new(BRIDGE_TRACE_GET);
+    m->id = r->id;
+    m->thread = t->opts.thread;
+    m->text = str_dup(id);
+    m->team = str_dup(name);
+    m->is_operator = is_operator;
+    wait_for(t, m, false, ANSWER_GRACE_US);
+}
+
+static enum admin_verb
+verb_of(struct str name, bool *known)
+{
+    *known = true;
+#define X(id, text)                                                           \
+    if (str_eq_c(name, text)) {                                               \
+        return ADMIN_##id;                                                    \
+    }
+    ADMIN_VERB_LIST(X)
+#undef X
+    *known = false;
+    return ADMIN_SHOW;
+}
+
+/* Who changes something is what the credential says, not the body. */
+static bool
+signed_body(const struct http_in_request *r, struct str by, struct str *out)
+{
+    json_t *j =
+        json_loadb(r->body.ptr, r->body.len, JSON_REJECT_DUPLICATES, NULL);
+    if (!json_is_object(j)) {
+        json_decref(j);
+        return false;
+    }
+    json_object_set_new(j, "by", json_stringn(by.ptr, by.len));
+    char *text = json_dumps(j, JSON_COMPACT);
+    json_decref(j);
+    *out = str_from(text);
+    return text != NULL;
+}
+
+static void
+admin(struct traffic *t, const struct http_in_request *r, struct str name)
+{
+    bool known;
+    enum admin_verb verb = verb_of(name, &known);
+    bool changes = verb == ADMIN_EDIT || verb == ADMIN_APPLY;
+    const struct fleet *f = t->snapshot ? t->snapshot->fleet : NULL;
+    int who = f ? fleet_operator_auth(f, r->token) : -1;
+    /* A fleet without configuration has no operators yet: its first one is
+     * accepted from the node's own machine. */
+    bool bootstrap = !f && r->loopback && verb != ADMIN_EDIT;
+    struct bridge_msg *m;
+    if (!known) {
+        refuse(t, r->id, ERRKIND_NOT_FOUND, "");
+        return;
+    }
+    if (who < 0 && !bootstrap) {
+        refuse(t, r->id, ERRKIND_UNAUTHENTICATED, "");
+        return;
+    }
+    if (changes && !bootstrap && !f->operators[who].may_edit) {
+        refuse(t, r->id, ERRKIND_FORBIDDEN, "viewers only read");
+        return;
+    }
+    if (changes ? !str_eq_c(r->method, "POST") : !is_get(r)) {
+        refuse(t, r->id, ERRKIND_BAD_REQUEST,
+               changes ? "needs POST" : "needs GET");
+        return;
+    }
+    m = bridge_msg_new(BRIDGE_ADMIN);
+    if (changes &&
+        !signed_body(r,
+                     who >= 0 ? f->operators[who].name : STR_LIT("bootstrap"),
+                     &m->text)) {
+        bridge_msg_free(m);
+        refuse(t, r->id, ERRKIND_BAD_REQUEST, "the body is no JSON object");
+        return;
+    }
+    m->id = r->id;
+    m->thread = t->opts.thread;
+    m->verb = verb;
+    m->at_us = loop_now_us() + ADMIN_LIMIT_US;
+    if (changes) {
+        LOG_EVENT(LOG_INFO, "admin", LOG_S("verb", name),
+                  LOG_S("by", who >= 0 ? f->operators[who].name
+                                       : STR_LIT("bootstrap")),
+                  LOG_S("request", r->request_id));
+    }
+    wait_for(t, m, changes, ADMIN_LIMIT_US + ANSWER_GRACE_US);
+}
+
+static bool
+cut(struct str path, struct str prefix, struct str *rest)
+{
+    if (!str_starts(path, prefix)) {
+        return false;
+    }
+    *rest = str_of(path.ptr + prefix.len, path.len - prefix.len);
+    return true;
+}
+
+void
+resources_request(struct traffic *t, const struct http_in_request *r)
+{
+    struct str rest;
+    if (cut(r->path, STR_LIT("/admin/"), &rest)) {
+        admin(t, r, rest);
+    }
+    else if (str_eq_c(r->path, "/healthz")) {
+        http_in_answer(t->in, r->id, 200, "text/plain", STR_LIT("ok\n"));
+    }
+    else if (str_eq_c(r->path, "/readyz")) {
+        ready(t, r);
+    }
+    else if (str_eq_c(r->path, "/metrics")) {
+        metrics(t, r);
+    }
+    else if (cut(r->path, STR_LIT("/v1/traces/"), &rest)) {
+        trace(t, r, rest);
+    }
+    else {
+        refuse(t, r->id, ERRKIND_NOT_FOUND, "");
+    }
+}
+
+static bool
+take_waiting(struct traffic *t, uint64_t id, struct waiting *out)
+{
+    for (guint i = 0; i < t->waiting->len; i++) {
+        struct waiting *w = &g_array_index(t->waiting, struct waiting, i);
+        if (w->id == id) {
+            *out = *w;
+            g_array_remove_index_fast(t->waiting, i);
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Adds what the control core said to the refusal: its members, or its text
+ * as the message. */
+static void
+refuse_with(struct traffic *t, uint64_t id, enum errkind kind,
+            struct str details)
+{
+    json_t *d = json_loadb(details.ptr, details.len, 0, NULL);
+    const char *message = json_string_value(json_object_get(d, "message"));
+    char *text = NULL;
+    if (json_is_object(d) && !message) {
+        text = json_dumps(d, JSON_COMPACT);
+        message = text;
+    }
+    refuse(t, id, kind, message ? message : "");
+    free(text);
+    json_decref(d);
+}
+
+void
+resources_message(struct traffic *t, struct bridge_msg *m)
+{
+    struct waiting w;
+    if (m->kind == BRIDGE_TRACE_GET) {
+        struct bridge_msg *back = bridge_msg_new(BRIDGE_RESULT);
+        struct buf out = {0};
+        back->id = m->id;
+        back->thread = m->thread;
+        if (trace_json(t->traces, m->text, m->team, m->is_operator, &out) !=
+            ST_OK) {
+            back->error = ERRKIND_NOT_FOUND;
+        }
+        back->text = buf_take(&out);
+        bridge_push(t->opts.to_control, back);
+        return;
+    }
+    if (!take_waiting(t, m->id, &w)) {
+        return;
+    }
+    if (m->error != ERRKIND_NONE) {
+        refuse_with(t, m->id, m->error, m->text);
+        return;
+    }
+    http_in_answer(t->in, m->id, 200,
+                   w.kind == BRIDGE_METRICS ? "text/plain; version=0.0.4"
+                                            : "application/json",
+                   m->text);
+}
+
+void
+resources_tick(struct traffic *t, int64_t now_us)
+{
+    for (guint i = 0; i < t->waiting->len;) {
+        struct waiting w = g_array_index(t->waiting, struct waiting, i);
+        if (w.deadline_us > now_us) {
+            i++;
+            continue;
+        }
+        g_array_remove_index_fast(t->waiting, i);
+        refuse(t, w.id,
+               w.changes ? ERRKIND_CHANGE_UNCONFIRMED : ERRKIND_NOT_READY,
+               "no answer from the control thread");
+    }
+}
+
+int64_t
+resources_wakeup(const struct traffic *t)
+{
+    int64_t at = INT64_MAX;
+    for (guint i = 0; i < t->waiting->len; i++) {
+        int64_t d = g_array_index(t->waiting, struct waiting, i).deadline_us;
+        at = d < at ? d : at;
+    }
+    return at;
+}
--- a/src/edge/http_in.c
+++ b/src/edge/http_in.c
@@ -47,6 +47,7 @@
     struct buf body;
     enum errkind refused; /* found while receiving */
     const char *why;
+    bool refuse_now; /* without reading the body */
     struct MHD_Response *response;
     int status;
     bool handed;
@@ -247,6 +248,7 @@
     size_t bytes;
     bool has_length;
     bool has_coding;
+    bool expects; /* Expect: 100-continue */
     int64_t length;
     int tokens;
     int keys;
@@ -273,6 +275,9 @@
         if (is(name, name_len, STR_LIT("accept"))) {
             r->stream = memmem(v.ptr, v.len, "text/event-stream", 17) != NULL;
         }
+        else if (is(name, name_len, STR_LIT("expect"))) {
+            s->expects = true;
+        }
         break;
     case 11:
         if (is(name, name_len, STR_LIT("traceparent"))) {
@@ -364,6 +369,9 @@
         x->refused = ERRKIND_TOO_LARGE;
         x->why = "body is too large";
     }
+    x->refuse_now =
+        x->refused &&
+        (s.expects || s.length > (int64_t)in->max_body + DISCARD_BYTES);
     return x;
 }
 
@@ -470,6 +478,11 @@
     if (!x) {
         x = begin(in, mhd, url, method);
         *con_cls = x;
+        if (x->refuse_now) {
+            move(x->conn, CONN_BUSY);
+            refuse(x, x->refused, str_from(x->why), 0);
+            return send_response(x);
+        }
         return MHD_YES;
     }
     if (*size > 0) {
@@ -669,8 +682,11 @@
 void
 http_in_run(struct http_in *in, int64_t now_us)
 {
+    MHD_UNSIGNED_LONG_LONG ms = 1;
     expire(in, now_us);
-    if (in->busy) {
+    /* A zero time-out announces input that MHD has buffered already, such
+     * as a pipelined request. */
+    if (in->busy || (MHD_get_timeout(in->daemon, &ms) == MHD_YES && ms == 0)) {
         in->busy = false;
         MHD_run(in->daemon);
     }
--- a/src/edge/http_out.c
+++ b/src/edge/http_out.c
@@ -587,7 +587,7 @@
              rc == CURLE_WRITE_ERROR) {
         failed(ev, CALL_TRUNCATED, false);
     }
-    else if (rc != CURLE_OK) {
+    else if (rc != CURLE_OK || !c->headers_done) {
         failed(ev, c->headers_done ? CALL_TRUNCATED : CALL_RESET, false);
     }
     else if (c->stream && c->status == 200 &&
--- a/src/flow/claim.c
+++ b/src/flow/claim.c
@@ -234,6 +234,8 @@
         cl->step = CLAIM_STEP_CLOSED;
         request_refuse(f, r, ERRKIND_KEY_REUSED, "stage %d", stage);
         return;
+    case CLAIM_CLOSED: /* travels between nodes only */
+        return;
     case CLAIM_UNAVAILABLE:
         request_refuse(
             f, r, opening ? ERRKIND_CLAIM_UNKNOWN : ERRKIND_STORE_UNAVAILABLE,
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -182,7 +182,10 @@
     else {
         zmq_send(l->zap, "", 0, ZMQ_SNDMORE);
     }
-    zmq_send(l->zap, ok ? "200" : "400", 3, ZMQ_SNDMORE);
+    /* 300 is a temporary failure, after which the peer connects again: a
+     * joining node may be ahead of the roster known here. After 400 libzmq
+     * would give up for good. */
+    zmq_send(l->zap, ok ? "200" : "300", 3, ZMQ_SNDMORE);
     zmq_send(l->zap, "", 0, ZMQ_SNDMORE);
     zmq_send(l->zap, "", 0, ZMQ_SNDMORE);
     zmq_send(l->zap, "", 0, 0);
--- /dev/null
+++ b/tests/test_http_in.c
@@ -0,0 +1,339 @@
+/* Guards against callers that hold resources (slow, oversized, gone), against
+ * requests that can be read in two ways, and against streams without end. */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/clean.h"
+#include "edge/http_in.h"
+#include "tests/peer.h"
+
+#define LIMIT_US 20000000
+
+struct rig {
+    struct loop *loop;
+    struct http_in *in;
+    struct buf log; /* requests handed over, callers gone */
+    uint64_t last;  /* id of the last request on /hold */
+    int64_t skew_us;
+};
+
+static void
+on_request(void *ctx, const struct http_in_request *r)
+{
+    struct rig *g = ctx;
+    buf_printf(&g->log, "%.*s %.*s key=%.*s token=%.*s body=%zu;",
+               STR_FMT(r->method), STR_FMT(r->path), STR_FMT(r->key),
+               STR_FMT(r->token), r->body.len);
+    g_assert_cmpint(r->request_id.len, ==, 32);
+    g_assert_true(r->loopback);
+    g->last = r->id;
+    if (str_eq_c(r->path, "/echo")) {
+        http_in_answer(g->in, r->id, 200, "text/plain", r->body);
+    }
+}
+
+static void
+on_gone(void *ctx, uint64_t id)
+{
+    struct rig *g = ctx;
+    g_assert_cmpint(id, ==, g->last);
+    buf_printf(&g->log, "gone;");
+}
+
+static void
+rig_open(struct rig *g, int per_caller)
+{
+    *g = (struct rig){.loop = loop_new()};
+    struct http_in_options opts = {
+        .address = STR_LIT("127.0.0.1"),
+        .max_connections = 64,
+        .max_connections_per_caller = per_caller,
+        .receive_timeout_ms = 10000,
+        .max_header_bytes = 2048,
+        .thread = 3,
+        .ctx = g,
+        .request = on_request,
+        .gone = on_gone,
+    };
+    g_assert_cmpint(http_in_new(g->loop, &opts, &g->in), ==, ST_OK);
+    http_in_set_max_body(g->in, 1000);
+    buf_printf(&g->log, "%s", "");
+}
+
+static void
+rig_close(struct rig *g)
+{
+    http_in_free(g->in);
+    loop_free(g->loop);
+    buf_free(&g->log);
+}
+
+static void
+pump(struct rig *g)
+{
+    int64_t now = loop_now_us();
+    int64_t wake = http_in_wakeup(g->in, now);
+    loop_run(g->loop, wake < now + 2000 ? wake : now + 2000);
+    http_in_run(g->in, loop_now_us() + g->skew_us);
+}
+
+/* Runs the server until the client has read @p want or the connection has
+ * ended. */
+static void
+until(struct rig *g, int fd, struct buf *in, const char *want)
+{
+    int64_t end = loop_now_us() + LIMIT_US;
+    while (client_read(fd, in)) {
+        if (want && in->ptr && strstr(in->ptr, want)) {
+            return;
+        }
+        g_assert_cmpint(loop_now_us(), <, end);
+        pump(g);
+    }
+    if (want && !(in->ptr && strstr(in->ptr, want))) {
+        g_error("no \"%s\" in \"%s\"", want, in->ptr ? in->ptr : "");
+    }
+}
+
+static void
+until_logged(struct rig *g, const char *want)
+{
+    int64_t end = loop_now_us() + LIMIT_US;
+    while (!strstr(g->log.ptr, want)) {
+        g_assert_cmpint(loop_now_us(), <, end);
+        pump(g);
+    }
+}
+
+#define POST(path) "POST " path " HTTP/1.1\r\nHost: x\r\n"
+
+static void
+test_requests(void)
+{
+    static char big[4000];
+    memset(big, 'a', sizeof(big) - 1);
+    CLEAN_FREE char *fat =
+        g_strdup_printf("GET /echo HTTP/1.1\r\nHost: x\r\nX: %s\r\n\r\n", big);
+    CLEAN_FREE char *chunked = g_strdup_printf(
+        POST("/echo") "Transfer-Encoding: chunked\r\n\r\nf9f\r\n%s\r\n0\r\n"
+                      "\r\n",
+        big);
+    CLEAN_FREE char *long_body =
+        g_strdup_printf(POST("/echo") "Content-Length: 3999\r\n\r\n%s", big);
+    const struct {
+        const char *in, *out, *log;
+    } rows[] = {
+        {"GET /echo HTTP/1.1\r\nHost: x\r\n\r\n", "HTTP/1.1 200",
+         "GET /echo key= token= body=0;"},
+        {POST("/echo") "Content-Length: 2\r\nauthorization: bearer t1\r\n"
+                       "IDEMPOTENCY-KEY: k1\r\n\r\nhi",
+         "\r\n\r\nhi", "POST /echo key=k1 token=t1 body=2;"},
+        {POST("/echo") "Transfer-Encoding: chunked\r\n\r\n1\r\nh\r\n1\r\ni\r\n"
+                       "0\r\n\r\n",
+         "\r\n\r\nhi", "POST /echo key= token= body=2;"},
+        {POST("/echo") "Authorization: Basic eDp5\r\nContent-Length: 0\r\n"
+                       "\r\n",
+         "HTTP/1.1 200", "POST /echo key= token= body=0;"},
+        {long_body, "\"kind\":\"too_large\"", ""},
+        {chunked, "\"kind\":\"too_large\"", ""},
+        {POST("/echo") "Content-Length: 99999999\r\n"
+                       "Expect: 100-continue\r\n\r\n",
+         "HTTP/1.1 413", ""},
+        {fat, "\"kind\":\"too_large\"", ""},
+        {POST("/echo") "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n"
+                       "\r\n0\r\n\r\n",
+         "HTTP/1.1 400", ""},
+        {POST("/echo") "Idempotency-Key: a\r\nIdempotency-Key: b\r\n"
+                       "Content-Length: 0\r\n\r\n",
+         "\"kind\":\"bad_request\"", ""},
+        {POST("/echo") "Authorization: Bearer a\r\nAuthorization: Bearer b\r\n"
+                       "Content-Length: 0\r\n\r\n",
+         "\"kind\":\"bad_request\"", ""},
+        /* libmicrohttpd closes without an answer */
+        {"nonsense\r\n\r\n", NULL, ""},
+    };
+    struct rig g;
+    rig_open(&g, 0);
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        CLEAN(buf_free) struct buf in = {0};
+        int fd = client_connect(http_in_port(g.in));
+        buf_clear(&g.log);
+        client_send(fd, str_from(rows[i].in));
+        g_test_message("row %zu", i);
+        until(&g, fd, &in, rows[i].out);
+        g_assert_cmpstr(g.log.ptr, ==, rows[i].log);
+        close(fd);
+    }
+    rig_close(&g);
+}
+
+/* Bytes that trickle in must not extend the time for a request. */
+static void
+test_slow_sender(void)
+{
+    static const char *const begun[] = {
+        "", "GET /ec", POST("/echo") "Content-Length: 5\r\n\r\nab"};
+    struct rig g;
+    rig_open(&g, 0);
+    for (size_t i = 0; i < G_N_ELEMENTS(begun); i++) {
+        CLEAN(buf_free) struct buf in = {0};
+        int fd = client_connect(http_in_port(g.in));
+        client_send(fd, str_from(begun[i]));
+        for (int k = 0; k < 5; k++) {
+            pump(&g);
+        }
+        g.skew_us = 10500000;
+        until(&g, fd, &in, NULL);
+        g.skew_us = 0;
+        g_assert_nonnull(strstr(in.ptr, "\"kind\":\"slow_sender\""));
+        g_assert_cmpstr(g.log.ptr, ==, "");
+        close(fd);
+    }
+    rig_close(&g);
+}
+
+static void
+test_gone(void)
+{
+    struct rig g;
+    rig_open(&g, 0);
+    for (int half = 0; half < 2; half++) {
+        int fd = client_connect(http_in_port(g.in));
+        buf_clear(&g.log);
+        client_send(fd, STR_LIT("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n"));
+        until_logged(&g, "/hold");
+        if (half) {
+            shutdown(fd, SHUT_WR);
+        }
+        else {
+            close(fd);
+        }
+        until_logged(&g, "gone;");
+        http_in_answer(g.in, g.last, 200, "text/plain", STR_LIT("late"));
+        while (http_in_open(g.in) > 0) {
+            pump(&g);
+        }
+        if (half) {
+            CLEAN(buf_free) struct buf in = {0};
+            until(&g, fd, &in, NULL);
+            g_assert_cmpint(in.len, ==, 0);
+            close(fd);
+        }
+    }
+    rig_close(&g);
+}
+
+static void
+test_later_and_pipelined(void)
+{
+    CLEAN(buf_free) struct buf in = {0};
+    struct rig g;
+    rig_open(&g, 0);
+    int fd = client_connect(http_in_port(g.in));
+    client_send(fd, STR_LIT("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n"
+                            "GET /hold HTTP/1.1\r\nHost: x\r\n\r\n"));
+    until_logged(&g, "/hold");
+    uint64_t first = g.last;
+    http_in_answer(g.in, first, 200, "text/plain", STR_LIT("one"));
+    until(&g, fd, &in, "one");
+    until_logged(&g, ";GET /hold");
+    /* The id of an answered request must not reach its successor. */
+    http_in_answer(g.in, first, 200, "text/plain", STR_LIT("twice"));
+    http_in_refuse(g.in, g.last, ERRKIND_OVERLOADED, STR_LIT("busy"), 1500);
+    until(&g, fd, &in, "\"message\":\"busy\"");
+    g_assert_nonnull(strstr(in.ptr, "HTTP/1.1 503"));
+    g_assert_nonnull(strstr(in.ptr, "Retry-After: 2"));
+    g_assert_null(strstr(in.ptr, "twice"));
+    close(fd);
+    rig_close(&g);
+}
+
+static void
+test_stream(void)
+{
+    static const char *const last[] = {"done", "error", "cut"};
+    struct rig g;
+    rig_open(&g, 0);
+    for (size_t i = 0; i < G_N_ELEMENTS(last); i++) {
+        CLEAN(buf_free) struct buf in = {0};
+        int fd = client_connect(http_in_port(g.in));
+        buf_clear(&g.log);
+        client_send(fd, STR_LIT("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n"));
+        until_logged(&g, "/hold");
+        http_in_event(g.in, g.last, "token", STR_LIT("1"));
+        until(&g, fd, &in, "event: token\ndata: 1\n\n");
+        http_in_event(g.in, g.last, "token", STR_LIT("2"));
+        until(&g, fd, &in, "event: token\ndata: 2\n\n");
+        if (i == 0) {
+            http_in_event(g.in, g.last, "done", STR_LIT("{}"));
+            http_in_end(g.in, g.last);
+            until(&g, fd, &in, "event: done\ndata: {}\n\n\r\n0\r\n");
+        }
+        else if (i == 1) {
+            http_in_refuse(g.in, g.last, ERRKIND_UPSTREAM_FAILED, STR_LIT(""),
+                           0);
+            until(&g, fd, &in, "event: error\ndata: {\"error\"");
+            until(&g, fd, &in, "\r\n0\r\n");
+        }
+        else {
+            close(fd);
+            until_logged(&g, "gone;");
+            http_in_event(g.in, g.last, "token", STR_LIT("3"));
+            continue;
+        }
+        close(fd);
+    }
+    rig_close(&g);
+}
+
+static void
+test_connections_per_caller(void)
+{
+    struct rig g;
+    int fds[3];
+    rig_open(&g, 2);
+    for (int i = 0; i < 3; i++) {
+        fds[i] = client_connect(http_in_port(g.in));
+        client_send(fds[i], STR_LIT("GET /echo HTTP/1.1\r\nHost: x\r\n\r\n"));
+    }
+    for (int i = 0; i < 3; i++) {
+        CLEAN(buf_free) struct buf in = {0};
+        until(&g, fds[i], &in, i < 2 ? "HTTP/1.1 200" : NULL);
+        g_assert_cmpint(in.len > 0, ==, i < 2);
+    }
+    for (int i = 0; i < 3; i++) {
+        close(fds[i]);
+    }
+    rig_close(&g);
+}
+
+/* Requests that are open when the server ends must not be leaked or hang. */
+static void
+test_free_while_open(void)
+{
+    struct rig g;
+    rig_open(&g, 0);
+    int fd = client_connect(http_in_port(g.in));
+    client_send(fd, STR_LIT("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n"));
+    until_logged(&g, "/hold");
+    rig_close(&g);
+    close(fd);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/http-in/requests", test_requests);
+    g_test_add_func("/http-in/slow-sender", test_slow_sender);
+    g_test_add_func("/http-in/gone", test_gone);
+    g_test_add_func("/http-in/later-and-pipelined", test_later_and_pipelined);
+    g_test_add_func("/http-in/stream", test_stream);
+    g_test_add_func("/http-in/connections-per-caller",
+                    test_connections_per_caller);
+    g_test_add_func("/http-in/free-while-open", test_free_while_open);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/test_link.c
@@ -0,0 +1,213 @@
+/* Guards against messages from unknown keys, blocking on dead peers, and
+ * peers that stay cut off after a restart. */
+#include <glib.h>
+#include <poll.h>
+#include <string.h>
+#include <unistd.h>
+#include <zmq.h>
+
+#include "tests/peer.h"
+#include "wire/link.h"
+
+#define LIMIT_US (20 * G_USEC_PER_SEC)
+
+struct node {
+    struct link *link;
+    char public_key[41];
+    char secret_key[41];
+    int got;
+    uint64_t from;
+};
+
+static void
+on_message(void *ctx, const struct msg *m)
+{
+    struct node *n = ctx;
+    n->got++;
+    n->from = m->from;
+}
+
+static void
+open_node(struct node *n, const char *address, bool curve,
+          const struct node *peer)
+{
+    struct link_peer p = {0};
+    if (peer) {
+        p.address = str_from(link_address(peer->link));
+        p.public_key = str_from(peer->public_key);
+    }
+    if (curve && !n->public_key[0]) {
+        zmq_curve_keypair(n->public_key, n->secret_key);
+    }
+    struct link_options opts = {
+        .address = str_from(address),
+        .public_key = str_from(n->public_key),
+        .secret_key = str_from(n->secret_key),
+        .peer_count = peer ? 1 : 0,
+        .peers = &p,
+        .ctx = n,
+        .message = on_message,
+    };
+    g_assert_cmpint(link_new(&opts, &n->link), ==, ST_OK);
+}
+
+static bool
+send_ping(struct node *n, const char *address, uint64_t from)
+{
+    struct msg m = {.type = MSG_PING, .from = from};
+    return link_send(n->link, str_from(address), &m);
+}
+
+static void
+run(struct node *n, int count)
+{
+    struct pollfd p[16];
+    int used = 0;
+    for (int i = 0; i < count; i++) {
+        int fds[2];
+        int k = link_fds(n[i].link, fds);
+        for (int j = 0; j < k; j++) {
+            p[used++] = (struct pollfd){.fd = fds[j], .events = POLLIN};
+        }
+        while (link_run(n[i].link)) {
+        }
+    }
+    poll(p, used, 5);
+}
+
+/* Sends until the receiver has got one more message. */
+static void
+deliver(struct node *n, int count, int from, int to)
+{
+    int before = n[to].got;
+    gint64 end = g_get_monotonic_time() + LIMIT_US;
+    while (n[to].got == before) {
+        g_assert_cmpint(g_get_monotonic_time(), <, end);
+        send_ping(&n[from], link_address(n[to].link), (uint64_t)from + 1);
+        run(n, count);
+    }
+    g_assert_cmpint(n[to].from, ==, from + 1);
+}
+
+static void
+test_both_ways(void)
+{
+    for (int curve = 0; curve < 2; curve++) {
+        struct node n[2] = {0};
+        open_node(&n[0], "tcp://127.0.0.1:*", curve, NULL);
+        open_node(&n[1], "tcp://127.0.0.1:*", curve, &n[0]);
+        struct link_peer p = {str_from(link_address(n[1].link)),
+                              str_from(n[1].public_key)};
+        link_set_peers(n[0].link, &p, 1);
+        deliver(n, 2, 0, 1);
+        deliver(n, 2, 1, 0);
+        link_free(n[1].link);
+        link_free(n[0].link);
+    }
+}
+
+static int64_t
+counter(struct node *n, const char *name)
+{
+    struct buf out = {0};
+    link_metrics(n->link, &out);
+    char *p = strstr(out.ptr, name);
+    int64_t v = g_ascii_strtoll(p + strlen(name), NULL, 10);
+    buf_free(&out);
+    return v;
+}
+
+static void
+test_unknown_key(void)
+{
+    struct node n[2] = {0};
+    open_node(&n[0], "tcp://127.0.0.1:*", true, NULL);
+    open_node(&n[1], "tcp://127.0.0.1:*", true, &n[0]);
+    gint64 end = g_get_monotonic_time() + LIMIT_US;
+    while (counter(&n[0], "cf_link_denied_total ") == 0) {
+        g_assert_cmpint(g_get_monotonic_time(), <, end);
+        send_ping(&n[1], link_address(n[0].link), 2);
+        run(n, 2);
+    }
+    g_assert_cmpint(n[0].got, ==, 0);
+    /* The same node once the roster has it, and not after it has left. */
+    struct link_peer p = {str_from(link_address(n[1].link)),
+                          str_from(n[1].public_key)};
+    link_set_peers(n[0].link, &p, 1);
+    deliver(n, 2, 1, 0);
+    link_set_peers(n[0].link, NULL, 0);
+    g_assert_false(send_ping(&n[0], link_address(n[1].link), 1));
+    link_free(n[1].link);
+    link_free(n[0].link);
+}
+
+static void
+test_restarted_and_dead_peer(void)
+{
+    struct node n[2] = {0};
+    open_node(&n[0], "tcp://127.0.0.1:*", true, NULL);
+    open_node(&n[1], "tcp://127.0.0.1:*", true, &n[0]);
+    struct link_peer p = {str_from(link_address(n[1].link)),
+                          str_from(n[1].public_key)};
+    char address[128];
+    g_strlcpy(address, link_address(n[1].link), sizeof(address));
+    link_set_peers(n[0].link, &p, 1);
+    p.address = str_from(address);
+    deliver(n, 2, 0, 1);
+    link_free(n[1].link);
+    /* With nobody there, messages are dropped and nothing blocks. */
+    int dropped = 0;
+    gint64 end = g_get_monotonic_time() + LIMIT_US;
+    while (dropped < 100) {
+        g_assert_cmpint(g_get_monotonic_time(), <, end);
+        dropped += !send_ping(&n[0], address, 1);
+        run(n, 1);
+    }
+    open_node(&n[1], address, true, &n[0]);
+    deliver(n, 2, 0, 1);
+    link_free(n[1].link);
+    link_free(n[0].link);
+}
+
+/* Bytes of anything but a node must not stop the link. */
+static void
+test_garbage(void)
+{
+    struct node n[2] = {0};
+    open_node(&n[0], "tcp://127.0.0.1:*", false, NULL);
+    open_node(&n[1], "tcp://127.0.0.1:*", false, NULL);
+    int port =
+        (int)strtol(strrchr(link_address(n[0].link), ':') + 1, NULL, 10);
+    int fd = client_connect(port);
+    client_send(fd, STR_LIT("GET / HTTP/1.1\r\n\r\n"));
+    void *ctx = zmq_ctx_new();
+    void *s = zmq_socket(ctx, ZMQ_DEALER);
+    zmq_connect(s, link_address(n[0].link));
+    zmq_send(s, "nonsense", 8, 0);
+    zmq_send(s, "a", 1, ZMQ_SNDMORE);
+    zmq_send(s, "b", 1, ZMQ_SNDMORE);
+    zmq_send(s, "c", 1, 0);
+    gint64 end = g_get_monotonic_time() + LIMIT_US;
+    while (counter(&n[0], "cf_link_malformed_total ") < 2) {
+        g_assert_cmpint(g_get_monotonic_time(), <, end);
+        run(n, 2);
+    }
+    deliver(n, 2, 1, 0);
+    zmq_close(s);
+    zmq_ctx_term(ctx);
+    close(fd);
+    link_free(n[1].link);
+    link_free(n[0].link);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/link/both-ways", test_both_ways);
+    g_test_add_func("/link/unknown-key", test_unknown_key);
+    g_test_add_func("/link/restarted-and-dead-peer",
+                    test_restarted_and_dead_peer);
+    g_test_add_func("/link/garbage", test_garbage);
+    return g_test_run();
+}
