Let links answer over the connection a node was heard on

Cause: the control core answers joining nodes whose address is not known yet, and wants a hint when a link fails. Profiles of the request path showed two avoidable costs: two epoll_ctl calls per endpoint call and libmicrohttpd clearing a 48 KB pool after each request. Change: link keeps the ROUTER identity per node, reads its DEALERs and reports a node once when messages begin to be dropped.

--- a/src/edge/http_in.c
+++ b/src/edge/http_in.c
@@ -83,6 +83,7 @@
     int *free_slots;
     int free_count;
     uint64_t generation;
+    int64_t now_us; /* of the last http_in_run; close enough for time-outs */
     int open;
     struct rng rng;
 #define X(id, text) uint64_t id;
@@ -112,7 +113,7 @@
         TAILQ_REMOVE(&in->idle, c, link);
     }
     c->state = to;
-    c->since_us = loop_now_us();
+    c->since_us = in->now_us;
     if (to == CONN_RECEIVING) {
         TAILQ_INSERT_TAIL(&in->receiving, c, link);
     }
@@ -683,6 +684,7 @@
 http_in_run(struct http_in *in, int64_t now_us)
 {
     MHD_UNSIGNED_LONG_LONG ms = 1;
+    in->now_us = now_us;
     expire(in, now_us);
     /* A zero time-out announces input that MHD has buffered already, such
      * as a pipelined request. */
@@ -788,6 +790,7 @@
     in->opts = *opts;
     in->loop = l;
     in->max_body = DEFAULT_MAX_BODY;
+    in->now_us = loop_now_us();
     TAILQ_INIT(&in->receiving);
     TAILQ_INIT(&in->idle);
     rng_seed(&in->rng, opts->seed);
@@ -800,10 +803,9 @@
         (unsigned)opts->max_connections, MHD_OPTION_PER_IP_CONNECTION_LIMIT,
         (unsigned)opts->max_connections_per_caller,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-        (size_t)opts->max_header_bytes * 2 + 16384,
-        MHD_OPTION_NOTIFY_COMPLETED, completed, in,
-        MHD_OPTION_NOTIFY_CONNECTION, notify_connection, in, MHD_OPTION_ARRAY,
-        tls, MHD_OPTION_END);
+        (size_t)opts->max_header_bytes + 8192, MHD_OPTION_NOTIFY_COMPLETED,
+        completed, in, MHD_OPTION_NOTIFY_CONNECTION, notify_connection, in,
+        MHD_OPTION_ARRAY, tls, MHD_OPTION_END);
     if (!in->daemon) {
         free(in);
         return err_set(ST_IO, "cannot listen on %s:%d", text, opts->port);
--- a/src/edge/http_out.c
+++ b/src/edge/http_out.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/epoll.h>
+#include <unistd.h>
 
 #include "base/clean.h"
 #include "edge/sse.h"
@@ -68,6 +69,15 @@
     X(probes)                                                                 \
     X(connections)
 
+/* A socket of libcurl in the epoll set. */
+struct watched {
+    struct http_out *out;
+    curl_socket_t fd;
+    uint32_t events;
+    bool idle; /* no call uses it */
+    struct loop_source *source;
+};
+
 struct http_out {
     struct http_out_options opts;
     struct loop *loop;
@@ -75,6 +85,7 @@
     int64_t timer_us;  /* INT64_MAX: none */
     GHashTable *calls; /* attempt -> struct call */
     GPtrArray *probes;
+    GPtrArray *sockets;  /* struct watched by descriptor */
     struct call *active; /* calls with tokens or bytes to hand out */
     GPtrArray *refused;  /* could not be started; reported in run */
     CURL *spare[SPARE_HANDLES];
@@ -288,40 +299,66 @@
 
 static void on_socket_event(void *ctx, uint32_t events);
 
-struct watched {
-    struct http_out *out;
-    curl_socket_t fd;
-    struct loop_source *source;
-};
+static struct watched *
+watched_at(struct http_out *o, curl_socket_t fd)
+{
+    if ((guint)fd >= o->sockets->len) {
+        g_ptr_array_set_size(o->sockets, fd + 64);
+    }
+    return g_ptr_array_index(o->sockets, fd);
+}
 
+static void
+unwatch(struct http_out *o, curl_socket_t fd)
+{
+    struct watched *w = watched_at(o, fd);
+    if (w) {
+        loop_del(o->loop, w->source);
+        free(w);
+        g_ptr_array_index(o->sockets, fd) = NULL;
+    }
+}
+
+/* libcurl adds and removes the socket of a kept connection with each call.
+ * It stays in the epoll set until it is closed, which saves two system calls
+ * per call. */
 static int
-on_socket(CURL *easy, curl_socket_t fd, int what, void *ctx, void *socket_ctx)
+on_socket(CURL *easy, curl_socket_t fd, int what, void *ctx, void *unused)
 {
     struct http_out *o = ctx;
-    struct watched *w = socket_ctx;
+    struct watched *w = watched_at(o, fd);
     (void)easy;
+    (void)unused;
     if (what == CURL_POLL_REMOVE) {
         if (w) {
-            loop_del(o->loop, w->source);
-            free(w);
-            curl_multi_assign(o->multi, fd, NULL);
+            w->idle = true;
         }
         return 0;
     }
     uint32_t events = (what & CURL_POLL_IN ? EPOLLIN : 0) |
                       (what & CURL_POLL_OUT ? EPOLLOUT : 0);
-    if (w) {
+    if (!w) {
+        w = mem_zero(1, sizeof(*w));
+        w->out = o;
+        w->fd = fd;
+        w->source = loop_add(o->loop, fd, events, on_socket_event, w);
+        g_ptr_array_index(o->sockets, fd) = w;
+    }
+    else if (w->events != events) {
         loop_mod(o->loop, w->source, events);
-        return 0;
     }
-    w = mem_zero(1, sizeof(*w));
-    w->out = o;
-    w->fd = fd;
-    w->source = loop_add(o->loop, fd, events, on_socket_event, w);
-    curl_multi_assign(o->multi, fd, w);
+    w->events = events;
+    w->idle = false;
     return 0;
 }
 
+static int
+on_close(void *ctx, curl_socket_t fd)
+{
+    unwatch(ctx, fd);
+    return close(fd);
+}
+
 static int
 on_timer(CURLM *multi, long ms, void *ctx)
 {
@@ -336,23 +373,21 @@
 url_is_numeric(const char *url)
 {
     unsigned char addr[16];
-    CURLU *u = curl_url();
-    char *host = NULL;
-    bool ok = false;
-    if (curl_url_set(u, CURLUPART_URL, url, 0) == CURLUE_OK &&
-        curl_url_get(u, CURLUPART_HOST, &host, 0) == CURLUE_OK) {
-        size_t len = strlen(host);
-        if (host[0] == '[' && len > 2) {
-            host[len - 1] = 0;
-            ok = inet_pton(AF_INET6, host + 1, addr) == 1;
-        }
-        else {
-            ok = inet_pton(AF_INET, host, addr) == 1;
-        }
+    char host[INET6_ADDRSTRLEN];
+    const char *p = strstr(url, "://");
+    if (!p) {
+        return false;
+    }
+    p += 3;
+    bool six = *p == '[';
+    p += six;
+    size_t n = strcspn(p, six ? "]" : ":/?#");
+    if (n >= sizeof(host)) {
+        return false;
     }
-    curl_free(host);
-    curl_url_cleanup(u);
-    return ok;
+    memcpy(host, p, n);
+    host[n] = 0;
+    return inet_pton(six ? AF_INET6 : AF_INET, host, addr) == 1;
 }
 
 static CURL *
@@ -374,6 +409,8 @@
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
+    curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, on_close);
+    curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, o);
     curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS,
                      (long)o->opts.connect_timeout_ms);
     return e;
@@ -397,7 +434,17 @@
     return c;
 }
 
-/* Headers are kept in the call itself, which saves an allocation each. */
+/* Headers are kept in the call itself, which saves allocations. */
+static void
+link_header(struct call *c, int *n, const char *text)
+{
+    c->headers[*n].data = (char *)text;
+    if (*n > 0) {
+        c->headers[*n - 1].next = &c->headers[*n];
+    }
+    ++*n;
+}
+
 static void add_header(struct call *c, int *n, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
 
@@ -408,11 +455,7 @@
     va_start(ap, fmt);
     vsnprintf(c->text[*n], HEADER_BYTES, fmt, ap);
     va_end(ap);
-    c->headers[*n].data = c->text[*n];
-    if (*n > 0) {
-        c->headers[*n - 1].next = &c->headers[*n];
-    }
-    ++*n;
+    link_header(c, n, c->text[*n]);
 }
 
 /* Bytes that could end a header line never leave the node. */
@@ -440,10 +483,11 @@
     c->stream = a->call.stream;
     c->final_check = a->call.final_check;
     c->body = str_dup(a->call.body);
-    add_header(c, &n, "Content-Type: application/json");
-    add_header(c, &n, "Expect:");
-    add_header(c, &n, "Accept: %s",
-               c->stream ? "text/event-stream" : "application/json");
+    link_header(c, &n, "Content-Type: application/json");
+    link_header(c, &n, "Expect:");
+    link_header(c, &n,
+                c->stream ? "Accept: text/event-stream"
+                          : "Accept: application/json");
     add_header(c, &n, "X-Request-Id: %.*s",
                STR_FMT(header_value(a->call.request_id)));
     c->attempt_text.len = strlen("X-Attempt: ");
@@ -663,6 +707,12 @@
     struct watched *w = ctx;
     struct http_out *o = w->out;
     int running;
+    if (w->idle) {
+        /* The endpoint closed it, or bytes came that no call waits for;
+         * libcurl finds out when it would reuse the connection. */
+        unwatch(o, w->fd);
+        return;
+    }
     int mask = (events & EPOLLIN ? CURL_CSELECT_IN : 0) |
                (events & EPOLLOUT ? CURL_CSELECT_OUT : 0) |
                (events & (EPOLLERR | EPOLLHUP) ? CURL_CSELECT_ERR : 0);
@@ -723,6 +773,7 @@
     o->timer_us = INT64_MAX;
     o->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
     o->probes = g_ptr_array_new();
+    o->sockets = g_ptr_array_new();
     o->refused = g_ptr_array_new();
     o->multi = curl_multi_init();
     curl_multi_setopt(o->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
@@ -755,6 +806,7 @@
     curl_multi_cleanup(o->multi);
     g_hash_table_destroy(o->calls);
     g_ptr_array_free(o->probes, TRUE);
+    g_ptr_array_free(o->sockets, TRUE);
     g_ptr_array_free(o->refused, TRUE);
     free(o);
 }
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -5,6 +5,8 @@
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
 #include <zmq.h>
 
 #define KEY_BYTES 32
@@ -29,6 +31,17 @@
     bool fixed;   /* from the options */
     bool allowed; /* in the last link_set_peers */
     void *socket; /* NULL until first used */
+    struct link *link;
+    uint64_t node; /* last addressed */
+    bool up;       /* the last message was queued */
+    bool dirty;    /* in link->dirty: may have input */
+};
+
+/* Identity that the ROUTER gave to the connection of a node. */
+struct heard {
+    uint64_t node;
+    size_t len;
+    unsigned char id[255];
 };
 
 struct link {
@@ -40,7 +53,11 @@
     void *ctx;
     void *router;
     void *zap;
+    int epoll;
     GHashTable *peers; /* address -> struct peer */
+    GHashTable *heard; /* node -> struct heard */
+    GPtrArray *dirty;
+    GArray *lost; /* uint64_t, nodes to be reported */
     struct buf out;
 #define X(id) uint64_t id;
     struct {
@@ -55,13 +72,39 @@
     zmq_setsockopt(socket, option, &value, sizeof(value));
 }
 
+static void
+watch(struct link *l, void *socket, int op, void *what)
+{
+    int fd;
+    size_t size = sizeof(fd);
+    struct epoll_event ev = {.events = EPOLLIN, .data.ptr = what};
+    if (zmq_getsockopt(socket, ZMQ_FD, &fd, &size) == 0) {
+        epoll_ctl(l->epoll, op, fd, &ev);
+    }
+}
+
+/* libzmq's descriptors signal a change once. Any call on a socket may take
+ * the signal, so a socket that was written to is read as well. */
+static void
+mark_dirty(struct peer *p)
+{
+    if (!p->dirty) {
+        p->dirty = true;
+        g_ptr_array_add(p->link->dirty, p);
+    }
+}
+
 static void
 peer_free(void *p)
 {
     struct peer *peer = p;
     if (peer->socket) {
+        watch(peer->link, peer->socket, EPOLL_CTL_DEL, NULL);
         zmq_close(peer->socket);
     }
+    if (peer->dirty) {
+        g_ptr_array_remove_fast(peer->link->dirty, peer);
+    }
     g_free(peer->address);
     free(peer);
 }
@@ -87,6 +130,7 @@
     if (!peer) {
         peer = mem_zero(1, sizeof(*peer));
         peer->address = address;
+        peer->link = l;
         memcpy(peer->key, key, sizeof(key));
         g_hash_table_insert(l->peers, peer->address, peer);
         return peer;
@@ -195,63 +239,120 @@
     return true;
 }
 
+static void
+remember(struct link *l, uint64_t node, const void *id, size_t len)
+{
+    struct heard *h = g_hash_table_lookup(l->heard, &node);
+    if (!h) {
+        if (g_hash_table_size(l->heard) >= MAX_SOCKETS) {
+            return;
+        }
+        h = mem_zero(1, sizeof(*h));
+        h->node = node;
+        g_hash_table_insert(l->heard, &h->node, h);
+    }
+    h->len = len < sizeof(h->id) ? len : 0;
+    memcpy(h->id, id, h->len);
+}
+
+static void
+take(struct link *l, zmq_msg_t *id, zmq_msg_t *m)
+{
+    struct msg msg;
+    struct str bytes = str_of(zmq_msg_data(m), zmq_msg_size(m));
+    if (msg_decode(bytes, &msg) != ST_OK) {
+        l->count.malformed++;
+        return;
+    }
+    if (id) {
+        remember(l, msg.from, zmq_msg_data(id), zmq_msg_size(id));
+    }
+    l->count.received++;
+    l->opts.message(l->opts.ctx, &msg);
+}
+
+/* Receives one message. On the ROUTER the connection's identity comes
+ * first. @return false if none waits */
 static bool
-receive(struct link *l)
+receive(struct link *l, void *socket)
 {
-    zmq_msg_t m;
+    zmq_msg_t frames[2];
+    int want = socket == l->router ? 2 : 1;
+    int n = 0;
     int more = 1;
-    int frame = 0;
     while (more) {
+        zmq_msg_t m;
         zmq_msg_init(&m);
-        if (zmq_msg_recv(&m, l->router, ZMQ_DONTWAIT) < 0) {
+        if (zmq_msg_recv(&m, socket, ZMQ_DONTWAIT) < 0) {
             zmq_msg_close(&m);
             return false;
         }
         more = zmq_msg_more(&m);
-        /* Frame 0 is the connection's identity. */
-        if (frame++ == 1 && !more) {
-            struct msg msg;
-            struct str bytes = str_of(zmq_msg_data(&m), zmq_msg_size(&m));
-            if (msg_decode(bytes, &msg) == ST_OK) {
-                l->count.received++;
-                l->opts.message(l->opts.ctx, &msg);
-            }
-            else {
-                l->count.malformed++;
-            }
+        if (n < want) {
+            frames[n] = m;
         }
-        else if (frame > 2) {
-            l->count.malformed++;
+        else {
+            zmq_msg_close(&m);
         }
-        zmq_msg_close(&m);
+        n++;
+    }
+    if (n == want) {
+        take(l, want == 2 ? &frames[0] : NULL, &frames[want - 1]);
+    }
+    else {
+        l->count.malformed++;
+    }
+    for (int i = 0; i < n && i < want; i++) {
+        zmq_msg_close(&frames[i]);
     }
     return true;
 }
 
+static void
+report_lost(struct link *l)
+{
+    while (l->lost->len > 0) {
+        uint64_t node = g_array_index(l->lost, uint64_t, l->lost->len - 1);
+        g_array_set_size(l->lost, l->lost->len - 1);
+        if (l->opts.lost) {
+            l->opts.lost(l->opts.ctx, node);
+        }
+    }
+}
+
 bool
 link_run(struct link *l)
 {
+    struct epoll_event evs[64];
+    int n = epoll_wait(l->epoll, evs, 64, 0);
+    for (int i = 0; i < n; i++) {
+        if (evs[i].data.ptr) {
+            mark_dirty(evs[i].data.ptr);
+        }
+    }
     while (l->zap && run_zap(l)) {
     }
-    int n = 0;
-    while (n < BATCH && receive(l)) {
-        n++;
+    int taken = 0;
+    while (taken < BATCH && receive(l, l->router)) {
+        taken++;
     }
-    return n == BATCH;
+    while (taken < BATCH && l->dirty->len > 0) {
+        struct peer *p = g_ptr_array_index(l->dirty, l->dirty->len - 1);
+        if (receive(l, p->socket)) {
+            taken++;
+            continue;
+        }
+        p->dirty = false;
+        g_ptr_array_set_size(l->dirty, (int)l->dirty->len - 1);
+    }
+    report_lost(l);
+    return taken == BATCH || l->dirty->len > 0;
 }
 
 int
-link_fds(const struct link *l, int out[2])
+link_fd(const struct link *l)
 {
-    size_t size = sizeof(out[0]);
-    int n = 1;
-    zmq_getsockopt(l->router, ZMQ_FD, &out[0], &size);
-    if (l->zap) {
-        size = sizeof(out[1]);
-        zmq_getsockopt(l->zap, ZMQ_FD, &out[1], &size);
-        n = 2;
-    }
-    return n;
+    return l->epoll;
 }
 
 static bool
@@ -283,37 +384,67 @@
         p->socket = NULL;
         return false;
     }
+    watch(l, p->socket, EPOLL_CTL_ADD, p);
     return true;
 }
 
-bool
-link_send(struct link *l, struct str address, const struct msg *m)
+static struct peer *
+peer_at(struct link *l, struct str address)
 {
     char text[128];
-    struct peer *p = NULL;
-    if (address.len < sizeof(text)) {
-        memcpy(text, address.ptr, address.len);
-        text[address.len] = 0;
-        p = g_hash_table_lookup(l->peers, text);
-        if (!p && !l->curve &&
-            g_hash_table_size(l->peers) < MAX_SOCKETS - 16) {
-            struct link_peer open = {.address = address};
-            p = peer_put(l, &open);
-            p->allowed = true;
-        }
+    if (address.len >= sizeof(text)) {
+        return NULL;
+    }
+    memcpy(text, address.ptr, address.len);
+    text[address.len] = 0;
+    struct peer *p = g_hash_table_lookup(l->peers, text);
+    if (!p && !l->curve && g_hash_table_size(l->peers) < MAX_SOCKETS - 16) {
+        struct link_peer open = {.address = address};
+        p = peer_put(l, &open);
+        p->allowed = true;
     }
     if (!p || (l->curve && !p->key[0]) || (!p->socket && !open_socket(l, p))) {
-        l->count.dropped++;
-        return false;
+        return NULL;
     }
+    return p;
+}
+
+static bool
+send_back(struct link *l, uint64_t node)
+{
+    const struct heard *h = g_hash_table_lookup(l->heard, &node);
+    return h &&
+           zmq_send(l->router, h->id, h->len, ZMQ_SNDMORE | ZMQ_DONTWAIT) >=
+               0 &&
+           zmq_send(l->router, l->out.ptr, l->out.len, ZMQ_DONTWAIT) >= 0;
+}
+
+static bool
+send_to(struct link *l, struct peer *p, uint64_t node)
+{
+    bool ok = zmq_send(p->socket, l->out.ptr, l->out.len, ZMQ_DONTWAIT) >= 0;
+    p->node = node;
+    mark_dirty(p);
+    /* Nothing can be queued before the first connection is established; that
+     * says nothing about the node. */
+    if (!ok && p->up) {
+        g_array_append_val(l->lost, node);
+    }
+    p->up = ok;
+    return ok;
+}
+
+bool
+link_send(struct link *l, uint64_t node, struct str address,
+          const struct msg *m)
+{
+    struct peer *p = address.len ? peer_at(l, address) : NULL;
     buf_clear(&l->out);
     msg_encode(m, &l->out);
-    if (zmq_send(p->socket, l->out.ptr, l->out.len, ZMQ_DONTWAIT) < 0) {
-        l->count.dropped++;
-        return false;
-    }
-    l->count.sent++;
-    return true;
+    bool ok = p ? send_to(l, p, node) : address.len == 0 && send_back(l, node);
+    l->count.sent += ok;
+    l->count.dropped += !ok;
+    return ok;
 }
 
 const char *
@@ -337,6 +468,8 @@
 {
     l->router = zmq_socket(l->ctx, ZMQ_ROUTER);
     set_int(l->router, ZMQ_LINGER, 0);
+    /* A reply to a connection that has gone fails instead of vanishing. */
+    set_int(l->router, ZMQ_ROUTER_MANDATORY, 1);
     set_int(l->router, ZMQ_RCVHWM, RECEIVE_LIMIT);
     set_int(l->router, ZMQ_HANDSHAKE_IVL, 2000);
     set_int(l->router, ZMQ_HEARTBEAT_IVL, 1000);
@@ -357,6 +490,10 @@
     char *address = g_strndup(l->opts.address.ptr, l->opts.address.len);
     int rc = zmq_bind(l->router, address);
     g_free(address);
+    watch(l, l->router, EPOLL_CTL_ADD, NULL);
+    if (l->zap) {
+        watch(l, l->zap, EPOLL_CTL_ADD, NULL);
+    }
     size_t size = sizeof(l->bound);
     return rc == 0 &&
            zmq_getsockopt(l->router, ZMQ_LAST_ENDPOINT, l->bound, &size) == 0;
@@ -378,6 +515,10 @@
         memcpy(l->secret_key, opts->secret_key.ptr, KEY_TEXT);
     }
     l->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
+    l->heard = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free);
+    l->dirty = g_ptr_array_new();
+    l->lost = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    l->epoll = epoll_create1(EPOLL_CLOEXEC);
     for (int i = 0; i < opts->peer_count; i++) {
         peer_put(l, &opts->peers[i])->fixed = true;
     }
@@ -408,6 +549,10 @@
         zmq_close(l->zap);
     }
     zmq_ctx_term(l->ctx);
+    close(l->epoll);
+    g_hash_table_destroy(l->heard);
+    g_ptr_array_free(l->dirty, TRUE);
+    g_array_free(l->lost, TRUE);
     buf_free(&l->out);
     free(l);
 }
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -29,6 +29,9 @@
     void *ctx;
     /** A decoded message; its strings are valid during the call. */
     void (*message)(void *ctx, const struct msg *m);
+    /** Messages to this node have begun to be dropped; called by link_run,
+     * once until one could be sent again. */
+    void (*lost)(void *ctx, uint64_t node);
 };
 
 struct link;
@@ -42,12 +45,16 @@
 /** Replaces the allowed peers besides those of the options. */
 void link_set_peers(struct link *l, const struct link_peer *peers, int count);
 
-/** @return false if the message was dropped */
-bool link_send(struct link *l, struct str address, const struct msg *m);
+/**
+ * Sends to a node at @p address; empty: over the connection on which the
+ * node was last heard.
+ * @return false if the message was dropped
+ */
+bool link_send(struct link *l, uint64_t node, struct str address,
+               const struct msg *m);
 
-/** Descriptors to watch for reading; after any is readable, and after each
- * link_send, call link_run. @return their number */
-int link_fds(const struct link *l, int out[2]);
+/** Readable when link_run has work; link_send may also give it some. */
+int link_fd(const struct link *l);
 /** Receives waiting messages. @return true if more may wait */
 bool link_run(struct link *l);
 
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -16,6 +16,7 @@
     char public_key[41];
     char secret_key[41];
     int got;
+    int lost;
     uint64_t from;
 };
 
@@ -27,6 +28,14 @@
     n->from = m->from;
 }
 
+static void
+on_lost(void *ctx, uint64_t node)
+{
+    struct node *n = ctx;
+    g_assert_cmpint(node, ==, 7);
+    n->lost++;
+}
+
 static void
 open_node(struct node *n, const char *address, bool curve,
           const struct node *peer)
@@ -47,6 +56,7 @@
         .peers = &p,
         .ctx = n,
         .message = on_message,
+        .lost = on_lost,
     };
     g_assert_cmpint(link_new(&opts, &n->link), ==, ST_OK);
 }
@@ -55,24 +65,19 @@
 send_ping(struct node *n, const char *address, uint64_t from)
 {
     struct msg m = {.type = MSG_PING, .from = from};
-    return link_send(n->link, str_from(address), &m);
+    return link_send(n->link, 7, str_from(address), &m);
 }
 
 static void
 run(struct node *n, int count)
 {
-    struct pollfd p[16];
-    int used = 0;
+    struct pollfd p[4];
     for (int i = 0; i < count; i++) {
-        int fds[2];
-        int k = link_fds(n[i].link, fds);
-        for (int j = 0; j < k; j++) {
-            p[used++] = (struct pollfd){.fd = fds[j], .events = POLLIN};
-        }
+        p[i] = (struct pollfd){.fd = link_fd(n[i].link), .events = POLLIN};
         while (link_run(n[i].link)) {
         }
     }
-    poll(p, used, 5);
+    poll(p, (nfds_t)count, 5);
 }
 
 /* Sends until the receiver has got one more message. */
@@ -106,6 +111,27 @@
     }
 }
 
+/* A joining node is answered before its address is known. */
+static void
+test_reply_over_connection(void)
+{
+    struct node n[2] = {0};
+    open_node(&n[0], "tcp://127.0.0.1:*", false, NULL);
+    open_node(&n[1], "tcp://127.0.0.1:*", false, &n[0]);
+    struct msg m = {.type = MSG_ACK, .from = 1};
+    g_assert_false(link_send(n[0].link, 2, STR_LIT(""), &m));
+    deliver(n, 2, 1, 0);
+    g_assert_true(link_send(n[0].link, 2, STR_LIT(""), &m));
+    gint64 end = g_get_monotonic_time() + LIMIT_US;
+    while (n[1].got == 0) {
+        g_assert_cmpint(g_get_monotonic_time(), <, end);
+        run(n, 2);
+    }
+    g_assert_cmpint(n[1].from, ==, 1);
+    link_free(n[1].link);
+    link_free(n[0].link);
+}
+
 static int64_t
 counter(struct node *n, const char *name)
 {
@@ -163,6 +189,7 @@
         dropped += !send_ping(&n[0], address, 1);
         run(n, 1);
     }
+    g_assert_cmpint(n[0].lost, ==, 1);
     open_node(&n[1], address, true, &n[0]);
     deliver(n, 2, 0, 1);
     link_free(n[1].link);
@@ -205,6 +232,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/link/both-ways", test_both_ways);
+    g_test_add_func("/link/reply-over-connection", test_reply_over_connection);
     g_test_add_func("/link/unknown-key", test_unknown_key);
     g_test_add_func("/link/restarted-and-dead-peer",
                     test_restarted_and_dead_peer);
