--- a/src/flow/call.c
+++ b/src/flow/call.c
@@ -13,9 +13,18 @@
 
 /* A dead process refuses at once; a dead VM does not answer. */
 #define PROBE_WAIT_US (250 * MS)
+/* Of the baseline policies. */
+#define PLAIN_RETRIES 2
 
 /* How a call ended, for what is learned from it. */
-enum call_end { END_OK, END_FAILED, END_OVERLOAD, END_UNSENT, END_DROPPED };
+enum call_end {
+    END_OK,
+    END_SLOWER, /* cancelled: another call was faster, or too late */
+    END_FAILED,
+    END_OVERLOAD,
+    END_UNSENT,
+    END_DROPPED,
+};
 
 static const struct fleet_stage *
 stage_of(const struct call *c)
@@ -29,9 +38,21 @@
     struct endpoint *ep = c->ep;
     struct estimate *e = &ep->pool->estimate;
     int64_t us = f->now_us - c->start_us;
+    /* The length of a stream says nothing of its endpoint. */
+    bool stream = stage_of(c)->kind == STAGE_GENERATE && c->first_us;
+    int64_t latency_us = stream ? c->first_us - c->start_us : us;
     switch (end) {
     case END_OK:
         hist_add(&e->service[estimate_size(c->r->call_body.len)], us);
+        limit_answer(&ep->limit, f->now_us, latency_us, ep->in_flight, false);
+        outlier_answer(&ep->outlier, f->now_us, true, latency_us);
+        ep->refusals = 0;
+        break;
+    case END_SLOWER:
+        /* The elapsed time is a lower bound of the latency. */
+        if (c->first_us || us < (int64_t)ep->limit.recent_us) {
+            return;
+        }
         limit_answer(&ep->limit, f->now_us, us, ep->in_flight, false);
         outlier_answer(&ep->outlier, f->now_us, true, us);
         break;
@@ -83,7 +104,9 @@
 {
     core_emit(f, FLOW_ACT_CANCEL)->cancel = c->attempt;
     f->counts[COUNT_CANCELS]++;
-    end_call(f, c, END_DROPPED, false, outcome);
+    /* Without this a slow endpoint would never show, since hedges and
+     * deadlines cut its calls short. */
+    end_call(f, c, c->hedge ? END_DROPPED : END_SLOWER, false, outcome);
 }
 
 static void
@@ -118,10 +141,17 @@
         return;
     }
     /* Unsent calls cost the endpoints nothing and need no budget. */
-    bool allowed = unsent    ? r->unsent <= RETRY_UNSENT_MAX
-                   : f->full ? r->tries < RETRY_CALLS_MAX &&
-                                   retry_spend(&p->retries, &r->team->retries)
-                             : r->tries < 3;
+    bool allowed;
+    if (!f->full) {
+        allowed = r->tries + r->unsent <= PLAIN_RETRIES;
+    }
+    else if (unsent) {
+        allowed = r->unsent <= RETRY_UNSENT_MAX;
+    }
+    else {
+        allowed = r->tries < RETRY_CALLS_MAX &&
+                  retry_spend(&p->retries, &r->team->retries);
+    }
     if (!allowed) {
         f->counts[COUNT_RETRIES_DENIED]++;
         request_refuse(f, r, ERRKIND_UPSTREAM_FAILED, "stage %.*s, %d calls",
@@ -232,13 +262,19 @@
             c->silence_us = silence_wait_us(
                 &p->estimate, true, p->settings[FLEET_SILENCE_FLOOR_MS] * MS,
                 c->r->deadline_us - f->now_us);
-            timers_add(&f->timers, f->now_us + c->silence_us, TIMER_SILENCE,
-                       c->attempt);
+            call_listen(f, c, f->now_us + c->silence_us);
         }
     }
     c->byte_us = f->now_us;
 }
 
+void
+call_listen(struct flow *f, struct call *c, int64_t at_us)
+{
+    c->listen_us = at_us;
+    timers_add(&f->timers, at_us, TIMER_SILENCE, c->attempt);
+}
+
 void
 call_bytes(struct flow *f, uint64_t attempt)
 {
@@ -433,7 +469,7 @@
     struct endpoint *ep = c->ep;
     lost(f, c, unsent ? END_UNSENT : END_FAILED, died, names[fault]);
     if (fault == CALL_REFUSED) {
-        health_cold(f, ep);
+        health_refused(f, ep);
     }
 }
 
@@ -441,7 +477,7 @@
 call_silence_timer(struct flow *f, uint64_t attempt)
 {
     struct call *c = map_get(&f->calls, attempt);
-    if (!c) {
+    if (!c || f->now_us < c->listen_us) {
         return;
     }
     int64_t due = c->byte_us + c->silence_us;
@@ -450,7 +486,7 @@
         health_probe(f, c->ep);
         due = f->now_us + c->silence_us;
     }
-    timers_add(&f->timers, due, TIMER_SILENCE, attempt);
+    call_listen(f, c, due);
 }
 
 static void
@@ -509,7 +545,9 @@
 call_hedge_timer(struct flow *f, uint64_t attempt)
 {
     struct call *c = map_get(&f->calls, attempt);
-    if (!c || c->first_us || c->next || c->r->calls != c || !core_fresh(f)) {
+    /* Of two timers that are due the deadline's may come second. */
+    if (!c || c->first_us || c->next || c->r->calls != c || !core_fresh(f) ||
+        f->now_us >= c->r->deadline_us) {
         return;
     }
     struct request *r = c->r;
--- a/src/flow/limit.c
+++ b/src/flow/limit.c
@@ -1,9 +1,16 @@
 #include "flow/limit.h"
 
-/* Service time above this multiple of the floor means queueing inside the
- * endpoint. Batching engines slow down up to about 2x at full batches. */
-#define GRADIENT 2.5
+/* Recent latency above this multiple of the base means queueing inside the
+ * endpoint. The base lies near the tenth percentile, at about 0.6 of the
+ * mean, so this is about 1.8 times the unloaded mean. */
+#define GRADIENT 3.0
 #define DECREASE 0.85
+#define RECENT 0.1
+/* Steps of the base. It falls fast and rises slowly, and ten times more
+ * slowly during overload: lasting overload must not become the measure,
+ * a lasting change of the endpoint must, within some thousand answers. */
+#define FALL 0.02
+#define RISE 0.001
 
 void
 limit_init(struct limit *l, int cap)
@@ -35,24 +42,23 @@
 }
 
 void
-limit_answer(struct limit *l, int64_t now_us, int64_t service_us,
+limit_answer(struct limit *l, int64_t now_us, int64_t latency_us,
              int in_flight, bool overload)
 {
     if (overload) {
         cut(l, now_us);
         return;
     }
-    double us = (double)(service_us > 1 ? service_us : 1);
-    l->recent_us += (us - l->recent_us) * (l->recent_us > 0 ? 0.2 : 1);
-    if (l->floor_us <= 0 || us < l->floor_us) {
-        l->floor_us = us;
+    double us = (double)(latency_us > 1 ? latency_us : 1);
+    if (l->base_us <= 0) {
+        l->recent_us = us;
+        l->base_us = us / 2;
     }
-    else {
-        /* The floor rises slowly, so that a lasting change of the service
-         * time is not taken for load for ever. */
-        l->floor_us += (us - l->floor_us) * 0.01;
-    }
-    if (l->recent_us > GRADIENT * l->floor_us && in_flight > 1) {
+    l->recent_us += (us - l->recent_us) * RECENT;
+    bool steep = l->recent_us > GRADIENT * l->base_us;
+    double rise = steep ? RISE / 10 : RISE;
+    l->base_us += (us - l->base_us) * (us < l->base_us ? FALL : rise);
+    if (steep && in_flight > 1) {
         cut(l, now_us);
     }
     else if (in_flight * 2 >= (int)l->value) {
