State the order of the bridge's ring to the thread sanitizer

Cause: Concurrency Kit's fences are inline assembly, so check-tsan reported the ring's slots and would have hidden races of the messages themselves. Refusals of operators' edits carry the control core's details. A loop frees the sources that are left. Conclusion: the sanitizers check the bridge's messages again.

--- a/src/daemon/bridge.c
+++ b/src/daemon/bridge.c
@@ -7,6 +7,17 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+/* The thread sanitizer does not see the fences of Concurrency Kit, which are
+ * inline assembly; it is told of the order that they establish. */
+#ifdef __SANITIZE_THREAD__
+#include <sanitizer/tsan_interface.h>
+#define ORDER_BEFORE_PUT(b) __tsan_release(b)
+#define ORDER_AFTER_TAKE(b) __tsan_acquire(b)
+#else
+#define ORDER_BEFORE_PUT(b) (void)(b)
+#define ORDER_AFTER_TAKE(b) (void)(b)
+#endif
+
 struct bridge {
     ck_ring_t ring;
     ck_ring_buffer_t *slots;
@@ -95,13 +106,19 @@
     atomic_exchange(&b->signalled, false);
 }
 
+static bool
+put(struct bridge *b, struct bridge_msg *m)
+{
+    ORDER_BEFORE_PUT(b);
+    return ck_ring_enqueue_spsc(&b->ring, b->slots, m);
+}
+
 bool
 bridge_flush(struct bridge *b)
 {
     bool moved = false;
     while (!g_queue_is_empty(&b->waiting) &&
-           ck_ring_enqueue_spsc(&b->ring, b->slots,
-                                g_queue_peek_head(&b->waiting))) {
+           put(b, g_queue_peek_head(&b->waiting))) {
         g_queue_pop_head(&b->waiting);
         moved = true;
     }
@@ -114,8 +131,7 @@
 void
 bridge_push(struct bridge *b, struct bridge_msg *m)
 {
-    if (g_queue_is_empty(&b->waiting) &&
-        ck_ring_enqueue_spsc(&b->ring, b->slots, m)) {
+    if (g_queue_is_empty(&b->waiting) && put(b, m)) {
         bridge_wake(b);
         return;
     }
@@ -133,5 +149,7 @@
 bridge_pop(struct bridge *b)
 {
     void *m = NULL;
-    return ck_ring_dequeue_spsc(&b->ring, b->slots, &m) ? m : NULL;
+    bool taken = ck_ring_dequeue_spsc(&b->ring, b->slots, &m);
+    ORDER_AFTER_TAKE(b);
+    return taken ? m : NULL;
 }
--- a/src/daemon/resources.c
+++ b/src/daemon/resources.c
@@ -250,22 +250,30 @@
     return false;
 }
 
-/* Adds what the control core said to the refusal: its members, or its text
- * as the message. */
+/* A refusal with what the control core said about it as its details, for
+ * instance who changed a setting in the meantime. */
 static void
 refuse_with(struct traffic *t, uint64_t id, enum errkind kind,
             struct str details)
 {
     json_t *d = json_loadb(details.ptr, details.len, 0, NULL);
-    const char *message = json_string_value(json_object_get(d, "message"));
-    char *text = NULL;
-    if (json_is_object(d) && !message) {
-        text = json_dumps(d, JSON_COMPACT);
-        message = text;
+    if (!json_is_object(d)) {
+        json_decref(d);
+        refuse(t, id, kind, "");
+        return;
     }
-    refuse(t, id, kind, message ? message : "");
-    free(text);
-    json_decref(d);
+    CLEAN(buf_free) struct buf plain = {0};
+    const char *message = json_string_value(json_object_get(d, "message"));
+    http_in_refusal(&plain, kind, str_from(message), STR_LIT(""));
+    json_t *whole = json_loadb(plain.ptr, plain.len, 0, NULL);
+    json_t *error = json_object_get(whole, "error");
+    json_object_del(d, "message");
+    json_object_del(error, "request_id");
+    json_object_set_new(error, "details", d);
+    CLEAN_FREE char *text = json_dumps(whole, JSON_COMPACT);
+    json_decref(whole);
+    http_in_answer(t->in, id, errkind_info(kind)->http_status,
+                   "application/json", str_from(text));
 }
 
 void
--- a/src/edge/loop.c
+++ b/src/edge/loop.c
@@ -3,6 +3,7 @@
 #include <stddef.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
+#include <sys/queue.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -15,11 +16,13 @@
     loop_fn *fn; /* NULL: removed */
     void *ctx;
     struct loop_source *next_dead;
+    LIST_ENTRY(loop_source) link;
 };
 
 struct loop {
     int fd;
     struct loop_source *dead;
+    LIST_HEAD(, loop_source) sources;
 };
 
 int64_t
@@ -61,6 +64,11 @@
         return;
     }
     reap(l);
+    struct loop_source *s;
+    while ((s = LIST_FIRST(&l->sources))) {
+        LIST_REMOVE(s, link);
+        free(s);
+    }
     close(l->fd);
     free(l);
 }
@@ -72,6 +80,7 @@
     s->fd = fd;
     s->fn = fn;
     s->ctx = ctx;
+    LIST_INSERT_HEAD(&l->sources, s, link);
     struct epoll_event ev = {.events = events, .data.ptr = s};
     epoll_ctl(l->fd, EPOLL_CTL_ADD, fd, &ev);
     return s;
@@ -88,6 +97,7 @@
 loop_del(struct loop *l, struct loop_source *s)
 {
     epoll_ctl(l->fd, EPOLL_CTL_DEL, s->fd, NULL);
+    LIST_REMOVE(s, link);
     s->fn = NULL;
     s->next_dead = l->dead;
     l->dead = s;
--- a/src/edge/loop.h
+++ b/src/edge/loop.h
@@ -15,6 +15,7 @@
 
 /** @return NULL if the system refuses an epoll set */
 struct loop *loop_new(void);
+/** Frees the sources that are left as well. */
 void loop_free(struct loop *l);
 
 /** The descriptor stays the caller's and must outlive the source. */
