--- a/fakes/fake_kv.c
+++ b/fakes/fake_kv.c
@@ -423,7 +423,9 @@
         json_decref(in);
         return;
     case CALL_COUNT:
-        break;
+    default:
+        json_decref(in);
+        return;
     }
     json_decref(in);
     bool lose = calls[call].write &&
--- a/src/edge/http_in.c
+++ b/src/edge/http_in.c
@@ -1,100 +1,30 @@
-#include "edge/http_in.h"
+#include "edge/http_in_state.h"
 
 #include <arpa/inet.h>
 #include <inttypes.h>
-#include <jansson.h>
-#include <microhttpd.h>
 #include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/epoll.h>
-#include <sys/queue.h>
 #include <sys/socket.h>
 
-#include "base/rng.h"
+#include "base/clean.h"
 
 /* An idle kept-alive connection is closed after this time. */
 #define IDLE_US 60000000
 /* A body this far over its limit is still read, so that the sender sees the
  * refusal instead of a reset. */
 #define DISCARD_BYTES (1 << 20)
-/* A caller that does not read its stream is cut off at this backlog. */
-#define STREAM_BACKLOG (8 << 20)
 #define DEFAULT_MAX_BODY (1 << 20)
 #define SLOT_BITS 24
+/* A caller has this long to read its answer. */
+#define SEND_US 60000000
+/* Bodies held at a time, of all requests that are being received. */
+#define BODIES_BYTES (256 << 20)
 
-enum conn_state { CONN_RECEIVING, CONN_IDLE, CONN_BUSY };
-
-struct conn {
-    TAILQ_ENTRY(conn) link; /* in the list of its state; BUSY: in none */
-    enum conn_state state;
-    int64_t since_us;
-    struct http_in *in;
-    struct MHD_Connection *mhd;
-    int fd;
-    bool closed; /* the caller's side is closed or half-closed */
-    struct loop_source *watch;
-    struct exchange *x;
-};
-TAILQ_HEAD(conn_list, conn);
-
-struct exchange {
-    uint64_t id;
-    struct conn *conn;
-    char request_id[33];
-    struct http_in_request r; /* header strings live in MHD's pool */
-    struct buf body;
-    enum errkind refused; /* found while receiving */
-    const char *why;
-    bool refuse_now; /* without reading the body */
-    struct MHD_Response *response;
-    int status;
-    bool handed;
-    bool answered; /* response is set or the stream has ended */
-    bool gone;
-    bool suspended;
-    bool streaming;
-    bool ended;
-    struct buf out; /* stream bytes not yet taken by MHD */
-    size_t out_at;
-};
-
-#define COUNTER_LIST(X)                                                       \
-    X(requests, "requests received")                                          \
-    X(refusals, "refusals sent")                                              \
-    X(gone, "callers that left before their answer")                          \
-    X(slow, "connections closed for slow sending")                            \
-    X(connections, "connections accepted")
-
-struct http_in {
-    struct http_in_options opts;
-    struct loop *loop;
-    struct MHD_Daemon *daemon;
-    struct loop_source *source;
-    bool busy; /* MHD has work that no descriptor announces */
-    bool draining;
-    bool stopping;
-    size_t max_body;
-    struct conn_list receiving;
-    struct conn_list idle;
-    struct exchange **slots;
-    int slot_count;
-    int *free_slots;
-    int free_count;
-    uint64_t generation;
-    int64_t now_us; /* of the last http_in_run; close enough for time-outs */
-    int open;
-    struct rng rng;
-#define X(id, text) uint64_t id;
-    struct {
-        COUNTER_LIST(X)
-    } count;
-#undef X
-};
-
-static struct exchange *
-find(const struct http_in *in, uint64_t id)
+struct exchange *
+http_in_find(const struct http_in *in, uint64_t id)
 {
     uint64_t slot = id & ((1 << SLOT_BITS) - 1);
     struct exchange *x =
@@ -102,28 +32,22 @@
     return x && x->id == id && !x->gone && !x->answered ? x : NULL;
 }
 
-static void
-move(struct conn *c, enum conn_state to)
+void
+http_in_move(struct conn *c, enum conn_state to)
 {
     struct http_in *in = c->in;
-    if (c->state == CONN_RECEIVING) {
-        TAILQ_REMOVE(&in->receiving, c, link);
-    }
-    else if (c->state == CONN_IDLE) {
-        TAILQ_REMOVE(&in->idle, c, link);
+    if (c->state != CONN_BUSY) {
+        TAILQ_REMOVE(&in->lists[c->state], c, link);
     }
     c->state = to;
     c->since_us = in->now_us;
-    if (to == CONN_RECEIVING) {
-        TAILQ_INSERT_TAIL(&in->receiving, c, link);
-    }
-    else if (to == CONN_IDLE) {
-        TAILQ_INSERT_TAIL(&in->idle, c, link);
+    if (to != CONN_BUSY) {
+        TAILQ_INSERT_TAIL(&in->lists[to], c, link);
     }
 }
 
-static void
-resume(struct exchange *x)
+void
+http_in_resume(struct exchange *x)
 {
     if (x->suspended) {
         x->suspended = false;
@@ -132,8 +56,8 @@
     x->conn->in->busy = true;
 }
 
-static void
-leave(struct exchange *x)
+void
+http_in_leave(struct exchange *x)
 {
     struct http_in *in = x->conn->in;
     if (x->gone || x->answered) {
@@ -144,7 +68,7 @@
     if (x->handed && !in->stopping) {
         in->opts.gone(in->opts.ctx, x->id);
     }
-    resume(x);
+    http_in_resume(x);
 }
 
 static void
@@ -156,7 +80,7 @@
     }
     c->closed = true;
     if (c->x && c->x->handed) {
-        leave(c->x);
+        http_in_leave(c->x);
     }
 }
 
@@ -172,7 +96,7 @@
         c->fd = MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CONNECTION_FD)
                     ->connect_fd;
         c->state = CONN_BUSY;
-        move(c, CONN_RECEIVING);
+        http_in_move(c, CONN_RECEIVING);
         /* Registered once per connection; data does not wake it. */
         c->watch =
             loop_add(in->loop, c->fd, EPOLLRDHUP | EPOLLET, caller_closed, c);
@@ -182,7 +106,7 @@
     }
     struct conn *c = *socket_ctx;
     if (c) {
-        move(c, CONN_BUSY);
+        http_in_move(c, CONN_BUSY);
         loop_del(in->loop, c->watch);
         free(c);
     }
@@ -227,9 +151,9 @@
     }
     x->suspended = false;
     if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK || !x->answered) {
-        leave(x);
+        http_in_leave(x);
     }
-    move(x->conn, CONN_IDLE);
+    http_in_move(x->conn, CONN_IDLE);
     x->conn->x = NULL;
     int slot = (int)(x->id & ((1 << SLOT_BITS) - 1));
     in->slots[slot] = NULL;
@@ -238,6 +162,7 @@
     if (x->response) {
         MHD_destroy_response(x->response);
     }
+    in->bodies -= x->body.len;
     buf_free(&x->body);
     buf_free(&x->out);
     free(x);
@@ -345,7 +270,7 @@
         MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
             ->socket_context;
     if (c->state != CONN_RECEIVING) {
-        move(c, CONN_RECEIVING);
+        http_in_move(c, CONN_RECEIVING);
     }
     struct exchange *x = open_exchange(in, c);
     struct scan s = {.x = x};
@@ -377,63 +302,10 @@
 }
 
 static void
-set_response(struct exchange *x, int status, const char *content_type,
-             struct str body, int64_t retry_after_ms)
+drop_body(struct exchange *x)
 {
-    x->response = MHD_create_response_from_buffer(body.len, (void *)body.ptr,
-                                                  MHD_RESPMEM_MUST_COPY);
-    x->status = status;
-    MHD_add_response_header(x->response, "Content-Type", content_type);
-    MHD_add_response_header(x->response, "X-Request-Id", x->request_id);
-    if (retry_after_ms > 0) {
-        char text[24];
-        snprintf(text, sizeof(text), "%" PRId64,
-                 (retry_after_ms + 999) / 1000);
-        MHD_add_response_header(x->response, "Retry-After", text);
-    }
-    if (x->conn->in->draining) {
-        MHD_add_response_header(x->response, "Connection", "close");
-    }
-    x->answered = true;
-}
-
-void
-http_in_refusal(struct buf *out, enum errkind kind, struct str message,
-                struct str request_id)
-{
-    const struct errkind_info *e = errkind_info(kind);
-    if (message.len == 0) {
-        message = str_from(e->message);
-    }
-    json_t *j = json_pack("{s:{s:s,s:s,s:b,s:s%,s:s%}}", "error", "kind",
-                          e->name, "ran", ran_name(e->ran), "retry", e->retry,
-                          "message", message.ptr, message.len, "request_id",
-                          request_id.ptr, request_id.len);
-    if (!j) { /* the message is not UTF-8 */
-        j = json_pack("{s:{s:s,s:s,s:b,s:s,s:s%}}", "error", "kind", e->name,
-                      "ran", ran_name(e->ran), "retry", e->retry, "message",
-                      e->message, "request_id", request_id.ptr,
-                      request_id.len);
-    }
-    char *text = json_dumps(j, JSON_COMPACT);
-    buf_append_str(out, str_from(text));
-    free(text);
-    json_decref(j);
-}
-
-static void
-refuse(struct exchange *x, enum errkind kind, struct str message,
-       int64_t retry_after_ms)
-{
-    struct buf text = {0};
-    http_in_refusal(&text, kind, message, str_of(x->request_id, 32));
-    if (retry_after_ms <= 0 && errkind_info(kind)->http_status == 503) {
-        retry_after_ms = 1000;
-    }
-    set_response(x, errkind_info(kind)->http_status, "application/json",
-                 buf_str(&text), retry_after_ms);
-    x->conn->in->count.refusals++;
-    buf_free(&text);
+    x->conn->in->bodies -= x->body.len;
+    buf_free(&x->body);
 }
 
 static bool
@@ -444,6 +316,10 @@
         x->refused = ERRKIND_TOO_LARGE;
         x->why = "body is too large";
     }
+    if (in->bodies + n > BODIES_BYTES && !x->refused) {
+        x->refused = ERRKIND_OVERLOADED;
+        x->why = "too many bodies are being received";
+    }
     if (x->refused) {
         /* The length is counted on without keeping the bytes. */
         x->out_at += n;
@@ -453,6 +329,7 @@
     }
     else {
         buf_append(&x->body, data, n);
+        in->bodies += n;
     }
     *size = 0;
     return true;
@@ -480,8 +357,8 @@
         x = begin(in, mhd, url, method);
         *con_cls = x;
         if (x->refuse_now) {
-            move(x->conn, CONN_BUSY);
-            refuse(x, x->refused, str_from(x->why), 0);
+            http_in_move(x->conn, CONN_BUSY);
+            http_in_set_refusal(x, x->refused, str_from(x->why), 0);
             return send_response(x);
         }
         return MHD_YES;
@@ -490,20 +367,20 @@
         return receive(in, x, data, size) ? MHD_YES : MHD_NO;
     }
     if (!x->handed && !x->answered && !x->gone) {
-        move(x->conn, CONN_BUSY);
+        http_in_move(x->conn, CONN_BUSY);
         if (x->conn->closed) {
-            leave(x);
+            http_in_leave(x);
             return MHD_NO;
         }
         if (x->refused) {
-            refuse(x, x->refused, str_from(x->why), 0);
+            http_in_set_refusal(x, x->refused, str_from(x->why), 0);
             return send_response(x);
         }
         x->handed = true;
         x->r.body = buf_str(&x->body);
         in->opts.request(in->opts.ctx, &x->r);
         /* The owner keeps no view of the body. */
-        buf_free(&x->body);
+        drop_body(x);
         x->r.body = (struct str){0};
     }
     if (x->gone) {
@@ -517,166 +394,49 @@
     return send_response(x);
 }
 
-static ssize_t
-stream_read(void *cls, uint64_t pos, char *out, size_t max)
-{
-    struct exchange *x = cls;
-    (void)pos;
-    if (x->gone) {
-        return MHD_CONTENT_READER_END_WITH_ERROR;
-    }
-    size_t n = x->out.len - x->out_at;
-    if (n == 0) {
-        if (x->ended) {
-            return MHD_CONTENT_READER_END_OF_STREAM;
-        }
-        x->suspended = true;
-        MHD_suspend_connection(x->conn->mhd);
-        return 0;
-    }
-    n = n < max ? n : max;
-    memcpy(out, x->out.ptr + x->out_at, n);
-    x->out_at += n;
-    if (x->out_at == x->out.len) {
-        buf_clear(&x->out);
-        x->out_at = 0;
-    }
-    return (ssize_t)n;
-}
-
-static void
-begin_stream(struct exchange *x)
-{
-    x->response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, 4096,
-                                                    stream_read, x, NULL);
-    x->status = 200;
-    x->streaming = true;
-    MHD_add_response_header(x->response, "Content-Type", "text/event-stream");
-    MHD_add_response_header(x->response, "Cache-Control", "no-store");
-    MHD_add_response_header(x->response, "X-Request-Id", x->request_id);
-    if (x->conn->in->draining) {
-        MHD_add_response_header(x->response, "Connection", "close");
-    }
-}
-
 static void
-push_event(struct exchange *x, const char *event, struct str data)
-{
-    if (!x->streaming) {
-        begin_stream(x);
-    }
-    if (x->out.len - x->out_at > STREAM_BACKLOG) {
-        leave(x);
-        return;
-    }
-    buf_append_str(&x->out, STR_LIT("event: "));
-    buf_append_str(&x->out, str_from(event));
-    buf_append_str(&x->out, STR_LIT("\ndata: "));
-    buf_append_str(&x->out, data);
-    buf_append_str(&x->out, STR_LIT("\n\n"));
-    resume(x);
-}
-
-void
-http_in_answer(struct http_in *in, uint64_t id, int status,
-               const char *content_type, struct str body)
+daemon_ready(void *ctx, uint32_t events)
 {
-    struct exchange *x = find(in, id);
-    if (x && !x->streaming) {
-        set_response(x, status, content_type, body, 0);
-        resume(x);
-    }
+    (void)events;
+    ((struct http_in *)ctx)->busy = true;
 }
 
+/* MHD cannot answer before a request is complete, so the refusal is written
+ * directly; over TLS the connection is only closed. */
 static void
-end_stream(struct exchange *x)
+refuse_slow(struct http_in *in, struct conn *c)
 {
-    x->ended = true;
-    x->answered = true;
-    resume(x);
-}
-
-void
-http_in_refuse(struct http_in *in, uint64_t id, enum errkind kind,
-               struct str message, int64_t retry_after_ms)
-{
-    struct exchange *x = find(in, id);
-    if (!x) {
+    CLEAN(buf_free) struct buf body = {0};
+    CLEAN(buf_free) struct buf head = {0};
+    in->count.slow++;
+    if (in->opts.tls_cert.len > 0) {
         return;
     }
-    if (!x->streaming) {
-        refuse(x, kind, message, retry_after_ms);
-        resume(x);
-        return;
-    }
-    struct buf text = {0};
-    http_in_refusal(&text, kind, message, str_of(x->request_id, 32));
-    push_event(x, "error", buf_str(&text));
-    buf_free(&text);
-    in->count.refusals++;
-    if (!x->gone) {
-        end_stream(x);
-    }
-}
-
-void
-http_in_event(struct http_in *in, uint64_t id, const char *event,
-              struct str data)
-{
-    struct exchange *x = find(in, id);
-    if (x) {
-        push_event(x, event, data);
-    }
-}
-
-void
-http_in_end(struct http_in *in, uint64_t id)
-{
-    struct exchange *x = find(in, id);
-    if (x && x->streaming) {
-        end_stream(x);
-    }
-}
-
-static void
-daemon_ready(void *ctx, uint32_t events)
-{
-    (void)events;
-    ((struct http_in *)ctx)->busy = true;
+    http_in_refusal(&body, ERRKIND_SLOW_SENDER, STR_LIT(""),
+                    c->x ? str_of(c->x->request_id, 32) : STR_LIT(""));
+    buf_printf(&head,
+               "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
+               "Content-Type: application/json\r\n"
+               "Content-Length: %zu\r\n\r\n%s",
+               body.len, body.ptr);
+    send(c->fd, head.ptr, head.len, MSG_NOSIGNAL | MSG_DONTWAIT);
 }
 
-/* Closes connections whose time in a state is over. MHD cannot answer before
- * the request is complete, so the refusal is written directly; over TLS the
- * connection is only closed. */
+/* Closes connections whose time in a state is over. */
 static void
 expire(struct http_in *in, int64_t now_us)
 {
-    struct conn *c;
-    int64_t limit = in->opts.receive_timeout_ms * 1000LL;
-    while ((c = TAILQ_FIRST(&in->receiving)) && now_us - c->since_us > limit) {
-        if (in->opts.tls_cert.len == 0) {
-            struct buf body = {0};
-            struct buf head = {0};
-            http_in_refusal(&body, ERRKIND_SLOW_SENDER, STR_LIT(""),
-                            c->x ? str_of(c->x->request_id, 32) : STR_LIT(""));
-            buf_printf(&head,
-                       "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
-                       "Content-Type: application/json\r\n"
-                       "Content-Length: %zu\r\n\r\n%s",
-                       body.len, body.ptr);
-            send(c->fd, head.ptr, head.len, MSG_NOSIGNAL | MSG_DONTWAIT);
-            buf_free(&head);
-            buf_free(&body);
+    for (int s = 0; s < CONN_STATES; s++) {
+        struct conn *c;
+        while ((c = TAILQ_FIRST(&in->lists[s])) &&
+               now_us - c->since_us > in->limit_us[s]) {
+            if (s == CONN_RECEIVING) {
+                refuse_slow(in, c);
+            }
+            http_in_move(c, CONN_BUSY);
+            shutdown(c->fd, SHUT_RDWR);
+            in->busy = true;
         }
-        in->count.slow++;
-        move(c, CONN_BUSY);
-        shutdown(c->fd, SHUT_RDWR);
-        in->busy = true;
-    }
-    while ((c = TAILQ_FIRST(&in->idle)) && now_us - c->since_us > IDLE_US) {
-        move(c, CONN_BUSY);
-        shutdown(c->fd, SHUT_RDWR);
-        in->busy = true;
     }
 }
 
@@ -705,15 +465,11 @@
     if (MHD_get_timeout(in->daemon, &ms) == MHD_YES) {
         at = now_us + (int64_t)ms * 1000;
     }
-    const struct conn *c = TAILQ_FIRST(&in->receiving);
-    if (c) {
-        int64_t t = c->since_us + in->opts.receive_timeout_ms * 1000LL + 1;
+    for (int s = 0; s < CONN_STATES; s++) {
+        const struct conn *c = TAILQ_FIRST(&in->lists[s]);
+        int64_t t = c ? c->since_us + in->limit_us[s] + 1 : INT64_MAX;
         at = t < at ? t : at;
     }
-    c = TAILQ_FIRST(&in->idle);
-    if (c && c->since_us + IDLE_US + 1 < at) {
-        at = c->since_us + IDLE_US + 1;
-    }
     return at;
 }
 
@@ -747,7 +503,7 @@
 #define X(id, text)                                                           \
     buf_printf(out, "cf_http_in_" #id "_total{thread=\"%d\"} %" PRIu64 "\n",  \
                in->opts.thread, in->count.id);
-    COUNTER_LIST(X)
+    HTTP_IN_COUNTER_LIST(X)
 #undef X
     buf_printf(out, "cf_http_in_open{thread=\"%d\"} %d\n", in->opts.thread,
                in->open);
@@ -791,8 +547,12 @@
     in->loop = l;
     in->max_body = DEFAULT_MAX_BODY;
     in->now_us = loop_now_us();
-    TAILQ_INIT(&in->receiving);
-    TAILQ_INIT(&in->idle);
+    in->limit_us[CONN_RECEIVING] = opts->receive_timeout_ms * 1000LL;
+    in->limit_us[CONN_SENDING] = SEND_US;
+    in->limit_us[CONN_IDLE] = IDLE_US;
+    for (int s = 0; s < CONN_STATES; s++) {
+        TAILQ_INIT(&in->lists[s]);
+    }
     rng_seed(&in->rng, opts->seed);
     /* Headers up to the limit fit the pool besides MHD's own buffers, so
      * that the refusal is ours and not MHD's text page. */
@@ -827,8 +587,8 @@
     in->stopping = true;
     for (int i = 0; i < in->slot_count; i++) {
         if (in->slots[i]) {
-            leave(in->slots[i]);
-            resume(in->slots[i]);
+            http_in_leave(in->slots[i]);
+            http_in_resume(in->slots[i]);
         }
     }
     MHD_run(in->daemon);
--- a/src/edge/http_out.c
+++ b/src/edge/http_out.c
@@ -1,74 +1,17 @@
-#include "edge/http_out.h"
+#include "edge/http_out_state.h"
 
 #include <arpa/inet.h>
-#include <curl/curl.h>
-#include <glib.h>
 #include <inttypes.h>
-#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <sys/epoll.h>
 #include <unistd.h>
 
 #include "base/clean.h"
-#include "edge/sse.h"
 
-#define SPARE_HANDLES 256
 #define CONNECTIONS_KEPT 4096L
 
-enum { HEADERS_MAX = 9, HEADER_BYTES = 160 };
-
-struct token {
-    int index;
-    struct str text;
-};
-
-struct call {
-    struct http_out *out;
-    CURL *easy;
-    uint64_t attempt; /* 0: a probe */
-    struct str endpoint;
-    struct str body;
-    int64_t deadline_us;
-    bool stream;
-    bool final_check;
-    bool listed; /* in out->active */
-    int sends;   /* times the request was about to be written */
-    bool late;   /* final_check found the deadline passed */
-    bool crossed;
-    bool too_large;
-    bool ended;   /* data: [DONE] came */
-    bool bad_sse; /* a chunk that is no completion */
-    bool headers_done;
-    struct str attempt_text; /* as sent in X-Attempt */
-    bool attempt_ok;
-    bool event_stream;
-    bool framed; /* chunked or with Content-Length */
-    int status;
-    int next_index;
-    struct buf answer;
-    struct sse sse;
-    struct call_report report;
-    struct str start_id;
-    bool bytes;     /* bytes came since the last event */
-    GArray *tokens; /* struct token, not yet handed out */
-    struct curl_slist headers[HEADERS_MAX];
-    char text[HEADERS_MAX][HEADER_BYTES];
-    struct call *next_active;
-};
-
-#define COUNTER_LIST(X)                                                       \
-    X(calls)                                                                  \
-    X(done)                                                                   \
-    X(failed)                                                                 \
-    X(unsent)                                                                 \
-    X(cancelled)                                                              \
-    X(crossed)                                                                \
-    X(probes)                                                                 \
-    X(connections)
-
 /* A socket of libcurl in the epoll set. */
 struct watched {
     struct http_out *out;
@@ -78,35 +21,6 @@
     struct loop_source *source;
 };
 
-struct http_out {
-    struct http_out_options opts;
-    struct loop *loop;
-    CURLM *multi;
-    int64_t timer_us;  /* INT64_MAX: none */
-    GHashTable *calls; /* attempt -> struct call */
-    GPtrArray *probes;
-    GPtrArray *sockets;  /* struct watched by descriptor */
-    struct call *active; /* calls with tokens or bytes to hand out */
-    GPtrArray *refused;  /* could not be started; reported in run */
-    CURL *spare[SPARE_HANDLES];
-    int spare_count;
-#define X(id) uint64_t id;
-    struct {
-        COUNTER_LIST(X)
-    } count;
-#undef X
-};
-
-static void
-activate(struct call *c)
-{
-    if (!c->listed) {
-        c->listed = true;
-        c->next_active = c->out->active;
-        c->out->active = c;
-    }
-}
-
 static void
 drop_tokens(struct call *c)
 {
@@ -148,132 +62,6 @@
     free(c);
 }
 
-static bool
-on_sse(void *ctx, struct str data)
-{
-    struct call *c = ctx;
-    if (c->ended) {
-        return true;
-    }
-    if (str_eq(data, STR_LIT("[DONE]"))) {
-        c->ended = true;
-        return true;
-    }
-    struct sse_token t;
-    if (!sse_token(data, &t)) {
-        c->bad_sse = true;
-        return false;
-    }
-    if (t.has_text) {
-        int index = t.index >= 0 ? t.index : c->next_index;
-        struct token token = {index, t.text};
-        c->next_index = index + 1;
-        g_array_append_val(c->tokens, token);
-    }
-    return true;
-}
-
-static size_t
-on_body(char *p, size_t size, size_t n, void *ctx)
-{
-    struct call *c = ctx;
-    size_t len = size * n;
-    c->bytes = true;
-    activate(c);
-    if (c->stream && c->status == 200 && c->event_stream) {
-        return sse_feed(&c->sse, p, len, on_sse, c) ? len : 0;
-    }
-    if (c->answer.len + len > c->out->opts.max_answer_bytes) {
-        c->too_large = true;
-        return 0;
-    }
-    buf_append(&c->answer, p, len);
-    return len;
-}
-
-static struct str
-trimmed(const char *p, size_t len)
-{
-    while (len && (*p == ' ' || *p == '\t')) {
-        p++;
-        len--;
-    }
-    while (len && strchr("\r\n\t ", p[len - 1])) {
-        len--;
-    }
-    return str_of(p, len);
-}
-
-static bool
-header_is(struct str line, struct str name, struct str *value)
-{
-    if (line.len <= name.len || line.ptr[name.len] != ':' ||
-        strncasecmp(line.ptr, name.ptr, name.len) != 0) {
-        return false;
-    }
-    *value = trimmed(line.ptr + name.len + 1, line.len - name.len - 1);
-    return true;
-}
-
-static void
-read_load(struct call *c, struct str v)
-{
-    json_t *j = json_loadb(v.ptr, v.len, 0, NULL);
-    if (json_is_object(j)) {
-        c->report.has_load = true;
-        c->report.in_flight =
-            (int)json_integer_value(json_object_get(j, "in_flight"));
-        c->report.queued =
-            (int)json_integer_value(json_object_get(j, "queued"));
-        c->report.cold = json_is_true(json_object_get(j, "cold"));
-    }
-    json_decref(j);
-}
-
-static size_t
-on_header(char *p, size_t size, size_t n, void *ctx)
-{
-    struct call *c = ctx;
-    struct str line = str_of(p, size * n);
-    struct str v;
-    c->bytes = true;
-    activate(c);
-    if (str_starts(line, STR_LIT("HTTP/"))) {
-        struct str rest = str_of(p + 5, line.len - 5);
-        const char *space = memchr(rest.ptr, ' ', rest.len);
-        c->status = space ? atoi(space) : 0;
-        c->attempt_ok = false;
-    }
-    else if (header_is(line, STR_LIT("X-Attempt"), &v)) {
-        c->attempt_ok = c->attempt_text.len && str_eq(v, c->attempt_text);
-    }
-    else if (header_is(line, STR_LIT("X-Start-Id"), &v)) {
-        str_free(&c->start_id);
-        c->start_id = str_dup(v);
-    }
-    else if (header_is(line, STR_LIT("Endpoint-Load-Metrics"), &v)) {
-        read_load(c, v);
-    }
-    else if (header_is(line, STR_LIT("X-Leaving"), &v)) {
-        c->report.leaving = !str_eq_c(v, "0") && !str_eq_c(v, "false");
-    }
-    else if (header_is(line, STR_LIT("Content-Type"), &v)) {
-        c->event_stream = str_starts(v, STR_LIT("text/event-stream"));
-    }
-    else if (header_is(line, STR_LIT("Content-Length"), &v) ||
-             header_is(line, STR_LIT("Transfer-Encoding"), &v)) {
-        c->framed = true;
-    }
-    else if (trimmed(p, line.len).len == 0 && c->status >= 200) {
-        c->headers_done = true;
-        if (c->attempt && !c->attempt_ok) {
-            c->crossed = true;
-            return 0;
-        }
-    }
-    return line.len;
-}
-
 /* Called right before the request is written. libcurl repeats a request on
  * a new connection when a reused one was lost before any answer; the first
  * copy may have been received, so the repetition is stopped here. */
@@ -406,8 +194,8 @@
     curl_easy_setopt(e, CURLOPT_TCP_KEEPALIVE, 1L);
     curl_easy_setopt(e, CURLOPT_TCP_KEEPIDLE, 10L);
     curl_easy_setopt(e, CURLOPT_TCP_KEEPINTVL, 5L);
-    curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
-    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, http_out_on_body);
+    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, http_out_on_header);
     curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
     curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, on_close);
     curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, o);
@@ -603,55 +391,6 @@
     }
 }
 
-static void
-failed(struct flow_event *ev, enum call_fault fault, bool unsent)
-{
-    uint64_t attempt = ev->call_done.attempt;
-    ev->kind = FLOW_EV_CALL_FAILED;
-    ev->call_failed.attempt = attempt;
-    ev->call_failed.fault = fault;
-    ev->call_failed.unsent = unsent;
-}
-
-static void
-judge(struct call *c, CURLcode rc, struct flow_event *ev)
-{
-    bool unsent = c->sends == 0;
-    if (c->crossed) {
-        failed(ev, CALL_CROSSED, false);
-    }
-    else if (c->late || (rc == CURLE_OPERATION_TIMEDOUT &&
-                         loop_now_us() >= c->deadline_us - 2000)) {
-        failed(ev, CALL_TIMEOUT, unsent);
-    }
-    else if (unsent) {
-        failed(ev, CALL_REFUSED, true);
-    }
-    else if (c->bad_sse || c->too_large || rc == CURLE_PARTIAL_FILE ||
-             rc == CURLE_WRITE_ERROR) {
-        failed(ev, CALL_TRUNCATED, false);
-    }
-    else if (rc != CURLE_OK || !c->headers_done) {
-        failed(ev, c->headers_done ? CALL_TRUNCATED : CALL_RESET, false);
-    }
-    else if (c->stream && c->status == 200 &&
-             (!c->event_stream || !c->ended)) {
-        failed(ev, CALL_TRUNCATED, false);
-    }
-    else if (!(c->stream && c->status == 200) && !c->framed &&
-             c->status != 204) {
-        /* An answer that is delimited by the end of the connection cannot
-         * be told from one that was cut off. */
-        failed(ev, CALL_TRUNCATED, false);
-    }
-    else {
-        ev->call_done.http_status = c->status;
-        ev->call_done.body = buf_str(&c->answer);
-        ev->call_done.report = c->report;
-        ev->call_done.report.start_id = c->start_id;
-    }
-}
-
 static void
 finish(struct http_out *o, struct call *c, CURLcode rc)
 {
@@ -668,7 +407,7 @@
     }
     else {
         ev.call_done.attempt = c->attempt;
-        judge(c, rc, &ev);
+        http_out_judge(c, rc, &ev);
         if (ev.kind == FLOW_EV_CALL_DONE) {
             o->count.done++;
         }
@@ -749,7 +488,7 @@
 #define X(id)                                                                 \
     buf_printf(out, "cf_http_out_" #id "_total{thread=\"%d\"} %" PRIu64 "\n", \
                thread, o->count.id);
-    COUNTER_LIST(X)
+    HTTP_OUT_COUNTER_LIST(X)
 #undef X
     buf_printf(out, "cf_http_out_open{thread=\"%d\"} %d\n", thread,
                http_out_open(o));
--- /dev/null
+++ b/src/edge/http_out_answer.c
@@ -0,0 +1,191 @@
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "edge/http_out_state.h"
+
+static void
+activate(struct call *c)
+{
+    if (!c->listed) {
+        c->listed = true;
+        c->next_active = c->out->active;
+        c->out->active = c;
+    }
+}
+
+static bool
+on_sse(void *ctx, struct str data)
+{
+    struct call *c = ctx;
+    if (c->ended) {
+        return true;
+    }
+    if (str_eq(data, STR_LIT("[DONE]"))) {
+        c->ended = true;
+        return true;
+    }
+    struct sse_token t;
+    if (!sse_token(data, &t)) {
+        c->bad_sse = true;
+        return false;
+    }
+    if (t.has_text) {
+        int index = t.index >= 0 ? t.index : c->next_index;
+        struct token token = {index, t.text};
+        c->next_index = index + 1;
+        g_array_append_val(c->tokens, token);
+    }
+    return true;
+}
+
+size_t
+http_out_on_body(char *p, size_t size, size_t n, void *ctx)
+{
+    struct call *c = ctx;
+    size_t len = size * n;
+    c->bytes = true;
+    activate(c);
+    if (c->stream && c->status == 200 && c->event_stream) {
+        return sse_feed(&c->sse, p, len, on_sse, c) ? len : 0;
+    }
+    if (c->answer.len + len > c->out->opts.max_answer_bytes) {
+        c->too_large = true;
+        return 0;
+    }
+    buf_append(&c->answer, p, len);
+    return len;
+}
+
+static struct str
+trimmed(const char *p, size_t len)
+{
+    while (len && (*p == ' ' || *p == '\t')) {
+        p++;
+        len--;
+    }
+    while (len && strchr("\r\n\t ", p[len - 1])) {
+        len--;
+    }
+    return str_of(p, len);
+}
+
+static bool
+header_is(struct str line, struct str name, struct str *value)
+{
+    if (line.len <= name.len || line.ptr[name.len] != ':' ||
+        strncasecmp(line.ptr, name.ptr, name.len) != 0) {
+        return false;
+    }
+    *value = trimmed(line.ptr + name.len + 1, line.len - name.len - 1);
+    return true;
+}
+
+static void
+read_load(struct call *c, struct str v)
+{
+    json_t *j = json_loadb(v.ptr, v.len, 0, NULL);
+    if (json_is_object(j)) {
+        c->report.has_load = true;
+        c->report.in_flight =
+            (int)json_integer_value(json_object_get(j, "in_flight"));
+        c->report.queued =
+            (int)json_integer_value(json_object_get(j, "queue"));
+        c->report.cold = json_is_true(json_object_get(j, "cold"));
+    }
+    json_decref(j);
+}
+
+size_t
+http_out_on_header(char *p, size_t size, size_t n, void *ctx)
+{
+    struct call *c = ctx;
+    struct str line = str_of(p, size * n);
+    struct str v;
+    c->bytes = true;
+    activate(c);
+    if (str_starts(line, STR_LIT("HTTP/"))) {
+        struct str rest = str_of(p + 5, line.len - 5);
+        const char *space = memchr(rest.ptr, ' ', rest.len);
+        c->status = space ? atoi(space) : 0;
+        c->attempt_ok = false;
+    }
+    else if (header_is(line, STR_LIT("X-Attempt"), &v)) {
+        c->attempt_ok = c->attempt_text.len && str_eq(v, c->attempt_text);
+    }
+    else if (header_is(line, STR_LIT("X-Start-Id"), &v)) {
+        str_free(&c->start_id);
+        c->start_id = str_dup(v);
+    }
+    else if (header_is(line, STR_LIT("Endpoint-Load-Metrics"), &v)) {
+        read_load(c, v);
+    }
+    else if (header_is(line, STR_LIT("X-Leaving"), &v)) {
+        c->report.leaving = !str_eq_c(v, "0") && !str_eq_c(v, "false");
+    }
+    else if (header_is(line, STR_LIT("Content-Type"), &v)) {
+        c->event_stream = str_starts(v, STR_LIT("text/event-stream"));
+    }
+    else if (header_is(line, STR_LIT("Content-Length"), &v) ||
+             header_is(line, STR_LIT("Transfer-Encoding"), &v)) {
+        c->framed = true;
+    }
+    else if (trimmed(p, line.len).len == 0 && c->status >= 200) {
+        c->headers_done = true;
+        if (c->attempt && !c->attempt_ok) {
+            c->crossed = true;
+            return 0;
+        }
+    }
+    return line.len;
+}
+
+static void
+failed(struct flow_event *ev, enum call_fault fault, bool unsent)
+{
+    uint64_t attempt = ev->call_done.attempt;
+    ev->kind = FLOW_EV_CALL_FAILED;
+    ev->call_failed.attempt = attempt;
+    ev->call_failed.fault = fault;
+    ev->call_failed.unsent = unsent;
+}
+
+void
+http_out_judge(const struct call *c, CURLcode rc, struct flow_event *ev)
+{
+    bool unsent = c->sends == 0;
+    if (c->crossed) {
+        failed(ev, CALL_CROSSED, false);
+    }
+    else if (c->late || (rc == CURLE_OPERATION_TIMEDOUT &&
+                         loop_now_us() >= c->deadline_us - 2000)) {
+        failed(ev, CALL_TIMEOUT, unsent);
+    }
+    else if (unsent) {
+        failed(ev, CALL_REFUSED, true);
+    }
+    else if (c->bad_sse || c->too_large || rc == CURLE_PARTIAL_FILE ||
+             rc == CURLE_WRITE_ERROR) {
+        failed(ev, CALL_TRUNCATED, false);
+    }
+    else if (rc != CURLE_OK || !c->headers_done) {
+        failed(ev, c->headers_done ? CALL_TRUNCATED : CALL_RESET, false);
+    }
+    else if (c->stream && c->status == 200 &&
+             (!c->event_stream || !c->ended)) {
+        failed(ev, CALL_TRUNCATED, false);
+    }
+    else if (!(c->stream && c->status == 200) && !c->framed &&
+             c->status != 204) {
+        /* An answer that is delimited by the end of the connection cannot
+         * be told from one that was cut off. */
+        failed(ev, CALL_TRUNCATED, false);
+    }
+    else {
+        ev->call_done.http_status = c->status;
+        ev->call_done.body = buf_str(&c->answer);
+        ev->call_done.report = c->report;
+        ev->call_done.report.start_id = c->start_id;
+    }
+}
--- a/src/edge/sse.c
+++ b/src/edge/sse.c
@@ -77,8 +77,10 @@
         return false;
     }
     json_t *text = json_object_get(choice, "text");
-    json_t *index = json_object_get(choice, "token_index");
-    if (json_is_string(text)) {
+    json_t *index = json_object_get(j, "token_index");
+    /* The last chunk has an empty text and no index. */
+    if (json_is_string(text) &&
+        (json_string_length(text) > 0 || json_is_integer(index))) {
         out->has_text = true;
         out->text =
             str_dup(str_of(json_string_value(text), json_string_length(text)));
--- a/src/edge/sse.h
+++ b/src/edge/sse.h
@@ -29,7 +29,7 @@
 /** Forgets all state and frees its memory. */
 void sse_free(struct sse *s);
 
-/** A completion chunk, as {"choices":[{"text":T,"token_index":I}]}. */
+/** A completion chunk, as {"choices":[{"text":T}],"token_index":I}. */
 struct sse_token {
     struct str text; /**< owned */
     int index;       /**< position in the whole answer; -1: not given */
--- /dev/null
+++ b/tests/proc.h
@@ -0,0 +1,67 @@
+/**
+ * @file proc.h
+ * Child processes, a blocking HTTP client, and a small fleet on loopback:
+ * key-value service, an engine, a service and nodes. For tests and benches.
+ */
+#ifndef TESTS_PROC_H
+#define TESTS_PROC_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/types.h>
+
+#include "base/str.h"
+
+/**
+ * Starts a program of $CF_BUILD_DIR; its output goes to @p log.
+ * @param args NULL-terminated, without the program
+ */
+pid_t proc_start(const char *program, const char *const *args,
+                 const char *log);
+/** Sends a signal (0: none) and waits. @return exit code, or minus signal */
+int proc_end(pid_t pid, int sig);
+/** Processor time so far, in microseconds. */
+int64_t proc_cpu_us(pid_t pid);
+/** Waits until @p log has a line with @p key; returns the number after it.
+ * Ends the program after 20 s. */
+long proc_log_number(const char *log, const char *key);
+
+/** One request on a connection of its own. @p headers are whole lines with
+ * CR LF, or "". @return HTTP status, 0 if there is no whole answer */
+int proc_http(int port, const char *method, const char *path,
+              const char *headers, struct str body, struct buf *answer);
+
+#define RIG_NODES 5
+#define RIG_TEAM "Authorization: Bearer team-token\r\n"
+#define RIG_OTHER "Authorization: Bearer other-token\r\n"
+#define RIG_OPERATOR "Authorization: Bearer operator-token\r\n"
+#define RIG_VIEWER "Authorization: Bearer viewer-token\r\n"
+
+struct rig {
+    char dir[64];
+    pid_t kv;
+    pid_t engine;
+    pid_t service;
+    int kv_port;
+    int engine_port;
+    int service_port;
+    struct rig_node {
+        pid_t pid; /**< 0: not running */
+        int port;
+        int link_port;
+        char log[96];
+    } nodes[RIG_NODES];
+};
+
+/** Starts the fakes and puts the VM list; @p engine_args may be NULL. */
+void rig_open(struct rig *r, const char *const *engine_args);
+/** Starts node @p i; @p toml is added to its settings. */
+void rig_node_start(struct rig *r, int i, const char *toml);
+/** Applies the configuration on node 0 and waits until it is answered. */
+void rig_configure(struct rig *r);
+/** Waits until /readyz of node @p i has this status. */
+void rig_wait_ready(struct rig *r, int i, int status);
+/** Ends everything that runs by its process id. */
+void rig_close(struct rig *r);
+
+#endif
--- a/tests/test_http_in.c
+++ b/tests/test_http_in.c
@@ -195,6 +195,31 @@
     rig_close(&g);
 }
 
+/* An answer that the caller does not read must not hold its memory. */
+static void
+test_slow_reader(void)
+{
+    CLEAN_FREE char *large = g_strnfill(8 << 20, 'a');
+    struct rig g;
+    rig_open(&g, 0);
+    int fd = client_connect(http_in_port(g.in));
+    client_send(fd, STR_LIT("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n"));
+    until_logged(&g, "/hold");
+    http_in_answer(g.in, g.last, 200, "text/plain", str_from(large));
+    for (int k = 0; k < 5; k++) {
+        pump(&g);
+    }
+    g_assert_cmpint(http_in_open(g.in), ==, 1);
+    g.skew_us = 61000000;
+    int64_t end = loop_now_us() + LIMIT_US;
+    while (http_in_open(g.in) > 0) {
+        g_assert_cmpint(loop_now_us(), <, end);
+        pump(&g);
+    }
+    close(fd);
+    rig_close(&g);
+}
+
 static void
 test_gone(void)
 {
@@ -329,6 +354,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/http-in/requests", test_requests);
     g_test_add_func("/http-in/slow-sender", test_slow_sender);
+    g_test_add_func("/http-in/slow-reader", test_slow_reader);
     g_test_add_func("/http-in/gone", test_gone);
     g_test_add_func("/http-in/later-and-pipelined", test_later_and_pipelined);
     g_test_add_func("/http-in/stream", test_stream);
