Add a virtual-time world with load scenarios, fleet runs and a fuzzer

Cause: decisions under load and faults could not be measured or searched for violations without the whole fleet.

--- /dev/null
+++ b/bench/world.c
@@ -0,0 +1,690 @@
+#include "bench/world_internal.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* How often the balancer looks at a node's readiness. */
+#define BALANCER_US 500000
+
+/* A draining node serves this long after its readiness fails. */
+#define BALANCER_WAIT_US 1000000
+
+static bool
+before(const struct event *a, const struct event *b)
+{
+    return a->at != b->at ? a->at < b->at : a->seq < b->seq;
+}
+
+void
+world_push(struct world *w, int64_t at, enum event_kind kind, int a,
+           uint64_t b, void *data)
+{
+    if (w->heap_count == w->heap_cap) {
+        w->heap_cap = w->heap_cap ? w->heap_cap * 2 : 1024;
+        w->heap = mem_grow(w->heap, w->heap_cap, sizeof(*w->heap));
+    }
+    struct event e = {at, w->seq++, kind, a, b, data};
+    size_t i = w->heap_count++;
+    while (i > 0 && before(&e, &w->heap[(i - 1) / 2])) {
+        w->heap[i] = w->heap[(i - 1) / 2];
+        i = (i - 1) / 2;
+    }
+    w->heap[i] = e;
+}
+
+static struct event
+pop(struct world *w)
+{
+    struct event top = w->heap[0];
+    struct event e = w->heap[--w->heap_count];
+    size_t i = 0;
+    for (;;) {
+        size_t c = 2 * i + 1;
+        if (c >= w->heap_count) {
+            break;
+        }
+        if (c + 1 < w->heap_count && before(&w->heap[c + 1], &w->heap[c])) {
+            c++;
+        }
+        if (!before(&w->heap[c], &e)) {
+            break;
+        }
+        w->heap[i] = w->heap[c];
+        i = c;
+    }
+    w->heap[i] = e;
+    return top;
+}
+
+int64_t
+world_one_way(const struct world *w, int zone_a, int zone_b)
+{
+    return zone_a == zone_b ? 100 : w->opt.zone_us;
+}
+
+int
+world_node_zone(const struct world *w, int node)
+{
+    return node % w->fleet->zone_count;
+}
+
+struct world *
+world_new(const struct world_options *o)
+{
+    struct world *w = mem_zero(1, sizeof(*w));
+    struct buf errors = {0};
+    w->opt = *o;
+    rng_seed(&w->rng, o->seed);
+    if (fleet_parse(str_from(o->config), &w->fleet, &errors) != ST_OK) {
+        fprintf(stderr, "world: %s\n", errors.ptr);
+        abort();
+    }
+    buf_free(&errors);
+    for (int i = 0; i < WORLD_MAX_ENDPOINTS; i++) {
+        w->queue_head[i] = NO_CALL;
+    }
+    w->now = 1000000;
+    return w;
+}
+
+static void
+free_event(struct event *e)
+{
+    if (!e->data) {
+        return;
+    }
+    switch (e->kind) {
+    case EV_MSG:
+        str_free(e->data);
+        break;
+    case EV_STORE_RESULT:
+        str_free(&((struct store_result *)e->data)->value);
+        break;
+    case EV_CALL_DELIVER:
+        str_free(&((struct delivery *)e->data)->text);
+        break;
+    case EV_CALLER_DONE: {
+        struct flow_action *a = e->data;
+        if (a->kind == FLOW_ACT_TOKEN) {
+            str_free(&a->token.text);
+        }
+        else if (a->kind == FLOW_ACT_ANSWER) {
+            str_free(&a->answer.body);
+        }
+        break;
+    }
+    case EV_REQUEST:
+        str_free(e->data);
+        break;
+    default:
+        break;
+    }
+    free(e->data);
+}
+
+void
+world_free(struct world *w)
+{
+    for (int n = 0; n < w->opt.nodes; n++) {
+        node_stop(w, n);
+    }
+    for (size_t i = 0; i < w->heap_count; i++) {
+        free_event(&w->heap[i]);
+    }
+    store_free_all(w);
+    fleet_free(w->fleet);
+    free(w->heap);
+    free(w->calls);
+    free(w->requests);
+    free(w->edits);
+    free(w->action_runs);
+    free(w);
+}
+
+int
+world_add_endpoint(struct world *w, const char *id, const char *vm,
+                   const char *pool, const char *zone,
+                   const struct world_endpoint_model *m)
+{
+    struct world_endpoint *e = &w->endpoints[w->endpoint_count];
+    snprintf(e->id, sizeof(e->id), "%s", id);
+    snprintf(e->vm, sizeof(e->vm), "%s", vm);
+    e->pool = fleet_pool_find(w->fleet, str_from(pool));
+    e->zone = fleet_zone_find(w->fleet, str_from(zone));
+    e->model = *m;
+    e->slow = 1;
+    e->listed = true;
+    e->leaving_since = INT64_MAX;
+    return w->endpoint_count++;
+}
+
+void
+world_publish_vms(struct world *w)
+{
+    struct buf b = {0};
+    const char *sep = "";
+    buf_printf(&b, "{\"vms\":[");
+    for (int i = 0; i < w->endpoint_count; i++) {
+        const struct world_endpoint *e = &w->endpoints[i];
+        if (!e->listed) {
+            continue;
+        }
+        struct str pool = w->fleet->pools[e->pool].name;
+        struct str zone = w->fleet->zones[e->zone].name;
+        buf_printf(&b,
+                   "%s{\"vm\":\"%s\",\"zone\":\"%.*s\",\"state\":\"%s\","
+                   "\"endpoints\":[{\"id\":\"%s\",\"pool\":\"%.*s\","
+                   "\"url\":\"http://%s\"}]}",
+                   sep, e->vm, STR_FMT(zone), e->leaving ? "leaving" : "live",
+                   e->id, STR_FMT(pool), e->id);
+        sep = ",";
+    }
+    buf_printf(&b, "]}");
+    store_put(w, "platform/vms", buf_str(&b));
+    buf_free(&b);
+}
+
+bool
+world_start(struct world *w, int64_t limit_us)
+{
+    store_put(w, "cf/config", str_from(w->opt.config));
+    world_publish_vms(w);
+    for (int n = 0; n < w->opt.nodes; n++) {
+        node_start(w, n);
+    }
+    world_push(w, w->now + 1000, EV_BALANCER, 0, 0, NULL);
+    int64_t end = w->now + limit_us;
+    while (w->now < end) {
+        int ready = 0;
+        world_run(w, w->now + 50000);
+        for (int n = 0; n < w->opt.nodes; n++) {
+            ready += world_node_ready(w, n) && w->nodes[n].snap;
+        }
+        if (ready == w->opt.nodes) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+world_node_paused(struct world *w, int node)
+{
+    return w->nodes[node].up && w->nodes[node].paused_until > w->now;
+}
+
+/* True if the event must wait until its node runs again. */
+static bool
+deferred(struct world *w, const struct event *e)
+{
+    switch (e->kind) {
+    case EV_NODE_TICK:
+    case EV_MSG:
+    case EV_STORE_RESULT:
+    case EV_CALL_DELIVER:
+    case EV_CALL_DEADLINE:
+    case EV_PROBE:
+    case EV_DRAIN:
+        if (world_node_paused(w, e->a)) {
+            struct node *nd = &w->nodes[e->a];
+            if (e->kind == EV_NODE_TICK && nd->tick_at == e->at) {
+                nd->tick_at = nd->paused_until;
+            }
+            world_push(w, nd->paused_until, e->kind, e->a, e->b, e->data);
+            return true;
+        }
+        return false;
+    case EV_REQUEST: {
+        int n = w->requests[e->a].node;
+        if (world_node_paused(w, n)) {
+            world_push(w, w->nodes[n].paused_until, e->kind, e->a, e->b,
+                       e->data);
+            return true;
+        }
+        return false;
+    }
+    default:
+        return false;
+    }
+}
+
+static void
+request_arrives(struct world *w, const struct event *e)
+{
+    struct str *body = e->data;
+    struct world_request *r = &w->requests[e->a];
+    char id[32];
+    char key[32];
+    char deadline[32];
+    char token[64];
+    if (!w->nodes[r->node].up) {
+        r->outcome = r->outcome == WORLD_PENDING ? WORLD_LOST : r->outcome;
+        r->done_us = w->now;
+    }
+    else if (r->outcome == WORLD_PENDING) {
+        snprintf(id, sizeof(id), "r%d", e->a);
+        snprintf(key, sizeof(key), "k%" PRIu64, r->action);
+        snprintf(deadline, sizeof(deadline), "%" PRId64,
+                 (r->deadline_us - r->sent_us) / 1000);
+        snprintf(token, sizeof(token), "token-%.*s",
+                 STR_FMT(w->fleet->teams[r->team].name));
+        struct flow_event ev = {.kind = FLOW_EV_REQUEST};
+        ev.request = (struct flow_request){
+            .req = (uint64_t)e->a,
+            .request_id = str_from(id),
+            .pipeline = w->fleet->pipelines[r->pipeline].name,
+            .token = str_from(token),
+            .key = r->action ? str_from(key) : (struct str){0},
+            .deadline = str_from(deadline),
+            .body = *body,
+            .stream = r->stream,
+        };
+        node_flow(w, r->node, &ev);
+    }
+    str_free(body);
+    free(body);
+}
+
+/* An answer is whole if it names its own content and no other. */
+static bool
+own_answer(const struct world_request *r, struct str body)
+{
+    char mine[32];
+    int n = snprintf(mine, sizeof(mine), "q%" PRIu64 "q", r->content);
+    const char *p = body.ptr;
+    const char *end = body.ptr + body.len;
+    bool found = false;
+    while (p && p < end && (p = memchr(p, 'q', (size_t)(end - p)))) {
+        const char *q = p + 1;
+        while (q < end && *q >= '0' && *q <= '9') {
+            q++;
+        }
+        if (q > p + 1 && q < end && *q == 'q') {
+            if (q - p + 1 != n || memcmp(p, mine, (size_t)n) != 0) {
+                return false;
+            }
+            found = true;
+        }
+        p++;
+    }
+    return found;
+}
+
+static void
+token_arrives(struct world *w, struct world_request *r,
+              const struct flow_action *a)
+{
+    char want[32];
+    if (a->token.index == 0) {
+        snprintf(want, sizeof(want), "q%" PRIu64 "q", r->content);
+        r->first_token_us = w->now;
+    }
+    else {
+        snprintf(want, sizeof(want), " t%d", a->token.index);
+    }
+    r->wrong |= a->token.index != r->tokens || !str_eq_c(a->token.text, want);
+    r->tokens++;
+}
+
+static void
+caller_gets(struct world *w, const struct event *e)
+{
+    struct flow_action *a = e->data;
+    uint64_t req = a->kind == FLOW_ACT_TOKEN    ? a->token.req
+                   : a->kind == FLOW_ACT_ANSWER ? a->answer.req
+                                                : a->refuse.req;
+    struct world_request *r = &w->requests[req];
+    if (a->kind == FLOW_ACT_TOKEN) {
+        token_arrives(w, r, a);
+        str_free(&a->token.text);
+        free(a);
+        return;
+    }
+    r->answers++;
+    if (w->opt.mutation == WORLD_MUT_REPLAY_ANSWER) {
+        r->answers++;
+    }
+    if (r->outcome == WORLD_PENDING) {
+        r->done_us = w->now;
+        if (a->kind == FLOW_ACT_ANSWER) {
+            r->outcome = WORLD_ANSWERED;
+            r->wrong |= !own_answer(r, a->answer.body);
+        }
+        else {
+            r->outcome = WORLD_REFUSED;
+            r->error = a->refuse.error;
+            if (w->opt.mutation == WORLD_MUT_DENY_RUN &&
+                errkind_info(r->error)->ran != RAN_NOT) {
+                r->error = ERRKIND_OVERLOADED;
+            }
+            r->claim_open_ran = r->action &&
+                                errkind_info(r->error)->ran == RAN_NOT &&
+                                world_action_runs(w, r->action) > 0;
+        }
+    }
+    if (a->kind == FLOW_ACT_ANSWER) {
+        str_free(&a->answer.body);
+    }
+    free(a);
+}
+
+static void
+note_store(struct world *w)
+{
+    const struct world_knobs *k = &w->knobs;
+    if (k->store_down || k->store_cut || k->store_delay_us > 200000) {
+        w->store_bad_at = w->now;
+    }
+}
+
+int64_t
+world_store_ok_since(struct world *w)
+{
+    note_store(w);
+    return w->store_bad_at == w->now ? INT64_MAX : w->store_bad_at;
+}
+
+struct str
+world_store_value(const struct world *w, const char *key)
+{
+    for (int i = 0; i < w->store_count; i++) {
+        if (str_eq_c(w->store[i].key, key)) {
+            return w->store[i].value;
+        }
+    }
+    return (struct str){0};
+}
+
+static void
+balancer(struct world *w)
+{
+    for (int n = 0; n < w->opt.nodes; n++) {
+        w->nodes[n].balancer_ok = w->nodes[n].up && !world_node_paused(w, n) &&
+                                  !w->nodes[n].draining &&
+                                  world_node_ready(w, n);
+    }
+    note_store(w);
+    world_push(w, w->now + BALANCER_US, EV_BALANCER, 0, 0, NULL);
+}
+
+static void
+dispatch(struct world *w, const struct event *e)
+{
+    switch (e->kind) {
+    case EV_NODE_TICK:
+    case EV_NODE_START:
+    case EV_MSG:
+    case EV_DRAIN:
+        node_event(w, e);
+        break;
+    case EV_STORE_EXEC:
+    case EV_STORE_RESULT:
+    case EV_STORE_EXPIRE:
+        store_event(w, e);
+        break;
+    case EV_REQUEST:
+        request_arrives(w, e);
+        break;
+    case EV_CALLER_DONE:
+        caller_gets(w, e);
+        break;
+    case EV_BALANCER:
+        balancer(w);
+        break;
+    default:
+        endpoint_event(w, e);
+        break;
+    }
+}
+
+void
+world_run(struct world *w, int64_t until_us)
+{
+    while (w->heap_count && w->heap[0].at <= until_us) {
+        struct event e = pop(w);
+        w->now = e.at > w->now ? e.at : w->now;
+        if (!deferred(w, &e)) {
+            dispatch(w, &e);
+        }
+    }
+    w->now = until_us > w->now ? until_us : w->now;
+}
+
+static int
+pick_node(struct world *w)
+{
+    int ok[WORLD_MAX_NODES];
+    int count = 0;
+    for (int n = 0; n < w->opt.nodes; n++) {
+        if (w->nodes[n].balancer_ok) {
+            ok[count++] = n;
+        }
+    }
+    return count ? ok[rng_below(&w->rng, (uint64_t)count)] : -1;
+}
+
+int
+world_send(struct world *w, int node, const struct world_request *r,
+           int64_t deadline_ms)
+{
+    node = node < 0 ? pick_node(w) : node;
+    if (node < 0) {
+        return -1;
+    }
+    if (w->request_count == w->request_cap) {
+        w->request_cap = w->request_cap ? w->request_cap * 2 : 1024;
+        w->requests = mem_grow(w->requests, (size_t)w->request_cap,
+                               sizeof(*w->requests));
+    }
+    int i = w->request_count++;
+    struct world_request *q = &w->requests[i];
+    *q = *r;
+    q->node = node;
+    q->sent_us = w->now;
+    q->deadline_us = w->now + deadline_ms * 1000;
+    q->outcome = WORLD_PENDING;
+    q->content = r->content ? r->content : (uint64_t)i + 1;
+    struct buf b = {0};
+    buf_printf(&b, "{\"input\":\"%sask q%" PRIu64 "q\"",
+               q->wrong ? "CRASH " : "", q->content);
+    if (q->action) {
+        buf_printf(&b, ",\"action_id\":\"a%" PRIu64 "a\"", q->action);
+    }
+    buf_printf(&b, "}");
+    q->wrong = false;
+    struct str *body = mem_zero(1, sizeof(*body));
+    *body = buf_take(&b);
+    world_push(w, w->now + w->opt.client_us, EV_REQUEST, i, 0, body);
+    return i;
+}
+
+void
+world_caller_gone(struct world *w, int request)
+{
+    struct world_request *r = &w->requests[request];
+    if (r->outcome != WORLD_PENDING) {
+        return;
+    }
+    r->outcome = WORLD_GONE;
+    struct flow_event ev = {.kind = FLOW_EV_CALLER_GONE,
+                            .caller_gone = (uint64_t)request};
+    node_flow(w, r->node, &ev);
+}
+
+void
+world_kill_node(struct world *w, int node, int64_t back_us)
+{
+    if (w->nodes[node].up) {
+        node_stop(w, node);
+        if (back_us > 0) {
+            world_push(w, w->now + back_us, EV_NODE_START, node, 0, NULL);
+        }
+    }
+}
+
+void
+world_pause_node(struct world *w, int node, int64_t for_us)
+{
+    w->nodes[node].paused_until = w->now + for_us;
+}
+
+void
+world_drain_node(struct world *w, int node, int64_t back_us)
+{
+    struct node *nd = &w->nodes[node];
+    if (!nd->up || nd->draining) {
+        return;
+    }
+    nd->draining = true;
+    nd->balancer_ok = false;
+    nd->back_us = back_us;
+    if (w->opt.mutation == WORLD_MUT_CUT_DRAIN) {
+        world_kill_node(w, node, back_us);
+        return;
+    }
+    world_push(w, w->now + BALANCER_WAIT_US, EV_DRAIN, node, nd->gen, NULL);
+}
+
+int
+world_edit(struct world *w, int node, const char *path, const char *value_json,
+           const char *reason, const char *by, const char *change,
+           int64_t base)
+{
+    w->edits =
+        mem_grow(w->edits, (size_t)w->edit_count + 1, sizeof(*w->edits));
+    int id = w->edit_count++;
+    w->edits[id] = (struct edit){ERRKIND_COUNT, 0, 0};
+    struct buf b = {0};
+    buf_printf(&b,
+               "{\"change\":\"%s\",\"by\":\"%s\",\"base\":%" PRId64
+               ",\"set\":[{\"path\":\"%s\",\"value\":%s,\"reason\":\"%s\"}]}",
+               change, by, base, path, value_json, reason);
+    struct control_event ev = {.kind = CONTROL_EV_ADMIN};
+    ev.admin.id = (uint64_t)id;
+    ev.admin.verb = ADMIN_EDIT;
+    ev.admin.body = buf_str(&b);
+    ev.admin.deadline_us = w->now + 8000000;
+    node_control(w, node, &ev);
+    buf_free(&b);
+    return id;
+}
+
+enum errkind
+world_edit_result(const struct world *w, int edit, int64_t *done_us,
+                  int64_t *revision)
+{
+    if (done_us) {
+        *done_us = w->edits[edit].done_us;
+    }
+    if (revision) {
+        *revision = w->edits[edit].revision;
+    }
+    return w->edits[edit].result;
+}
+
+int64_t
+world_now(const struct world *w)
+{
+    return w->now;
+}
+
+struct rng *
+world_rng(struct world *w)
+{
+    return &w->rng;
+}
+
+struct world_knobs *
+world_knobs(struct world *w)
+{
+    return &w->knobs;
+}
+
+struct world_request *
+world_request(struct world *w, int i)
+{
+    return &w->requests[i];
+}
+
+int
+world_request_count(const struct world *w)
+{
+    return w->request_count;
+}
+
+struct world_endpoint *
+world_endpoint(struct world *w, int i)
+{
+    return &w->endpoints[i];
+}
+
+int
+world_endpoint_count(const struct world *w)
+{
+    return w->endpoint_count;
+}
+
+bool
+world_node_up(const struct world *w, int node)
+{
+    return w->nodes[node].up;
+}
+
+bool
+world_node_ready(struct world *w, int node)
+{
+    return w->nodes[node].up && control_ready(w->nodes[node].control, w->now);
+}
+
+const struct control *
+world_control(const struct world *w, int node)
+{
+    return w->nodes[node].control;
+}
+
+int
+world_action_runs(const struct world *w, uint64_t action)
+{
+    return action < w->action_cap ? w->action_runs[action] : 0;
+}
+
+int64_t
+world_node_revision(const struct world *w, int node)
+{
+    return w->nodes[node].snap ? w->nodes[node].snap->config_revision : 0;
+}
+
+bool
+world_node_zone_out(const struct world *w, int node, int zone)
+{
+    const struct snapshot *s = w->nodes[node].snap;
+    return s && s->fleet->zones[zone].out;
+}
+
+int64_t
+world_fresh_until(const struct world *w, int node)
+{
+    return w->nodes[node].fresh_until;
+}
+
+const struct fleet *
+world_fleet(const struct world *w)
+{
+    return w->fleet;
+}
+
+void
+world_on_call(struct world *w,
+              void (*fn)(void *ctx, const struct world_call_info *), void *ctx)
+{
+    w->on_call = fn;
+    w->on_call_ctx = ctx;
+}
+
+struct world_totals
+world_totals(const struct world *w)
+{
+    return w->totals;
+}
--- /dev/null
+++ b/tools/bench.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Runs the measurements and draws the plots into bench-out/.
+# Usage: tools/bench.sh BUILD_DIR
+set -eu
+dir=$1
+mkdir -p bench-out
+for b in "$dir"/bench_*; do
+    name=$(basename "$b")
+    case $name in
+    *.d | *.o | bench_forwarder | bench_fuzz) continue ;;
+    esac
+    echo "== $name"
+    "$b" | tee "bench-out/$name.txt"
+done
+tools/plot.sh
