--- a/src/control/confedit.c
+++ b/src/control/confedit.c
@@ -236,13 +236,14 @@
     return list;
 }
 
-/* A member that has a newer roster counts by other majorities; its roster
- * must be in force here first. */
+/* Without a roster this node does not know whom to wait for. A member that has
+ * a newer one counts by other majorities; it must be in force here first. */
 static bool
 confirmed(struct docs *d, struct member *m, int64_t revision)
 {
     json_t *list = lacking(d, m, revision);
-    bool all = json_array_size(list) == 0;
+    bool all =
+        json_array_size(list) == 0 && docs_get(d, DOC_ROSTER).revision > 0;
     json_decref(list);
     return all && docs_get(d, DOC_CONFIG).revision >= revision &&
            member_newest(m, DOC_ROSTER) <= docs_get(d, DOC_ROSTER).revision;
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -17,9 +17,9 @@
 
 /* Freshness advances smaller than this are not worth an action. */
 #define FRESH_STEP_US 50000
-/* Snapshots for a changed view alone are bundled: a zone's loss changes it
- * many times in a row, and only the node count is new. */
-#define VIEW_SNAPSHOT_US 200000
+/* Snapshots for a changed node count alone are bundled: a zone's loss changes
+ * it many times in a row, and the documents are parsed for each snapshot. */
+#define COUNT_SNAPSHOT_US 500000
 /* A leave does not wait longer for claims; the store may be down. */
 #define LEAVE_MAX_US 10000000
 
@@ -41,7 +41,6 @@
     int64_t roster_revision;   /* given to the membership */
     int64_t config_revision;   /* of the snapshot */
     int64_t vms_revision;
-    uint64_t view_version;
     int64_t snapshot_us;
     int64_t fresh_until_us;
     int64_t now_us;
@@ -173,6 +172,13 @@
     free(c);
 }
 
+static int
+node_count(struct control *c)
+{
+    int alive = view_alive_count(member_view(c->member));
+    return alive > 0 ? alive : 1;
+}
+
 static void
 publish(struct control *c, int64_t now_us)
 {
@@ -184,7 +190,6 @@
     const struct view *v = member_view(c->member);
     c->config_revision = config.revision;
     c->vms_revision = list.revision;
-    c->view_version = v->version;
     c->snapshot_us = now_us;
     if (fleet_parse(config.bytes, &fleet, &errors) != ST_OK) {
         return;
@@ -195,8 +200,7 @@
     claims_set_horizon(c->claims,
                        fleet->defaults[FLEET_CLAIM_HORIZON_MS] * 1000);
     struct snapshot *s = snapshot_new(fleet, vms, config.revision, c->zone);
-    int alive = view_alive_count(v);
-    s->node_count = alive > 0 ? alive : 1;
+    s->node_count = node_count(c);
     credits_snapshot(c->credits, now_us, v, s, c->out);
     for (int i = 0; i < s->endpoint_count; i++) {
         s->endpoints[i].cold = credits_cold(c->credits, s->endpoints[i].id);
@@ -225,11 +229,12 @@
     }
     member_revisions(c->member, revisions, docs_faulty(c->docs));
     member_store_contact(c->member, docs_contact(c->docs));
-    bool view_due = member_view(c->member)->version != c->view_version &&
-                    now_us >= c->snapshot_us + VIEW_SNAPSHOT_US;
+    bool count_due = c->snapshot &&
+                     now_us >= c->snapshot_us + COUNT_SNAPSHOT_US &&
+                     node_count(c) != c->snapshot->node_count;
     if (revisions[DOC_CONFIG] &&
         (revisions[DOC_CONFIG] != c->config_revision ||
-         revisions[DOC_VMS] != c->vms_revision || view_due)) {
+         revisions[DOC_VMS] != c->vms_revision || count_due)) {
         publish(c, now_us);
         c->again = true;
     }
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <time.h>
 
 const char fleet_sim_config[] =
     "{\"defaults\":{\"deadline_ms\":8000},\"zones\":{"
@@ -52,15 +53,25 @@
     }
 }
 
+static int64_t
+clock_ns(void)
+{
+    struct timespec t;
+    clock_gettime(CLOCK_MONOTONIC, &t);
+    return (int64_t)t.tv_sec * 1000000000 + t.tv_nsec;
+}
+
 static void
 step(void *arg, int node, const struct control_event *ev)
 {
     struct fleet_sim *f = arg;
     struct control_action a;
+    int64_t start = f->timed ? clock_ns() : 0;
     control_step(f->nodes[node].core, f->net.now_us, ev);
     while (control_next(f->nodes[node].core, &a)) {
         take(f, node, &a);
     }
+    f->cpu_ns += f->timed ? clock_ns() - start : 0;
     if (f->on_step) {
         f->on_step(f->arg, node);
     }
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -23,6 +23,8 @@
     struct fleet_node nodes[VNET_NODES_MAX];
     int regions;
     uint64_t seed;
+    int64_t cpu_ns; /* spent in the cores and the codec; 0 unless timed */
+    bool timed;
     void *arg;
     /** An operator's answer, or NULL. */
     void (*on_admin)(void *arg, int node, const struct admin_reply *r);
--- /dev/null
+++ b/tests/test_confedit.c
@@ -0,0 +1,315 @@
+/* Guards against answers to operators that are not true: "not_accepted" for a
+ * change that is stored, "done" before each region has it in force, a lost
+ * answer that applies a change twice, and edits without an answer. */
+#include <glib.h>
+#include <string.h>
+
+#include "base/clean.h"
+#include "control/confedit.h"
+#include "control/control.h"
+#include "model/edit.h"
+
+#define MS INT64_C(1000)
+#define DEADLINE_US (6000 * MS)
+
+/* Voters 1 (this node) and 2 in region a, 3 in region b. */
+static const char roster[] =
+    "{\"members\":["
+    "{\"id\":\"0000000000000001\",\"address\":\"x\",\"region\":\"a\","
+    "\"incarnation\":1,\"vote\":true},"
+    "{\"id\":\"0000000000000002\",\"address\":\"x\",\"region\":\"a\","
+    "\"incarnation\":1,\"vote\":true},"
+    "{\"id\":\"0000000000000003\",\"address\":\"x\",\"region\":\"b\","
+    "\"incarnation\":1,\"vote\":true}]}";
+
+static const char edit[] =
+    "{\"change\":\"c1\",\"by\":\"ann\",\"base\":5,\"set\":[{\"path\":"
+    "\"defaults/deadline_ms\",\"value\":5000}]}";
+
+/*
+ * What the store does with one operation after the other; the last letter is
+ * repeated.
+ * CAS: o answered, c another path was changed before, C the same path was,
+ * f not written, L written and the answer lost, l lost and not written,
+ * d lost and written later, before the next CAS.
+ * GET: g answered, G another path was changed before, x failed.
+ * Either: h no answer at all.
+ */
+static const struct {
+    const char *script;
+    const char *body;
+    const char *acks; /* nodes that acknowledge */
+    enum errkind want;
+    const char *says;
+    int effects; /* how often the change is in the history */
+} rows[] = {
+    {"o", edit, "23", ERRKIND_NONE, "\"revision\":6", 1},
+    {"o", edit, "2", ERRKIND_CHANGE_UNCONFIRMED, "\"regions\":[\"b\"]", 1},
+    {"o", edit, "3", ERRKIND_CHANGE_UNCONFIRMED, "\"regions\":[\"a\"]", 1},
+    {"o", edit, "", ERRKIND_CHANGE_UNCONFIRMED, "\"regions\":[\"a\",\"b\"]",
+     1},
+    {"cgo", edit, "23", ERRKIND_NONE, "\"revision\":7", 1},
+    {"ccgcgo", edit, "23", ERRKIND_NONE, "\"revision\":", 1},
+    {"Cg", edit, "23", ERRKIND_CONFLICT,
+     "defaults/deadline_ms was changed by eve (change e", 0},
+    {"fgo", edit, "23", ERRKIND_NONE, "\"revision\":6", 1},
+    {"fxxgfgo", edit, "23", ERRKIND_NONE, "\"revision\":6", 1},
+    {"fx", edit, "23", ERRKIND_NOT_ACCEPTED, "not stored", 0},
+    {"fh", edit, "23", ERRKIND_NOT_ACCEPTED, "not stored", 0},
+    {"Lg", edit, "23", ERRKIND_NONE, "\"revision\":6", 1},
+    {"LG", edit, "23", ERRKIND_NONE, "\"revision\":7", 1},
+    {"lgo", edit, "23", ERRKIND_NONE, "\"revision\":6", 1},
+    {"dgcg", edit, "23", ERRKIND_NONE, "\"revision\":", 1},
+    {"Lx", edit, "23", ERRKIND_CHANGE_UNCONFIRMED, "\"stored\":\"unknown\"",
+     1},
+    {"lx", edit, "23", ERRKIND_CHANGE_UNCONFIRMED, "\"stored\":\"unknown\"",
+     0},
+    /* The record is unchanged: the lost write may still arrive. */
+    {"lgfx", edit, "23", ERRKIND_CHANGE_UNCONFIRMED, "\"stored\":\"unknown\"",
+     0},
+    /* The record has moved on: the lost write can no longer arrive. */
+    {"lGfx", edit, "23", ERRKIND_NOT_ACCEPTED, "not stored", 0},
+    {"h", edit, "23", ERRKIND_CHANGE_UNCONFIRMED, "\"stored\":\"unknown\"", 0},
+    {"o", "{\"change\":\"c1\"}", "23", ERRKIND_BAD_REQUEST, "base: must be",
+     0},
+    {"o",
+     "{\"change\":\"c1\",\"by\":\"ann\",\"base\":5,\"set\":[{\"path\":"
+     "\"defaults/deadline_ms\",\"value\":1},{\"path\":\"colour\","
+     "\"value\":1}]}",
+     "23", ERRKIND_BAD_REQUEST, "colour: unknown key", 0},
+    /* The operator has read a newer document than this node. */
+    {"GCg",
+     "{\"change\":\"c1\",\"by\":\"ann\",\"base\":6,\"set\":[{\"path\":"
+     "\"defaults/deadline_ms\",\"value\":5000}]}",
+     "23", ERRKIND_CONFLICT, "was changed by eve", 0},
+};
+
+struct world {
+    struct docs *d;
+    struct member *m;
+    struct confedit *c;
+    struct outbox *out;
+    int64_t now_us;
+    const char *script;
+    const char *acks;
+    struct str doc; /* in the store */
+    int64_t revision;
+    struct str late; /* written before the next CAS */
+    int64_t late_expect;
+    int others;
+    bool answered;
+    enum errkind error;
+    char body[512];
+};
+
+static int
+no_gossip(void *arg, struct gossip *out, int max)
+{
+    (void)arg;
+    (void)out;
+    (void)max;
+    return 0;
+}
+
+static void
+put(struct world *w, struct str value)
+{
+    struct str copy = str_dup(value);
+    str_free(&w->doc);
+    w->doc = copy;
+    w->revision++;
+}
+
+/* Another operator changes the same or another path. */
+static void
+other_edit(struct world *w, bool same)
+{
+    CLEAN(buf_free) struct buf out = {0};
+    CLEAN(buf_free) struct buf why = {0};
+    CLEAN_FREE char *body = g_strdup_printf(
+        "{\"change\":\"e%d\",\"by\":\"eve\",\"base\":%d,\"set\":[{\"path\":"
+        "\"defaults/%s\",\"value\":%d}]}",
+        w->others, (int)w->revision, same ? "deadline_ms" : "queue_limit",
+        100 + w->others);
+    struct edit *e = NULL;
+    w->others++;
+    g_assert_cmpint(edit_parse(str_from(body), false, &e, &why), ==, ST_OK);
+    g_assert_cmpint(edit_apply(e, w->doc, w->revision, &out, &why), ==,
+                    EDIT_APPLIED);
+    put(w, buf_str(&out));
+    edit_free(e);
+}
+
+/* @return false if the operation gets no answer */
+static bool
+perform(struct world *w, const struct store_op *op, struct store_result *r)
+{
+    char how = *w->script;
+    w->script += w->script[1] != 0;
+    *r = (struct store_result){.id = op->id, .outcome = STORE_LOST};
+    if (op->kind == STORE_CAS && w->late.len) {
+        if (w->late_expect == w->revision) {
+            put(w, w->late);
+        }
+        str_free(&w->late);
+    }
+    if (how == 'c' || how == 'C' || how == 'G') {
+        bool mine = edit_contains(w->doc, STR_LIT("c1"));
+        if (how == 'G' || !mine) {
+            other_edit(w, how == 'C');
+        }
+    }
+    switch (how) {
+    case 'o':
+        g_assert_cmpint(op->expect, ==, w->revision);
+        put(w, op->value);
+        r->outcome = STORE_OK;
+        break;
+    case 'c':
+    case 'C':
+        g_assert_cmpint(op->expect, !=, w->revision);
+        r->outcome = STORE_CONFLICT;
+        break;
+    case 'f':
+    case 'x':
+        r->outcome = STORE_FAILED;
+        break;
+    case 'L':
+        put(w, op->value);
+        break;
+    case 'd':
+        w->late = str_dup(op->value);
+        w->late_expect = op->expect;
+        break;
+    case 'g':
+    case 'G':
+        g_assert_cmpint(op->kind, ==, STORE_GET);
+        r->outcome = STORE_OK;
+        r->value = w->doc;
+        break;
+    case 'h':
+        return false;
+    default:
+        break;
+    }
+    r->revision = w->revision;
+    return true;
+}
+
+/* Performs the actions of a step, and those that follow from them. */
+static void
+drain(struct world *w)
+{
+    struct control_action a;
+    struct store_result r[4];
+    int count = 0;
+    while (outbox_next(w->out, &a)) {
+        if (a.kind == CONTROL_ACT_ADMIN) {
+            g_assert_false(w->answered);
+            w->answered = true;
+            w->error = a.admin.error;
+            g_strlcpy(w->body, a.admin.body.ptr, sizeof(w->body));
+        }
+        else if (a.kind == CONTROL_ACT_STORE) {
+            w->now_us += MS;
+            count += perform(w, &a.store, &r[count]);
+        }
+    }
+    outbox_clear(w->out);
+    for (int i = 0; i < count; i++) {
+        confedit_store(w->c, w->now_us, w->d, w->m, &r[i], w->out);
+    }
+    int64_t revisions[DOC_COUNT] = {docs_get(w->d, DOC_CONFIG).revision, 1, 0};
+    member_revisions(w->m, revisions, 0);
+    for (const char *p = w->acks; *p; p++) {
+        member_acked(w->m, (uint64_t)(*p - '0'), 0, DOC_CONFIG, revisions[0]);
+    }
+    if (count) {
+        drain(w);
+    }
+}
+
+static void
+ask(struct world *w, const char *script, const char *body)
+{
+    int64_t deadline = w->now_us + DEADLINE_US;
+    w->script = script;
+    w->answered = false;
+    confedit_begin(w->c, w->now_us, w->d, w->m, 7, false, str_from(body),
+                   deadline, w->out);
+    drain(w);
+    while (!w->answered) {
+        int64_t at = confedit_wakeup(w->c);
+        g_assert_cmpint(at, <=, deadline);
+        w->now_us = at > w->now_us ? at : w->now_us;
+        confedit_tick(w->c, w->now_us, w->d, w->m, w->out);
+        drain(w);
+    }
+    g_assert_cmpint(w->now_us, <=, deadline + 2 * MS);
+    g_assert_cmpint(confedit_open(w->c), ==, 0);
+}
+
+static int
+effects(struct str doc)
+{
+    int n = 0;
+    for (const char *p = doc.ptr; (p = strstr(p, "\"change\":\"c1\"")); p++) {
+        n++;
+    }
+    return n;
+}
+
+static void
+run_row(size_t i)
+{
+    struct world w = {.acks = rows[i].acks, .revision = 5};
+    struct member_options mo = {.node = 1,
+                                .incarnation = 1,
+                                .region = STR_LIT("a"),
+                                .hooks = {NULL, no_gossip, NULL}};
+    struct docs_options dopt = {.node = 1, .incarnation = 1};
+    w.doc = str_dup(STR_LIT("{}"));
+    w.out = outbox_new();
+    w.d = docs_new(&dopt, 0);
+    w.m = member_new(&mo, 0);
+    w.c = confedit_new(1, 1);
+    const struct view *v = member_view(w.m);
+    docs_offer(w.d, v, DOC_ROSTER, 1, str_from(roster), false, w.out);
+    docs_offer(w.d, v, DOC_CONFIG, 5, w.doc, false, w.out);
+    member_roster(w.m, 0, docs_roster(w.d));
+    ask(&w, rows[i].script, rows[i].body);
+    if (w.error != rows[i].want || !strstr(w.body, rows[i].says) ||
+        effects(w.doc) != rows[i].effects) {
+        g_error("row %zu (%s): %s %s, %d effects", i, rows[i].script,
+                errkind_info(w.error)->name, w.body, effects(w.doc));
+    }
+    if (w.error == ERRKIND_NONE) {
+        /* The same change again, by its id: no second effect, and the store
+         * is not asked to write. */
+        ask(&w, "g", rows[i].body);
+        g_assert_cmpint(w.error, ==, ERRKIND_NONE);
+        g_assert_cmpint(effects(w.doc), ==, 1);
+    }
+    str_free(&w.late);
+    str_free(&w.doc);
+    outbox_free(w.out);
+    docs_free(w.d);
+    member_free(w.m);
+    confedit_free(w.c);
+}
+
+static void
+test_rows(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        run_row(i);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/confedit/rows", test_rows);
+    return g_test_run();
+}
--- a/tests/vnet.c
+++ b/tests/vnet.c
@@ -236,7 +236,8 @@
     s->messages++;
     s->bytes += (int64_t)bytes.len;
     if (to < 0 || s->group[to] != s->group[node] ||
-        rng_unit(&s->rng) < s->loss) {
+        rng_unit(&s->rng) < s->loss ||
+        (bytes.len > 400 && rng_unit(&s->rng) < s->large_loss)) {
         buf_free(&bytes);
         return;
     }
--- a/tests/vnet.h
+++ b/tests/vnet.h
@@ -33,6 +33,7 @@
     int64_t paused_until_us[VNET_NODES_MAX]; /* its events wait meanwhile */
     int process[VNET_NODES_MAX]; /* answers to earlier ones are dropped */
     double loss;
+    double large_loss; /* of messages of more than 400 bytes: documents */
     int64_t delay_us;
     int64_t jitter_us;
     bool store_down;
