Keep cut-off regions in the roster; test the life of a node

Cause: a test of a region that is cut off showed that the roster owner still removed one of its voters: all had the current roster in force before the cut, and only the next removal was held back. Majorities still intersected, but a region in service lost a vote. Change: votes of a region change only while most of its voters are alive; deterministic tests of joining, leaving, death, region cuts and starts in an outage; the credits' tick, which walks all endpoints, runs when it is due.

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -44,6 +44,8 @@
     int64_t snapshot_us;
     int64_t fresh_until_us;
     int64_t now_us;
+    bool majority;        /* as given to the credits */
+    uint64_t ticked_view; /* its version when the credits had a tick */
     bool again; /* something changed that timers of modules depend on */
     bool leaving;
     bool left;
@@ -256,8 +258,14 @@
     docs_tick(c->docs, now_us, v, member_store_age(c->member, now_us), c->out);
     join_tick(c->join, now_us, c->docs, c->member, c->out);
     claims_tick(c->claims, now_us, v, c->out);
-    credits_tick(c->credits, now_us, v, member_majority(c->member, now_us),
-                 c->out);
+    /* This walks all endpoints, so it is left out when nothing is due. */
+    bool majority = member_majority(c->member, now_us);
+    if (now_us >= credits_wakeup(c->credits) || majority != c->majority ||
+        v->version != c->ticked_view) {
+        c->majority = majority;
+        c->ticked_view = v->version;
+        credits_tick(c->credits, now_us, v, majority, c->out);
+    }
     if (c->leaving && !c->left &&
         ((join_left(c->join, c->docs, now_us) && claims_idle(c->claims)) ||
          now_us >= c->leave_us + LEAVE_MAX_US)) {
--- a/src/control/join.c
+++ b/src/control/join.c
@@ -9,7 +9,7 @@
 #define OP_TAG (UINT64_C(0xd1) << 56)
 #define OP_MASK (UINT64_C(0xff) << 56)
 
-#define CHECK_US 100000
+#define CHECK_US 250000
 #define TIMEOUT_US 1000000
 #define RETRY_MIN_US 50000
 #define RETRY_MAX_US 2000000
@@ -86,11 +86,25 @@
     return me && me->incarnation >= j->self.incarnation;
 }
 
-/* Whether the voters of the region may change now. */
+/* Whether the voters of the region may change now. Most of them must be alive
+ * as well: otherwise one vote could be taken from a region that is cut off. */
 static bool
 may_change(struct docs *d, struct member *m, struct str region)
 {
-    return member_confirmed(m, region, DOC_ROSTER,
+    const struct roster *r = docs_roster(d);
+    int alive = 0;
+    for (int i = 0; i < r->count; i++) {
+        const struct roster_member *rm = &r->members[i];
+        enum member_state state = MEMBER_DEAD;
+        int64_t since;
+        if (rm->vote && str_eq(rm->region, region)) {
+            member_state_of(m, rm->node, &state, &since);
+            alive += state == MEMBER_ALIVE || state == MEMBER_SUSPECT;
+        }
+    }
+    int voters = roster_voters(r, region);
+    return (voters == 0 || alive > voters / 2) &&
+           member_confirmed(m, region, DOC_ROSTER,
                             docs_get(d, DOC_ROSTER).revision);
 }
 
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -35,7 +35,7 @@
         n->fresh_until_us = a->fresh_until_us;
         break;
     case CONTROL_ACT_NOTICE:
-        n->notices++;
+        n->suspects += a->reply.reply.kind == REPLY_SUSPECT;
         break;
     case CONTROL_ACT_ADMIN:
         if (f->on_admin) {
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -14,7 +14,7 @@
     int64_t config; /* revision of the newest snapshot; 0: none */
     int usable;     /* endpoints of that snapshot */
     int64_t fresh_until_us;
-    int notices;
+    int suspects; /* notices of strikes */
     bool left;
 };
 
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -326,10 +326,157 @@
     g_assert_cmpint(refused, >, 20);
 }
 
+static char last_answer[8192];
+static enum errkind last_error;
+
+static void
+keep_answer(void *arg, int node, const struct admin_reply *r)
+{
+    (void)arg;
+    (void)node;
+    last_error = r->error;
+    g_strlcpy(last_answer, r->body.ptr, sizeof(last_answer));
+}
+
+/* Members in the stored roster, or those with a vote. */
+static int
+members(struct fleet_sim *f, const char *what)
+{
+    struct str doc = vnet_key(&f->net, STR_LIT("cf/roster"))->value;
+    int n = 0;
+    for (const char *p = doc.ptr; (p = strstr(p, what)); p++) {
+        n++;
+    }
+    return n;
+}
+
+/* A node that joins, leaves, dies and returns; and what operators see. */
+static void
+test_life(void)
+{
+    struct fleet_sim *f = fleet_sim_new(5, 1, 3);
+    f->on_admin = keep_answer;
+    fleet_sim_run(f, 10 * SECOND);
+    g_assert_cmpint(fleet_sim_converged(f), ==, 5);
+    g_assert_cmpint(members(f, "\"id\""), ==, 5);
+    g_assert_cmpint(members(f, "\"vote\":true"), ==, 5);
+
+    fleet_sim_admin(f, 1, 1, ADMIN_SHOW, "", 11 * SECOND);
+    g_assert_null(strstr(last_answer, "token_hash"));
+    g_assert_nonnull(strstr(last_answer, "\"clerks\""));
+    fleet_sim_admin(f, 1, 2, ADMIN_STATUS, "", 11 * SECOND);
+    g_assert_nonnull(strstr(last_answer, "\"ready\":true"));
+    g_assert_nonnull(strstr(last_answer, "\"endpoints\":2,\"usable\":2"));
+    g_assert_cmpint(f->nodes[3].usable, ==, 2);
+    fleet_sim_admin(f, 1, 3, ADMIN_EDIT,
+                    "{\"change\":\"out\",\"by\":\"ann\",\"base\":1,"
+                    "\"set\":[{\"path\":\"zones_out/z0\",\"value\":true,"
+                    "\"reason\":\"flood\"}]}",
+                    20 * SECOND);
+    fleet_sim_run(f, 11 * SECOND);
+    g_assert_cmpint(last_error, ==, ERRKIND_NONE);
+    for (int i = 0; i < 5; i++) {
+        g_assert_cmpint(f->nodes[i].usable, ==, 1);
+    }
+
+    struct control_event ev = {.kind = CONTROL_EV_ASK};
+    ev.ask.ask.kind = ASK_SUSPECT;
+    ev.ask.ask.suspect = (struct suspect_notice){{1, 2}, 1, 300 * SECOND};
+    vnet_step(&f->net, 2, &ev);
+    fleet_sim_run(f, 13 * SECOND);
+    for (int i = 0; i < 5; i++) {
+        g_assert_cmpint(f->nodes[i].suspects, ==, 1);
+    }
+
+    fleet_sim_leave(f, 4);
+    fleet_sim_run(f, 16 * SECOND);
+    g_assert_true(f->nodes[4].left);
+    g_assert_false(fleet_sim_ready(f, 4));
+    g_assert_cmpint(members(f, "\"id\""), ==, 4);
+    fleet_sim_kill(f, 4);
+
+    fleet_sim_kill(f, 3);
+    fleet_sim_run(f, 45 * SECOND);
+    g_assert_cmpint(members(f, "\"id\""), ==, 4);
+    fleet_sim_run(f, 55 * SECOND);
+    g_assert_cmpint(members(f, "\"id\""), ==, 3);
+    fleet_sim_start(f, 3);
+    fleet_sim_start(f, 4);
+    fleet_sim_run(f, 62 * SECOND);
+    g_assert_cmpint(fleet_sim_converged(f), ==, 5);
+    g_assert_cmpint(members(f, "\"vote\":true"), ==, 5);
+    fleet_sim_free(f);
+}
+
+/* A region that is cut off works on by its own majority. It stays in the
+ * roster, so that no change counts as confirmed without it. */
+static void
+test_region_cut(void)
+{
+    struct fleet_sim *f = fleet_sim_new(6, 2, 4);
+    f->on_admin = keep_answer;
+    fleet_sim_run(f, 10 * SECOND);
+    for (int i = 1; i < 6; i += 2) {
+        f->net.group[i] = 1;
+        f->net.no_store[i] = true;
+    }
+    fleet_sim_run(f, 80 * SECOND);
+    g_assert_cmpint(members(f, "\"vote\":true"), ==, 6);
+    fleet_sim_admin(f, 0, 1, ADMIN_EDIT,
+                    "{\"change\":\"c\",\"by\":\"ann\",\"base\":1,"
+                    "\"set\":[{\"path\":\"defaults/queue_limit\",\"value\":"
+                    "9}]}",
+                    85 * SECOND);
+    fleet_sim_run(f, 86 * SECOND);
+    g_assert_cmpint(last_error, ==, ERRKIND_CHANGE_UNCONFIRMED);
+    g_assert_nonnull(strstr(last_answer, "\"regions\":[\"r1\"]"));
+    for (int i = 0; i < 6; i++) {
+        g_assert_true(fleet_sim_ready(f, i));
+    }
+    memset(f->net.group, 0, sizeof(f->net.group));
+    memset(f->net.no_store, 0, sizeof(f->net.no_store));
+    fleet_sim_run(f, 91 * SECOND);
+    g_assert_cmpint(fleet_sim_converged(f), ==, 6);
+    fleet_sim_free(f);
+}
+
+/* One node starts in an outage and takes the documents from its peers. When
+ * all start in an outage nobody knows what was accepted, so none is ready
+ * before the store is back. */
+static void
+test_start_in_outage(void)
+{
+    struct fleet_sim *f = fleet_sim_new(5, 1, 5);
+    fleet_sim_run(f, 10 * SECOND);
+    f->net.store_down = true;
+    fleet_sim_kill(f, 2);
+    fleet_sim_run(f, 12 * SECOND);
+    fleet_sim_start(f, 2);
+    fleet_sim_run(f, 40 * SECOND);
+    for (int i = 0; i < 5; i++) {
+        g_assert_cmpint(f->nodes[i].fresh_until_us, >, f->net.now_us);
+        g_assert_cmpint(f->nodes[i].config, ==, f->nodes[0].config);
+    }
+    for (int i = 0; i < 5; i++) {
+        fleet_sim_start(f, i);
+    }
+    fleet_sim_run(f, 60 * SECOND);
+    for (int i = 0; i < 5; i++) {
+        g_assert_false(fleet_sim_ready(f, i));
+    }
+    f->net.store_down = false;
+    fleet_sim_run(f, 75 * SECOND);
+    g_assert_cmpint(fleet_sim_converged(f), ==, 5);
+    fleet_sim_free(f);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/control/life", test_life);
+    g_test_add_func("/control/region_cut", test_region_cut);
+    g_test_add_func("/control/start_in_outage", test_start_in_outage);
     g_test_add_func("/control/random", test_random);
     return g_test_run();
 }
