Stop the control core from asking for ticks without end

Cause: control_wakeup stayed in the past while a node had not learned whether a roster exists (a start in an outage), and while a second edit waited for the first one, so that the daemon's control thread would have spun. The virtual link hid it by waiting 1 ms. Change: both timers move on; the virtual link ends the test when a core wants more than 8 ticks in a row at once. Conclusion: an idle core sleeps until its next timer.

--- a/bench/bench_control.c
+++ b/bench/bench_control.c
@@ -195,6 +195,7 @@
     int count = argc > 1 ? argc : 5;
     const char *const *sizes = argc > 1 ? (const char *const *)argv : usual;
     CLEAN(buf_free) struct buf last = {0};
+    setlinebuf(stdout);
     printf("nodes  bytes/s  msgs/s  cpu ms/s  memory KB  store/s  outage/s  "
            "change s  answer s  VM list s  KB/change\n");
     for (int i = 1; i < count; i++) {
--- a/src/control/confedit.c
+++ b/src/control/confedit.c
@@ -419,13 +419,17 @@
 confedit_wakeup(const struct confedit *c)
 {
     int64_t at = INT64_MAX;
+    bool first = true;
     for (int i = 0; i < c->count; i++) {
         const struct request *r = c->list[i];
-        bool waits = r->phase == PHASE_READ || r->phase == PHASE_WRITE;
+        bool confirms = r->phase == PHASE_CONFIRM;
+        /* Only the first edit that is not written yet has its turn. */
+        bool timed = confirms || (first && r->phase == PHASE_QUEUED);
         int64_t t = r->deadline_us;
-        if (!waits && r->next_us < t) {
+        if (timed && r->next_us < t) {
             t = r->next_us;
         }
+        first = first && confirms;
         at = t < at ? t : at;
     }
     return at;
--- a/src/control/join.c
+++ b/src/control/join.c
@@ -193,10 +193,13 @@
           struct outbox *out)
 {
     CLEAN(buf_free) struct buf next = {0};
-    if (j->op || now_us < j->next_us || !docs_known(d, DOC_ROSTER)) {
+    if (j->op || now_us < j->next_us) {
         return;
     }
     j->next_us = now_us + CHECK_US;
+    if (!docs_known(d, DOC_ROSTER)) {
+        return;
+    }
     bool want = j->leaving ? want_leave(j, d, m, &next)
                            : want_self(j, d, &next) ||
                                  want_upkeep(j, now_us, d, m, &next);
--- a/tests/vnet.c
+++ b/tests/vnet.c
@@ -1,8 +1,11 @@
 #include "tests/vnet.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#define SPINS_MAX 8
+
 enum kind { EV_MSG, EV_ANSWER, EV_APPLY, EV_WATCH };
 
 struct vnet_event {
@@ -315,8 +318,14 @@
         }
         if (node >= 0) {
             vnet_step(s, node, &tick);
-            if (s->wake_us[node] <= s->now_us) {
-                s->wake_us[node] = s->now_us + 1000;
+            /* A core that always wants a tick at once would take all of a
+             * processor in the daemon. */
+            bool now = s->wake_us[node] <= s->now_us;
+            s->spins[node] = now ? s->spins[node] + 1 : 0;
+            if (s->spins[node] > SPINS_MAX) {
+                fprintf(stderr, "node %d wants a tick at once for ever\n",
+                        node);
+                abort();
             }
             continue;
         }
--- a/tests/vnet.h
+++ b/tests/vnet.h
@@ -31,6 +31,7 @@
     int group[VNET_NODES_MAX]; /* only nodes of one group hear each other */
     int64_t wake_us[VNET_NODES_MAX];
     int64_t paused_until_us[VNET_NODES_MAX]; /* its events wait meanwhile */
+    int spins[VNET_NODES_MAX];   /* ticks in a row that were due at once */
     int process[VNET_NODES_MAX]; /* answers to earlier ones are dropped */
     double loss;
     double large_loss; /* of messages of more than 400 bytes: documents */
