--- a/src/control/confedit.c
+++ b/src/control/confedit.c
@@ -236,13 +236,14 @@
     return list;
 }
 
-/* A member that has a newer roster counts by other majorities; its roster
- * must be in force here first. */
+/* Without a roster this node does not know whom to wait for. A member that has
+ * a newer one counts by other majorities; it must be in force here first. */
 static bool
 confirmed(struct docs *d, struct member *m, int64_t revision)
 {
     json_t *list = lacking(d, m, revision);
-    bool all = json_array_size(list) == 0;
+    bool all =
+        json_array_size(list) == 0 && docs_get(d, DOC_ROSTER).revision > 0;
     json_decref(list);
     return all && docs_get(d, DOC_CONFIG).revision >= revision &&
            member_newest(m, DOC_ROSTER) <= docs_get(d, DOC_ROSTER).revision;
@@ -418,13 +419,17 @@
 confedit_wakeup(const struct confedit *c)
 {
     int64_t at = INT64_MAX;
+    bool first = true;
     for (int i = 0; i < c->count; i++) {
         const struct request *r = c->list[i];
-        bool waits = r->phase == PHASE_READ || r->phase == PHASE_WRITE;
+        bool confirms = r->phase == PHASE_CONFIRM;
+        /* Only the first edit that is not written yet has its turn. */
+        bool timed = confirms || (first && r->phase == PHASE_QUEUED);
         int64_t t = r->deadline_us;
-        if (!waits && r->next_us < t) {
+        if (timed && r->next_us < t) {
             t = r->next_us;
         }
+        first = first && confirms;
         at = t < at ? t : at;
     }
     return at;
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <time.h>
 
 const char fleet_sim_config[] =
     "{\"defaults\":{\"deadline_ms\":8000},\"zones\":{"
@@ -34,7 +35,7 @@
         n->fresh_until_us = a->fresh_until_us;
         break;
     case CONTROL_ACT_NOTICE:
-        n->notices++;
+        n->suspects += a->reply.reply.kind == REPLY_SUSPECT;
         break;
     case CONTROL_ACT_ADMIN:
         if (f->on_admin) {
@@ -44,23 +45,38 @@
     case CONTROL_ACT_LEFT:
         n->left = true;
         break;
+    case CONTROL_ACT_REPLY:
+        n->granted += a->reply.reply.kind == REPLY_CREDIT &&
+                      a->reply.reply.credit.granted;
+        n->opened += a->reply.reply.kind == REPLY_CLAIM &&
+                     a->reply.reply.claim.state == CLAIM_OPENED;
+        break;
     case CONTROL_ACT_SEND:
     case CONTROL_ACT_STORE:
-    case CONTROL_ACT_REPLY:
         vnet_action(&f->net, node, a);
         break;
     }
 }
 
+static int64_t
+clock_ns(void)
+{
+    struct timespec t;
+    clock_gettime(CLOCK_MONOTONIC, &t);
+    return (int64_t)t.tv_sec * 1000000000 + t.tv_nsec;
+}
+
 static void
 step(void *arg, int node, const struct control_event *ev)
 {
     struct fleet_sim *f = arg;
     struct control_action a;
+    int64_t start = f->timed ? clock_ns() : 0;
     control_step(f->nodes[node].core, f->net.now_us, ev);
     while (control_next(f->nodes[node].core, &a)) {
         take(f, node, &a);
     }
+    f->cpu_ns += f->timed ? clock_ns() - start : 0;
     if (f->on_step) {
         f->on_step(f->arg, node);
     }
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -14,7 +14,9 @@
     int64_t config; /* revision of the newest snapshot; 0: none */
     int usable;     /* endpoints of that snapshot */
     int64_t fresh_until_us;
-    int notices;
+    int suspects; /* notices of strikes */
+    int granted;  /* credits */
+    int opened;   /* claims */
     bool left;
 };
 
@@ -23,6 +25,8 @@
     struct fleet_node nodes[VNET_NODES_MAX];
     int regions;
     uint64_t seed;
+    int64_t cpu_ns; /* spent in the cores and the codec; 0 unless timed */
+    bool timed;
     void *arg;
     /** An operator's answer, or NULL. */
     void (*on_admin)(void *arg, int node, const struct admin_reply *r);
