Test TLS with a paused stream; no TLS below 1.2

Change: a test with a self-signed pair and libcurl as the client; GnuTLS priorities leave out TLS 1.0 and 1.1.

--- a/src/edge/http_in.c
+++ b/src/edge/http_in.c
@@ -534,6 +534,8 @@
     struct MHD_OptionItem tls[] = {
         {MHD_OPTION_HTTPS_MEM_CERT, 0, (void *)opts->tls_cert.ptr},
         {MHD_OPTION_HTTPS_MEM_KEY, 0, (void *)opts->tls_key.ptr},
+        {MHD_OPTION_HTTPS_PRIORITIES, 0,
+         "NORMAL:-VERS-TLS1.0:-VERS-TLS1.1:-VERS-DTLS-ALL"},
         {MHD_OPTION_END, 0, NULL},
     };
     if (opts->tls_cert.len == 0) {
--- a/tests/test_http_in.c
+++ b/tests/test_http_in.c
@@ -1,6 +1,8 @@
 /* Guards against callers that hold resources (slow, oversized, gone), against
  * requests that can be read in two ways, and against streams without end. */
+#include <curl/curl.h>
 #include <glib.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -9,6 +11,7 @@
 #include "base/clean.h"
 #include "edge/http_in.h"
 #include "tests/peer.h"
+#include "tests/tls_pair.h"
 
 #define LIMIT_US 20000000
 
@@ -44,11 +47,13 @@
 }
 
 static void
-rig_open(struct rig *g, int per_caller)
+rig_open_tls(struct rig *g, int per_caller, bool tls)
 {
     *g = (struct rig){.loop = loop_new()};
     struct http_in_options opts = {
         .address = STR_LIT("127.0.0.1"),
+        .tls_cert = str_from(tls ? TLS_CERT : ""),
+        .tls_key = str_from(tls ? TLS_KEY : ""),
         .max_connections = 64,
         .max_connections_per_caller = per_caller,
         .receive_timeout_ms = 10000,
@@ -63,6 +68,12 @@
     buf_printf(&g->log, "%s", "");
 }
 
+static void
+rig_open(struct rig *g, int per_caller)
+{
+    rig_open_tls(g, per_caller, false);
+}
+
 static void
 rig_close(struct rig *g)
 {
@@ -348,6 +359,68 @@
     close(fd);
 }
 
+struct tls_client {
+    int port;
+    CURLcode rc;
+    struct buf in;
+    _Atomic bool done;
+};
+
+static size_t
+tls_body(char *p, size_t size, size_t n, void *ctx)
+{
+    buf_append(ctx, p, size * n);
+    return size * n;
+}
+
+static void *
+tls_run(void *arg)
+{
+    struct tls_client *c = arg;
+    char url[64];
+    struct curl_blob ca = {TLS_CERT, strlen(TLS_CERT), CURL_BLOB_COPY};
+    CURL *e = curl_easy_init();
+    snprintf(url, sizeof(url), "https://127.0.0.1:%d/hold", c->port);
+    curl_easy_setopt(e, CURLOPT_URL, url);
+    curl_easy_setopt(e, CURLOPT_CAINFO_BLOB, &ca);
+    curl_easy_setopt(e, CURLOPT_POSTFIELDS, "hi");
+    curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, tls_body);
+    curl_easy_setopt(e, CURLOPT_WRITEDATA, &c->in);
+    c->rc = curl_easy_perform(e);
+    curl_easy_cleanup(e);
+    c->done = true;
+    return NULL;
+}
+
+/* A stream that pauses is carried over TLS as well. */
+static void
+test_tls(void)
+{
+    struct rig g;
+    pthread_t t;
+    rig_open_tls(&g, 0, true);
+    struct tls_client c = {.port = http_in_port(g.in)};
+    pthread_create(&t, NULL, tls_run, &c);
+    until_logged(&g, "body=2");
+    http_in_event(g.in, g.last, "token", STR_LIT("1"));
+    for (int k = 0; k < 5; k++) {
+        pump(&g);
+    }
+    http_in_event(g.in, g.last, "done", STR_LIT("{}"));
+    http_in_end(g.in, g.last);
+    int64_t end = loop_now_us() + LIMIT_US;
+    while (!c.done) {
+        g_assert_cmpint(loop_now_us(), <, end);
+        pump(&g);
+    }
+    pthread_join(t, NULL);
+    g_assert_cmpint(c.rc, ==, CURLE_OK);
+    g_assert_cmpstr(c.in.ptr, ==,
+                    "event: token\ndata: 1\n\nevent: done\ndata: {}\n\n");
+    buf_free(&c.in);
+    rig_close(&g);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -361,5 +434,6 @@
     g_test_add_func("/http-in/connections-per-caller",
                     test_connections_per_caller);
     g_test_add_func("/http-in/free-while-open", test_free_while_open);
+    g_test_add_func("/http-in/tls", test_tls);
     return g_test_run();
 }
