--- a/src/daemon/control_thread.h
+++ b/src/daemon/control_thread.h
@@ -18,8 +18,6 @@
     struct bridge **to_traffic;   /**< borrowed, one per traffic thread */
     struct bridge **from_traffic; /**< borrowed */
     struct bridge *wake; /**< from main: only its descriptor is used */
-    const char *thin_config;
-    const char *thin_vms;
 };
 
 enum status control_thread_new(const struct control_thread_options *opts,
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -55,8 +55,6 @@
     struct control_thread *control;
     int started;
     bool control_started;
-    const char *thin_config;
-    const char *thin_vms;
 };
 
 static enum log_level
@@ -123,9 +121,9 @@
         }
         port = traffic_port(n->traffic[i]);
     }
-    struct control_thread_options control = {
-        &n->shared,      n->threads,     n->to_traffic, n->from_traffic,
-        n->wake_control, n->thin_config, n->thin_vms};
+    struct control_thread_options control = {&n->shared, n->threads,
+                                             n->to_traffic, n->from_traffic,
+                                             n->wake_control};
     if ((st = control_thread_new(&control, &n->control)) != ST_OK ||
         (st = control_thread_start(n->control)) != ST_OK) {
         return st;
@@ -263,12 +261,6 @@
         fputs(usage, stdout);
         return 0;
     }
-    if (argc == 5 && strcmp(argv[1], "--thin") == 0) {
-        n.thin_config = argv[2];
-        n.thin_vms = argv[3];
-        argv[1] = argv[4];
-        argc = 2;
-    }
     if (!(check || (argc == 2 && argv[1][0] != '-'))) {
         fputs(usage, stderr);
         return EXIT_USAGE;
--- a/src/edge/http_in.c
+++ b/src/edge/http_in.c
@@ -323,7 +323,7 @@
     if (x->refused) {
         /* The length is counted on without keeping the bytes. */
         x->out_at += n;
-        if (x->out_at > DISCARD_BYTES) {
+        if (x->out_at > in->max_body + DISCARD_BYTES) {
             return false;
         }
     }
--- a/src/flow/credit.c
+++ b/src/flow/credit.c
@@ -45,7 +45,11 @@
              bool ok, bool warm)
 {
     core_ask(f, ASK_CREDIT_RELEASE)->credit_release =
-        (struct credit_release){id, endpoint, used, ok, warm};
+        (struct credit_release){.credit = id,
+                                .endpoint = endpoint,
+                                .used = used,
+                                .ok = ok,
+                                .reported_warm = warm};
     f->counts[COUNT_CREDITS_UNUSED] += !used;
 }
 
--- /dev/null
+++ b/tests/test_daemon.c
@@ -0,0 +1,344 @@
+/* Starts the daemon and the fakes as processes. Guards against refusals that
+ * contradict section 3 of the design page, secrets in logs, requests cut off
+ * by a planned stop, and actions done twice. */
+#include <glib.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clean.h"
+#include "tests/peer.h"
+#include "tests/proc.h"
+
+#define DAEMON "camphorfalld"
+#define SECRET "teak-4711"
+
+static struct rig rig; /* shared by the tests that change nothing in it */
+
+static int
+run_daemon(const char *a, const char *b)
+{
+    const char *args[] = {a, b, NULL};
+    return proc_end(proc_start(DAEMON, args, "/dev/null"), 0);
+}
+
+static void
+test_exit_codes(void)
+{
+    CLEAN_FREE char *good = g_build_filename(rig.dir, "n0.toml", NULL);
+    CLEAN_FREE char *bad = g_build_filename(rig.dir, "bad.toml", NULL);
+    g_file_set_contents(bad, "[node]\nname = 5\n", -1, NULL);
+    g_assert_cmpint(run_daemon("--check", good), ==, 0);
+    g_assert_cmpint(run_daemon("--help", NULL), ==, 0);
+    g_assert_cmpint(run_daemon(NULL, NULL), ==, 2);
+    g_assert_cmpint(run_daemon("--frobnicate", NULL), ==, 2);
+    g_assert_cmpint(run_daemon("--check", bad), ==, 3);
+    g_assert_cmpint(run_daemon(bad, NULL), ==, 3);
+    /* The link address of the running node is taken. */
+    g_assert_cmpint(run_daemon(good, NULL), ==, 1);
+}
+
+static void
+test_bad_input(void)
+{
+    static const char big[] = "X-Long: ";
+    CLEAN_FREE char *fill = g_strnfill(20000, 'a');
+    CLEAN_FREE char *headers = g_strconcat(RIG_TEAM, big, fill, "\r\n", NULL);
+    CLEAN_FREE char *body = g_strconcat("{\"input\":\"", fill, "\"}", NULL);
+    CLEAN_FREE char *large = g_strnfill(3000000, ' ');
+    const struct {
+        const char *method, *path, *headers, *body;
+        int status;
+        const char *kind, *ran;
+    } rows[] = {
+        {"POST", "/v1/pipelines/embed", "", "{}", 401, "unauthenticated",
+         "not_run"},
+        {"POST", "/v1/pipelines/embed", "Authorization: Bearer x\r\n", "{}",
+         401, "unauthenticated", "not_run"},
+        {"POST", "/v1/pipelines/embed", RIG_OPERATOR, "{}", 401,
+         "unauthenticated", "not_run"},
+        {"POST", "/v1/pipelines/none", RIG_TEAM, "{}", 404, "not_found",
+         "not_run"},
+        {"GET", "/v1/pipelines/embed", RIG_TEAM, "", 400, "bad_request",
+         "not_run"},
+        {"POST", "/v1/pipelines/embed", RIG_TEAM, "", 400, "bad_request",
+         "not_run"},
+        {"POST", "/v1/pipelines/embed", RIG_TEAM, "[]", 400, "bad_request",
+         "not_run"},
+        {"POST", "/v1/pipelines/embed", RIG_TEAM, "{\"a\":", 400,
+         "bad_request", "not_run"},
+        {"POST", "/v1/pipelines/embed", RIG_TEAM "X-Deadline-Ms: soon\r\n",
+         "{}", 400, "bad_request", "not_run"},
+        {"POST", "/v1/pipelines/embed", RIG_TEAM RIG_TEAM, "{}", 400,
+         "bad_request", "not_run"},
+        {"POST", "/v1/pipelines/order", RIG_TEAM, "{}", 400, "key_required",
+         "not_run"},
+        {"POST", "/v1/pipelines/embed", headers, "{}", 413, "too_large",
+         "not_run"},
+        {"POST", "/v1/pipelines/embed", RIG_TEAM, large, 413, "too_large",
+         "not_run"},
+        {"GET", "/none", "", "", 404, "not_found", "not_run"},
+        {"GET", "/v1/traces/x", "", "", 401, "unauthenticated", "not_run"},
+        {"GET", "/v1/traces/x", RIG_TEAM, "", 404, "not_found", "not_run"},
+        {"GET", "/admin/show", "", "", 401, "unauthenticated", "not_run"},
+        {"GET", "/admin/show", RIG_TEAM, "", 401, "unauthenticated",
+         "not_run"},
+        {"GET", "/admin/none", RIG_OPERATOR, "", 404, "not_found", "not_run"},
+        {"POST", "/admin/apply", "", "{}", 401, "unauthenticated", "not_run"},
+        {"POST", "/admin/edit", RIG_VIEWER, "{}", 403, "forbidden", "not_run"},
+        {"GET", "/admin/edit", RIG_OPERATOR, "", 400, "bad_request",
+         "not_run"},
+        {"POST", "/admin/edit", RIG_OPERATOR, "no", 400, "bad_request",
+         "not_run"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        CLEAN(buf_free) struct buf answer = {0};
+        int status =
+            proc_http(rig.nodes[0].port, rows[i].method, rows[i].path,
+                      rows[i].headers, str_from(rows[i].body), &answer);
+        CLEAN_FREE char *want =
+            g_strdup_printf("{\"error\":{\"kind\":\"%s\",\"ran\":\"%s\"",
+                            rows[i].kind, rows[i].ran);
+        g_test_message("row %zu: %s", i, answer.ptr);
+        g_assert_cmpint(status, ==, rows[i].status);
+        g_assert_true(g_str_has_prefix(answer.ptr, want));
+    }
+    g_assert_cmpint(proc_http(rig.nodes[0].port, "POST", "/v1/pipelines/embed",
+                              RIG_TEAM, str_from(body), NULL),
+                    ==, 200);
+}
+
+static char *
+request_id(const struct buf *answer)
+{
+    const char *p = strstr(answer->ptr, "\"request_id\":\"");
+    g_assert_nonnull(p);
+    return g_strndup(p + 14, 32);
+}
+
+static void
+test_trace_and_secrets(void)
+{
+    CLEAN(buf_free) struct buf answer = {0};
+    int port = rig.nodes[0].port;
+    g_assert_cmpint(proc_http(port, "POST", "/v1/pipelines/embed", RIG_TEAM,
+                              STR_LIT("{\"input\":\"" SECRET "\"}"), &answer),
+                    ==, 200);
+    CLEAN_FREE char *id = request_id(&answer);
+    CLEAN_FREE char *path = g_strconcat("/v1/traces/", id, NULL);
+    g_assert_cmpint(proc_http(port, "GET", path, RIG_OTHER, STR_LIT(""), NULL),
+                    ==, 404);
+    g_assert_cmpint(
+        proc_http(port, "GET", path, RIG_OPERATOR, STR_LIT(""), NULL), ==,
+        200);
+    g_assert_cmpint(
+        proc_http(port, "GET", path, RIG_TEAM, STR_LIT(""), &answer), ==, 200);
+    g_assert_nonnull(strstr(answer.ptr, "\"endpoint\":\"enc-1\""));
+    g_assert_null(strstr(answer.ptr, SECRET));
+    g_assert_cmpint(
+        proc_http(port, "GET", "/metrics", "", STR_LIT(""), &answer), ==, 200);
+    static const char *const counters[] = {
+        "cf_http_in_requests_total{thread=\"0\"}", "cf_http_out_calls_total",
+        "cf_link_sent_total", "process_resident_memory_bytes", "cf_ready 1"};
+    for (size_t i = 0; i < G_N_ELEMENTS(counters); i++) {
+        g_assert_nonnull(strstr(answer.ptr, counters[i]));
+    }
+    CLEAN_FREE char *log = NULL;
+    g_assert_true(g_file_get_contents(rig.nodes[0].log, &log, NULL, NULL));
+    CLEAN_FREE char *line = g_strdup_printf(
+        "event=request request=%s pipeline=embed team=board outcome=ok", id);
+    g_assert_nonnull(strstr(log, line));
+    static const char *const secrets[] = {SECRET, "team-token",
+                                          "operator-token"};
+    for (size_t i = 0; i < G_N_ELEMENTS(secrets); i++) {
+        g_assert_null(strstr(log, secrets[i]));
+        g_assert_null(strstr(answer.ptr, secrets[i]));
+    }
+}
+
+static void
+test_operators(void)
+{
+    CLEAN(buf_free) struct buf answer = {0};
+    int port = rig.nodes[0].port;
+    g_assert_cmpint(
+        proc_http(port, "GET", "/admin/status", RIG_VIEWER, STR_LIT(""), NULL),
+        ==, 200);
+    g_assert_cmpint(proc_http(port, "GET", "/admin/show", RIG_VIEWER,
+                              STR_LIT(""), &answer),
+                    ==, 200);
+    const char *revision = strstr(answer.ptr, "\"revision\":");
+    g_assert_nonnull(revision);
+    long base = strtol(revision + 11, NULL, 10);
+    /* An edit that was made without knowing the newest change conflicts. */
+    for (int i = 0; i < 2; i++) {
+        CLEAN_FREE char *edit = g_strdup_printf(
+            "{\"change\":\"e%d\",\"by\":\"somebody\",\"base\":%ld,\"set\":["
+            "{\"path\":\"defaults/max_in_flight\",\"value\":128,"
+            "\"reason\":\"test\"}]}",
+            i, i ? base : 0);
+        int status = proc_http(port, "POST", "/admin/edit", RIG_OPERATOR,
+                               str_from(edit), &answer);
+        g_test_message("edit: %d %s", status, answer.ptr);
+        g_assert_cmpint(status, ==, i ? 200 : 409);
+        g_assert_cmpint(strstr(answer.ptr, "\"details\"") != NULL, ==, !i);
+    }
+    g_assert_cmpint(proc_http(port, "GET", "/admin/show", RIG_OPERATOR,
+                              STR_LIT(""), &answer),
+                    ==, 200);
+    g_assert_nonnull(strstr(answer.ptr, "\"pipelines\""));
+    /* Who changed something is taken from the credential. */
+    g_assert_null(strstr(answer.ptr, "somebody"));
+}
+
+/* The same key twice: the action is done once and its answer is replayed. */
+static void
+test_action_once(void)
+{
+    CLEAN(buf_free) struct buf first = {0};
+    CLEAN(buf_free) struct buf second = {0};
+    CLEAN(buf_free) struct buf stats = {0};
+    int port = rig.nodes[0].port;
+    const char *headers = RIG_TEAM "Idempotency-Key: k1\r\n";
+    struct str body = STR_LIT("{\"action_id\":\"a1\"}");
+    int status =
+        proc_http(port, "POST", "/v1/pipelines/order", headers, body, &first);
+    g_test_message("%s", first.ptr);
+    g_assert_cmpint(status, ==, 200);
+    g_assert_cmpint(
+        proc_http(port, "POST", "/v1/pipelines/order", headers, body, &second),
+        ==, 200);
+    g_assert_nonnull(strstr(second.ptr, "\"replayed\":true"));
+    g_assert_cmpint(proc_http(port, "POST", "/v1/pipelines/order", headers,
+                              STR_LIT("{\"action_id\":\"a2\"}"), &second),
+                    ==, 422);
+    g_assert_cmpint(proc_http(rig.service_port, "GET", "/control/stats", "",
+                              STR_LIT(""), &stats),
+                    ==, 200);
+    g_assert_nonnull(strstr(stats.ptr, "\"records\":1"));
+}
+
+struct background {
+    int port;
+    int status;
+};
+
+static void *
+ask(void *arg)
+{
+    struct background *b = arg;
+    b->status = proc_http(b->port, "POST", "/v1/pipelines/embed", RIG_TEAM,
+                          STR_LIT("{\"input\":\"x\"}"), NULL);
+    return NULL;
+}
+
+static void
+wait_in_engine(const struct rig *r)
+{
+    gint64 end = g_get_monotonic_time() + 20 * G_USEC_PER_SEC;
+    while (g_get_monotonic_time() < end) {
+        CLEAN(buf_free) struct buf stats = {0};
+        proc_http(r->engine_port, "GET", "/control/stats", "", STR_LIT(""),
+                  &stats);
+        if (strstr(stats.ptr, "\"in_flight\":1")) {
+            return;
+        }
+    }
+    char *log = NULL;
+    g_file_get_contents(r->nodes[0].log, &log, NULL, NULL);
+    g_error("no request reached the engine\n%s", log);
+}
+
+/* A request that is running when the node is told to stop is answered, the
+ * balancer sees the node leave first, and the node exits with 0. */
+static void
+test_drain(void)
+{
+    static const char *const slow[] = {"--base-us", "1500000", NULL};
+    struct rig r;
+    rig_open(&r, slow);
+    rig_node_start(&r, 0, "");
+    rig_configure(&r);
+    rig_wait_ready(&r, 0, 200);
+    struct background b = {r.nodes[0].port, 0};
+    pthread_t t;
+    pthread_create(&t, NULL, ask, &b);
+    wait_in_engine(&r);
+    kill(r.nodes[0].pid, SIGTERM);
+    rig_wait_ready(&r, 0, 503);
+    g_assert_cmpint(
+        proc_http(r.nodes[0].port, "GET", "/healthz", "", STR_LIT(""), NULL),
+        ==, 200);
+    g_assert_cmpint(proc_end(r.nodes[0].pid, 0), ==, 0);
+    r.nodes[0].pid = 0;
+    pthread_join(t, NULL);
+    g_assert_cmpint(b.status, ==, 200);
+    rig_close(&r);
+}
+
+/* Two traffic threads and three nodes: a killed node takes nothing with it,
+ * and a trace is found whichever thread is asked. */
+static void
+test_nodes(void)
+{
+    struct rig r;
+    rig_open(&r, NULL);
+    for (int i = 0; i < 3; i++) {
+        rig_node_start(&r, i, "[traffic]\nthreads = 2\n");
+    }
+    rig_configure(&r);
+    for (int i = 0; i < 3; i++) {
+        rig_wait_ready(&r, i, 200);
+    }
+    /* A warm endpoint needs no credits, whose owner may be the node that is
+     * killed; a new owner waits for the longest credit life. */
+    for (int i = 0; i < 60; i++) {
+        struct background b = {r.nodes[i % 3].port, 0};
+        ask(&b);
+        g_assert_cmpint(b.status, ==, 200);
+    }
+    g_assert_cmpint(proc_end(r.nodes[1].pid, SIGKILL), ==, -SIGKILL);
+    r.nodes[1].pid = 0;
+    for (int i = 0; i < 30; i++) {
+        CLEAN(buf_free) struct buf answer = {0};
+        int port = r.nodes[i % 2 * 2].port;
+        struct background b = {port, 0};
+        ask(&b);
+        g_assert_cmpint(b.status, ==, 200);
+        g_assert_cmpint(proc_http(port, "POST", "/v1/pipelines/embed",
+                                  RIG_TEAM, STR_LIT("{\"input\":\"x\"}"),
+                                  &answer),
+                        ==, 200);
+        CLEAN_FREE char *id = request_id(&answer);
+        CLEAN_FREE char *path = g_strconcat("/v1/traces/", id, NULL);
+        g_assert_cmpint(
+            proc_http(port, "GET", path, RIG_TEAM, STR_LIT(""), NULL), ==,
+            200);
+    }
+    for (int i = 0; i < 3; i += 2) {
+        g_assert_cmpint(proc_end(r.nodes[i].pid, SIGTERM), ==, 0);
+        r.nodes[i].pid = 0;
+    }
+    rig_close(&r);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    rig_open(&rig, NULL);
+    rig_node_start(&rig, 0, "");
+    rig_configure(&rig);
+    rig_wait_ready(&rig, 0, 200);
+    g_test_add_func("/daemon/exit-codes", test_exit_codes);
+    g_test_add_func("/daemon/bad-input", test_bad_input);
+    g_test_add_func("/daemon/trace-and-secrets", test_trace_and_secrets);
+    g_test_add_func("/daemon/action-once", test_action_once);
+    g_test_add_func("/daemon/operators", test_operators);
+    g_test_add_func("/daemon/drain", test_drain);
+    g_test_add_func("/daemon/nodes", test_nodes);
+    int rc = g_test_run();
+    rig_close(&rig);
+    return rc;
+}
