--- a/tests/peer.c
+++ b/tests/fake_process.c
@@ -1,4 +1,4 @@
-#include "tests/peer.h"
+#include "tests/fake_process.h"
 
 #include <curl/curl.h>
 #include <glib.h>
@@ -17,7 +17,7 @@
 }
 
 void
-peer_start(struct peer *p, const char *name)
+fake_process_start(struct fake_process *p, const char *name)
 {
     const char *dir = g_getenv("CF_BUILD_DIR");
     char *program = g_build_filename(dir ? dir : "build/release", name, NULL);
@@ -52,7 +52,8 @@
 }
 
 char *
-peer_post(const struct peer *p, const char *path, const char *body)
+fake_process_post(const struct fake_process *p, const char *path,
+                  const char *body)
 {
     GString *out = g_string_new(NULL);
     CURL *e = curl_easy_init();
@@ -70,7 +71,7 @@
 }
 
 void
-peer_stop(struct peer *p)
+fake_process_stop(struct fake_process *p)
 {
     g_subprocess_send_signal(p->process, SIGTERM);
     g_subprocess_wait(p->process, NULL, NULL);
--- a/tests/peer.h
+++ b/tests/fake_process.h
@@ -1,22 +1,23 @@
 /**
- * @file peer.h
+ * @file fake_process.h
  * Runs one of the fakes as a process for the duration of a test.
  */
-#ifndef TESTS_PEER_H
-#define TESTS_PEER_H
+#ifndef TESTS_FAKE_PROCESS_H
+#define TESTS_FAKE_PROCESS_H
 
 #include <gio/gio.h>
 
-struct peer {
+struct fake_process {
     GSubprocess *process;
     int port;
 };
 
 /** Starts CF_BUILD_DIR/@p name --port 0 and waits until it listens. */
-void peer_start(struct peer *p, const char *name);
+void fake_process_start(struct fake_process *p, const char *name);
 /** POSTs @p body to @p path; @return the answer's body, owned (g_free). */
-char *peer_post(const struct peer *p, const char *path, const char *body);
+char *fake_process_post(const struct fake_process *p, const char *path,
+                        const char *body);
 /** Ends the process and checks that it exits with 0. */
-void peer_stop(struct peer *p);
+void fake_process_stop(struct fake_process *p);
 
 #endif
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -94,7 +94,8 @@
     g_assert_cmpint(s.claim_buckets, ==, 256);
     g_assert_cmpint(s.store_writes_per_s, ==, 300);
     g_assert_true(str_eq_c(s.log_level, "info"));
-    g_assert_cmpint(settings_load("none", &s, &errors), ==, ST_IO);
+    struct settings none;
+    g_assert_cmpint(settings_load("none", &none, &errors), ==, ST_IO);
 }
 
 int
--- a/tests/test_store_client.c
+++ b/tests/test_store_client.c
@@ -7,7 +7,7 @@
 
 #include "base/clean.h"
 #include "store/store_client.h"
-#include "tests/peer.h"
+#include "tests/fake_process.h"
 
 /* Port 9 on loopback refuses connections. */
 #define REFUSING "http://127.0.0.1:9"
@@ -30,7 +30,7 @@
 }
 
 static void
-open_client(struct run *run, const struct peer *kv, bool with_refusing)
+open_client(struct run *run, const struct fake_process *kv, bool with_refusing)
 {
     char *url = g_strdup_printf("http://127.0.0.1:%d", kv->port);
     struct str urls[] = {STR_LIT(REFUSING), str_from(url)};
@@ -78,9 +78,9 @@
 }
 
 static void
-control(const struct peer *kv, const char *body)
+control(const struct fake_process *kv, const char *body)
 {
-    g_free(peer_post(kv, "/control", body));
+    g_free(fake_process_post(kv, "/control", body));
 }
 
 static void
@@ -117,8 +117,8 @@
          STORE_OK, "three"},
         {"{\"delay_ms\":0}", STORE_WATCH, "", 1, 3000000, STORE_OK, "three"},
     };
-    struct peer kv;
-    peer_start(&kv, "fake_kv");
+    struct fake_process kv;
+    fake_process_start(&kv, "fake_kv");
     for (int refusing = 0; refusing < 2; refusing++) {
         struct run run;
         open_client(&run, &kv, refusing);
@@ -137,13 +137,13 @@
         }
         close_client(&run);
     }
-    peer_stop(&kv);
+    fake_process_stop(&kv);
 }
 
 static void
 test_refused(void)
 {
-    struct peer none = {NULL, 9};
+    struct fake_process none = {NULL, 9};
     struct run run;
     open_client(&run, &none, true);
     submit(&run, STORE_CAS, "x", 0, 3000000);
@@ -155,16 +155,16 @@
 static void
 test_watch(void)
 {
-    struct peer kv;
+    struct fake_process kv;
     struct run run;
-    peer_start(&kv, "fake_kv");
+    fake_process_start(&kv, "fake_kv");
     open_client(&run, &kv, false);
     submit(&run, STORE_WATCH, "", 0, 5000000);
     char *stats = NULL;
     do {
         g_free(stats);
         step(&run);
-        stats = peer_post(&kv, "/control/stats", "");
+        stats = fake_process_post(&kv, "/control/stats", "");
     } while (!strstr(stats, "\"watches_open\":1"));
     g_assert_nonnull(strstr(stats, "\"reads\":1,"));
     g_free(stats);
@@ -181,7 +181,7 @@
     wait_for(&run, 5);
     g_assert_true(str_eq_c(buf_str(&run.value), "b"));
     close_client(&run);
-    peer_stop(&kv);
+    fake_process_stop(&kv);
 }
 
 int
