--- a/src/model/fleet.c
+++ b/src/model/fleet.c
@@ -457,6 +457,33 @@
     }
 }
 
+/* Every section is a table, and so is each of its entries but those of
+ * defaults; the list of changes is not operators' business. */
+static void
+check_sections(struct parse *p, json_t *doc)
+{
+    const char *section;
+    json_t *v;
+    json_object_foreach(doc, section, v)
+    {
+        const char *key;
+        json_t *entry;
+        if (strcmp(section, "changes") == 0) {
+            continue;
+        }
+        if (!json_is_object(v)) {
+            fault(p, section, "", "must be a table");
+            continue;
+        }
+        json_object_foreach(v, key, entry)
+        {
+            if (strcmp(section, "defaults") != 0 && !json_is_object(entry)) {
+                fault(p, section, key, "must be a table");
+            }
+        }
+    }
+}
+
 enum status
 fleet_parse(struct str in, struct fleet **out, struct buf *errors)
 {
@@ -473,6 +500,7 @@
     only_keys(&p, "", doc,
               "defaults exceptions zones zones_out vms_out pools pipelines "
               "teams operators changes");
+    check_sections(&p, doc);
     parse_defaults(&p, json_object_get(doc, "defaults"));
     parse_zones(&p, json_object_get(doc, "zones"),
                 json_object_get(doc, "zones_out"));
--- a/src/model/fleet.h
+++ b/src/model/fleet.h
@@ -29,7 +29,7 @@
     X(SUSPECT_HOLD_MS, "suspect_hold_ms", 1000, 86400000, 300000)             \
     X(SILENCE_FLOOR_MS, "silence_floor_ms", 10, 60000, 250)                   \
     X(AFFINITY_MS, "affinity_ms", 0, 3600000, 30000)                          \
-    X(CLAIM_HORIZON_MS, "claim_horizon_ms", 10000, 86400000, 600000)          \
+    X(CLAIM_HORIZON_MS, "claim_horizon_ms", 10000, 604800000, 86400000)       \
     X(TEAM_MAX_IN_FLIGHT, "team_max_in_flight", 1, 100000, 1024)              \
     X(TEAM_WEIGHT, "team_weight", 1, 1000, 1)
 
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -48,6 +48,9 @@
     /* Each row: configuration, then lines that must all be reported. */
     static const char *const rows[][4] = {
         {"[]", "must be an object"},
+        {"{\"defaults\":5,\"pools\":[],\"teams\":{\"t\":1}}",
+         "defaults: must be a table", "pools: must be a table",
+         "teams/t: must be a table"},
         {"{\"a\":1,\"a\":2}", "duplicate"},
         {"{\"colour\":1}", "colour: unknown key"},
         {"{\"defaults\":{\"deadline_ms\":\"8\",\"x\":1}}",
