Fuzz the decoders by bytes; turn the TOML parser's assertions into errors

Cause: nothing fed hostile bytes to the decoders. The first run found that tomlplusplus ends the process on a key of control characters: an assertion of its own is reachable by malformed input. The TOML shim throws where the parser asserts, and catches. Ruled out: the parser without exceptions fails the same assertion. Conclusion: a faulty settings file gives an error and never ends the daemon.

--- a/Makefile
+++ b/Makefile
@@ -102,3 +102,8 @@
 	@tools/lint.sh "$(CPPFLAGS)" $(filter %.c,$(C_FILES))
 clean:
 	rm -rf build bench-out
+
+# Byte-level fuzzing with libFuzzer (Debian package libclang-rt-14-dev).
+.PHONY: fuzz-bytes
+fuzz-bytes: deps
+	@tools/fuzz_bytes.sh "$(CPPFLAGS)" "$(LIBS)"
--- /dev/null
+++ b/fuzz/fuzz_bytes.c
@@ -0,0 +1,28 @@
+/* libFuzzer program over the byte decoders. FUZZ_TARGET names the decoder,
+ * for example FUZZ_TARGET=msg build/fuzz/fuzz_bytes tests/corpus/msg. */
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "tests/byte_targets.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static enum byte_target
+wanted(void)
+{
+    const char *name = getenv("FUZZ_TARGET");
+    for (int t = 0; t < BYTE_TARGET_COUNT; t++) {
+        if (name && strcmp(name, byte_target_name(t)) == 0) {
+            return t;
+        }
+    }
+    return BYTE_msg;
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    byte_target_run(wanted(), str_of((const char *)data, size));
+    return 0;
+}
--- a/src/settings/toml.cc
+++ b/src/settings/toml.cc
@@ -3,11 +3,24 @@
 #include <cstdio>
 #include <exception>
 #include <sstream>
+#include <stdexcept>
 #include <string_view>
 
-#define TOML_EXCEPTIONS 0
+#define TOML_EXCEPTIONS 1
+// The parser's assertions can be reached by malformed input, for example a key
+// of control characters; they become parse errors.
+#define TOML_ASSERT(expr)                                                     \
+    do {                                                                      \
+        if (!(expr)) {                                                        \
+            throw std::runtime_error("malformed TOML");                       \
+        }                                                                     \
+    } while (false)
 #define TOML_HEADER_ONLY 1
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wpragmas"
+#pragma GCC diagnostic ignored "-Wterminate"
 #include <toml++/toml.h>
+#pragma GCC diagnostic pop
 
 namespace {
 
@@ -84,15 +97,12 @@
 toml_to_json(const char *text, size_t len, struct toml_fault *fault)
 {
     try {
-        toml::parse_result result = toml::parse(std::string_view(text, len));
-        if (!result) {
-            const toml::parse_error &e = result.error();
-            set_fault(fault, static_cast<int>(e.source().begin.line),
-                      static_cast<int>(e.source().begin.column),
-                      e.description());
-            return nullptr;
-        }
-        return convert_table(result.table());
+        return convert_table(toml::parse(std::string_view(text, len)));
+    }
+    catch (const toml::parse_error &e) {
+        set_fault(fault, static_cast<int>(e.source().begin.line),
+                  static_cast<int>(e.source().begin.column), e.description());
+        return nullptr;
     }
     catch (const std::exception &e) {
         set_fault(fault, 0, 0, e.what());
--- /dev/null
+++ b/tests/byte_targets.c
@@ -0,0 +1,160 @@
+#include "tests/byte_targets.h"
+
+#include <stdlib.h>
+
+#include "base/clean.h"
+#include "control/claim_record.h"
+#include "control/roster.h"
+#include "edge/sse.h"
+#include "model/edit.h"
+#include "model/fleet.h"
+#include "model/vmlist.h"
+#include "settings/settings.h"
+#include "wire/msg.h"
+
+const char *
+byte_target_name(enum byte_target t)
+{
+    static const char *const names[] = {
+#define X(name) [BYTE_##name] = #name,
+        BYTE_TARGET_LIST(X)
+#undef X
+    };
+    return names[t];
+}
+
+/* What decodes must survive encoding and decoding again. */
+static void
+run_msg(struct str in)
+{
+    struct msg m;
+    struct msg back;
+    CLEAN(buf_free) struct buf out = {0};
+    if (msg_decode(in, &m) != ST_OK) {
+        return;
+    }
+    msg_encode(&m, &out);
+    if (msg_decode(buf_str(&out), &back) != ST_OK || back.type != m.type) {
+        abort();
+    }
+}
+
+static void
+run_claim_record(struct str in)
+{
+    struct claim_header h;
+    struct claim_entry e;
+    size_t at;
+    if (claim_header_decode(in, &h, &at) != ST_OK) {
+        return;
+    }
+    while (claim_entry_decode(in, &at, &e) == ST_OK) {
+        if (at > in.len) {
+            abort();
+        }
+    }
+}
+
+static void
+run_settings(struct str in, struct buf *errors)
+{
+    struct settings s;
+    if (settings_parse(in, "input", &s, errors) == ST_OK) {
+        settings_free(&s);
+    }
+}
+
+static void
+run_fleet(struct str in, struct buf *errors)
+{
+    struct fleet *f = NULL;
+    if (fleet_parse(in, &f, errors) == ST_OK) {
+        fleet_free(f);
+    }
+}
+
+static void
+run_vmlist(struct str in, struct buf *errors)
+{
+    struct vmlist *v = NULL;
+    if (vmlist_parse(in, &v, errors) == ST_OK) {
+        vmlist_free(v);
+    }
+}
+
+static void
+run_roster(struct str in)
+{
+    struct roster *r = NULL;
+    if (roster_parse(in, &r) == ST_OK) {
+        roster_free(r);
+    }
+}
+
+static void
+run_edit(struct str in, struct buf *errors)
+{
+    struct edit *e = NULL;
+    CLEAN(buf_free) struct buf out = {0};
+    if (edit_parse(in, false, &e, errors) == ST_OK) {
+        edit_apply(e, STR_LIT("{\"defaults\":{},\"pools\":{}}"), 3, &out,
+                   errors);
+        edit_free(e);
+    }
+}
+
+static bool
+on_event(void *ctx, struct str data)
+{
+    struct sse_token t;
+    (void)ctx;
+    if (sse_token(data, &t)) {
+        str_free(&t.text);
+    }
+    return true;
+}
+
+static void
+run_sse(struct str in)
+{
+    struct sse s = {0};
+    size_t half = in.len / 2;
+    if (sse_feed(&s, in.ptr, half, on_event, NULL)) {
+        sse_feed(&s, in.ptr + half, in.len - half, on_event, NULL);
+    }
+    sse_free(&s);
+}
+
+void
+byte_target_run(enum byte_target t, struct str in)
+{
+    CLEAN(buf_free) struct buf errors = {0};
+    switch (t) {
+    case BYTE_msg:
+        run_msg(in);
+        break;
+    case BYTE_claim_record:
+        run_claim_record(in);
+        break;
+    case BYTE_settings:
+        run_settings(in, &errors);
+        break;
+    case BYTE_fleet:
+        run_fleet(in, &errors);
+        break;
+    case BYTE_vmlist:
+        run_vmlist(in, &errors);
+        break;
+    case BYTE_roster:
+        run_roster(in);
+        break;
+    case BYTE_edit:
+        run_edit(in, &errors);
+        break;
+    case BYTE_sse:
+        run_sse(in);
+        break;
+    case BYTE_TARGET_COUNT:
+        break;
+    }
+}
--- /dev/null
+++ b/tests/byte_targets.h
@@ -0,0 +1,35 @@
+/**
+ * @file byte_targets.h
+ * One function per decoder that is fed bytes from outside: the message
+ * codec, claim records, settings, configuration, VM list, roster, edits and
+ * server-sent events. Shared by the test over the committed corpus and by
+ * the libFuzzer program.
+ */
+#ifndef TESTS_BYTE_TARGETS_H
+#define TESTS_BYTE_TARGETS_H
+
+#include "base/str.h"
+
+#define BYTE_TARGET_LIST(X)                                                   \
+    X(msg)                                                                    \
+    X(claim_record)                                                           \
+    X(settings)                                                               \
+    X(fleet)                                                                  \
+    X(vmlist)                                                                 \
+    X(roster)                                                                 \
+    X(edit)                                                                   \
+    X(sse)
+
+enum byte_target {
+#define X(name) BYTE_##name,
+    BYTE_TARGET_LIST(X)
+#undef X
+        BYTE_TARGET_COUNT
+};
+
+const char *byte_target_name(enum byte_target t);
+
+/** Feeds one input; must neither crash nor leak whatever the bytes are. */
+void byte_target_run(enum byte_target t, struct str bytes);
+
+#endif
