--- a/src/model/ask.h
+++ b/src/model/ask.h
@@ -31,7 +31,11 @@
 #undef X
 };
 
-/** A request about one claim key. DONE and ABANDON have no reply. */
+/** Longest answer, in bytes, that is kept in a claim record. */
+#define CLAIM_ANSWER_MAX 1024
+
+/** A request about one claim key. Flow cores get no reply to DONE and ABANDON;
+ * between nodes CLAIM_CLOSED acknowledges them. */
 struct claim_ask {
     enum claim_verb verb;
     struct digest key;
@@ -40,7 +44,8 @@
     int64_t valid_us;  /**< time until the attempt's deadline; relative, so
                             that it can cross nodes */
     int http_status;   /**< DONE only */
-    struct str answer; /**< DONE only; borrowed */
+    struct str answer; /**< DONE only; borrowed. Longer than CLAIM_ANSWER_MAX:
+                            not kept; cut to one byte above it on the wire */
 };
 
 #define CLAIM_STATE_LIST(X)                                                   \
@@ -50,7 +55,8 @@
     X(HELD, "held")                                                           \
     X(BUSY, "busy")                                                           \
     X(MISMATCH, "mismatch")                                                   \
-    X(UNAVAILABLE, "unavailable")
+    X(UNAVAILABLE, "unavailable")                                             \
+    X(CLOSED, "closed")
 
 enum claim_state {
 #define X(id, name) CLAIM_##id,
@@ -59,7 +65,8 @@
 };
 
 struct claim_reply {
-    enum claim_verb verb; /**< of the request answered: OPEN or CLAIM */
+    enum claim_verb verb; /**< of the request answered; flow cores see only
+                               OPEN and CLAIM */
     enum claim_state state;
     struct digest key;
     struct attempt_id attempt; /**< the attempt that asked */
@@ -74,6 +81,8 @@
                           high 8 bits: traffic thread */
     struct str endpoint;
     int64_t lifetime_us; /**< at most CREDIT_LIFE_MAX_US */
+    bool renew;          /**< held already; set by the control core */
+    uint64_t sent;       /**< between nodes: when, by the asker's clock */
 };
 
 #define CREDIT_LIFE_MAX_US 8000000
@@ -82,7 +91,9 @@
     uint64_t credit;
     struct str endpoint;
     bool granted;
-    int64_t retry_us; /**< refused: ask again no sooner than this */
+    int64_t retry_us;  /**< refused: ask again no sooner than this */
+    uint64_t warm_seq; /**< not 0: the endpoint is warm as of this change */
+    uint64_t sent;     /**< repeated from the ask */
 };
 
 /** Gives a credit back. @c ok: the call it was used for succeeded. */
@@ -92,6 +103,7 @@
     bool used;
     bool ok;
     bool reported_warm; /**< the endpoint's load report said warm */
+    uint64_t sent;      /**< between nodes: ends grants for asks up to this */
 };
 
 /** A flow core saw that an endpoint is cold, or counts its calls in flight
@@ -101,6 +113,7 @@
     struct str start_id; /**< may be empty */
     int in_flight;       /**< of this flow core, without credits */
     bool detected;       /**< seen here, as against a mere count */
+    uint64_t seq;        /**< between nodes: the change that made it cold */
 };
 
 /** The endpoint became cold or warm; control to flow. */
--- /dev/null
+++ b/tests/vnet.h
@@ -0,0 +1,74 @@
+/**
+ * @file vnet.h
+ * Virtual time for control-state tests and benches: an in-memory link with
+ * loss, delay, reordering and cuts, and a small key-value service with
+ * outages and lost answers. Messages cross the link in encoded form.
+ */
+#ifndef TESTS_VNET_H
+#define TESTS_VNET_H
+
+#include "base/rng.h"
+#include "control/control.h"
+
+#define VNET_NODES_MAX 512
+#define VNET_KEYS_MAX 64
+
+struct vnet_key {
+    char name[64];
+    int64_t revision;
+    struct str value; /* owned */
+};
+
+struct vnet_event;
+
+struct vnet {
+    int64_t now_us;
+    struct rng rng;
+    int count;
+    uint64_t ids[VNET_NODES_MAX];
+    bool up[VNET_NODES_MAX];
+    bool no_store[VNET_NODES_MAX]; /* cut off from the store */
+    int group[VNET_NODES_MAX]; /* only nodes of one group hear each other */
+    int64_t wake_us[VNET_NODES_MAX];
+    int64_t paused_until_us[VNET_NODES_MAX]; /* its events wait meanwhile */
+    int process[VNET_NODES_MAX]; /* answers to earlier ones are dropped */
+    double loss;
+    double large_loss; /* of messages of more than 400 bytes: documents */
+    int64_t delay_us;
+    int64_t jitter_us;
+    bool store_down;
+    double store_loss; /* share of calls without an answer */
+    int64_t revision;
+    int key_count;
+    struct vnet_key keys[VNET_KEYS_MAX];
+    int64_t messages;
+    int64_t bytes;
+    int64_t store_calls;
+    int64_t store_bytes;
+    struct vnet_event *heap;
+    size_t heap_count;
+    size_t heap_cap;
+    uint64_t next_seq;
+    void *arg;
+    /** Feeds one event to a node; its actions go to vnet_action. */
+    void (*step)(void *arg, int node, const struct control_event *ev);
+    int64_t (*wakeup)(void *arg, int node);
+};
+
+void vnet_init(struct vnet *s, int count, uint64_t seed, void *arg);
+void vnet_clear(struct vnet *s);
+
+/** Performs CONTROL_ACT_SEND and CONTROL_ACT_STORE of a node. */
+void vnet_action(struct vnet *s, int node, const struct control_action *a);
+
+/** Runs all events up to the time. */
+void vnet_run(struct vnet *s, int64_t until_us);
+
+/** Feeds an event to a node now and reads its wakeup. */
+void vnet_step(struct vnet *s, int node, const struct control_event *ev);
+
+/** Writes a key as the platform would. @return its revision */
+int64_t vnet_put(struct vnet *s, const char *key, struct str value);
+struct vnet_key *vnet_key(struct vnet *s, struct str key);
+
+#endif
