--- a/fakes/http.c
+++ b/fakes/http.c
@@ -344,6 +344,9 @@
     ppoll(&fd, 1, &ts, NULL);
     MHD_run(h->daemon);
     run_timers(h);
+    /* Answers given by timers go out at once: MHD does not wake its set for
+     * them, and the next wait would delay them to its end. */
+    MHD_run(h->daemon);
     if (now >= h->next_sweep) {
         h->next_sweep = now + SWEEP_US;
         sweep(h);
