--- a/src/model/snapshot.c
+++ b/src/model/snapshot.c
@@ -1,6 +1,5 @@
 #include "model/snapshot.h"
 
-#include <ck_pr.h>
 #include <stdlib.h>
 
 static void
@@ -47,19 +46,15 @@
 struct snapshot *
 snapshot_ref(struct snapshot *s)
 {
-    ck_pr_inc_64(&s->refs);
+    __atomic_add_fetch(&s->refs, 1, __ATOMIC_RELAXED);
     return s;
 }
 
 void
 snapshot_unref(struct snapshot *s)
 {
-    bool last = false;
-    if (!s) {
-        return;
-    }
-    ck_pr_dec_64_zero(&s->refs, &last);
-    if (last) {
+    /* What other holders read happens before the release. */
+    if (s && __atomic_sub_fetch(&s->refs, 1, __ATOMIC_ACQ_REL) == 0) {
         s->release(s);
         free(s->endpoints);
         free(s);
