Widen the message of a failed HTTP exchange

Cause: with asan the compiler reports that a node URL and libcurl's error text may not fit. Change: 768 bytes. Measured: check-asan: 105 cases pass. Conclusion: none beyond the change.

--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -60,7 +60,7 @@
     bool sent;         /**< at least one byte of the request may be out */
     int status;        /**< 0: no whole answer */
     struct buf body;   /**< owned */
-    char message[256]; /**< why there is no answer */
+    char message[768]; /**< why there is no answer */
 };
 
 void cli_answer_free(struct cli_answer *a);
