Serve resumed connections of the fakes at once; print refusal details

The command line tool did not print the conflicts and faults of a refused edit. Change: the loop does not wait after a resume; cli_refusal prints the lists in error.details.

--- a/fakes/http.c
+++ b/fakes/http.c
@@ -57,6 +57,7 @@
     GQueue requests;
     int64_t next_sweep;
     bool stopping;
+    bool woken; /* a connection was resumed since the last MHD_run */
 };
 
 int64_t
@@ -133,6 +134,7 @@
 {
     if (p->suspended) {
         p->suspended = false;
+        p->req.h->woken = true;
         MHD_resume_connection(p->conn);
     }
 }
@@ -338,12 +340,17 @@
         (int64_t)mhd_ms * 1000 < wait_us) {
         wait_us = (int64_t)mhd_ms * 1000;
     }
+    /* A resumed connection does not make the set of MHD readable. */
+    if (h->woken) {
+        wait_us = 0;
+    }
     /* The set of MHD is edge-triggered: only MHD may take events from it. */
     struct pollfd fd = {.fd = h->epfd, .events = POLLIN};
     struct timespec ts = {wait_us / 1000000, wait_us % 1000000 * 1000};
     ppoll(&fd, 1, &ts, NULL);
-    MHD_run(h->daemon);
     run_timers(h);
+    h->woken = false;
+    MHD_run(h->daemon);
     if (now >= h->next_sweep) {
         h->next_sweep = now + SWEEP_US;
         sweep(h);
--- a/src/cli/http.c
+++ b/src/cli/http.c
@@ -89,6 +89,24 @@
     json_decref(*v);
 }
 
+/* Who changed what, what is faulty, or where a change is not in force. */
+static void
+print_details(const struct cli *c, json_t *details)
+{
+    const char *key;
+    json_t *v;
+    json_t *line;
+    size_t i;
+    json_object_foreach(details, key, v)
+    {
+        json_array_foreach(v, i, line)
+        {
+            const char *text = json_string_value(line);
+            fprintf(c->io.err, "  %s: %s\n", key, text ? text : "-");
+        }
+    }
+}
+
 int
 cli_refusal(const struct cli *c, const struct cli_answer *a)
 {
@@ -107,13 +125,8 @@
             why ? why : "the answer has no error kind",
             json_is_true(json_object_get(e, "retry")) ? " (a retry can help)"
                                                       : "");
-    json_t *conflicts = json_object_get(o, "conflicts");
-    if (!conflicts) {
-        conflicts = json_object_get(e, "conflicts");
-    }
-    if (conflicts && !c->json) {
-        json_dumpf(conflicts, c->io.err, JSON_INDENT(2));
-        fputc('\n', c->io.err);
+    if (!c->json) {
+        print_details(c, json_object_get(e, "details"));
     }
     /* Without a readable "ran", a 5xx proves nothing. */
     bool not_run = ran ? strcmp(ran, "not_run") == 0
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -142,7 +142,9 @@
         {"c unset p --reason r --node A --node B", 0, "", 0, "", 3, 1, 1,
          "repeat with --change"},
         {"c set p 1 --reason r --node A --node B", 409,
-         ERR("conflict", "not_run"), 200, "{}", 1, 1, 0, "conflict: m"},
+         "{\"error\":{\"kind\":\"conflict\",\"ran\":\"not_run\","
+         "\"message\":\"m\",\"details\":{\"conflicts\":[\"p by asha\"]}}}",
+         200, "{}", 1, 1, 0, "conflict: m\n  conflicts: p by asha"},
         {"c vm out v --reason r --node A --node B", 504,
          ERR("change_unconfirmed", "may_have_run"), 503,
          ERR("not_ready", "not_run"), 3, 1, 1, "not confirmed"},
