Judge slow first tokens only without load reports

Cause: three first tokens above four times the warm p95 marked overloaded endpoints as cold. Cold endpoints take few credits, so a burst lost most of the capacity, and the endpoints that were left were marked in turn.

Change: the rule applies only to endpoints that have given no load report.

--- a/src/flow/health.c
+++ b/src/flow/health.c
@@ -127,6 +127,11 @@
     }
     int64_t p95 = estimate_at(&ep->warm, 0.95, -1);
     if (p95 > 0 && us > SLOW_FACTOR * p95) {
+        /* A load report says itself whether the endpoint is cold; a slow
+         * first byte with a warm report is queueing. */
+        if (ep->reported_us) {
+            return;
+        }
         if (++ep->slow_first >= SLOW_TIMES) {
             health_cold(f, ep);
         }
--- a/src/flow/health.h
+++ b/src/flow/health.h
@@ -18,7 +18,7 @@
 void health_refused(struct flow *f, struct endpoint *ep);
 
 /** Time to a first byte; three in a row far above its own warm p95 mean a
- * cold endpoint. */
+ * cold endpoint, unless it gives load reports. */
 void health_first_byte(struct flow *f, struct endpoint *ep, int64_t us);
 
 /** Ejects the endpoint if it is far from its pool's medians. */
--- a/tests/test_credit.c
+++ b/tests/test_credit.c
@@ -67,9 +67,10 @@
     }
 }
 
-/* Guards against slow first tokens of a cold engine that go unnoticed. */
+/* Guards against slow first tokens of a cold engine that go unnoticed, and
+ * against overload taken for coldness although the load report says warm. */
 static void
-test_slow(void)
+slow(const char *load, const char *end)
 {
     GString *s = g_string_new("> snap svc:s1@z1\n> fresh 100000\n");
     for (int i = 1; i <= 26; i++) {
@@ -77,14 +78,22 @@
         int at = i * 250;
         g_string_append_printf(s,
                                "> @%d req %d plain\ncall a%d r%d s s1\n"
-                               "> @%d done a%d 200 {}\nanswer r%d\n",
-                               at, i, i, i, at + (i > 23 ? 200 : 10), i, i);
+                               "> @%d done a%d 200 {}%s\nanswer r%d\n",
+                               at, i, i, i, at + (i > 23 ? 200 : 10), i, load,
+                               i);
     }
-    g_string_append(s, "cold s1 0 detected\n");
+    g_string_append(s, end);
     flow_script(FLOW_POLICY_FULL, s->str);
     g_string_free(s, TRUE);
 }
 
+static void
+test_slow(void)
+{
+    slow("", "cold s1 0 detected\n");
+    slow(" warm", "> req 27 plain\ncall a27 r27 s s1\n");
+}
+
 int
 main(int argc, char **argv)
 {
