Limit calls per endpoint by the node's share and load reports

Cause: each of five nodes allowed max_in_flight calls on each endpoint, so up to 40 calls stood in front of 8 slots, in FIFO order and out of reach of the queue's order and deadlines.

Ruled out: the latency gradient alone. An endpoint that becomes four times slower looks like a queue and cuts the limits to 1, below the slots.

Change: the limit starts at max_in_flight / alive nodes and follows the reported queue; the gradient serves endpoints without load reports.

Conclusion: helps where the queue order counts; bulk work still takes most of the scarce capacity.

--- a/src/flow/call.c
+++ b/src/flow/call.c
@@ -46,7 +46,9 @@
 {
     struct endpoint *ep = c->ep;
     int64_t us = f->now_us - c->start_us;
-    limit_answer(&ep->limit, f->now_us, us, ep->in_flight, false);
+    if (!ep->reported_us) {
+        limit_answer(&ep->limit, f->now_us, us, ep->in_flight, false);
+    }
     outlier_latency(&ep->outlier, us);
 }
 
--- a/src/flow/health.c
+++ b/src/flow/health.c
@@ -113,6 +113,8 @@
     if (report->has_load) {
         ep->reported = report->in_flight + report->queued;
         ep->reported_us = f->now_us;
+        limit_report(&ep->limit, report->in_flight, report->queued,
+                     ep->in_flight + 1);
         if (report->cold) {
             health_cold(f, ep);
         }
--- a/src/flow/limit.c
+++ b/src/flow/limit.c
@@ -11,20 +11,53 @@
  * a lasting change of the endpoint must, within some thousand answers. */
 #define FALL 0.02
 #define RISE 0.001
+/* A reported queue up to this part of the running calls keeps all slots busy
+ * between an answer and the next call. */
+#define SPARE 4
+/* Decrease per answer that reports a longer queue. */
+#define QUEUED_STEP 0.5
+
+/* With the shares rounded up, the nodes together pass the slots by less than
+ * their number. */
+static int
+share(int slots, int nodes)
+{
+    return nodes > 1 ? (slots + nodes - 1) / nodes : slots;
+}
 
 void
-limit_init(struct limit *l, int cap)
+limit_init(struct limit *l, int cap, int nodes)
 {
-    *l = (struct limit){.value = cap, .cap = cap};
+    *l =
+        (struct limit){.value = share(cap, nodes), .cap = cap, .nodes = nodes};
 }
 
 void
-limit_set_cap(struct limit *l, int cap)
+limit_set_cap(struct limit *l, int cap, int nodes)
 {
-    if (l->value >= l->cap || l->value > cap) {
+    if (l->value == share(l->cap, l->nodes)) {
+        l->value = share(cap, nodes);
+    }
+    else if (l->value >= l->cap || l->value > cap) {
         l->value = cap;
     }
     l->cap = cap;
+    l->nodes = nodes;
+}
+
+void
+limit_report(struct limit *l, int running, int queued, int in_flight)
+{
+    if (queued > running / SPARE) {
+        /* An endpoint that queues runs as many calls as it has slots. */
+        int least = share(running, l->nodes);
+        double value = l->value - QUEUED_STEP;
+        l->value = value > least ? value : least < l->value ? least : l->value;
+    }
+    else if (queued == 0 && in_flight >= (int)l->value) {
+        l->value += 1 / l->value;
+    }
+    l->value = l->value > l->cap ? l->cap : l->value < 1 ? 1 : l->value;
 }
 
 static void
--- a/src/flow/pool.c
+++ b/src/flow/pool.c
@@ -92,7 +92,7 @@
         ep->hash = hash;
         ep->url = str_dup(in->url);
         hist_init(&ep->warm, 256);
-        limit_init(&ep->limit, cap);
+        limit_init(&ep->limit, cap, s->node_count);
         map_put(&f->endpoints, hash, ep);
     }
     else if (!str_eq(ep->url, in->url)) {
@@ -103,7 +103,7 @@
     ep->zone = in->zone;
     ep->usable = in->usable;
     ep->gone = false;
-    limit_set_cap(&ep->limit, cap);
+    limit_set_cap(&ep->limit, cap, s->node_count);
     /* A snapshot made before an own detection was heard of says warm; only
      * a notice takes such an endpoint out of the cold state. */
     if (in->cold || !ep->detected) {
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -31,7 +31,7 @@
 {
     struct limit l;
     int64_t now = 0;
-    limit_init(&l, 16);
+    limit_init(&l, 16, 1);
     for (int i = 0; i < 400; i++) {
         limit_answer(&l, now += 100000, 10000 + i * 7919 % 10000, 16, false);
     }
@@ -44,10 +44,38 @@
         limit_answer(&l, now += 100000, 12000, 16, false);
     }
     g_assert_cmpint(limit_get(&l), ==, 16);
-    limit_set_cap(&l, 4);
+    limit_set_cap(&l, 4, 1);
     g_assert_cmpint(limit_get(&l), ==, 4);
 }
 
+/* Guards against limits of several nodes that add up to a queue inside the
+ * endpoint, and that leave its slots empty when only one node has work. */
+static void
+test_limit_report(void)
+{
+    static const struct {
+        int running, queued, in_flight, answers, want;
+    } rows[] = {
+        {8, 0, 1, 100, 2},  /* not in use: stays at the share of 8 by 5 */
+        {6, 0, 8, 100, 8},  /* one busy node: grows to the cap */
+        {8, 2, 8, 100, 8},  /* a short queue keeps the slots busy */
+        {8, 3, 8, 100, 2},  /* a longer one: back to the share, not below */
+        {4, 30, 2, 100, 1}, /* fewer slots than the cap says */
+        {4, 30, 2, 100, 1}, /* never below 1 */
+    };
+    struct limit l;
+    limit_init(&l, 8, 5);
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        for (int k = 0; k < rows[i].answers; k++) {
+            limit_report(&l, rows[i].running, rows[i].queued,
+                         rows[i].in_flight);
+        }
+        g_assert_cmpint(limit_get(&l), ==, rows[i].want);
+    }
+    limit_set_cap(&l, 8, 2);
+    g_assert_cmpint(limit_get(&l), ==, 1);
+}
+
 /* Guards against ejections that never grow or end, beyond the cap, or for
  * what the whole pool suffers from. */
 static void
@@ -112,6 +140,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/pool/affinity", test_affinity);
     g_test_add_func("/pool/limit", test_limit);
+    g_test_add_func("/pool/limit_report", test_limit_report);
     g_test_add_func("/pool/outlier", test_outlier);
     g_test_add_func("/pool/bounds", test_bounds);
     return g_test_run();
