Tell a cold endpoint's owner when uncounted calls end

Cause: a flow core reports its calls without a credit once, when it learns that the endpoint is cold.

Ruled out: credit_retry_us after refused connections (at most 4 s, and asks went out every 10 to 200 ms), ejection, limits.

Change: the end of a call without a valid credit on a cold endpoint reports the new count.

--- a/src/flow/call.c
+++ b/src/flow/call.c
@@ -102,12 +102,16 @@
         learn(f, c, end);
     }
     core_span(f, c->r, "call", c->stage, c, c->start_us, outcome);
+    bool uncounted = f->full && ep->cold && !credit_valid(f, c->credit);
     if (c->credit) {
         credit_release(f, c->credit, end != END_UNSENT, end == END_OK, warm);
     }
     ep->in_flight--;
     ep->alone = ep->alone && !c->alone;
     map_del(&f->calls, c->attempt);
+    if (uncounted) {
+        health_count(f, ep);
+    }
     struct call **at = &c->r->calls;
     while (*at != c) {
         at = &(*at)->next;
--- a/src/flow/health.c
+++ b/src/flow/health.c
@@ -44,6 +44,12 @@
     }
 }
 
+void
+health_count(struct flow *f, struct endpoint *ep)
+{
+    tell_cold(f, ep, false);
+}
+
 void
 health_flush(struct flow *f)
 {
--- a/src/flow/health.h
+++ b/src/flow/health.h
@@ -14,6 +14,10 @@
 /** The endpoint was found cold: from now on only with credits. */
 void health_cold(struct flow *f, struct endpoint *ep);
 
+/** A call without a credit on a cold endpoint has ended: its owner gets the
+ * new count at the end of this step. */
+void health_count(struct flow *f, struct endpoint *ep);
+
 /** A connection was refused: cold, and no credits are asked for a while. */
 void health_refused(struct flow *f, struct endpoint *ep);
 
--- a/tests/test_credit.c
+++ b/tests/test_credit.c
@@ -52,6 +52,11 @@
     {"an endpoint that reports cold gets work without a credit",
      WARM "> done a1 200 {} cold\nanswer r1\ncold s1 0 detected\n"
           "> req 2 plain\ncredit c1 s1\n"},
+    {"the owner counts calls without a credit that have ended",
+     WARM "> req 2 plain\ncall a2 r2 s s1\n"
+          "> done a1 200 {} cold\nanswer r1\ncold s1 1 detected\n"
+          "> notice s1 cold\ncold s1 1\n"
+          "> done a2 200 {} cold\nanswer r2\ncold s1 0\n"},
     {"an endpoint that refused a connection gets work without a credit",
      WARM "> fail a1 refused unsent\ncold s1 0 detected\n> @240 tick\n"
           "> @252 tick\ncredit c1 s1\n> credit c1 ok\ncall a2 r1 s s1\n"
