Bound the share of overdue bulk work

Cause: with capacity short, all bulk work becomes overdue after bulk_max_wait and then went before every interactive request.

Ruled out: classes out of order (fairq rows), admission of bulk.

Change: overdue bulk goes first while such bulk is at most a twentieth of the work served; the first overdue entry still goes at once.

--- a/src/flow/fairq.c
+++ b/src/flow/fairq.c
@@ -25,10 +25,16 @@
     int limit;
     int length;
     int64_t bulk_max_wait_us;
+    /* Work that overdue bulk may pass ahead of, less what it has passed. */
+    double bulk_due_us;
     uint64_t seq;
     struct lane lanes[CLASS_COUNT];
 };
 
+/* Part of the work that overdue bulk gets before other work. More would take
+ * the place of interactive work for as long as capacity is short. */
+#define BULK_SHARE 0.05
+
 struct fairq *
 fairq_new(bool fifo)
 {
@@ -172,7 +178,8 @@
         return best;
     }
     best = oldest_bulk(q);
-    if (best && now_us - best->queued_us >= q->bulk_max_wait_us) {
+    if (best && q->bulk_due_us >= 0 &&
+        now_us - best->queued_us >= q->bulk_max_wait_us) {
         return best;
     }
     best = NULL;
@@ -200,6 +207,20 @@
     e->flow = NULL;
 }
 
+void
+fairq_served(struct fairq *q, const struct fairq_entry *e)
+{
+    bool others = q->lanes[CLASS_INTERACTIVE].cost_us > 0 ||
+                  q->lanes[CLASS_ACTION].cost_us > 0;
+    if (e->class != CLASS_BULK) {
+        q->bulk_due_us += BULK_SHARE * (double)e->cost_us;
+        q->bulk_due_us = q->bulk_due_us > 0 ? 0 : q->bulk_due_us;
+    }
+    else if (others) {
+        q->bulk_due_us -= (double)e->cost_us;
+    }
+}
+
 int
 fairq_length(const struct fairq *q)
 {
--- a/src/flow/fairq.h
+++ b/src/flow/fairq.h
@@ -2,8 +2,9 @@
  * @file fairq.h
  * Bounded queue of one pool: start-time fair queueing over teams within each
  * class; classes in order of priority, except that bulk work that has waited
- * for bulk_max_wait goes first. In FIFO mode only arrival order counts.
- * Entries are intrusive and owned by the caller.
+ * for bulk_max_wait goes first, with a small share of the work served. In FIFO
+ * mode only arrival order counts. Entries are intrusive and owned by the
+ * caller.
  */
 #ifndef FLOW_FAIRQ_H
 #define FLOW_FAIRQ_H
@@ -47,6 +48,9 @@
 /** The entry to serve next, which stays queued; NULL if empty. */
 struct fairq_entry *fairq_peek(struct fairq *q, int64_t now_us);
 void fairq_remove(struct fairq *q, struct fairq_entry *e);
+
+/** The entry, already removed, goes to an endpoint: counts its work. */
+void fairq_served(struct fairq *q, const struct fairq_entry *e);
 int fairq_length(const struct fairq *q);
 
 /** Sum of cost_us of the entries that would be served before new work of
--- a/src/flow/stage.c
+++ b/src/flow/stage.c
@@ -322,6 +322,7 @@
             return;
         }
         fairq_remove(p->queue, e);
+        fairq_served(p->queue, e);
         if (!stage_of(r)->repeatable) {
             claim_ask(f, r);
             continue;
--- a/tests/test_fairq.c
+++ b/tests/test_fairq.c
@@ -93,6 +93,38 @@
     fairq_free(q);
 }
 
+/* Guards against overdue bulk work that takes all of a short capacity, and
+ * against bulk work that gets none of it. */
+static void
+test_bulk_share(void)
+{
+    struct fairq *q = fairq_new(false);
+    struct fairq_entry bulk[50] = {0};
+    struct fairq_entry live[200] = {0};
+    int served = 0;
+    fairq_set(q, 1000, 10000);
+    for (int i = 0; i < 200; i++) {
+        live[i].weight = 1;
+        live[i].cost_us = 100;
+        fairq_push(q, 0, &live[i]);
+    }
+    for (int i = 0; i < 50; i++) {
+        bulk[i].class = CLASS_BULK;
+        bulk[i].weight = 1;
+        bulk[i].cost_us = 300;
+        fairq_push(q, 0, &bulk[i]);
+    }
+    for (int i = 0; i < 100; i++) {
+        struct fairq_entry *e = fairq_peek(q, 20000);
+        fairq_remove(q, e);
+        fairq_served(q, e);
+        served += e->class == CLASS_BULK;
+    }
+    /* 98 x 100 us and 2 x 300 us: a twentieth of the work. */
+    g_assert_cmpint(served, ==, 2);
+    fairq_free(q);
+}
+
 /* Guards against waits estimated from other teams' whole backlog. */
 static void
 test_ahead(void)
@@ -120,6 +152,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/fairq/rows", test_rows);
     g_test_add_func("/fairq/bulk_wait", test_bulk_wait);
+    g_test_add_func("/fairq/bulk_share", test_bulk_share);
     g_test_add_func("/fairq/ahead", test_ahead);
     return g_test_run();
 }
