Ask whether the key is free before refusing as not run

Cause: an open attempt is only in its owner's memory. When the owner is lost, another attempt with the key can be opened and run while the first one waits for its claim or in a queue; its later refusal as not_run (store_unavailable, deadline_exceeded) is then untrue.

Ruled out: relying on the reply to CLAIM. In a store outage it never comes, and a refusal before the claim does not ask.

Change: a keyed request with a claim that is open, asked or granted unsent is refused as not_run only after CLAIM_ABANDON was acknowledged with the statement that no other attempt is open, granted or done (claim_reply.key_free, given by an owner with proven ownership). After 250 ms, or if the key is taken, or while the verdict on a lost endpoint is due, the refusal is claim_unknown. The row of test_claim for a store outage now expects the refusal after the acknowledgement; kind and ran are the same.

--- a/src/control/claim_table.c
+++ b/src/control/claim_table.c
@@ -124,6 +124,21 @@
     h->reply(h->ctx, ask->attempt.node, &r);
 }
 
+/* Acknowledges an ABANDON. @p other: another claim of the key, or NULL. */
+static void
+answer_abandoned(struct claim_table *t, struct claim_host *h,
+                 const struct digest *key, const struct attempt_id *attempt,
+                 const struct slot *other)
+{
+    struct claim_reply r = {.verb = CLAIM_VERB_ABANDON,
+                            .state = CLAIM_CLOSED,
+                            .key = *key,
+                            .attempt = *attempt,
+                            .key_free = !other &&
+                                        !g_hash_table_contains(t->opens, key)};
+    h->reply(h->ctx, attempt->node, &r);
+}
+
 static void
 answer_slot(struct claim_host *h, const struct slot *s, enum claim_verb verb,
             enum claim_state state)
@@ -414,12 +429,12 @@
     }
     if (!s || !attempt_eq(&s->attempt, &ask->attempt) ||
         s->state == SLOT_DONE) {
-        answer(h, ask, CLAIM_CLOSED, NULL);
+        answer_abandoned(t, h, &ask->key, &ask->attempt, s);
         return;
     }
     if (s->durable == SLOT_NONE && !s->in_write && !s->uncertain) {
         slot_drop(t, s);
-        answer(h, ask, CLAIM_CLOSED, NULL);
+        answer_abandoned(t, h, &ask->key, &ask->attempt, NULL);
         return;
     }
     s->removing = s->ack = true;
@@ -520,7 +535,7 @@
         s->in_write = false;
         s->durable = s->written;
         if (s->removing && s->durable == SLOT_NONE) {
-            answer_slot(h, s, CLAIM_VERB_ABANDON, CLAIM_CLOSED);
+            answer_abandoned(t, h, &s->key, &s->attempt, NULL);
             t->bytes -= slot_bytes(s);
             g_hash_table_iter_remove(&it);
             continue;
@@ -551,7 +566,8 @@
         s->in_write = false;
         s->uncertain = s->uncertain || (was && lost);
         if (s->removing && s->durable == SLOT_NONE && !s->uncertain) {
-            answer_slot(h, s, CLAIM_VERB_ABANDON, CLAIM_CLOSED);
+            /* The bucket may have another owner, with other claims. */
+            answer_abandoned(t, h, &s->key, &s->attempt, s);
             t->bytes -= slot_bytes(s);
             g_hash_table_iter_remove(&it);
             continue;
--- a/src/control/claims.c
+++ b/src/control/claims.c
@@ -328,6 +328,9 @@
     if (r->state == CLAIM_CLOSED) {
         if (a->phase == PHASE_CLOSING && a->ask.verb == r->verb) {
             remember(c, now_us, a, PHASE_CLOSED);
+            if (r->verb == CLAIM_VERB_ABANDON) {
+                to_flow(c, a, r);
+            }
         }
         return;
     }
@@ -500,7 +503,9 @@
         }
         break;
     case CLAIM_VERB_ABANDON:
-        if (!closing) {
+        /* After CLOSED the owner is asked again: whether the key is free may
+         * have changed. */
+        if (a->phase != PHASE_CLOSING) {
             abandon(c, now_us, a);
         }
         break;
--- a/src/flow/claim.c
+++ b/src/flow/claim.c
@@ -110,6 +110,7 @@
             break;
         case CLAIM_STEP_SENT:
         case CLAIM_STEP_DONE:
+        case CLAIM_STEP_CLOSING:
         case CLAIM_STEP_CLOSED:
             break;
         }
@@ -117,6 +118,36 @@
     }
 }
 
+bool
+claim_check_free(struct flow *f, struct request *r)
+{
+    bool any = false;
+    for (int i = 0; i < r->pipeline->stage_count; i++) {
+        enum claim_step s = r->claims[i].step;
+        if (s == CLAIM_STEP_OPENED || s == CLAIM_STEP_CLAIMING ||
+            s == CLAIM_STEP_GRANTED) {
+            abandon(f, r, i);
+            r->claims[i].step = CLAIM_STEP_CLOSING;
+            any = true;
+        }
+    }
+    return any;
+}
+
+static void
+closed(struct flow *f, struct request *r, struct stage_claim *cl,
+       const struct claim_reply *c)
+{
+    cl->step = CLAIM_STEP_CLOSED;
+    r->key_taken |= !c->key_free;
+    for (int i = 0; i < r->pipeline->stage_count; i++) {
+        if (r->claims[i].step == CLAIM_STEP_CLOSING) {
+            return;
+        }
+    }
+    request_closed(f, r, true);
+}
+
 /* OPENED or GRANTED for an attempt that was given up: abandoned again, since
  * the request may have overtaken the first ABANDON. */
 static void
@@ -234,7 +265,7 @@
         cl->step = CLAIM_STEP_CLOSED;
         request_refuse(f, r, ERRKIND_KEY_REUSED, "stage %d", stage);
         return;
-    case CLAIM_CLOSED: /* travels between nodes only */
+    case CLAIM_CLOSED: /* of an ABANDON: see closed() */
         return;
     case CLAIM_UNAVAILABLE:
         request_refuse(
@@ -262,6 +293,14 @@
             !digest_eq(cl->key, c->key)) {
             continue;
         }
+        if (cl->step == CLAIM_STEP_CLOSING) {
+            if (c->verb == CLAIM_VERB_ABANDON && c->state == CLAIM_CLOSED) {
+                closed(f, r, cl, c);
+                return;
+            }
+            late(f, c);
+            return;
+        }
         /* A repeated or overtaken reply does not match the open question. */
         bool open =
             (cl->step == CLAIM_STEP_OPENING && c->verb == CLAIM_VERB_OPEN) ||
--- a/src/flow/claim.h
+++ b/src/flow/claim.h
@@ -14,6 +14,10 @@
 
 /** Asks CLAIM for the current stage. */
 void claim_ask(struct flow *f, struct request *r);
+/** Abandons all claims that are open or granted and asks whether their keys
+ * are free. @return false if there are none */
+bool claim_check_free(struct flow *f, struct request *r);
+
 void claim_reply(struct flow *f, const struct claim_reply *c);
 
 /** Records the whole answer of the current stage's call. */
--- a/src/flow/core.h
+++ b/src/flow/core.h
@@ -133,6 +133,7 @@
     CLAIM_STEP_GRANTED,  /**< granted, nothing sent */
     CLAIM_STEP_SENT,     /**< bytes may have been sent */
     CLAIM_STEP_DONE,     /**< whole answer known, http_status is set */
+    CLAIM_STEP_CLOSING,  /**< abandoned; whether the key is free is asked */
     CLAIM_STEP_CLOSED,   /**< abandoned, or another attempt's */
 };
 
@@ -153,6 +154,7 @@
     REQ_CALLING,
     REQ_BACKOFF,
     REQ_PROBING, /**< waits for the probe of its lost endpoint */
+    REQ_CLOSING, /**< refused; waits for the end of its claims */
     REQ_OVER,
 };
 
@@ -169,8 +171,11 @@
     struct pool *pools[FLEET_MAX_STAGES];
     json_t *results[FLEET_MAX_STAGES];
     struct stage_claim claims[FLEET_MAX_STAGES];
-    struct digest content; /**< digest(pipeline, body) */
-    uint64_t prefix;       /**< hash of the prompt's first 1 KB */
+    enum errkind refusal;    /**< REQ_CLOSING: told if the keys are free */
+    struct str refusal_text; /**< owned */
+    bool key_taken;          /**< REQ_CLOSING: a key is not free */
+    struct digest content;   /**< digest(pipeline, body) */
+    uint64_t prefix;         /**< hash of the prompt's first 1 KB */
     unsigned replayed;
     bool stream;
     bool detached; /**< the caller is gone or has been refused */
--- a/src/flow/request.c
+++ b/src/flow/request.c
@@ -13,6 +13,8 @@
  * long after the request's deadline. The edge ends calls at the deadline, so
  * this only bounds memory. */
 #define LINGER_US (30 * SECOND)
+/* Wait for the end of claims before a refusal; several message round trips. */
+#define CLOSE_US (250 * MS)
 
 bool
 request_keyed(const struct request *r)
@@ -191,6 +193,7 @@
         case CLAIM_STEP_CLOSED:
             e.opened = false;
             break;
+        case CLAIM_STEP_CLOSING:
         case CLAIM_STEP_NONE:
         case CLAIM_STEP_OPENED:
         case CLAIM_STEP_CLAIMING:
@@ -247,25 +250,72 @@
     }
 }
 
+static void
+tell(struct flow *f, struct request *r, enum errkind kind, struct str detail)
+{
+    struct buf text = {0};
+    buf_printf(&text, "%s: %.*s", errkind_info(kind)->message,
+               STR_FMT(detail));
+    emit_refusal(f, r->req, kind, buf_str(&text));
+    buf_free(&text);
+    detach(f, r);
+}
+
+/* @return true if the caller is told later, by request_closed */
+static bool
+close_first(struct flow *f, struct request *r, enum errkind kind,
+            struct str detail)
+{
+    if (!request_keyed(r) || errkind_info(kind)->ran != RAN_NOT ||
+        r->state == REQ_PROBING || !claim_check_free(f, r)) {
+        return false;
+    }
+    request_unlink(r);
+    stage_cancel_all(f, r);
+    if (r->counted) {
+        r->team->open--;
+        r->counted = false;
+    }
+    r->state = REQ_CLOSING;
+    r->refusal = kind;
+    r->refusal_text = str_dup(detail);
+    r->retry_us = f->now_us + CLOSE_US;
+    timers_add(&f->timers, r->retry_us, TIMER_RETRY, r->req);
+    return true;
+}
+
 void
 request_refuse(struct flow *f, struct request *r, enum errkind kind,
                const char *fmt, ...)
 {
-    if (r->state == REQ_OVER) {
+    if (r->state == REQ_OVER || r->state == REQ_CLOSING) {
         return;
     }
-    if (!r->detached) {
-        enum errkind told = truthful(r, kind);
-        char text[256];
-        int n =
-            snprintf(text, sizeof(text), "%s: ", errkind_info(told)->message);
-        va_list ap;
-        va_start(ap, fmt);
-        vsnprintf(text + n, sizeof(text) - (size_t)n, fmt, ap);
-        va_end(ap);
-        emit_refusal(f, r->req, told, str_from(text));
+    if (r->detached) {
+        detach(f, r);
+        return;
     }
-    detach(f, r);
+    enum errkind told = truthful(r, kind);
+    char text[200];
+    va_list ap;
+    va_start(ap, fmt);
+    vsnprintf(text, sizeof(text), fmt, ap);
+    va_end(ap);
+    /* A verdict on its content is due: it cannot wait for its claims too. */
+    if (r->state == REQ_PROBING && request_keyed(r) &&
+        errkind_info(told)->ran == RAN_NOT) {
+        told = ERRKIND_CLAIM_UNKNOWN;
+    }
+    if (!close_first(f, r, told, str_from(text))) {
+        tell(f, r, told, str_from(text));
+    }
+}
+
+void
+request_closed(struct flow *f, struct request *r, bool known)
+{
+    bool free = known && !r->key_taken;
+    tell(f, r, free ? r->refusal : ERRKIND_CLAIM_UNKNOWN, r->refusal_text);
 }
 
 void
@@ -328,6 +378,7 @@
     case REQ_CLAIMING:
     case REQ_CALLING:
     case REQ_BACKOFF:
+    case REQ_CLOSING:
     case REQ_OVER:
         break;
     }
@@ -387,6 +438,7 @@
     case REQ_CALLING:
     case REQ_BACKOFF:
     case REQ_PROBING:
+    case REQ_CLOSING:
     case REQ_OVER:
         request_refuse(f, r,
                        core_fresh(f) || r->state == REQ_CALLING
@@ -402,6 +454,7 @@
 {
     str_free(&r->request_id);
     str_free(&r->call_body);
+    str_free(&r->refusal_text);
     buf_free(&r->text);
     for (int i = 0; i < FLEET_MAX_STAGES; i++) {
         json_decref(r->results[i]);
--- a/src/flow/request.h
+++ b/src/flow/request.h
@@ -20,12 +20,19 @@
  * Refuses the request and ends it. The kind given is what happened; the kind
  * that the caller gets follows from it and from what is known of the
  * request's actions, so that `ran` is true. A sent non-repeatable call goes
- * on, so that its answer is recorded.
+ * on, so that its answer is recorded. Before a keyed request with an open
+ * claim is refused as not run, its claims are abandoned, and their owners say
+ * whether the keys are free: the owner that opened them may be gone, and
+ * another attempt may have run meanwhile.
  */
 void request_refuse(struct flow *f, struct request *r, enum errkind kind,
                     const char *fmt, ...)
     __attribute__((format(printf, 4, 5)));
 
+/** The claims of a refused request have ended; @p known: all owners answered.
+ * Tells the caller. */
+void request_closed(struct flow *f, struct request *r, bool known);
+
 /** All stages have results: answers and ends the request. */
 void request_finish(struct flow *f, struct request *r);
 
--- a/src/flow/stage.c
+++ b/src/flow/stage.c
@@ -369,6 +369,9 @@
         request_unlink(r);
         call_verdict(f, r, true);
     }
+    else if (r->state == REQ_CLOSING) {
+        request_closed(f, r, false);
+    }
 }
 
 void
--- a/src/model/ask.h
+++ b/src/model/ask.h
@@ -34,8 +34,8 @@
 /** Longest answer, in bytes, that is kept in a claim record. */
 #define CLAIM_ANSWER_MAX 1024
 
-/** A request about one claim key. Flow cores get no reply to DONE and ABANDON;
- * between nodes CLAIM_CLOSED acknowledges them. */
+/** A request about one claim key. CLAIM_CLOSED acknowledges DONE and ABANDON;
+ * flow cores get it for ABANDON only. */
 struct claim_ask {
     enum claim_verb verb;
     struct digest key;
@@ -65,14 +65,16 @@
 };
 
 struct claim_reply {
-    enum claim_verb verb; /**< of the request answered; flow cores see only
-                               OPEN and CLAIM */
+    enum claim_verb verb; /**< of the request answered; flow cores do not
+                               see DONE */
     enum claim_state state;
     struct digest key;
     struct attempt_id attempt; /**< the attempt that asked */
     int http_status;           /**< DONE */
     bool answer_kept;          /**< DONE: answer holds the recorded bytes */
     struct str answer;         /**< borrowed */
+    bool key_free; /**< CLOSED of an ABANDON: no attempt with the key is
+                        open, granted or done */
 };
 
 /** Asks for, or renews, a credit to use a cold endpoint. */
--- a/src/wire/msg.c
+++ b/src/wire/msg.c
@@ -203,6 +203,7 @@
     io_attempt(io, &b->attempt);
     io_int(io, &b->http_status, 999);
     io_bool(io, &b->answer_kept);
+    io_bool(io, &b->key_free);
     io_str(io, &b->answer, CLAIM_ANSWER_MAX);
 }
 
--- a/tests/flow_script.c
+++ b/tests/flow_script.c
@@ -221,8 +221,10 @@
     while (strcmp(states[r->claim.state], w[2]) != 0) {
         r->claim.state++;
     }
+    r->claim.key_free = option(w, "free") != NULL;
     /* A late reply answers the question before the ABANDON. */
-    if (r->claim.verb == CLAIM_VERB_ABANDON) {
+    if (r->claim.verb == CLAIM_VERB_ABANDON &&
+        r->claim.state != CLAIM_CLOSED) {
         r->claim.verb = CLAIM_VERB_CLAIM;
     }
 }
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -84,8 +84,28 @@
      START "> req 1 act key=k dl=500\nopen k1\n"
            "> claim k1 opened\ncall a1 r1 e e1\n"
            "> done a1 200 " ENC "\nclaim k1\n"
-           "> @501 tick\nrefuse r1 store_unavailable not_run\nabandon k1\n"
-           "> claim k1 granted\nabandon k1\n"},
+           "> @501 tick\nabandon k1\n"
+           "> claim k1 granted\nabandon k1\n"
+           "> claim k1 closed free\nrefuse r1 store_unavailable not_run\n"
+           "> claim k1 granted\nabandon k1\n> claim k1 closed free\n"},
+    {"not run is said although another attempt with the key may run",
+     START "> req 1 act key=k dl=500\nopen k1\n"
+           "> claim k1 opened\ncall a1 r1 e e1\n"
+           "> done a1 200 " ENC "\nclaim k1\n"
+           "> @501 tick\nabandon k1\n"
+           "> claim k1 closed\nrefuse r1 claim_unknown may_have_run\n"},
+    {"not run is said, or the caller waits, while no owner answers",
+     START "> req 1 act key=k dl=500\nopen k1\n"
+           "> claim k1 opened\ncall a1 r1 e e1\n"
+           "> @501 tick\nprobe e1\nabandon k1\ncancel a1\n"
+           "> @750 tick\n"
+           "> @752 tick\nrefuse r1 claim_unknown may_have_run\n"
+           "> claim k1 closed free\n"},
+    {"one free key hides that the other is taken",
+     START "> req 1 act2 key=k dl=500\nopen k1\nopen k2\n"
+           "> claim k1 opened\n> claim k2 opened\nclaim k1\n"
+           "> @501 tick\nabandon k1\nabandon k2\n> claim k2 closed\n"
+           "> claim k1 closed free\nrefuse r1 claim_unknown may_have_run\n"},
     {"a caller that left before the grant keeps the claim",
      START "> req 1 act key=k\nopen k1\n"
            "> claim k1 opened\ncall a1 r1 e e1\n"
--- a/tests/test_claims.c
+++ b/tests/test_claims.c
@@ -307,6 +307,50 @@
     return ((struct claim_reply *)h->ctx)->state;
 }
 
+/* Guards against a key that is called free although another attempt is open,
+ * granted or done, or although a newer owner may have granted it. */
+static void
+test_key_free(void)
+{
+    struct claim_reply r;
+    struct view nobody = {0};
+    struct claim_host h = {.ctx = &r,
+                           .reply = keep_reply,
+                           .view = &nobody,
+                           .horizon_us = 600 * SECOND};
+    static const struct {
+        enum claim_verb verb; /* of the attempt given */
+        int key;
+        uint64_t attempt;
+        bool free; /* what an ABANDON is told */
+    } rows[] = {
+        {CLAIM_VERB_OPEN, 1, 1, false},    {CLAIM_VERB_ABANDON, 1, 2, false},
+        {CLAIM_VERB_ABANDON, 1, 1, true},  {CLAIM_VERB_CLAIM, 2, 1, false},
+        {CLAIM_VERB_ABANDON, 2, 2, false}, {CLAIM_VERB_DONE, 2, 1, false},
+        {CLAIM_VERB_ABANDON, 2, 2, false}, {CLAIM_VERB_ABANDON, 3, 1, true},
+        {CLAIM_VERB_CLAIM, 4, 9, false},   {CLAIM_VERB_ABANDON, 4, 9, true},
+    };
+    struct claim_header head = {0};
+    struct claim_table t;
+    struct buf out = {0};
+    claim_table_init(&t);
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        ask_table(&t, &h, rows[i].verb, 0, rows[i].key,
+                  (uint64_t)rows[i].key * 100 + rows[i].attempt);
+        g_assert_cmpint(r.key_free, ==, rows[i].free);
+        r.key_free = false;
+    }
+    ask_table(&t, &h, CLAIM_VERB_CLAIM, 0, 5, 501);
+    claim_table_encode(&t, 0, &head, &out);
+    ask_table(&t, &h, CLAIM_VERB_ABANDON, 0, 5, 501);
+    r.key_free = true;
+    claim_table_not_committed(&t, &h, 0, false);
+    g_assert_cmpint(r.verb, ==, CLAIM_VERB_ABANDON);
+    g_assert_false(r.key_free);
+    buf_free(&out);
+    claim_table_free(&t);
+}
+
 /* A full record loses its oldest answers first and then takes no claims; it
  * never outgrows what the store accepts. */
 static void
@@ -476,6 +520,7 @@
     g_test_add_func("/claims/outage", test_outage);
     g_test_add_func("/claims/horizon", test_horizon);
     g_test_add_func("/claims/full", test_full);
+    g_test_add_func("/claims/key_free", test_key_free);
     g_test_add_func("/claims/random", test_random);
     return g_test_run();
 }
