Load a missing settings file into a struct of its own in the test

Cause: check-asan failed in test_settings with 300 bytes leaked. settings_load overwrites its output, and the test passed it one that was in use.

Change: a second struct; the same assertion.

Conclusion: the fault was in the test alone.

--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -86,6 +86,7 @@
 {
     CLEAN(buf_free) struct buf errors = {0};
     CLEAN(settings_free) struct settings s = {0};
+    CLEAN(settings_free) struct settings none = {0};
     if (settings_load("examples/node.toml", &s, &errors) != ST_OK) {
         g_error("%s", errors.ptr);
     }
@@ -94,7 +95,7 @@
     g_assert_cmpint(s.claim_buckets, ==, 256);
     g_assert_cmpint(s.store_writes_per_s, ==, 300);
     g_assert_true(str_eq_c(s.log_level, "info"));
-    g_assert_cmpint(settings_load("none", &s, &errors), ==, ST_IO);
+    g_assert_cmpint(settings_load("none", &none, &errors), ==, ST_IO);
 }
 
 int
