--- a/src/flow/health.c
+++ b/src/flow/health.c
@@ -44,6 +44,12 @@
     }
 }
 
+void
+health_count(struct flow *f, struct endpoint *ep)
+{
+    tell_cold(f, ep, false);
+}
+
 void
 health_flush(struct flow *f)
 {
@@ -113,6 +119,8 @@
     if (report->has_load) {
         ep->reported = report->in_flight + report->queued;
         ep->reported_us = f->now_us;
+        limit_report(&ep->limit, report->in_flight, report->queued,
+                     ep->in_flight + 1);
         if (report->cold) {
             health_cold(f, ep);
         }
@@ -127,6 +135,11 @@
     }
     int64_t p95 = estimate_at(&ep->warm, 0.95, -1);
     if (p95 > 0 && us > SLOW_FACTOR * p95) {
+        /* A load report says itself whether the endpoint is cold; a slow
+         * first byte with a warm report is queueing. */
+        if (ep->reported_us) {
+            return;
+        }
         if (++ep->slow_first >= SLOW_TIMES) {
             health_cold(f, ep);
         }
--- a/src/flow/health.h
+++ b/src/flow/health.h
@@ -14,11 +14,15 @@
 /** The endpoint was found cold: from now on only with credits. */
 void health_cold(struct flow *f, struct endpoint *ep);
 
+/** A call without a credit on a cold endpoint has ended: its owner gets the
+ * new count at the end of this step. */
+void health_count(struct flow *f, struct endpoint *ep);
+
 /** A connection was refused: cold, and no credits are asked for a while. */
 void health_refused(struct flow *f, struct endpoint *ep);
 
 /** Time to a first byte; three in a row far above its own warm p95 mean a
- * cold endpoint. */
+ * cold endpoint, unless it gives load reports. */
 void health_first_byte(struct flow *f, struct endpoint *ep, int64_t us);
 
 /** Ejects the endpoint if it is far from its pool's medians. */
--- a/src/flow/pool.c
+++ b/src/flow/pool.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "flow/admit.h"
 #include "flow/credit.h"
 
 #define AFFINITY_SLOTS 1024
@@ -92,7 +93,7 @@
         ep->hash = hash;
         ep->url = str_dup(in->url);
         hist_init(&ep->warm, 256);
-        limit_init(&ep->limit, cap);
+        limit_init(&ep->limit, cap, s->node_count);
         map_put(&f->endpoints, hash, ep);
     }
     else if (!str_eq(ep->url, in->url)) {
@@ -103,7 +104,7 @@
     ep->zone = in->zone;
     ep->usable = in->usable;
     ep->gone = false;
-    limit_set_cap(&ep->limit, cap);
+    limit_set_cap(&ep->limit, cap, s->node_count);
     /* A snapshot made before an own detection was heard of says warm; only
      * a notice takes such an endpoint out of the cold state. */
     if (in->cold || !ep->detected) {
@@ -348,8 +349,7 @@
     if (best) {
         return best;
     }
-    double service_us = (double)estimate_service(
-        &p->estimate, estimate_size(r->call_body.len), 0.5);
+    double service_us = (double)admit_service_us(f, r, r->stage, 0.5);
     double best_cost = 0;
     struct endpoint *again = NULL; /* best of those already tried */
     double again_cost = 0;
