Leave the fleet after open requests ended; do not abandon fresh first calls

Cause: a draining node left the membership at once, so it was no longer fresh and could not send the later stages or repeats of its open requests (504, then 502). Without samples a call was abandoned as silent after a third of its time, also when its connection had just been made for it. Change: a handover phase follows the drain; the control core leaves in it. Without samples, a call on a fresh connection is not taken for silent. Ruled out: a longer silence floor; it only hid the fault in the test, and the setting is removed from the test's configuration. Conclusion: a planned stop finishes requests of several stages.

--- a/src/daemon/control_thread.c
+++ b/src/daemon/control_thread.c
@@ -395,7 +395,9 @@
         struct control_event tick = {.kind = CONTROL_EV_TICK};
         feed(c, &tick);
     }
-    if (atomic_load(&s->phase) >= PHASE_DRAINING && !c->leaving) {
+    /* Not before open requests have ended: a node that left is not fresh
+     * and could not send their later stages. */
+    if (atomic_load(&s->phase) >= PHASE_HANDOVER && !c->leaving) {
         struct control_event leave = {.kind = CONTROL_EV_LEAVE};
         c->leaving = true;
         feed(c, &leave);
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -199,10 +199,28 @@
 }
 
 static bool
-finished(struct node *n)
+drained(const struct node *n)
 {
-    return atomic_load(&n->shared.drained) == n->threads &&
-           atomic_load(&n->shared.left);
+    return atomic_load(&n->shared.drained) == n->threads;
+}
+
+static bool
+left(const struct node *n)
+{
+    return atomic_load(&n->shared.left);
+}
+
+/* Waits until @p done, a signal or the time. @return true after a signal */
+static bool
+wait_done(const struct node *n, const sigset_t *signals,
+          bool (*done)(const struct node *), int64_t us)
+{
+    int64_t end = loop_now_us() + us;
+    bool hurry = false;
+    while (!hurry && !done(n) && loop_now_us() < end) {
+        hurry = wait_signal(signals, 5000);
+    }
+    return hurry;
 }
 
 static void
@@ -214,12 +232,11 @@
               LOG_I("balancer_wait_ms", n->settings.balancer_wait_ms));
     bool hurry = wait_signal(signals, n->settings.balancer_wait_ms * 1000LL);
     set_phase(n, PHASE_DRAINING);
-    int64_t end = loop_now_us() + n->settings.drain_limit_ms * 1000LL;
-    /* The leave itself gets some time even with a drain limit of 0. */
-    int64_t leave_end = loop_now_us() + LEAVE_US;
-    end = end > leave_end ? end : leave_end;
-    while (!hurry && !finished(n) && loop_now_us() < end) {
-        hurry = wait_signal(signals, 5000);
+    hurry = hurry || wait_done(n, signals, drained,
+                               n->settings.drain_limit_ms * 1000LL);
+    set_phase(n, PHASE_HANDOVER);
+    if (!hurry) {
+        wait_done(n, signals, left, LEAVE_US);
     }
     LOG_EVENT(LOG_INFO, "stopping",
               LOG_I("ms", (loop_now_us() - start) / 1000),
--- a/src/daemon/shared.h
+++ b/src/daemon/shared.h
@@ -16,6 +16,7 @@
     PHASE_RUNNING,
     PHASE_LEAVING,  /**< readiness fails, requests are still served */
     PHASE_DRAINING, /**< new requests are refused, open ones finish */
+    PHASE_HANDOVER, /**< the node leaves the fleet */
     PHASE_STOPPING, /**< threads end */
 };
 
--- a/src/flow/estimate.c
+++ b/src/flow/estimate.c
@@ -83,8 +83,14 @@
     return age > 0 ? us >> (age < 40 ? age : 40) : us;
 }
 
+bool
+estimate_enough(const struct hist *h)
+{
+    return hist_count(h) >= ESTIMATE_ENOUGH;
+}
+
 int64_t
 estimate_at(const struct hist *h, double q, int64_t otherwise)
 {
-    return hist_count(h) < ESTIMATE_ENOUGH ? otherwise : hist_quantile(h, q);
+    return estimate_enough(h) ? hist_quantile(h, q) : otherwise;
 }
--- a/src/flow/estimate.h
+++ b/src/flow/estimate.h
@@ -44,6 +44,9 @@
 int64_t estimate_service(const struct estimate *e, int64_t now_us, int size,
                          int tokens, double q);
 
+/** True with at least ESTIMATE_ENOUGH samples. */
+bool estimate_enough(const struct hist *h);
+
 /** Quantile @p q of @p h, or @p otherwise with fewer than ESTIMATE_ENOUGH
  * samples. */
 int64_t estimate_at(const struct hist *h, double q, int64_t otherwise);
--- a/src/flow/stage.c
+++ b/src/flow/stage.c
@@ -189,15 +189,21 @@
 }
 
 static void
-arm(struct flow *f, const struct request *r, struct call *c)
+arm(struct flow *f, const struct request *r, struct call *c, bool fresh)
 {
     struct pool *p = c->ep->pool;
     if (!f->full) {
         return;
     }
-    c->silence_us = silence_wait_us(&p->estimate, false,
-                                    p->settings[FLEET_SILENCE_FLOOR_MS] * MS,
-                                    r->deadline_us - f->now_us);
+    int64_t left_us = r->deadline_us - f->now_us;
+    c->silence_us =
+        silence_wait_us(&p->estimate, false,
+                        p->settings[FLEET_SILENCE_FLOOR_MS] * MS, left_us);
+    if (fresh && !estimate_enough(&p->estimate.first)) {
+        /* A connection made for this call is not stale, and nothing is known
+         * of the service time: a slow answer must not be abandoned again. */
+        c->silence_us = left_us;
+    }
     call_listen(f, c, f->now_us + c->silence_us);
     int64_t p95 = estimate_at(&p->estimate.first, 0.95, -1);
     if (p95 > 0 && !c->hedge && !c->alone && stage_of(r)->repeatable) {
@@ -260,8 +266,8 @@
     struct str body = body_of(f, r);
     a->call.url = url;
     a->call.body = body;
+    arm(f, r, c, r->fresh);
     r->fresh = false;
-    arm(f, r, c);
     return true;
 }
 
--- a/tests/proc.c
+++ b/tests/proc.c
@@ -170,17 +170,17 @@
 static void
 config(struct buf *out)
 {
-    buf_printf(out, "{\"change\":\"c1\",\"base\":0,\"config\":{"
-                    "\"defaults\":{\"deadline_ms\":5000,\"max_in_flight\":256,"
-                    "\"silence_floor_ms\":5000},"
-                    "\"zones\":{\"okha\":{\"region\":\"s\"}},"
-                    "\"pools\":{\"enc\":{\"kind\":\"encode\"},"
-                    "\"led\":{\"kind\":\"service\"}},\"pipelines\":{"
-                    "\"embed\":{\"class\":\"interactive\",\"stages\":["
-                    "{\"name\":\"e\",\"pool\":\"enc\"}]},"
-                    "\"order\":{\"class\":\"action\",\"stages\":["
-                    "{\"name\":\"l\",\"pool\":\"led\",\"path\":\"/orders\","
-                    "\"repeatable\":false}]}},\"teams\":{\"board\":{");
+    buf_printf(out,
+               "{\"change\":\"c1\",\"base\":0,\"config\":{"
+               "\"defaults\":{\"deadline_ms\":5000,\"max_in_flight\":256},"
+               "\"zones\":{\"okha\":{\"region\":\"s\"}},"
+               "\"pools\":{\"enc\":{\"kind\":\"encode\"},"
+               "\"led\":{\"kind\":\"service\"}},\"pipelines\":{"
+               "\"embed\":{\"class\":\"interactive\",\"stages\":["
+               "{\"name\":\"e\",\"pool\":\"enc\"}]},"
+               "\"order\":{\"class\":\"action\",\"stages\":["
+               "{\"name\":\"l\",\"pool\":\"led\",\"path\":\"/orders\","
+               "\"repeatable\":false}]}},\"teams\":{\"board\":{");
     token(out, "team-token");
     buf_printf(out, "},\"other\":{");
     token(out, "other-token");
