Keep a cold endpoint at its lowest level until it reports warm

CREDIT_RELEASE now says what the report said: none, cold or warm. The level does not rise while it says cold or, without a report, before warm_successes successes. A refused connection is told to the owner for a cold endpoint too, and this, a new start id or a report of cold after one of warm put the owner back to the lowest level. test_credits raises its level with reports of warm, since without a report the level stays; its new rows check the other reports and both ways back.

Ruled out: late gossip and two owners; in the traces one owner granted all credits and all nodes knew that the endpoint was cold.

--- a/src/control/credit_owner.c
+++ b/src/control/credit_owner.c
@@ -48,6 +48,7 @@
     int bears;
     int level_successes;
     int successes;
+    bool reported_warm;
     uint64_t grants;
     int64_t term_us;   /* answers to earlier queries do not count */
     int64_t settle_us; /* members that have not answered hold nothing then */
@@ -84,7 +85,7 @@
     o->endpoint = endpoint;
     o->region = region;
     o->limits = *limits;
-    o->bears = limits->start < limits->max ? limits->start : limits->max;
+    credit_owner_restarted(o);
     o->term_us = now_us;
     o->active_us = now_us;
     o->query_us = now_us;
@@ -281,6 +282,15 @@
     g_queue_push_tail(&o->waiting, w);
 }
 
+void
+credit_owner_restarted(struct credit_owner *o)
+{
+    o->bears = MIN(o->limits.start, o->limits.max);
+    o->level_successes = 0;
+    o->successes = 0;
+    o->reported_warm = false;
+}
+
 bool
 credit_owner_release(struct credit_owner *o, uint64_t from,
                      const struct credit_release *r)
@@ -302,11 +312,31 @@
         !r->used || !r->ok) {
         return false;
     }
-    o->successes++;
-    o->level_successes++;
-    if (r->reported_warm && o->successes >= o->limits.warm_successes) {
-        return true;
+    switch (r->report) {
+    case CREDIT_REPORT_COLD:
+        /* After a report of warm this is a new cold start. */
+        if (o->reported_warm) {
+            credit_owner_restarted(o);
+        }
+        o->successes++;
+        o->bears = MIN(o->limits.start, o->limits.max);
+        o->level_successes = 0;
+        return false;
+    case CREDIT_REPORT_WARM:
+        o->reported_warm = true;
+        if (++o->successes >= o->limits.warm_successes) {
+            return true;
+        }
+        break;
+    case CREDIT_REPORT_NONE:
+    case CREDIT_REPORT_COUNT:
+        if (o->successes < o->limits.warm_successes) {
+            o->successes++;
+            return false;
+        }
+        break;
     }
+    o->level_successes++;
     if (o->level_successes >= o->bears) {
         o->level_successes = 0;
         o->bears *= 2;
--- a/src/control/credit_owner.h
+++ b/src/control/credit_owner.h
@@ -56,6 +56,10 @@
                       int64_t now_us, uint64_t from,
                       const struct credit_ask *ask);
 
+/** The endpoint has started again or does not answer: back to the lowest
+ * level. */
+void credit_owner_restarted(struct credit_owner *o);
+
 /** @return true if the endpoint has become warm */
 bool credit_owner_release(struct credit_owner *o, uint64_t from,
                           const struct credit_release *r);
--- a/src/control/credits.c
+++ b/src/control/credits.c
@@ -339,6 +339,9 @@
     }
     if (e->cold && e->listed && endpoint_is_owner(c, e)) {
         credit_owner_count(need_owner(now_us, e), m->from, m->cold.in_flight);
+        if (m->cold.detected) {
+            credit_owner_restarted(e->owner);
+        }
         run_owner(c, now_us, e);
     }
 }
--- a/src/flow/call.c
+++ b/src/flow/call.c
@@ -89,8 +89,8 @@
 
 /* Takes the call out of all tables; its memory lasts for this step. */
 static void
-end_call(struct flow *f, struct call *c, enum call_end end, bool warm,
-         const char *outcome)
+end_call(struct flow *f, struct call *c, enum call_end end,
+         enum credit_report report, const char *outcome)
 {
     struct endpoint *ep = c->ep;
     enum stage_kind kind = stage_of(c)->kind;
@@ -101,7 +101,7 @@
     }
     core_span(f, c->r, "call", c->stage, c, c->start_us, outcome);
     if (c->credit) {
-        credit_release(f, c->credit, end != END_UNSENT, end == END_OK, warm);
+        credit_release(f, c->credit, end != END_UNSENT, end == END_OK, report);
     }
     ep->in_flight--;
     ep->alone = ep->alone && !c->alone;
@@ -123,7 +123,8 @@
     f->counts[COUNT_CANCELS]++;
     /* Without this a slow endpoint would never show, since hedges and
      * deadlines cut its calls short. */
-    end_call(f, c, c->hedge ? END_DROPPED : END_SLOWER, false, outcome);
+    end_call(f, c, c->hedge ? END_DROPPED : END_SLOWER, CREDIT_REPORT_NONE,
+             outcome);
 }
 
 static void
@@ -211,7 +212,7 @@
     struct endpoint *ep = c->ep;
     bool unsent = end == END_UNSENT;
     bool action = !stage_of(c)->repeatable;
-    end_call(f, c, end, false, outcome);
+    end_call(f, c, end, CREDIT_REPORT_NONE, outcome);
     note_tried(r, ep);
     if (r->calls) {
         return;
@@ -393,13 +394,13 @@
 
 static void
 answer_action(struct flow *f, struct call *c, int http_status, struct str body,
-              bool warm)
+              enum credit_report report)
 {
     struct request *r = c->r;
     claim_done(f, r, c->stage, http_status, body);
     bool ok = http_status / 100 == 2;
     r->results[c->stage] = ok ? result_of(c, body) : NULL;
-    end_call(f, c, ok || http_status / 100 == 4 ? END_OK : END_FAILED, warm,
+    end_call(f, c, ok || http_status / 100 == 4 ? END_OK : END_FAILED, report,
              ok ? "ok" : "status");
     if (ok) {
         stage_begin(f, r);
@@ -414,7 +415,7 @@
 
 static void
 answer_repeatable(struct flow *f, struct call *c, int http_status,
-                  struct str body, bool warm)
+                  struct str body, enum credit_report report)
 {
     struct request *r = c->r;
     if (http_status / 100 == 2) {
@@ -425,14 +426,14 @@
             return;
         }
         r->results[c->stage] = result;
-        end_call(f, c, END_OK, warm, "ok");
+        end_call(f, c, END_OK, report, "ok");
         cancel_others(f, r, NULL);
         stage_begin(f, r);
         return;
     }
     bool busy = http_status == 429 || http_status == 503;
     if (http_status / 100 == 4 && !busy && http_status != 408) {
-        end_call(f, c, END_OK, warm, "rejected");
+        end_call(f, c, END_OK, report, "rejected");
         stage_refuse_status(f, r, c->stage, http_status);
         return;
     }
@@ -449,13 +450,15 @@
         return;
     }
     struct endpoint *ep = c->ep;
-    bool warm = report->has_load && !report->cold;
+    enum credit_report said = !report->has_load ? CREDIT_REPORT_NONE
+                              : report->cold    ? CREDIT_REPORT_COLD
+                                                : CREDIT_REPORT_WARM;
     heard(f, c);
     if (stage_of(c)->repeatable) {
-        answer_repeatable(f, c, http_status, body, warm);
+        answer_repeatable(f, c, http_status, body, said);
     }
     else {
-        answer_action(f, c, http_status, body, warm);
+        answer_action(f, c, http_status, body, said);
     }
     health_report(f, ep, report);
 }
--- a/src/flow/credit.c
+++ b/src/flow/credit.c
@@ -42,14 +42,14 @@
 
 static void
 emit_release(struct flow *f, uint64_t id, struct str endpoint, bool used,
-             bool ok, bool warm)
+             bool ok, enum credit_report report)
 {
     core_ask(f, ASK_CREDIT_RELEASE)->credit_release =
         (struct credit_release){.credit = id,
                                 .endpoint = endpoint,
                                 .used = used,
                                 .ok = ok,
-                                .reported_warm = warm};
+                                .report = report};
     f->counts[COUNT_CREDITS_UNUSED] += !used;
 }
 
@@ -72,7 +72,8 @@
         unhold(c);
     }
     c->ep->credits--;
-    emit_release(f, c->id, core_keep(f, c->ep->id), false, false, false);
+    emit_release(f, c->id, core_keep(f, c->ep->id), false, false,
+                 CREDIT_REPORT_NONE);
     map_del(&f->credits, c->id);
     free(c);
 }
@@ -131,7 +132,7 @@
     if (!c) {
         if (in->granted) {
             emit_release(f, in->credit, core_keep(f, in->endpoint), false,
-                         false, false);
+                         false, CREDIT_REPORT_NONE);
         }
         return;
     }
@@ -220,9 +221,10 @@
 }
 
 void
-credit_release(struct flow *f, struct credit *c, bool used, bool ok, bool warm)
+credit_release(struct flow *f, struct credit *c, bool used, bool ok,
+               enum credit_report report)
 {
-    emit_release(f, c->id, core_keep(f, c->ep->id), used, ok, warm);
+    emit_release(f, c->id, core_keep(f, c->ep->id), used, ok, report);
     map_del(&f->credits, c->id);
     free(c);
 }
--- a/src/flow/credit.h
+++ b/src/flow/credit.h
@@ -24,7 +24,7 @@
 /** Gives the credit of a finished call back. @p used: it may have been sent.
  */
 void credit_release(struct flow *f, struct credit *c, bool used, bool ok,
-                    bool warm);
+                    enum credit_report report);
 
 /** Gives back the unused credits of an endpoint that needs none. */
 void credit_drop_unused(struct flow *f, struct endpoint *ep);
--- a/src/flow/health.c
+++ b/src/flow/health.c
@@ -77,10 +77,14 @@
 void
 health_refused(struct flow *f, struct endpoint *ep)
 {
-    health_cold(f, ep);
     if (!f->full) {
         return;
     }
+    /* The owner starts again at the lowest level. */
+    if (ep->cold) {
+        tell_cold(f, ep, true);
+    }
+    health_cold(f, ep);
     /* Credits of a dead endpoint would attract each new request once. */
     int64_t wait = REFUSED_US << (ep->refusals < 4 ? ep->refusals : 4);
     ep->refusals++;
--- a/src/model/ask.h
+++ b/src/model/ask.h
@@ -96,14 +96,27 @@
     uint64_t sent;     /**< repeated from the ask */
 };
 
+/** What the load report of an answer says; NONE without a report. */
+#define CREDIT_REPORT_LIST(X)                                                 \
+    X(NONE, "none")                                                           \
+    X(COLD, "cold")                                                           \
+    X(WARM, "warm")
+
+enum credit_report {
+#define X(id, name) CREDIT_REPORT_##id,
+    CREDIT_REPORT_LIST(X)
+#undef X
+        CREDIT_REPORT_COUNT
+};
+
 /** Gives a credit back. @c ok: the call it was used for succeeded. */
 struct credit_release {
     uint64_t credit;
     struct str endpoint;
     bool used;
     bool ok;
-    bool reported_warm; /**< the endpoint's load report said warm */
-    uint64_t sent;      /**< between nodes: ends grants for asks up to this */
+    enum credit_report report;
+    uint64_t sent; /**< between nodes: ends grants for asks up to this */
 };
 
 /** A flow core saw that an endpoint is cold, or counts its calls in flight
--- a/src/wire/msg.c
+++ b/src/wire/msg.c
@@ -234,7 +234,7 @@
     io_str(io, &b->endpoint, NAME_MAX_BYTES);
     io_bool(io, &b->used);
     io_bool(io, &b->ok);
-    io_bool(io, &b->reported_warm);
+    IO_ENUM(io, b->report, CREDIT_REPORT_COUNT);
     io_u64(io, &b->sent);
 }
 
--- a/tests/flow_script.c
+++ b/tests/flow_script.c
@@ -122,7 +122,9 @@
                    number(s->credits, a->credit_release.credit),
                    a->credit_release.used ? " used" : "",
                    a->credit_release.ok ? " ok" : "",
-                   a->credit_release.reported_warm ? " warm" : "");
+                   a->credit_release.report == CREDIT_REPORT_WARM   ? " warm"
+                   : a->credit_release.report == CREDIT_REPORT_COLD ? " cold"
+                                                                    : "");
         break;
     case ASK_COLD:
         buf_printf(b, "cold %.*s %d%s", STR_FMT(a->cold.endpoint),
--- a/tests/test_credit.c
+++ b/tests/test_credit.c
@@ -55,7 +55,10 @@
     {"an endpoint that refused a connection gets work without a credit",
      WARM "> fail a1 refused unsent\ncold s1 0 detected\n> @240 tick\n"
           "> @252 tick\ncredit c1 s1\n> credit c1 ok\ncall a2 r1 s s1\n"
-          "> fail a2 refused unsent\nrelease c1\n"},
+          "> fail a2 refused unsent\nrelease c1\ncold s1 0 detected\n"},
+    {"the report of a cold endpoint does not reach the owner",
+     COLD "> credit c1 ok\ncall a1 r1 s s1\n"
+          "> done a1 200 {} cold\nrelease c1 used ok cold\nanswer r1\n"},
 };
 
 static void
--- a/tests/test_credits.c
+++ b/tests/test_credits.c
@@ -259,14 +259,14 @@
 }
 
 static void
-give_back(struct world *w, int slot, bool ok, bool warm)
+give_back(struct world *w, int slot, bool ok, enum credit_report report)
 {
     struct ask a = {.kind = ASK_CREDIT_RELEASE,
                     .credit_release = {.credit = w->use[slot].id,
                                        .endpoint = ENDPOINT,
                                        .used = true,
                                        .ok = ok,
-                                       .reported_warm = warm}};
+                                       .report = report}};
     w->use[slot].usable = false;
     say(w, w->use[slot].node, &a);
 }
@@ -285,13 +285,13 @@
 /* All nodes keep two asks open, node 0 @p hog more, and use every credit for
  * 20 ms, until the endpoint is warm on node 0 or the time is over. */
 static int64_t
-load(struct world *w, int64_t us, bool ok, bool warm, int hog)
+load(struct world *w, int64_t us, bool ok, enum credit_report report, int hog)
 {
     int64_t start = w->now_us;
     while (w->now_us < start + us && credits_cold(w->credits[0], ENDPOINT)) {
         for (int c = 0; c < 2 * NODES + hog; c++) {
             if (w->use[c].usable) {
-                give_back(w, c, ok, warm);
+                give_back(w, c, ok, report);
             }
             if (!w->use[c].asked) {
                 ask(w, c < 2 * NODES ? c % NODES : 0, c);
@@ -334,7 +334,8 @@
 {
     struct world *w = world_new(1);
     w->level = 8;
-    g_assert_cmpint(load(w, 20 * SECOND, true, false, 0), <, 3 * SECOND);
+    g_assert_cmpint(load(w, 20 * SECOND, true, CREDIT_REPORT_WARM, 0), <,
+                    3 * SECOND);
     g_assert_cmpint(total(w), >=, 14);
     gossip(w);
     for (int i = 0; i < NODES; i++) {
@@ -360,10 +361,10 @@
 {
     struct world *w = world_new(2);
     w->majority = false;
-    load(w, 12 * SECOND, true, false, 0);
+    load(w, 12 * SECOND, true, CREDIT_REPORT_WARM, 0);
     g_assert_cmpint(total(w), ==, 0);
     w->majority = true;
-    load(w, 10 * SECOND, false, false, 20);
+    load(w, 10 * SECOND, false, CREDIT_REPORT_WARM, 20);
     g_assert_true(credits_cold(w->credits[0], ENDPOINT));
     for (int i = 0; i < NODES; i++) {
         g_assert_cmpint(w->grants[i] * NODES, >, total(w) * 3 / 4);
@@ -373,13 +374,73 @@
     pool.settings[FLEET_WARM_SUCCESSES] = 3;
     w = world_new(3);
     w->level = 4;
-    load(w, 10 * SECOND, true, true, 0);
+    load(w, 10 * SECOND, true, CREDIT_REPORT_WARM, 0);
     g_assert_false(credits_cold(w->credits[0], ENDPOINT));
     g_assert_cmpint(total(w), <, 10);
     pool.settings[FLEET_WARM_SUCCESSES] = 1000;
     world_free(w);
 }
 
+/* The level rises too early, not at all, or outlives a restart. */
+static void
+test_level(void)
+{
+    static const struct {
+        const char *name;
+        int warm_successes;
+        int level; /* highest number of usable credits */
+        enum credit_report report;
+        bool warm; /* in the end */
+        int least; /* grants until then */
+    } rows[] = {
+        {"an endpoint that reports cold gets more than it bears", 16, 2,
+         CREDIT_REPORT_COLD, false, 100},
+        {"an endpoint without a report gets more before it is known", 1000000,
+         2, CREDIT_REPORT_NONE, false, 100},
+        {"an endpoint without a report never becomes warm", 16, 8,
+         CREDIT_REPORT_NONE, true, 16 + 14},
+        {"an endpoint that reports warm waits for its successes", 1000000, 8,
+         CREDIT_REPORT_WARM, true, 14},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        pool.settings[FLEET_WARM_SUCCESSES] = rows[i].warm_successes;
+        struct world *w = world_new(5);
+        w->level = rows[i].level;
+        load(w, 10 * SECOND, true, rows[i].report, 0);
+        if (credits_cold(w->credits[0], ENDPOINT) == rows[i].warm ||
+            total(w) < rows[i].least) {
+            g_error("%s: %d grants", rows[i].name, total(w));
+        }
+        world_free(w);
+    }
+    pool.settings[FLEET_WARM_SUCCESSES] = 1000000;
+    pool.settings[FLEET_MAX_IN_FLIGHT] = 4096;
+    for (int refused = 0; refused < 2; refused++) {
+        struct world *w = world_new(6);
+        w->level = CREDITS;
+        load(w, 4 * SECOND, true, CREDIT_REPORT_WARM, 20);
+        run_for(w, SECOND);
+        g_assert_true(credits_cold(w->credits[0], ENDPOINT));
+        int held = 0;
+        for (int c = 0; c < CREDITS; c++) {
+            if (w->use[c].usable) {
+                held++;
+                give_back(w, c, !refused, CREDIT_REPORT_COLD);
+            }
+        }
+        g_assert_cmpint(held, >, 2);
+        if (refused) {
+            notice(w, 1, 0, true);
+        }
+        run_for(w, SECOND);
+        w->level = 2;
+        load(w, 2 * SECOND, false, CREDIT_REPORT_NONE, 20);
+        world_free(w);
+    }
+    pool.settings[FLEET_WARM_SUCCESSES] = 1000;
+    pool.settings[FLEET_MAX_IN_FLIGHT] = 16;
+}
+
 /* A cold start that one node detects stops all nodes; their calls in flight
  * are subtracted, and a dead roster member only delays until the settle time.
  */
@@ -388,7 +449,7 @@
 {
     struct world *w = world_new(4);
     w->level = 8;
-    load(w, 20 * SECOND, true, false, 0);
+    load(w, 20 * SECOND, true, CREDIT_REPORT_WARM, 0);
     gossip(w);
     w->level = 2;
     memset(w->use, 0, sizeof(w->use));
@@ -441,7 +502,7 @@
             }
             bool up = w->paused_us[c % NODES] <= w->now_us;
             if (up && u->usable && rng_below(&w->rng, 3) == 0) {
-                give_back(w, c, false, false);
+                give_back(w, c, false, CREDIT_REPORT_NONE);
             }
             else if (up && !u->usable && !u->asked) {
                 ask(w, c % NODES, c);
@@ -486,13 +547,13 @@
         run_for(w, 13 * SECOND);
         for (int c = 0; c < 40; c++) {
             if (w->use[c].usable) {
-                give_back(w, c, false, false);
+                give_back(w, c, false, CREDIT_REPORT_NONE);
             }
         }
         run_for(w, SECOND);
         memset(w->use, 0, sizeof(w->use));
         memset(w->grants, 0, sizeof(w->grants));
-        load(w, 2 * SECOND, false, false, 0);
+        load(w, 2 * SECOND, false, CREDIT_REPORT_NONE, 0);
         for (int i = 0; i < NODES; i++) {
             if (w->grants[i] == 0) {
                 g_error("seed %lu: node %d gets no credit", seed, i);
@@ -510,6 +571,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/credits/ramp", test_ramp);
     g_test_add_func("/credits/rules", test_rules);
+    g_test_add_func("/credits/level", test_level);
     g_test_add_func("/credits/detected", test_detected);
     g_test_add_func("/credits/random", test_random);
     return g_test_run();
