Correct the count of calls on a cold endpoint when they end

A flow core now tells the count again when such a call ends. Ruled out: credits that were not released (the owner held none), ejection and the back-off after refused connections (both over long before).

--- a/src/flow/call.c
+++ b/src/flow/call.c
@@ -104,6 +104,7 @@
         credit_release(f, c->credit, end != END_UNSENT, end == END_OK, report);
     }
     ep->in_flight--;
+    health_call_ended(f, ep);
     ep->alone = ep->alone && !c->alone;
     map_del(&f->calls, c->attempt);
     struct call **at = &c->r->calls;
--- a/src/flow/core.h
+++ b/src/flow/core.h
@@ -75,6 +75,7 @@
     bool gone;   /**< not in the newest snapshot */
     bool leaving;
     bool cold;
+    int told;         /**< calls without a credit, as last told */
     bool detected;    /**< cold by own observation, not yet confirmed */
     int64_t probe_us; /**< time of the probe under way, 0 if none */
     struct endpoint *tell_next; /**< in f->telling */
--- a/src/flow/health.c
+++ b/src/flow/health.c
@@ -53,7 +53,7 @@
         core_ask(f, ASK_COLD)->cold = (struct cold_notice){
             .endpoint = core_keep(f, ep->id),
             .start_id = core_keep(f, ep->start_id),
-            .in_flight = uncounted(f, ep),
+            .in_flight = ep->told = uncounted(f, ep),
             .detected = ep->tell_own,
         };
         ep->telling = ep->tell_own = false;
@@ -74,6 +74,14 @@
     pool_touch(f, ep->pool);
 }
 
+void
+health_call_ended(struct flow *f, struct endpoint *ep)
+{
+    if (f->full && ep->cold && ep->told > 0) {
+        tell_cold(f, ep, false);
+    }
+}
+
 void
 health_refused(struct flow *f, struct endpoint *ep)
 {
--- a/src/flow/health.h
+++ b/src/flow/health.h
@@ -17,6 +17,9 @@
 /** A connection was refused: cold, and no credits are asked for a while. */
 void health_refused(struct flow *f, struct endpoint *ep);
 
+/** A call has ended: corrects the count told of a cold endpoint's calls. */
+void health_call_ended(struct flow *f, struct endpoint *ep);
+
 /** Time to a first byte; three in a row far above its own warm p95 mean a
  * cold endpoint. */
 void health_first_byte(struct flow *f, struct endpoint *ep, int64_t us);
--- a/tests/test_credit.c
+++ b/tests/test_credit.c
@@ -49,6 +49,10 @@
           "> req 4 plain\ncredit c1 s1\n> snap svc:s1@z1\n"
           "> notice s1 cold\ncold s1 1\n"
           "> notice s1 warm\ncall a4 r4 s s1\n"},
+    {"calls from before a cold start stay counted after their end",
+     WARM "> req 2 plain\ncall a2 r2 s s1\n> notice s1 cold\ncold s1 2\n"
+          "> done a1 200 {}\nanswer r1\ncold s1 1\n"
+          "> done a2 200 {}\nanswer r2\ncold s1 0\n"},
     {"an endpoint that reports cold gets work without a credit",
      WARM "> done a1 200 {} cold\nanswer r1\ncold s1 0 detected\n"
           "> req 2 plain\ncredit c1 s1\n"},
