Tell the flow cores the newest start id of an endpoint

The notice of a cold or warm endpoint now carries the newest start id, and it is sent for a changed start id alone too.

--- a/src/control/credit_endpoint.c
+++ b/src/control/credit_endpoint.c
@@ -99,10 +99,11 @@
              uint64_t seq, struct str start_id)
 {
     bool changed = e->cold != cold;
+    bool started = start_id.len > 0 && !str_eq(start_id, e->start_id);
     e->cold = cold;
     e->seq = seq;
     e->sent = 0;
-    if (start_id.len > 0 && !str_eq(start_id, e->start_id)) {
+    if (started) {
         str_free(&e->start_id);
         e->start_id = str_dup(start_id);
     }
@@ -111,16 +112,16 @@
         endpoint_drop_owner(c, e, 0);
         c->colds++;
     }
-    if (!changed) {
+    if (!changed && !started) {
         return;
     }
-    if (cold) {
+    if (cold && changed) {
         e->cold_since_us = now_us;
         for (int i = 0; i < c->opts.threads; i++) {
             e->in_flight[i] = -1;
         }
     }
-    else {
+    else if (changed) {
         GHashTableIter it;
         gpointer p;
         g_hash_table_iter_init(&it, e->pending);
@@ -136,7 +137,8 @@
     if (e->listed) {
         struct control_action a = {.kind = CONTROL_ACT_NOTICE};
         a.reply.reply.kind = REPLY_ENDPOINT;
-        a.reply.reply.endpoint = (struct endpoint_notice){e->id, cold};
+        a.reply.reply.endpoint =
+            (struct endpoint_notice){e->id, cold, e->start_id};
         outbox_push(c->out, &a);
     }
 }
--- a/src/control/credit_endpoint.h
+++ b/src/control/credit_endpoint.h
@@ -82,7 +82,8 @@
 void endpoint_drop_owner(struct credits *c, struct endpoint *e,
                          uint64_t warm_seq);
 
-/** Sets the state and tells the flow cores if it changed. */
+/** Sets the state and tells the flow cores if it or the start id changed.
+ */
 void endpoint_set(struct credits *c, int64_t now_us, struct endpoint *e,
                   bool cold, uint64_t seq, struct str start_id);
 
--- a/src/control/outbox.c
+++ b/src/control/outbox.c
@@ -149,6 +149,7 @@
         break;
     case REPLY_ENDPOINT:
         keep(o, &r->endpoint.endpoint);
+        keep(o, &r->endpoint.start_id);
         break;
     case REPLY_SUSPECT:
         break;
--- a/src/flow/health.c
+++ b/src/flow/health.c
@@ -275,6 +275,11 @@
     }
     ep->detected = false;
     ep->cold = n->cold;
+    /* A start that another node has seen is not a restart here. */
+    if (!str_eq(n->start_id, ep->start_id)) {
+        str_free(&ep->start_id);
+        ep->start_id = str_dup(n->start_id);
+    }
     if (n->cold) {
         tell_cold(f, ep, false);
     }
--- a/src/model/ask.c
+++ b/src/model/ask.c
@@ -67,6 +67,7 @@
         break;
     case REPLY_ENDPOINT:
         d->endpoint.endpoint = str_dup(r->endpoint.endpoint);
+        d->endpoint.start_id = str_dup(r->endpoint.start_id);
         break;
     case REPLY_SUSPECT:
         break;
@@ -89,6 +90,7 @@
         break;
     case REPLY_ENDPOINT:
         str_free(&r->endpoint.endpoint);
+        str_free(&r->endpoint.start_id);
         break;
     case REPLY_SUSPECT:
         break;
--- a/src/model/ask.h
+++ b/src/model/ask.h
@@ -133,6 +133,7 @@
 struct endpoint_notice {
     struct str endpoint;
     bool cold;
+    struct str start_id; /**< the newest known, may be empty */
 };
 
 /** Strikes against a request content. */
--- a/tests/flow_script.c
+++ b/tests/flow_script.c
@@ -317,6 +317,7 @@
         ev->reply.kind = REPLY_ENDPOINT;
         ev->reply.endpoint.endpoint = str_from(w[1]);
         ev->reply.endpoint.cold = !strcmp(w[2], "cold");
+        ev->reply.endpoint.start_id = report_of(w).start_id;
     }
     else if (!strcmp(w[0], "suspect")) {
         ev->kind = FLOW_EV_REPLY;
--- a/tests/test_credit.c
+++ b/tests/test_credit.c
@@ -49,6 +49,13 @@
           "> req 4 plain\ncredit c1 s1\n> snap svc:s1@z1\n"
           "> notice s1 cold\ncold s1 1\n"
           "> notice s1 warm\ncall a4 r4 s s1\n"},
+    {"a start that is known to be warm by now makes the endpoint cold again",
+     WARM "> done a1 200 {} start=A\nanswer r1\n"
+          "> notice s1 cold start=B\ncold s1 0\n> notice s1 warm start=B\n"
+          "> req 2 plain\ncall a2 r2 s s1\n"
+          "> done a2 200 {} start=B\nanswer r2\n"
+          "> req 3 plain\ncall a3 r3 s s1\n"
+          "> done a3 200 {} start=C\nanswer r3\ncold s1 0 detected\n"},
     {"calls from before a cold start stay counted after their end",
      WARM "> req 2 plain\ncall a2 r2 s s1\n> notice s1 cold\ncold s1 2\n"
           "> done a1 200 {}\nanswer r1\ncold s1 1\n"
--- a/tests/test_flow_random.c
+++ b/tests/test_flow_random.c
@@ -378,7 +378,7 @@
         ev.kind = FLOW_EV_REPLY;
         ev.reply.kind = REPLY_ENDPOINT;
         ev.reply.endpoint =
-            (struct endpoint_notice){str_from(ids[e]), w->cold[e]};
+            (struct endpoint_notice){str_from(ids[e]), w->cold[e], {0}};
         break;
     case 3:
         ev.kind = FLOW_EV_CALLER_GONE;
