Repeat cold endpoints in gossip and probe at once after a silence

Deltas of endpoints that are cold are now repeated as long as they are cold, in the places that newer deltas leave free. A node that has heard no member for 1 s sends a PING to the sender of the first message, whatever its type; the ACK carries the cold endpoints.

Not detectable by messages: while such a node is still cut off, it is fresh by the store and believes what it knew; only the endpoint's own answer or refusal tells it.

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -270,6 +270,7 @@
     if (m->type < MSG_TYPE_COUNT) {
         c->messages[m->type]++;
     }
+    member_heard(c->member, now_us, m->from, c->out);
     switch (m->type) {
     case MSG_PING:
     case MSG_PING_REQ:
--- a/src/control/credits.c
+++ b/src/control/credits.c
@@ -598,7 +598,9 @@
     g_hash_table_iter_init(&it, c->endpoints);
     while (max > 0 && g_hash_table_iter_next(&it, NULL, &p)) {
         struct endpoint *e = p;
-        if (e->seq == 0 || e->sent >= GOSSIP_TIMES ||
+        /* Cold ones are repeated for as long as they are cold: a node that
+         * missed the change would go on sending without credits. */
+        if (e->seq == 0 || (!e->cold && e->sent >= GOSSIP_TIMES) ||
             (n == max && best[n - 1]->sent <= e->sent)) {
             continue;
         }
--- a/src/control/member.c
+++ b/src/control/member.c
@@ -23,6 +23,8 @@
 /* Without a tick for this long the process was paused, and missing ACKs say
  * nothing about the other members. */
 #define PAUSE_US 1000000
+/* Nothing was heard of anyone for this long: gossip was missed. */
+#define MISSED_US 1000000
 #define SMALL_ROSTER 16
 #define PINGS_SMALL 4
 #define PINGS_LARGE 2
@@ -56,6 +58,7 @@
     int order_at;
     int64_t next_round_us;
     int64_t last_tick_us;
+    int64_t heard_us; /* any message of any member */
     uint64_t rounds;
     bool leaving;
     uint64_t deaths, refuted, restarts;
@@ -564,6 +567,20 @@
     }
 }
 
+void
+member_heard(struct member *m, int64_t now_us, uint64_t node,
+             struct outbox *out)
+{
+    struct peer *p = peers_find(&m->peers, node);
+    if (!p || node == m->self) {
+        return;
+    }
+    if (now_us - m->heard_us > MISSED_US) {
+        ping(m, now_us, p, false, out);
+    }
+    m->heard_us = now_us;
+}
+
 void
 member_leave(struct member *m, int64_t now_us, struct outbox *out)
 {
--- a/src/control/member.h
+++ b/src/control/member.h
@@ -76,6 +76,11 @@
 void member_tick(struct member *m, int64_t now_us, struct outbox *out);
 int64_t member_wakeup(const struct member *m);
 
+/** A message of any type came from the node. After a silence of all members
+ * it is probed at once, since its ACK carries the gossip that was missed. */
+void member_heard(struct member *m, int64_t now_us, uint64_t node,
+                  struct outbox *out);
+
 /** A call or link to the node failed: probe it at once. */
 void member_hint(struct member *m, int64_t now_us, uint64_t node,
                  struct outbox *out);
--- a/tests/test_credits.c
+++ b/tests/test_credits.c
@@ -480,6 +480,30 @@
     world_free(w);
 }
 
+/* A change to cold whose deltas were all lost leaves a node ignorant; a
+ * change to warm is passed on a limited number of times only. */
+static void
+test_repeated(void)
+{
+    struct world *w = world_new(7);
+    struct gossip g;
+    w->level = 8;
+    load(w, 20 * SECOND, true, CREDIT_REPORT_WARM, 0);
+    gossip(w);
+    for (int i = 0; i < 100; i++) {
+        credits_gossip_out(w->credits[0], &g, 1);
+    }
+    g_assert_cmpint(credits_gossip_out(w->credits[0], &g, 1), ==, 0);
+    notice(w, 0, 0, true);
+    for (int i = 0; i < 100; i++) {
+        g_assert_cmpint(credits_gossip_out(w->credits[0], &g, 1), ==, 1);
+    }
+    g_assert_false(credits_cold(w->credits[1], ENDPOINT));
+    gossip(w);
+    g_assert_true(credits_cold(w->credits[1], ENDPOINT));
+    world_free(w);
+}
+
 /* Lost, repeated and late messages, pauses, restarts and views that differ:
  * usable credits never exceed the level. After the faults all are served. */
 static void
@@ -573,6 +597,7 @@
     g_test_add_func("/credits/rules", test_rules);
     g_test_add_func("/credits/level", test_level);
     g_test_add_func("/credits/detected", test_detected);
+    g_test_add_func("/credits/repeated", test_repeated);
     g_test_add_func("/credits/random", test_random);
     return g_test_run();
 }
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -241,6 +241,30 @@
     }
 }
 
+/* A node that comes back waits for its next round to get the gossip that it
+ * missed, or probes the sender of every message. */
+static void
+test_missed(void)
+{
+    static const struct {
+        int64_t at_us;
+        int pings;
+    } rows[] = {{5 * SECOND, 1}, {5 * SECOND + 1000, 0}, {7 * SECOND, 1}};
+    struct world *w = world_new(3, 1);
+    for (size_t r = 0; r < G_N_ELEMENTS(rows); r++) {
+        struct control_action a;
+        int pings = 0;
+        outbox_clear(w->out);
+        member_heard(w->m[0], rows[r].at_us, w->net.ids[1], w->out);
+        while (outbox_next(w->out, &a)) {
+            pings += a.kind == CONTROL_ACT_SEND &&
+                     a.send.msg.type == MSG_PING && a.send.to == w->net.ids[1];
+        }
+        g_assert_cmpint(pings, ==, rows[r].pings);
+    }
+    world_free(w);
+}
+
 /* A contact counts only on nodes that have the sender's documents. */
 static void
 test_merge_rule(void)
@@ -374,6 +398,7 @@
     g_test_add_func("/member/steady", test_steady);
     g_test_add_func("/member/death", test_death);
     g_test_add_func("/member/partition", test_partition);
+    g_test_add_func("/member/missed", test_missed);
     g_test_add_func("/member/merge_rule", test_merge_rule);
     g_test_add_func("/member/unsettled", test_unsettled);
     g_test_add_func("/member/leave", test_leave);
