Drop calls that are cancelled on their way in the fuzz world

Trace: node 2 sent two calls to the cold enc-1, cancelled one 0.5 ms later, before it had arrived, and gave its credit back; the owner granted the credit again, and the third call met two running ones. The fake endpoint ran the cancelled call to its end, although it ends a running call at once when it is cancelled. An engine sees the closed connection in both cases.

The fake now drops a call to a model server whose caller cancelled it before it arrived; services still run it, and the checks of arriving calls still see it.

--- a/bench/world_endpoint.c
+++ b/bench/world_endpoint.c
@@ -217,6 +217,11 @@
     if (w->on_call) {
         w->on_call(w->on_call_ctx, &info);
     }
+    if (c->cancelled && c->kind != STAGE_SERVICE) {
+        /* The connection was closed while the call was on its way. */
+        c->state = CALL_OVER;
+        return;
+    }
     if (e->silent_nodes & (1ULL << c->node)) {
         if (!c->fresh) {
             return; /* nothing comes back; the deadline ends it */
