--- a/src/flow/health.c
+++ b/src/flow/health.c
@@ -59,7 +59,7 @@
         core_ask(f, ASK_COLD)->cold = (struct cold_notice){
             .endpoint = core_keep(f, ep->id),
             .start_id = core_keep(f, ep->start_id),
-            .in_flight = uncounted(f, ep),
+            .in_flight = ep->told = uncounted(f, ep),
             .detected = ep->tell_own,
         };
         ep->telling = ep->tell_own = false;
@@ -80,13 +80,25 @@
     pool_touch(f, ep->pool);
 }
 
+void
+health_call_ended(struct flow *f, struct endpoint *ep)
+{
+    if (f->full && ep->cold && ep->told > 0) {
+        tell_cold(f, ep, false);
+    }
+}
+
 void
 health_refused(struct flow *f, struct endpoint *ep)
 {
-    health_cold(f, ep);
     if (!f->full) {
         return;
     }
+    /* The owner starts again at the lowest level. */
+    if (ep->cold) {
+        tell_cold(f, ep, true);
+    }
+    health_cold(f, ep);
     /* Credits of a dead endpoint would attract each new request once. */
     int64_t wait = REFUSED_US << (ep->refusals < 4 ? ep->refusals : 4);
     ep->refusals++;
@@ -276,6 +288,11 @@
     }
     ep->detected = false;
     ep->cold = n->cold;
+    /* A start that another node has seen is not a restart here. */
+    if (!str_eq(n->start_id, ep->start_id)) {
+        str_free(&ep->start_id);
+        ep->start_id = str_dup(n->start_id);
+    }
     if (n->cold) {
         tell_cold(f, ep, false);
     }
--- a/tests/flow_script.c
+++ b/tests/flow_script.c
@@ -122,7 +122,9 @@
                    number(s->credits, a->credit_release.credit),
                    a->credit_release.used ? " used" : "",
                    a->credit_release.ok ? " ok" : "",
-                   a->credit_release.reported_warm ? " warm" : "");
+                   a->credit_release.report == CREDIT_REPORT_WARM   ? " warm"
+                   : a->credit_release.report == CREDIT_REPORT_COLD ? " cold"
+                                                                    : "");
         break;
     case ASK_COLD:
         buf_printf(b, "cold %.*s %d%s", STR_FMT(a->cold.endpoint),
@@ -317,6 +319,7 @@
         ev->reply.kind = REPLY_ENDPOINT;
         ev->reply.endpoint.endpoint = str_from(w[1]);
         ev->reply.endpoint.cold = !strcmp(w[2], "cold");
+        ev->reply.endpoint.start_id = report_of(w).start_id;
     }
     else if (!strcmp(w[0], "suspect")) {
         ev->kind = FLOW_EV_REPLY;
--- a/tests/test_credit.c
+++ b/tests/test_credit.c
@@ -49,6 +49,17 @@
           "> req 4 plain\ncredit c1 s1\n> snap svc:s1@z1\n"
           "> notice s1 cold\ncold s1 1\n"
           "> notice s1 warm\ncall a4 r4 s s1\n"},
+    {"a start that is known to be warm by now makes the endpoint cold again",
+     WARM "> done a1 200 {} start=A\nanswer r1\n"
+          "> notice s1 cold start=B\ncold s1 0\n> notice s1 warm start=B\n"
+          "> req 2 plain\ncall a2 r2 s s1\n"
+          "> done a2 200 {} start=B\nanswer r2\n"
+          "> req 3 plain\ncall a3 r3 s s1\n"
+          "> done a3 200 {} start=C\nanswer r3\ncold s1 0 detected\n"},
+    {"calls from before a cold start stay counted after their end",
+     WARM "> req 2 plain\ncall a2 r2 s s1\n> notice s1 cold\ncold s1 2\n"
+          "> done a1 200 {}\nanswer r1\ncold s1 1\n"
+          "> done a2 200 {}\nanswer r2\ncold s1 0\n"},
     {"an endpoint that reports cold gets work without a credit",
      WARM "> done a1 200 {} cold\nanswer r1\ncold s1 0 detected\n"
           "> req 2 plain\ncredit c1 s1\n"},
@@ -60,7 +71,10 @@
     {"an endpoint that refused a connection gets work without a credit",
      WARM "> fail a1 refused unsent\ncold s1 0 detected\n> @240 tick\n"
           "> @252 tick\ncredit c1 s1\n> credit c1 ok\ncall a2 r1 s s1\n"
-          "> fail a2 refused unsent\nrelease c1\n"},
+          "> fail a2 refused unsent\nrelease c1\ncold s1 0 detected\n"},
+    {"the report of a cold endpoint does not reach the owner",
+     COLD "> credit c1 ok\ncall a1 r1 s s1\n"
+          "> done a1 200 {} cold\nrelease c1 used ok cold\nanswer r1\n"},
 };
 
 static void
