Leave only after open requests in the fuzz world; check refusals at a stop

Cause: the world let a draining node leave at once, as the daemon did before, and the oracle did not look at requests that were refused because of it. Change: the world follows the daemon's handover; a request that was open when a planned stop began and is refused as not_ready violates DRAIN. Conclusion: DRAIN covers refusals as well as cut connections.

--- a/bench/oracle.c
+++ b/bench/oracle.c
@@ -254,6 +254,13 @@
     if (r->outcome == WORLD_LOST && r->planned) {
         violate(o, INVARIANT_DRAIN, "request %d was cut by a planned stop", i);
     }
+    if (r->at_drain && r->outcome == WORLD_REFUSED &&
+        r->error == ERRKIND_NOT_READY &&
+        r->done_us < r->deadline_us - 100000) {
+        violate(o, INVARIANT_DRAIN,
+                "request %d was refused as not_ready during a planned stop",
+                i);
+    }
     if (!r->action) {
         return;
     }
--- a/bench/world.c
+++ b/bench/world.c
@@ -540,6 +540,10 @@
     }
     nd->draining = true;
     nd->balancer_ok = false;
+    for (int i = 0; i < w->request_count; i++) {
+        struct world_request *r = &w->requests[i];
+        r->at_drain |= r->node == node && r->outcome == WORLD_PENDING;
+    }
     nd->back_us = back_us;
     if (w->opt.mutation == WORLD_MUT_CUT_DRAIN) {
         node_stop(w, node, true);
--- a/bench/world.h
+++ b/bench/world.h
@@ -79,11 +79,12 @@
     enum world_outcome outcome;
     enum errkind error;
     int64_t done_us;
-    int answers;  /**< answers and refusals delivered; more than 1 is wrong */
-    bool planned; /**< WORLD_LOST: by a planned stop, not by a death */
-    bool told;    /**< the final answer is on its way to the caller */
-    bool wrong;   /**< answer is not whole or not its own */
-    int tokens;   /**< streamed so far */
+    int answers;   /**< answers and refusals delivered; more than 1 is wrong */
+    bool at_drain; /**< open when its node's planned stop began */
+    bool planned;  /**< WORLD_LOST: by a planned stop, not by a death */
+    bool told;     /**< the final answer is on its way to the caller */
+    bool wrong;    /**< answer is not whole or not its own */
+    int tokens;    /**< streamed so far */
     int64_t first_token_us;
     bool claim_open_ran; /**< the action had run when a not_run came */
 };
--- a/bench/world_internal.h
+++ b/bench/world_internal.h
@@ -48,6 +48,7 @@
     bool up;
     bool draining;
     bool drain_begun;
+    bool leave_begun; /**< after the last open request */
     bool was_drained; /**< the last stop was planned */
     bool left;
     bool balancer_ok;
--- a/bench/world_node.c
+++ b/bench/world_node.c
@@ -257,6 +257,13 @@
 {
     struct node *nd = &w->nodes[n];
     exchange(w, n);
+    if (nd->drain_begun && !nd->leave_begun &&
+        flow_open_requests(nd->flow) == 0) {
+        struct control_event ev = {.kind = CONTROL_EV_LEAVE};
+        nd->leave_begun = true;
+        step_control(w, n, &ev);
+        exchange(w, n);
+    }
     if (nd->drain_begun && nd->left && flow_open_requests(nd->flow) == 0) {
         int64_t back = nd->back_us;
         node_stop(w, n, true);
@@ -408,9 +415,7 @@
     }
     nd->drain_begun = true;
     struct flow_event fe = {.kind = FLOW_EV_DRAIN};
-    struct control_event ce = {.kind = CONTROL_EV_LEAVE};
     node_flow(w, e->a, &fe);
-    node_control(w, e->a, &ce);
 }
 
 void
