Make the keep_leaving variant deaf to the endpoint's own report too

The variant that shows that the LEAVING check notices a broken rule went on with the first VM list, but the endpoint's own answers still said that it is leaving, and the product stopped by them, as it should.

--- a/bench/world.h
+++ b/bench/world.h
@@ -114,7 +114,7 @@
     X(DENY_RUN, "deny_run")           /* may_have_run told as not_run */      \
     X(CREDIT_ALL, "credit_all")       /* every credit is granted: COLD */     \
     X(KEEP_ZONE, "keep_zone")         /* zones taken out stay in: ZONE_OUT */ \
-    X(KEEP_LEAVING, "keep_leaving")   /* leaving VMs stay: LEAVING */         \
+    X(KEEP_LEAVING, "keep_leaving")   /* leaving is not heard: LEAVING */     \
     X(SWAP_ANSWERS, "swap_answers")   /* no attempt check: ANSWER */          \
     X(REPLAY_ANSWER, "replay_answer") /* answers given twice: RESULT */       \
     X(CUT_DRAIN, "cut_drain")         /* a draining node just ends: DRAIN */  \
--- a/bench/world_endpoint.c
+++ b/bench/world_endpoint.c
@@ -61,12 +61,13 @@
 {
     const struct world_endpoint *e = &w->endpoints[ep];
     snprintf(d->start_id, sizeof(d->start_id), "%s-%d", e->id, e->start_count);
-    *r = (struct call_report){.start_id = str_from(d->start_id),
-                              .has_load = true,
-                              .in_flight = e->running,
-                              .queued = e->queued,
-                              .cold = e->cold,
-                              .leaving = e->leaving};
+    *r = (struct call_report){
+        .start_id = str_from(d->start_id),
+        .has_load = true,
+        .in_flight = e->running,
+        .queued = e->queued,
+        .cold = e->cold,
+        .leaving = e->leaving && w->opt.mutation != WORLD_MUT_KEEP_LEAVING};
 }
 
 static void
