--- a/bench/fuzz.c
+++ b/bench/fuzz.c
@@ -11,6 +11,8 @@
 #define HEAL_US 14000000
 #define QUIET_US 6000000
 #define END_US 40000000
+/* Longer than any target of the checks, counted from the last fault's end. */
+#define CHECKED_US 10000000
 #define RATE 25.0
 #define BURST_RATE 400.0
 
@@ -370,6 +372,10 @@
             s->late_first = world_request_count(s->w);
         }
         oracle_poll(s->o);
+        if (t >= HEAL_US + CHECKED_US && t >= HEAL_US + QUIET_US &&
+            world_quiet(s->w)) {
+            return;
+        }
     }
 }
 
--- a/bench/world.c
+++ b/bench/world.c
@@ -453,6 +453,24 @@
     w->now = until_us > w->now ? until_us : w->now;
 }
 
+bool
+world_quiet(const struct world *w)
+{
+    for (int i = 0; i < w->request_count; i++) {
+        if (w->requests[i].outcome == WORLD_PENDING) {
+            return false;
+        }
+    }
+    for (size_t i = 0; i < w->heap_count; i++) {
+        enum event_kind k = w->heap[i].kind;
+        if (k == EV_REQUEST || k == EV_CALLER_DONE || k == EV_DRAIN ||
+            (k >= EV_CALL_ARRIVE && k <= EV_CALL_DELIVER)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static int
 pick_node(struct world *w)
 {
--- a/bench/world.h
+++ b/bench/world.h
@@ -163,6 +163,9 @@
  * are ready, at most @p limit_us. @return false if they are not */
 bool world_start(struct world *w, int64_t limit_us);
 
+/** True if no request is open and no call or answer is on its way. */
+bool world_quiet(const struct world *w);
+
 /** Runs events until the virtual time is @p until_us. */
 void world_run(struct world *w, int64_t until_us);
 int64_t world_now(const struct world *w);
