--- a/bench/world.h
+++ b/bench/world.h
@@ -115,7 +115,7 @@
     X(DENY_RUN, "deny_run")           /* may_have_run told as not_run */      \
     X(CREDIT_ALL, "credit_all")       /* every credit is granted: COLD */     \
     X(KEEP_ZONE, "keep_zone")         /* zones taken out stay in: ZONE_OUT */ \
-    X(KEEP_LEAVING, "keep_leaving")   /* leaving VMs stay: LEAVING */         \
+    X(KEEP_LEAVING, "keep_leaving")   /* leaving is not heard: LEAVING */     \
     X(SWAP_ANSWERS, "swap_answers")   /* no attempt check: ANSWER */          \
     X(REPLAY_ANSWER, "replay_answer") /* answers given twice: RESULT */       \
     X(CUT_DRAIN, "cut_drain")         /* a draining node just ends: DRAIN */  \
@@ -164,6 +164,9 @@
  * are ready, at most @p limit_us. @return false if they are not */
 bool world_start(struct world *w, int64_t limit_us);
 
+/** True if no request is open and no call or answer is on its way. */
+bool world_quiet(const struct world *w);
+
 /** Runs events until the virtual time is @p until_us. */
 void world_run(struct world *w, int64_t until_us);
 int64_t world_now(const struct world *w);
