--- a/tests/proc.c
+++ b/tests/proc.c
@@ -173,9 +173,13 @@
     buf_printf(out, "{\"change\":\"c1\",\"base\":0,\"config\":{"
                     "\"defaults\":{\"deadline_ms\":5000,\"max_in_flight\":256,"
                     "\"silence_floor_ms\":5000},"
-                    "\"zones\":{\"okha\":{\"region\":\"s\"}},"
+                    "\"zones\":{\"okha\":{\"region\":\"s\"},\"mandvi\":"
+                    "{\"region\":\"s\"},\"veraval\":{\"region\":\"s\"}},"
                     "\"pools\":{\"enc\":{\"kind\":\"encode\"},"
+                    "\"gen\":{\"kind\":\"generate\"},"
                     "\"led\":{\"kind\":\"service\"}},\"pipelines\":{"
+                    "\"tell\":{\"class\":\"interactive\",\"stages\":["
+                    "{\"name\":\"g\",\"pool\":\"gen\"}]},"
                     "\"embed\":{\"class\":\"interactive\",\"stages\":["
                     "{\"name\":\"e\",\"pool\":\"enc\"}]},"
                     "\"order\":{\"class\":\"action\",\"stages\":["
@@ -191,39 +195,52 @@
     buf_printf(out, "}}}}");
 }
 
+void
+rig_put(struct rig *r, const char *key, struct str bytes)
+{
+    CLEAN(buf_free) struct buf put = {0};
+    CLEAN_FREE char *k = g_base64_encode((const guchar *)key, strlen(key));
+    CLEAN_FREE char *v = g_base64_encode((const guchar *)bytes.ptr, bytes.len);
+    buf_printf(&put, "{\"key\":\"%s\",\"value\":\"%s\"}", k, v);
+    if (proc_http(r->kv_port, "POST", "/v3/kv/put", "", buf_str(&put), NULL) !=
+        200) {
+        g_error("cannot put %s", key);
+    }
+}
+
 static void
 put_vms(struct rig *r)
 {
     CLEAN(buf_free) struct buf vms = {0};
-    CLEAN(buf_free) struct buf put = {0};
     buf_printf(&vms,
                "{\"vms\":[{\"vm\":\"v1\",\"zone\":\"okha\",\"state\":\"live\","
                "\"endpoints\":[{\"id\":\"enc-1\",\"pool\":\"enc\",\"url\":"
                "\"http://127.0.0.1:%d\"},{\"id\":\"led-1\",\"pool\":\"led\","
                "\"url\":\"http://127.0.0.1:%d\"}]}]}",
                r->engine_port, r->service_port);
-    CLEAN_FREE char *key = g_base64_encode((const guchar *)"platform/vms", 12);
-    CLEAN_FREE char *value = g_base64_encode((guchar *)vms.ptr, vms.len);
-    buf_printf(&put, "{\"key\":\"%s\",\"value\":\"%s\"}", key, value);
-    if (proc_http(r->kv_port, "POST", "/v3/kv/put", "", buf_str(&put), NULL) !=
-        200) {
-        g_error("cannot put the VM list");
-    }
+    rig_put(r, "platform/vms", buf_str(&vms));
 }
 
 void
-rig_open(struct rig *r, const char *const *engine_args)
+rig_open_bare(struct rig *r)
 {
     char log[96];
-    const char *engine[24] = {"--kind", "encode"};
     *r = (struct rig){0};
-    snprintf(r->dir, sizeof(r->dir), "/tmp/cf-rig-XXXXXX");
+    snprintf(r->dir, sizeof(r->dir), "%s/cf-rig-XXXXXX", g_get_tmp_dir());
     if (!g_mkdtemp(r->dir)) {
         g_error("no temporary folder");
     }
     snprintf(log, sizeof(log), "%s/kv.log", r->dir);
     r->kv = proc_start("fake_kv", NULL, log);
     r->kv_port = (int)proc_log_number(log, "listening ");
+}
+
+void
+rig_open(struct rig *r, const char *const *engine_args)
+{
+    char log[96];
+    const char *engine[24] = {"--kind", "encode"};
+    rig_open_bare(r);
     for (int i = 0; engine_args && engine_args[i] && i < 20; i++) {
         engine[i + 2] = engine_args[i];
     }
@@ -249,12 +266,12 @@
     memcpy(n->log, path, sizeof(path));
     snprintf(path, sizeof(path), "%s/n%d.toml", r->dir, i);
     buf_printf(&text,
-               "[node]\nname = \"n%d\"\nzone = \"okha\"\nregion = \"s\"\n"
+               "[node]\nname = \"n%d\"\nzone = \"%s\"\nregion = \"s\"\n"
                "[link]\naddress = \"tcp://127.0.0.1:%d\"\n"
                "[store]\nurls = [\"http://127.0.0.1:%d\"]\n"
                "[drain]\nbalancer_wait_ms = 300\nlimit_ms = 10000\n"
                "[http]\naddress = \"127.0.0.1\"\nport = 0\nplain = true\n%s",
-               i, n->link_port, r->kv_port, toml);
+               i, n->zone ? n->zone : "okha", n->link_port, r->kv_port, toml);
     g_file_set_contents(path, text.ptr, (gssize)text.len, NULL);
     const char *args[] = {path, NULL};
     n->pid = proc_start("camphorfalld", args, n->log);
@@ -311,6 +328,11 @@
             proc_end(r->nodes[i].pid, SIGKILL);
         }
     }
+    for (int i = 0; i < r->end_count; i++) {
+        if (r->ends[i].pid) {
+            proc_end(r->ends[i].pid, SIGKILL);
+        }
+    }
     pid_t fakes[] = {r->kv, r->engine, r->service};
     for (int i = 0; i < 3; i++) {
         if (fakes[i]) {
--- a/tests/proc.h
+++ b/tests/proc.h
@@ -32,6 +32,7 @@
               const char *headers, struct str body, struct buf *answer);
 
 #define RIG_NODES 5
+#define RIG_ENDPOINTS 12
 #define RIG_TEAM "Authorization: Bearer team-token\r\n"
 #define RIG_OTHER "Authorization: Bearer other-token\r\n"
 #define RIG_OPERATOR "Authorization: Bearer operator-token\r\n"
@@ -50,15 +51,31 @@
         int port;
         int link_port;
         char log[96];
+        const char *zone; /**< NULL: "okha" */
     } nodes[RIG_NODES];
+    struct rig_endpoint {
+        char id[16];
+        const char *program;
+        const char *pool;
+        const char *zone;
+        const char *const *args; /**< NULL-terminated */
+        bool leaving;            /**< its VM, in the list */
+        pid_t pid;               /**< 0: not running */
+        int port;                /**< kept over restarts */
+    } ends[RIG_ENDPOINTS];
+    int end_count;
 };
 
 /** Starts the fakes and puts the VM list; @p engine_args may be NULL. */
 void rig_open(struct rig *r, const char *const *engine_args);
+/** Starts the key-value service alone; see tests/rig_fleet.h. */
+void rig_open_bare(struct rig *r);
 /** Starts node @p i; @p toml is added to its settings. */
 void rig_node_start(struct rig *r, int i, const char *toml);
 /** Applies the configuration on node 0 and waits until it is answered. */
 void rig_configure(struct rig *r);
+/** Puts @p bytes under @p key of the key-value service. */
+void rig_put(struct rig *r, const char *key, struct str bytes);
 /** Waits until /readyz of node @p i has this status. */
 void rig_wait_ready(struct rig *r, int i, int status);
 /** Ends everything that runs by its process id. */
--- /dev/null
+++ b/tests/rig_fleet.c
@@ -0,0 +1,365 @@
+#include "tests/rig_fleet.h"
+
+#include <pthread.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clean.h"
+#include "fakes/engine.h"
+
+#define CALLERS_MAX 32
+
+void
+fleet_start(struct rig *r, struct rig_endpoint *e)
+{
+    char log[96];
+    char port[16];
+    const char *args[24] = {"--port", port};
+    int n = 2;
+    for (int i = 0; e->args && e->args[i] && n < 20; i++) {
+        args[n++] = e->args[i];
+    }
+    snprintf(port, sizeof(port), "%d", e->port);
+    snprintf(log, sizeof(log), "%s/%s.log", r->dir, e->id);
+    e->pid = proc_start(e->program, args, log);
+    e->port = (int)proc_log_number(log, "listening ");
+}
+
+struct rig_endpoint *
+fleet_add(struct rig *r, const char *program, const char *pool,
+          const char *zone, const char *const *args)
+{
+    g_assert_cmpint(r->end_count, <, RIG_ENDPOINTS);
+    struct rig_endpoint *e = &r->ends[r->end_count];
+    snprintf(e->id, sizeof(e->id), "%s-%d", pool, r->end_count++);
+    e->program = program;
+    e->pool = pool;
+    e->zone = zone;
+    e->args = args;
+    fleet_start(r, e);
+    return e;
+}
+
+void
+fleet_put_vms(struct rig *r)
+{
+    CLEAN(buf_free) struct buf out = {0};
+    buf_printf(&out, "{\"vms\":[");
+    for (int i = 0; i < r->end_count; i++) {
+        struct rig_endpoint *e = &r->ends[i];
+        buf_printf(&out,
+                   "%s{\"vm\":\"v%d\",\"zone\":\"%s\",\"state\":\"%s\","
+                   "\"endpoints\":[{\"id\":\"%s\",\"pool\":\"%s\",\"url\":"
+                   "\"http://127.0.0.1:%d\"}]}",
+                   i ? "," : "", i, e->zone, e->leaving ? "leaving" : "live",
+                   e->id, e->pool, e->port);
+    }
+    buf_printf(&out, "]}");
+    rig_put(r, "platform/vms", buf_str(&out));
+}
+
+void
+fleet_node(struct rig *r, int i, const char *toml)
+{
+    CLEAN(buf_free) struct buf text = {0};
+    buf_printf(&text, "%s", toml);
+    for (int k = 0; k < RIG_NODES; k++) {
+        if (k != i && r->nodes[k].pid) {
+            buf_printf(&text,
+                       "[[link.peer]]\nname = \"n%d\"\n"
+                       "address = \"tcp://127.0.0.1:%d\"\n",
+                       k, r->nodes[k].link_port);
+        }
+    }
+    rig_node_start(r, i, text.ptr ? text.ptr : "");
+}
+
+void
+fleet_nodes(struct rig *r, int n, const char *toml)
+{
+    for (int i = 0; i < n; i++) {
+        fleet_node(r, i, toml);
+    }
+    rig_configure(r);
+    for (int i = 0; i < n; i++) {
+        rig_wait_ready(r, i, 200);
+    }
+    for (int i = 0; i < n; i++) {
+        WAIT_FOR(fleet_alive(r, i) == n);
+    }
+}
+
+void
+fleet_kill(struct rig *r, int i)
+{
+    proc_end(r->nodes[i].pid, SIGKILL);
+    r->nodes[i].pid = 0;
+}
+
+int
+fleet_alive(struct rig *r, int i)
+{
+    CLEAN(buf_free) struct buf out = {0};
+    int n = 0;
+    if (proc_http(r->nodes[i].port, "GET", "/admin/status", RIG_VIEWER,
+                  STR_LIT(""), &out) != 200) {
+        return -1;
+    }
+    for (const char *p = out.ptr; (p = strstr(p, "\"state\":\"alive\""));) {
+        n++;
+        p++;
+    }
+    return n;
+}
+
+void
+fake_set(int port, const char *json)
+{
+    g_assert_cmpint(
+        proc_http(port, "POST", "/control", "", str_from(json), NULL), ==,
+        200);
+}
+
+static json_t *
+stats(int port)
+{
+    CLEAN(buf_free) struct buf out = {0};
+    proc_http(port, "GET", "/control/stats", "", STR_LIT(""), &out);
+    return out.len ? json_loadb(out.ptr, out.len, 0, NULL) : NULL;
+}
+
+static int64_t
+number(json_t *o, const char *name)
+{
+    json_t *v = json_object_get(o, name);
+    return json_is_boolean(v) ? json_is_true(v) : json_integer_value(v);
+}
+
+int64_t
+fake_stat(int port, const char *name)
+{
+    json_t *o = stats(port);
+    int64_t n = o ? number(o, name) : -1;
+    json_decref(o);
+    return n;
+}
+
+json_t *
+fake_actions(int port)
+{
+    json_t *o = stats(port);
+    g_assert_nonnull(o);
+    json_t *actions = json_incref(json_object_get(o, "actions"));
+    json_decref(o);
+    return actions;
+}
+
+int64_t
+fake_action(int port, const char *action)
+{
+    json_t *actions = fake_actions(port);
+    int64_t n = number(actions, action);
+    json_decref(actions);
+    return n;
+}
+
+void
+fake_wait_idle(int port)
+{
+    WAIT_FOR(fake_stat(port, "in_flight") == 0);
+}
+
+static void
+copy(char *to, size_t size, json_t *from)
+{
+    const char *s = json_string_value(from);
+    snprintf(to, size, "%s", s ? s : "");
+}
+
+static struct outcome
+send_json(struct rig *r, int node, const char *path, const char *headers,
+          const char *name, json_t *body, struct buf *answer)
+{
+    struct outcome o = {.node = node};
+    CLEAN_FREE char *text = json_dumps(body, JSON_COMPACT);
+    snprintf(o.name, sizeof(o.name), "%s", name);
+    o.status = proc_http(r->nodes[node].port, "POST", path, headers,
+                         str_from(text), answer);
+    json_t *j =
+        o.status ? json_loadb(answer->ptr, answer->len, 0, NULL) : NULL;
+    json_t *e = json_object_get(j, "error");
+    copy(o.kind, sizeof(o.kind), json_object_get(e, "kind"));
+    copy(o.ran, sizeof(o.ran), json_object_get(e, "ran"));
+    o.replayed = json_is_true(json_object_get(j, "replayed"));
+    json_decref(j);
+    return o;
+}
+
+struct outcome
+ask_order(struct rig *r, int node, const char *name, int deadline_ms)
+{
+    CLEAN(buf_free) struct buf answer = {0};
+    char headers[256];
+    snprintf(headers, sizeof(headers),
+             RIG_TEAM "Idempotency-Key: %s\r\nX-Deadline-Ms: %d\r\n", name,
+             deadline_ms);
+    json_t *body = json_pack("{s:s}", "action_id", name);
+    struct outcome o = send_json(r, node, "/v1/pipelines/order", headers, name,
+                                 body, &answer);
+    o.own = o.status == 200 && strstr(answer.ptr, name);
+    json_decref(body);
+    return o;
+}
+
+struct outcome
+ask_embed(struct rig *r, int node, const char *name, int deadline_ms)
+{
+    CLEAN(buf_free) struct buf answer = {0};
+    char headers[256];
+    snprintf(headers, sizeof(headers), RIG_TEAM "X-Deadline-Ms: %d\r\n",
+             deadline_ms);
+    json_t *body = json_pack("{s:s}", "input", name);
+    json_t *want = engine_answer(STAGE_ENCODE, body, 0);
+    struct outcome o = send_json(r, node, "/v1/pipelines/embed", headers, name,
+                                 body, &answer);
+    json_t *vector = json_object_get(
+        json_array_get(json_object_get(want, "data"), 0), "embedding");
+    CLEAN_FREE char *text = json_dumps(vector, JSON_COMPACT);
+    o.own = o.status == 200 && strstr(answer.ptr, text);
+    json_decref(want);
+    json_decref(body);
+    return o;
+}
+
+void
+fleet_service(struct rig *r, int nodes)
+{
+    static const char *const args[] = {"--report-load", "1", NULL};
+    rig_open_bare(r);
+    fleet_add(r, "fake_service", "led", "okha", args);
+    fleet_put_vms(r);
+    fleet_nodes(r, nodes, "");
+    /* Credits of a new endpoint would hold most of the actions back. */
+    for (int i = 0; i < FLEET_WARM_UP; i++) {
+        char name[24];
+        g_snprintf(name, sizeof(name), "warm-%d.", i);
+        WAIT_FOR(ask_order(r, i % nodes, name, 4000).own);
+    }
+}
+
+void
+outcome_check(const struct outcome *o, int64_t recorded)
+{
+    g_test_message("%s at node %d: %d %s %s, recorded %d", o->name, o->node,
+                   o->status, o->kind, o->ran, (int)recorded);
+    if (o->status == 200) {
+        g_assert_true(o->own);
+        g_assert_cmpint(recorded, ==, 1);
+    }
+    else if (strcmp(o->ran, "not_run") == 0) {
+        g_assert_cmpint(recorded, ==, 0);
+    }
+    else if (strcmp(o->ran, "ran") == 0) {
+        g_assert_cmpint(recorded, ==, 1);
+    }
+}
+
+struct load {
+    struct rig *rig;
+    ask_fn *ask;
+    int callers;
+    int nodes;
+    int deadline_ms;
+    atomic_int next;
+    atomic_int count;
+    atomic_int answers;
+    atomic_bool stop;
+    atomic_bool balance;
+    pthread_mutex_t lock;
+    GArray *outcomes;
+    pthread_t threads[CALLERS_MAX];
+};
+
+static void *
+caller(void *arg)
+{
+    struct load *l = arg;
+    while (!l->stop) {
+        int n = l->next++;
+        int node = n % l->nodes;
+        char name[24];
+        if (l->balance && proc_http(l->rig->nodes[node].port, "GET", "/readyz",
+                                    "", STR_LIT(""), NULL) != 200) {
+            g_usleep(2000);
+            continue;
+        }
+        snprintf(name, sizeof(name), "load-%06d-", n);
+        struct outcome o = l->ask(l->rig, node, name, l->deadline_ms);
+        pthread_mutex_lock(&l->lock);
+        g_array_append_val(l->outcomes, o);
+        pthread_mutex_unlock(&l->lock);
+        l->count++;
+        l->answers += o.own;
+        if (!o.own) {
+            g_usleep(5000);
+        }
+    }
+    return NULL;
+}
+
+struct load *
+load_start(struct rig *r, ask_fn *ask, int callers, int nodes, int deadline_ms)
+{
+    struct load *l = mem_zero(1, sizeof(*l));
+    l->rig = r;
+    l->ask = ask;
+    l->callers = callers;
+    l->nodes = nodes;
+    l->deadline_ms = deadline_ms;
+    l->outcomes = g_array_new(FALSE, FALSE, sizeof(struct outcome));
+    pthread_mutex_init(&l->lock, NULL);
+    for (int i = 0; i < callers; i++) {
+        pthread_create(&l->threads[i], NULL, caller, l);
+    }
+    return l;
+}
+
+void
+load_balance(struct load *l)
+{
+    l->balance = true;
+}
+
+int
+load_count(struct load *l)
+{
+    return l->count;
+}
+
+int
+load_answers(struct load *l)
+{
+    return l->answers;
+}
+
+void
+load_wait(struct load *l, int n)
+{
+    int from = l->answers;
+    WAIT_FOR(load_answers(l) >= from + n);
+}
+
+GArray *
+load_stop(struct load *l)
+{
+    l->stop = true;
+    for (int i = 0; i < l->callers; i++) {
+        pthread_join(l->threads[i], NULL);
+    }
+    GArray *out = l->outcomes;
+    pthread_mutex_destroy(&l->lock);
+    free(l);
+    return out;
+}
--- /dev/null
+++ b/tests/test_proof_not_run.c
@@ -0,0 +1,71 @@
+/* NOT_RUN over real processes. Guards against a refusal that says not_run
+ * although the action is recorded. */
+#include <string.h>
+
+#include "tests/rig_fleet.h"
+
+static bool
+refused(GArray *all, const char *ran)
+{
+    for (guint i = 0; i < all->len; i++) {
+        if (strcmp(g_array_index(all, struct outcome, i).ran, ran) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Each action is sent once. What was refused as not_run has no record, also
+ * after all calls have ended; what was answered has one. */
+static void
+test_not_run(void)
+{
+    static const struct {
+        const char *kv; /* faults */
+        const char *service;
+    } rows[] = {
+        {"{\"outage\":true}", "{}"},
+        {"{\"outage\":\"hang\"}", "{}"},
+        {"{\"outage\":\"error\"}", "{}"},
+        {"{\"lose_answers\":0.5}", "{\"drop_after\":6}"},
+        {"{\"delay_ms\":400}", "{\"fail_after\":6}"},
+        {"{\"delay_ms\":1200,\"lose_answers\":0.5}", "{}"},
+    };
+    struct rig r;
+    fleet_service(&r, 3);
+    int port = r.ends[0].port;
+    struct load *l = load_start(&r, ask_order, 16, 3, 1500);
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        load_wait(l, 10);
+        int refusals = load_count(l) - load_answers(l);
+        fake_set(port, rows[i].service);
+        fake_set(r.kv_port, rows[i].kv);
+        WAIT_FOR(load_count(l) - load_answers(l) >= refusals + 5);
+        fake_set(r.kv_port,
+                 "{\"outage\":false,\"lose_answers\":0,\"delay_ms\":0}");
+    }
+    load_wait(l, 10);
+    GArray *all = load_stop(l);
+    fake_wait_idle(port);
+    g_assert_true(refused(all, "not_run"));
+    g_assert_true(refused(all, "may_have_run"));
+    json_t *actions = fake_actions(port);
+    for (guint i = 0; i < all->len; i++) {
+        struct outcome *o = &g_array_index(all, struct outcome, i);
+        outcome_check(o,
+                      json_integer_value(json_object_get(actions, o->name)));
+    }
+    json_decref(actions);
+    g_assert_cmpint(fake_stat(port, "doubled_actions"), ==, 0);
+    g_assert_cmpint(fake_stat(r.kv_port, "lost"), >, 0);
+    g_array_unref(all);
+    rig_close(&r);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/proof/not-run", test_not_run);
+    return g_test_run();
+}
