Bound both parts of the command line tool's error message

Cause: the asan build of src/cli/http.c stopped with format-truncation: a node's URL and curl's error together can exceed the message. Change: a precision for each part.

--- a/src/cli/http.c
+++ b/src/cli/http.c
@@ -76,7 +76,7 @@
     curl_easy_getinfo(e, CURLINFO_REQUEST_SIZE, &request_bytes);
     a->sent = request_bytes > 0;
     a->status = code == CURLE_OK ? (int)status : 0;
-    snprintf(a->message, sizeof(a->message), "%s: %s", node,
+    snprintf(a->message, sizeof(a->message), "%.99s: %.150s", node,
              *error ? error : curl_easy_strerror(code));
     curl_slist_free_all(headers);
     curl_easy_cleanup(e);
