Make attempt ids differ between nodes

Cause: attempts are counted from 1 by each thread of each node, so two nodes use the same X-Attempt at one engine. An engine that crosses their answers repeats a number that both accept, and a caller gets another's answer. Change: X-Attempt is the request id and the number. Conclusion: a crossed answer is told apart across nodes.

--- a/src/edge/http_out.c
+++ b/src/edge/http_out.c
@@ -280,7 +280,10 @@
                STR_FMT(header_value(a->call.request_id)));
     c->attempt_text.len = strlen("X-Attempt: ");
     c->attempt_text.ptr = c->text[n] + c->attempt_text.len;
-    add_header(c, &n, "X-Attempt: %" PRIu64, c->attempt);
+    /* Attempts are counted by each thread of each node, so the number alone
+     * does not tell this call from one of another node. */
+    add_header(c, &n, "X-Attempt: %.*s-%" PRIu64,
+               STR_FMT(header_value(a->call.request_id)), c->attempt);
     c->attempt_text = str_from(c->attempt_text.ptr);
     add_header(c, &n, "X-Stage: %.*s",
                STR_FMT(header_value(a->call.stage_name)));
