--- a/tests/proc.c
+++ b/tests/proc.c
@@ -19,7 +19,6 @@
 
 #include "base/clean.h"
 #include "model/fleet.h"
-#include "tests/peer.h"
 
 #define LIMIT_MS 20000
 
@@ -40,6 +39,8 @@
     for (int i = 0; args && args[i] && i < 30; i++) {
         argv[i + 1] = args[i];
     }
+    /* A line of an earlier run must not be taken for one of this run. */
+    g_unlink(log);
     pid_t pid = fork();
     if (pid == 0) {
         /* Nothing outlives a test that was aborted. */
@@ -105,6 +106,29 @@
     exit(1);
 }
 
+/* Below the range of ports that the system chooses for connections: a port
+ * that is taken later, or kept over a restart, is not lost to one of them. */
+int
+rig_port(void)
+{
+    static int next;
+    for (int i = 0; i < 1000; i++) {
+        int port =
+            10000 +
+            (int)(((unsigned)getpid() * 61U + (unsigned)next++) % 20000U);
+        struct sockaddr_in a = {.sin_family = AF_INET,
+                                .sin_port = htons((uint16_t)port),
+                                .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+        int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        int rc = bind(fd, (struct sockaddr *)&a, sizeof(a));
+        close(fd);
+        if (rc == 0) {
+            return port;
+        }
+    }
+    g_error("no free port");
+}
+
 static bool
 is_whole(const struct buf *in, bool closed, int *status, size_t *body)
 {
@@ -179,7 +203,7 @@
                     "\"gen\":{\"kind\":\"generate\"},"
                     "\"led\":{\"kind\":\"service\"}},\"pipelines\":{"
                     "\"tell\":{\"class\":\"interactive\",\"stages\":["
-                    "{\"name\":\"g\",\"pool\":\"gen\"}]},"
+                    "{\"name\":\"g\",\"pool\":\"gen\",\"max_tokens\":40}]},"
                     "\"embed\":{\"class\":\"interactive\",\"stages\":["
                     "{\"name\":\"e\",\"pool\":\"enc\"}]},"
                     "\"order\":{\"class\":\"action\",\"stages\":["
@@ -260,7 +284,7 @@
     CLEAN(buf_free) struct buf text = {0};
     char path[96];
     if (!n->link_port) {
-        n->link_port = peer_closed_port();
+        n->link_port = rig_port();
     }
     snprintf(path, sizeof(path), "%s/n%d.log", r->dir, i);
     memcpy(n->log, path, sizeof(path));
--- a/tests/proc.h
+++ b/tests/proc.h
@@ -18,6 +18,8 @@
  */
 pid_t proc_start(const char *program, const char *const *args,
                  const char *log);
+/** A port on which nothing listens now. */
+int rig_port(void);
 /** Sends a signal (0: none) and waits. @return exit code, or minus signal */
 int proc_end(pid_t pid, int sig);
 /** Processor time so far, in microseconds. */
--- a/tests/rig_fleet.c
+++ b/tests/rig_fleet.c
@@ -10,6 +10,7 @@
 #include "fakes/engine.h"
 
 #define CALLERS_MAX 32
+#define STREAM_TOKENS 40 /* of pipeline tell */
 
 void
 fleet_start(struct rig *r, struct rig_endpoint *e)
@@ -38,6 +39,7 @@
     e->pool = pool;
     e->zone = zone;
     e->args = args;
+    e->port = rig_port();
     fleet_start(r, e);
     return e;
 }
@@ -114,6 +116,45 @@
     return n;
 }
 
+int64_t
+fleet_status(struct rig *r, int i, const char *key)
+{
+    CLEAN(buf_free) struct buf out = {0};
+    const char *p = NULL;
+    if (proc_http(r->nodes[i].port, "GET", "/admin/status", RIG_VIEWER,
+                  STR_LIT(""), &out) == 200) {
+        p = strstr(out.ptr, key);
+    }
+    return p ? g_ascii_strtoll(p + strlen(key), NULL, 10) : -1;
+}
+
+pid_t
+fleet_cli(struct rig *r, int first, int nodes, const char *const *command)
+{
+    static int runs;
+    char urls[RIG_NODES][40];
+    char token[96];
+    char log[96];
+    const char *args[30];
+    int n = 0;
+    for (int i = 0; i < nodes; i++) {
+        snprintf(urls[i], sizeof(urls[i]), "http://127.0.0.1:%d",
+                 r->nodes[(first + i) % nodes].port);
+        args[n++] = "--node";
+        args[n++] = urls[i];
+    }
+    snprintf(token, sizeof(token), "%s/operator", r->dir);
+    g_file_set_contents(token, "operator-token", -1, NULL);
+    args[n++] = "--token-file";
+    args[n++] = token;
+    while (*command && n < 29) {
+        args[n++] = *command++;
+    }
+    args[n] = NULL;
+    snprintf(log, sizeof(log), "%s/cli-%d.log", r->dir, runs++);
+    return proc_start("camphorfall", args, log);
+}
+
 void
 fake_set(int port, const char *json)
 {
@@ -187,8 +228,9 @@
     snprintf(o.name, sizeof(o.name), "%s", name);
     o.status = proc_http(r->nodes[node].port, "POST", path, headers,
                          str_from(text), answer);
-    json_t *j =
-        o.status ? json_loadb(answer->ptr, answer->len, 0, NULL) : NULL;
+    /* The body may be in chunks of the transfer. */
+    const char *start = o.status ? strchr(answer->ptr, '{') : NULL;
+    json_t *j = start ? json_loads(start, JSON_DISABLE_EOF_CHECK, NULL) : NULL;
     json_t *e = json_object_get(j, "error");
     copy(o.kind, sizeof(o.kind), json_object_get(e, "kind"));
     copy(o.ran, sizeof(o.ran), json_object_get(e, "ran"));
@@ -266,6 +308,46 @@
     }
 }
 
+struct outcome
+ask_stream(struct rig *r, int node, const char *name, int deadline_ms)
+{
+    CLEAN(buf_free) struct buf answer = {0};
+    char headers[256];
+    snprintf(headers, sizeof(headers),
+             RIG_TEAM "X-Deadline-Ms: %d\r\nAccept: text/event-stream\r\n",
+             deadline_ms);
+    json_t *body = json_pack("{s:s}", "input", name);
+    struct outcome o =
+        send_json(r, node, "/v1/pipelines/tell", headers, name, body, &answer);
+    struct str prompt = engine_prompt(body);
+    int count = engine_length(prompt, STREAM_TOKENS);
+    int events = 0;
+    const char *p = answer.len ? answer.ptr : "";
+    for (const char *e = p; (e = strstr(e, "event: token")); e++) {
+        events++;
+    }
+    for (int i = 0; p && i < count; i++) {
+        char token[18];
+        token[0] = '"';
+        engine_token(prompt, i, 0, token + 1);
+        g_strlcat(token, "\"", sizeof(token));
+        p = strstr(p, token);
+    }
+    bool done = answer.len && strstr(answer.ptr, "event: done");
+    bool refused = !done && answer.len && strstr(answer.ptr, "event: error");
+    o.own = o.status == 200 && done && p && events == count;
+    /* A stream that ends with an error event is a refusal. */
+    if (!o.own) {
+        g_test_message("%s: %d tokens of %d: %s", name, events, count,
+                       answer.len ? answer.ptr : "");
+    }
+    if (refused) {
+        g_strlcpy(o.kind, "stream_error", sizeof(o.kind));
+    }
+    json_decref(body);
+    return o;
+}
+
 struct load {
     struct rig *rig;
     ask_fn *ask;
--- a/tests/rig_fleet.h
+++ b/tests/rig_fleet.h
@@ -48,6 +48,13 @@
 /** Nodes that node @p i sees alive, itself included; -1: no answer. */
 int fleet_alive(struct rig *r, int i);
 
+/** The number after @p key in the answer of /admin/status; -1: none. */
+int64_t fleet_status(struct rig *r, int i, const char *key);
+/** Starts the command line tool for the operator, with @p nodes nodes of which
+ * it tries node @p first first; proc_end gives its exit code. */
+pid_t fleet_cli(struct rig *r, int first, int nodes,
+                const char *const *command);
+
 /** POSTs to /control of a fake. */
 void fake_set(int port, const char *json);
 /** A number of /control/stats; -1 if there is no answer. */
@@ -80,6 +87,11 @@
 /** Sends a query with marker @p name; checks the answer's vector. */
 struct outcome ask_embed(struct rig *r, int node, const char *name,
                          int deadline_ms);
+/** Streams a completion for the prompt @p name. own: its tokens without a gap
+ * or a repeat, and done. */
+struct outcome ask_stream(struct rig *r, int node, const char *name,
+                          int deadline_ms);
+
 /** Callers differ by what they ask. */
 typedef struct outcome ask_fn(struct rig *r, int node, const char *name,
                               int deadline_ms);
--- /dev/null
+++ b/tests/test_proof_cold.c
@@ -0,0 +1,113 @@
+/* COLD over real processes. Guards against more work on a cold engine than it
+ * can handle, summed over all nodes. */
+#include <signal.h>
+
+#include "tests/rig_fleet.h"
+
+#define CALLERS 15
+
+static const char *const engine[] = {
+    "--kind",       "encode", "--cold",    "1",     "--cold-doubles", "1",
+    "--warm-after", "60",     "--base-us", "20000", "--prefill-us",   "0",
+    "--slots",      "256",    NULL};
+
+static void
+fleet(struct rig *r)
+{
+    rig_open_bare(r);
+    fleet_add(r, "fake_engine", "enc", "okha", engine);
+    fleet_put_vms(r);
+    fleet_nodes(r, RIG_NODES, "");
+}
+
+static void
+wait_all(struct rig *r, bool cold)
+{
+    for (int i = 0; i < RIG_NODES; i++) {
+        WAIT_FOR(fleet_status(r, i, "\"cold\":") == cold);
+    }
+}
+
+/* Five nodes send while an engine starts, and starts again. Nothing may be on
+ * its way to a process that is not there yet, so no call above what it bears
+ * is allowed: each node knows that the engine is cold before it starts. */
+static void
+test_restart(void)
+{
+    struct rig r;
+    fleet(&r);
+    struct rig_endpoint *e = &r.ends[0];
+    struct load *l = load_start(&r, ask_embed, CALLERS, RIG_NODES, 4000);
+    for (int start = 0; start < 2; start++) {
+        WAIT_FOR(fake_stat(e->port, "cold") == 0);
+        g_test_message("start %d: %d answers, overload %d, at most %d", start,
+                       (int)fake_stat(e->port, "answers"),
+                       (int)fake_stat(e->port, "overload"),
+                       (int)fake_stat(e->port, "overload_max"));
+        g_assert_cmpint(fake_stat(e->port, "answers"), >=, 60);
+        g_assert_cmpint(fake_stat(e->port, "overload"), ==, 0);
+        if (start == 0) {
+            wait_all(&r, false);
+            proc_end(e->pid, SIGKILL);
+            e->pid = 0;
+            wait_all(&r, true);
+            fleet_start(&r, e);
+        }
+    }
+    g_array_unref(load_stop(l));
+    rig_close(&r);
+}
+
+/* As above, with an engine that ends while it is still warming up and bears
+ * more than at its start. Each node has met the closed port before the engine
+ * starts again, since all callers were refused. */
+static void
+test_restart_warming(void)
+{
+    struct rig r;
+    fleet(&r);
+    struct rig_endpoint *e = &r.ends[0];
+    struct load *l = load_start(&r, ask_embed, CALLERS, RIG_NODES, 2000);
+    WAIT_FOR(fake_stat(e->port, "bears") >= 8);
+    proc_end(e->pid, SIGKILL);
+    e->pid = 0;
+    int count = load_count(l);
+    WAIT_FOR(load_count(l) >= count + 2 * CALLERS);
+    fleet_start(&r, e);
+    WAIT_FOR(fake_stat(e->port, "cold") == 0);
+    g_assert_cmpint(fake_stat(e->port, "overload"), ==, 0);
+    g_array_unref(load_stop(l));
+    rig_close(&r);
+}
+
+/* An engine turns cold without notice. Allowed are the calls that a node sent
+ * before it heard of it: they are over once every node reports the endpoint
+ * as cold and the engine's load is within what it bears. No call may come
+ * above that afterwards. */
+static void
+test_without_notice(void)
+{
+    struct rig r;
+    fleet(&r);
+    struct rig_endpoint *e = &r.ends[0];
+    struct load *l = load_start(&r, ask_embed, CALLERS, RIG_NODES, 4000);
+    wait_all(&r, false);
+    fake_set(e->port, "{\"cold\":true,\"new_start\":true}");
+    wait_all(&r, true);
+    WAIT_FOR(fake_stat(e->port, "in_flight") <= 2);
+    int64_t before = fake_stat(e->port, "overload");
+    WAIT_FOR(fake_stat(e->port, "cold") == 0);
+    g_assert_cmpint(fake_stat(e->port, "overload"), ==, before);
+    g_array_unref(load_stop(l));
+    rig_close(&r);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/proof/cold/restart", test_restart);
+    g_test_add_func("/proof/cold/restart-warming", test_restart_warming);
+    g_test_add_func("/proof/cold/without-notice", test_without_notice);
+    return g_test_run();
+}
