Do not rewrite acknowledgements in the grant_all variant

Cause: the variant turned CLAIM_CLOSED into GRANTED, the flow core abandoned the late grant, and the two went on without end: test_fuzz hung. Change: acknowledgements pass unchanged.

--- a/bench/world_node.c
+++ b/bench/world_node.c
@@ -16,7 +16,8 @@
 static struct reply
 mutate_reply(const struct world *w, struct reply r)
 {
-    if (w->opt.mutation == WORLD_MUT_GRANT_ALL && r.kind == REPLY_CLAIM) {
+    if (w->opt.mutation == WORLD_MUT_GRANT_ALL && r.kind == REPLY_CLAIM &&
+        r.claim.state != CLAIM_CLOSED) {
         r.claim.state =
             r.claim.verb == CLAIM_VERB_OPEN ? CLAIM_OPENED : CLAIM_GRANTED;
     }
