Make the refusals of the not_run proof certain

Cause: /proof/not-run wants at least one not_run refusal. Since a keyed request is refused as not_run only after its owner confirmed that the key is free, an outage of the store gives claim_unknown, and none was left. Change: the proof also takes the only endpoint out of the list, which gives no_endpoint with a confirmed key; every other check stays. Conclusion: the check for untrue refusals still has refusals to judge.

--- a/tests/test_proof_not_run.c
+++ b/tests/test_proof_not_run.c
@@ -35,6 +35,15 @@
     fleet_service(&r, 3);
     int port = r.ends[0].port;
     struct load *l = load_start(&r, ask_order, 16, 3, 1500);
+    /* Without an endpoint in service requests are refused before a claim,
+     * and the owner confirms that their keys are free: not_run. */
+    load_wait(l, 10);
+    r.ends[0].leaving = true;
+    fleet_put_vms(&r);
+    int answered = load_answers(l);
+    WAIT_FOR(load_count(l) - answered >= 40);
+    r.ends[0].leaving = false;
+    fleet_put_vms(&r);
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         load_wait(l, 10);
         int refusals = load_count(l) - load_answers(l);
