Copy the body of a call into the step's memory; measure a real node

Cause: a hedge can be emitted and lose within one step; the stage then frees its body while the call action still points to it (found by the address sanitizer in /fuzz/seed/47). Change: the body of each call is copied into the memory of the step. bench_stream measures processor time and memory of a node process.

--- /dev/null
+++ b/bench/bench_stream.c
@@ -0,0 +1,82 @@
+/* Processor time and memory of a real node: idle, per request and per
+ * streamed token. Feeds the slopes of docs/CAPACITY.md. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "tests/proc.h"
+#include "tests/rig_fleet.h"
+
+#define REQUESTS 400
+#define TOKENS 40 /* of the pipeline "tell" */
+#define IDLE_S 5
+
+static long
+rss_kb(pid_t pid)
+{
+    char path[64];
+    char line[128];
+    long kb = 0;
+    snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
+    FILE *f = fopen(path, "r");
+    while (f && fgets(line, sizeof(line), f)) {
+        if (strncmp(line, "VmRSS:", 6) == 0) {
+            kb = strtol(line + 6, NULL, 10);
+        }
+    }
+    if (f) {
+        fclose(f);
+    }
+    return kb;
+}
+
+/* Microseconds of processor time per request. */
+static double
+cost(struct rig *r, ask_fn *ask, int *answered)
+{
+    pid_t pid = r->nodes[0].pid;
+    int64_t before = proc_cpu_us(pid);
+    *answered = 0;
+    for (int i = 0; i < REQUESTS; i++) {
+        char name[24];
+        snprintf(name, sizeof(name), "cost%d", i);
+        *answered += ask(r, 0, name, 5000).status == 200;
+    }
+    return (double)(proc_cpu_us(pid) - before) / REQUESTS;
+}
+
+int
+main(void)
+{
+    static const char *const encoder[] = {
+        "--kind", "encode", "--base-us", "1000", "--warm-after", "0", NULL};
+    static const char *const generator[] = {
+        "--kind", "generate",     "--base-us", "1000", "--token-us",
+        "100",    "--warm-after", "0",         NULL};
+    struct rig r;
+    int embeds;
+    int streams;
+    rig_open_bare(&r);
+    fleet_add(&r, "fake_engine", "enc", "okha", encoder);
+    fleet_add(&r, "fake_engine", "gen", "okha", generator);
+    fleet_put_vms(&r);
+    fleet_nodes(&r, 1, "");
+    long start_kb = rss_kb(r.nodes[0].pid);
+    cost(&r, ask_embed, &embeds);
+    int64_t before = proc_cpu_us(r.nodes[0].pid);
+    sleep(IDLE_S);
+    double idle = (double)(proc_cpu_us(r.nodes[0].pid) - before) / IDLE_S;
+    double request = cost(&r, ask_embed, &embeds);
+    double stream = cost(&r, ask_stream, &streams);
+    long end_kb = rss_kb(r.nodes[0].pid);
+    printf("idle %.0f us/s, request %.0f us (%d of %d answered), stream of %d "
+           "tokens %.0f us (%d of %d), memory %ld KB, after %ld KB\n",
+           idle, request, embeds, REQUESTS, TOKENS, stream, streams, REQUESTS,
+           start_kb, end_kb);
+    printf("idle_us_s=%.0f request_us=%.0f token_us=%.1f rss_kb=%ld "
+           "rss_after_kb=%ld\n",
+           idle, request, (stream - request) / TOKENS, start_kb, end_kb);
+    rig_close(&r);
+    return 0;
+}
--- a/src/flow/stage.c
+++ b/src/flow/stage.c
@@ -178,7 +178,9 @@
 body_of(struct flow *f, const struct request *r)
 {
     if (stage_of(r)->kind != STAGE_GENERATE || r->tokens == 0) {
-        return r->call_body;
+        /* A copy: a hedge that loses within the same step outlives the body of
+         * its stage. */
+        return core_keep(f, r->call_body);
     }
     struct compose_in in;
     request_compose_in(r, &in);
