--- /dev/null
+++ b/bench/world_access.c
@@ -0,0 +1,106 @@
+#include "bench/world_internal.h"
+
+int64_t
+world_now(const struct world *w)
+{
+    return w->now;
+}
+
+struct rng *
+world_rng(struct world *w)
+{
+    return &w->rng;
+}
+
+struct world_knobs *
+world_knobs(struct world *w)
+{
+    return &w->knobs;
+}
+
+struct world_request *
+world_request(struct world *w, int i)
+{
+    return &w->requests[i];
+}
+
+int
+world_request_count(const struct world *w)
+{
+    return w->request_count;
+}
+
+struct world_endpoint *
+world_endpoint(struct world *w, int i)
+{
+    return &w->endpoints[i];
+}
+
+int
+world_endpoint_count(const struct world *w)
+{
+    return w->endpoint_count;
+}
+
+bool
+world_node_up(const struct world *w, int node)
+{
+    return w->nodes[node].up;
+}
+
+bool
+world_node_ready(struct world *w, int node)
+{
+    return w->nodes[node].up && control_ready(w->nodes[node].control, w->now);
+}
+
+const struct control *
+world_control(const struct world *w, int node)
+{
+    return w->nodes[node].control;
+}
+
+int
+world_action_runs(const struct world *w, uint64_t action)
+{
+    return action < w->action_cap ? w->action_runs[action] : 0;
+}
+
+int64_t
+world_node_revision(const struct world *w, int node)
+{
+    return w->nodes[node].snap ? w->nodes[node].snap->config_revision : 0;
+}
+
+bool
+world_node_zone_out(const struct world *w, int node, int zone)
+{
+    const struct snapshot *s = w->nodes[node].snap;
+    return s && s->fleet->zones[zone].out;
+}
+
+int64_t
+world_fresh_until(const struct world *w, int node)
+{
+    return w->nodes[node].fresh_until;
+}
+
+const struct fleet *
+world_fleet(const struct world *w)
+{
+    return w->fleet;
+}
+
+void
+world_on_call(struct world *w,
+              void (*fn)(void *ctx, const struct world_call_info *), void *ctx)
+{
+    w->on_call = fn;
+    w->on_call_ctx = ctx;
+}
+
+struct world_totals
+world_totals(const struct world *w)
+{
+    return w->totals;
+}
