Give the benches their build folder; plot the bound of the full policy

Cause: make bench ran the process benches without CF_BUILD_DIR, and the plot showed the bound of the last baseline. Change: bench.sh exports the folder; plot.sh takes the bound of policy full.

--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -4,6 +4,7 @@
 set -eu
 dir=$1
 mkdir -p bench-out
+export CF_BUILD_DIR=$dir
 for b in "$dir"/bench_*; do
     name=$(basename "$b")
     case $name in
--- a/tools/plot.sh
+++ b/tools/plot.sh
@@ -4,7 +4,8 @@
 in=bench-out/bench_load.txt
 [ -f "$in" ] || exit 0
 for d in board utility; do
-    awk -v d="$d" '$1 == d { a[$2, $3] = $4; b[$2] = $5
+    awk -v d="$d" '$1 == d { a[$2, $3] = $4
+        if ($3 == "full") { b[$2] = $5 }
         if (!($2 in seen)) { seen[$2] = 1; order[++n] = $2 } }
         END { for (i = 1; i <= n; i++) { s = order[i]
             print s, a[s, "full"] + 0, a[s, "round_robin"] + 0,
