Draw scenario names of the plots as they are

Cause: gnuplot set the letter after an underscore as a subscript. Measured: tools/plot.sh runs; labels show underscores. Conclusion: nothing else changes.

--- a/tools/plot.sh
+++ b/tools/plot.sh
@@ -12,7 +12,7 @@
                 a[s, "least_in_flight"] + 0, b[s] + 0 } }' "$in" \
         > "bench-out/load-$d.dat"
     gnuplot <<PLOT
-set terminal svg size 900,420
+set terminal svg size 900,420 noenhanced
 set output 'bench-out/load-$d.svg'
 set title '$d: answers whole and in deadline over all offered'
 set style data histograms
