End the check of unknown keys on an empty key

Cause: libFuzzer found that fleet_parse never ends on a configuration with an empty key: strstr finds the empty string at every place and the search did not move. An edit with such a key would have stopped a node's control thread. Conclusion: hostile configurations end in an error.

--- a/src/model/fleet.c
+++ b/src/model/fleet.c
@@ -95,7 +95,8 @@
         size_t n = strlen(key);
         const char *at = list;
         bool known = false;
-        while (!known && (at = strstr(at, key))) {
+        /* strstr finds the empty key everywhere and would never end. */
+        while (n > 0 && !known && (at = strstr(at, key))) {
             known = (at == list || at[-1] == ' ') && (at[n] == ' ' || !at[n]);
             at += n;
         }
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -53,6 +53,7 @@
          "teams/t: must be a table"},
         {"{\"a\":1,\"a\":2}", "duplicate"},
         {"{\"colour\":1}", "colour: unknown key"},
+        {"{\"\":{}}", ": unknown key"},
         {"{\"defaults\":{\"deadline_ms\":\"8\",\"x\":1}}",
          "defaults/deadline_ms: must be an integer from 10 to 3600000",
          "defaults/x: unknown setting"},
