Do not unlink devices that a test names as its log

Cause: proc_start removes an old log before it starts a program, and test_daemon names /dev/null: as root each run replaced the device by a plain file of mode 0600, which broke other programs, apt among them. Change: only regular files are removed. Ruled out: the compiler's -o /dev/null, the first suspect. Measured: /dev/null was a plain file after test_daemon before; it is a character device after 7 of 7 cases now. Conclusion: tests leave the machine as it was.

--- a/tests/proc.c
+++ b/tests/proc.c
@@ -39,8 +39,11 @@
     for (int i = 0; args && args[i] && i < 30; i++) {
         argv[i + 1] = args[i];
     }
-    /* A line of an earlier run must not be taken for one of this run. */
-    g_unlink(log);
+    /* A line of an earlier run must not be taken for one of this run. A device
+     * such as /dev/null stays: unlinking it would break the machine. */
+    if (g_file_test(log, G_FILE_TEST_IS_REGULAR)) {
+        g_unlink(log);
+    }
     pid_t pid = fork();
     if (pid == 0) {
         /* Nothing outlives a test that was aborted. */
