Number asks from a random start, and make results again for a resumed stream

Three nodes lost power at 1.3 s and came back at 3.3 s. Asks were numbered from 1 in each process, and an owner of stage endpoints keeps the asks of a node for seconds. It took the asks of the new process for repeats of the old ones and told it results of other requests. Since lost results are told again at a repeated ask, the window was long.

Ruled out: handles mixed up by endpoints (all wrong inputs were of requests of the same node before its restart); wrong piece numbers.

The random test then found a second fault: a stream that went on at another endpoint after its results had been given back was sent with empty inputs. Its stages are made again first.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -77,6 +77,21 @@
     return (uint64_t)(node + 1) << 48 ^ call;
 }
 
+/* Fails if a call is given results that were made for another request. */
+static void
+check_inputs(const struct forward_world *w, struct str request, int count,
+             const struct str *inputs)
+{
+    for (int i = 0; i < count; i++) {
+        g_assert_nonnull(inputs[i].ptr);
+        char *key = g_strndup(inputs[i].ptr, inputs[i].len);
+        const char *made_for = g_hash_table_lookup(w->made_for, key);
+        g_assert_nonnull(made_for);
+        g_assert_true(str_eq_c(request, made_for));
+        g_free(key);
+    }
+}
+
 /* Effects of the cores */
 
 static void
@@ -89,6 +104,9 @@
     k->call = call->id;
     k->request = call->request;
     k->resume_after = call->resume_after;
+    char id[24];
+    snprintf(id, sizeof(id), "r%llu", (unsigned long long)call->request);
+    check_inputs(w, str_from(id), call->input_count, call->inputs);
     forward_world_arrive(w, forward_world_shop(w, call->address), k);
 }
 
@@ -103,6 +121,12 @@
     k->pieces = true;
     k->count = call->item_count < 128 ? call->item_count : 128;
     k->bytes = w->stage_bytes[0][call->items[0].stage];
+    for (int i = 0; i < k->count; i++) {
+        const struct piece_item *it = &call->items[i];
+        snprintf(k->items[i].request, sizeof(k->items[i].request), "%.*s",
+                 STR_FMT(it->request_id));
+        check_inputs(w, it->request_id, it->input_count, it->inputs);
+    }
     struct shop *s = forward_world_shop(w, call->address);
     int64_t limit = w->now_us + call->timeout_ms * MS;
     if (s->spec->silent) {
@@ -309,7 +333,7 @@
         site_new(w->routing, w->node_count, w->endpoint_count, w->node_count);
     for (int i = 0; i < w->node_count; i++) {
         char text[32];
-        snprintf(text, sizeof(text), "tcp://%d key", i);
+        snprintf(text, sizeof(text), "tcp://%d key%d", i, w->nodes[i].starts);
         site_add_node(site, str_from(w->nodes[i].name), str_from(text));
     }
     for (int i = 0; i < w->endpoint_count; i++) {
@@ -320,7 +344,8 @@
                                       .address = str_from(address),
                                       .zone = str_from(e->zone),
                                       .slots = e->slots};
-        if (!left || !left[i]) {
+        w->shops[i].left = left && left[i];
+        if (!w->shops[i].left) {
             site_add(site, &rec,
                      routing_find_service(w->routing, str_from(e->service)),
                      e->cold_until_us);
@@ -332,6 +357,24 @@
     site_unref(site);
 }
 
+static void
+start_node(const struct forward_world *w, struct world_node *n)
+{
+    n->starts++;
+    struct forward_options opts = {.node = str_from(n->name),
+                                   .zone = STR_LIT("a"),
+                                   .repeats = {0.2, 100, 10000 * MS},
+                                   .trust_us = 4000 * MS,
+                                   .seed = w->seed + (uint64_t)n->index +
+                                           1000 * (uint64_t)n->starts};
+    const struct forward_io io = {n,          io_send,      io_send_pieces,
+                                  io_release, io_tell,      io_reconnect,
+                                  io_cancel,  io_keep_head, io_begin,
+                                  io_body,    io_finish,    io_abort,
+                                  io_refuse};
+    n->core = forward_new(&opts, &io);
+}
+
 struct forward_world *
 forward_world_new(int nodes, const struct fw_service *services,
                   int service_count, const struct fw_route *routes,
@@ -339,7 +382,10 @@
                   int endpoint_count, uint64_t seed)
 {
     struct forward_world *w = mem_zero(1, sizeof(*w));
+    w->seed = seed;
     rng_seed(&w->rng, seed);
+    w->made_for =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     w->now_us = 1000 * MS;
     w->services = services;
     w->service_count = service_count;
@@ -363,17 +409,7 @@
         n->world = w;
         n->index = i;
         snprintf(n->name, sizeof(n->name), "node-%d", i);
-        struct forward_options opts = {.node = str_from(n->name),
-                                       .zone = STR_LIT("a"),
-                                       .repeats = {0.2, 100, 10000 * MS},
-                                       .trust_us = 4000 * MS,
-                                       .seed = seed + (uint64_t)i};
-        const struct forward_io io = {n,          io_send,      io_send_pieces,
-                                      io_release, io_tell,      io_reconnect,
-                                      io_cancel,  io_keep_head, io_begin,
-                                      io_body,    io_finish,    io_abort,
-                                      io_refuse};
-        n->core = forward_new(&opts, &io);
+        start_node(w, n);
     }
     forward_world_publish(w, NULL);
     return w;
@@ -401,6 +437,7 @@
     g_ptr_array_free(w->queue, TRUE);
     g_ptr_array_free(w->requests, TRUE);
     g_hash_table_destroy(w->cancelled);
+    g_hash_table_destroy(w->made_for);
     free(w->nodes);
     free(w->shops);
     free(w);
@@ -412,6 +449,36 @@
     w->nodes[node].cut = cut;
 }
 
+void
+forward_world_restart(struct forward_world *w, int node)
+{
+    struct world_node *n = &w->nodes[node];
+    for (guint i = 0; i < w->requests->len; i++) {
+        struct fw_request *r = g_ptr_array_index(w->requests, i);
+        if (r->node == node && r->end == FW_OPEN) {
+            r->end = FW_ABORTED;
+            r->end_us = w->now_us;
+        }
+    }
+    /* What the process would send while it ends is lost. */
+    n->cut = true;
+    forward_free(n->core);
+    n->cut = false;
+    for (guint i = 0; i < w->queue->len; i++) {
+        struct happening *h = g_ptr_array_index(w->queue, i);
+        if (h->node == node && h->kind != H_TURN) {
+            h->kind = H_LOST;
+        }
+    }
+    start_node(w, n);
+    bool *left = g_new0(bool, w->endpoint_count);
+    for (int i = 0; i < w->endpoint_count; i++) {
+        left[i] = w->shops[i].left;
+    }
+    forward_world_publish(w, left);
+    g_free(left);
+}
+
 void
 forward_world_lose_messages(struct forward_world *w, enum stage_msg_kind kind,
                             int count)
@@ -524,6 +591,7 @@
         }
         break;
     case H_TURN:
+    case H_LOST:
         break;
     }
 }
--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -95,6 +95,9 @@
 void forward_world_publish(struct forward_world *w, const bool *left);
 /** Nodes that a stop has cut off take and send no messages. */
 void forward_world_cut(struct forward_world *w, int node, bool cut);
+/** The process of a node ends and is started again; its callers' requests are
+ * aborted. */
+void forward_world_restart(struct forward_world *w, int node);
 /** The next messages of one kind between nodes are lost. */
 void forward_world_lose_messages(struct forward_world *w,
                                  enum stage_msg_kind kind, int count);
--- a/bench/forward_world_endpoint.c
+++ b/bench/forward_world_endpoint.c
@@ -107,6 +107,8 @@
         }
         snprintf(k->items[i].handle, sizeof(k->items[i].handle), "h%llu",
                  (unsigned long long)++w->handles);
+        g_hash_table_insert(w->made_for, g_strdup(k->items[i].handle),
+                            g_strdup(k->items[i].request));
         int64_t *size = g_new(int64_t, 1);
         *size = k->bytes;
         g_hash_table_insert(s->results, g_strdup(k->items[i].handle), size);
--- a/bench/forward_world_state.h
+++ b/bench/forward_world_state.h
@@ -17,7 +17,15 @@
 #define STEP_US 500
 #define CREDENTIAL "key-of-team"
 
-enum happening_kind { H_HEAD, H_BYTES, H_END, H_PIECES, H_MSG, H_TURN };
+enum happening_kind {
+    H_HEAD,
+    H_BYTES,
+    H_END,
+    H_PIECES,
+    H_MSG,
+    H_TURN,
+    H_LOST, /* its node has restarted */
+};
 
 /* Something that is due at a time. */
 struct happening {
@@ -47,6 +55,7 @@
     int count;
     struct {
         char handle[64];
+        char request[24];
         bool room;
     } items[128];
     int64_t resume_after;
@@ -56,6 +65,7 @@
 
 struct shop {
     struct fw_endpoint *spec;
+    bool left; /* out of the site */
     GQueue waiting;
     int running;
     GHashTable *results; /* handle -> bytes */
@@ -68,6 +78,7 @@
     struct forward *core;
     bool cut;
     bool store_lost;
+    int starts;
     char name[24];
 };
 
@@ -84,6 +95,8 @@
     GPtrArray *requests;   /* struct fw_request */
     GPtrArray *queue;      /* struct happening, a heap by time */
     GHashTable *cancelled; /* node << 48 ^ call */
+    GHashTable *made_for;  /* handle -> id of the request */
+    uint64_t seed;
     uint64_t seq;
     uint64_t handles;
     int64_t stage_bytes[16][4];
--- a/src/daemon/gateway_traffic.c
+++ b/src/daemon/gateway_traffic.c
@@ -144,7 +144,7 @@
 io_release(void *ctx, const struct release_call *call)
 {
     struct gateway_traffic *t = ctx;
-    /* Ids of the core count up from 1; these do not meet them. */
+    /* Ids of the core leave the highest bit clear. */
     uint64_t id = ++t->next_release | 1ULL << 63;
     struct out_call *c = add_call(t, id, OUT_RELEASE);
     platform_write_release(call, &c->post);
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -25,6 +25,9 @@
     f->opts.zone = str_dup(opts->zone);
     f->io = *io;
     rng_seed(&f->rng, opts->seed);
+    /* Owners keep the asks of the process before under its numbers, and tell
+     * their results for seconds after it has ended. */
+    f->next_call = rng_next(&f->rng) >> 1;
     f->strikes =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     f->self = hash64(opts->node);
--- a/src/forward/pieces.c
+++ b/src/forward/pieces.c
@@ -219,8 +219,8 @@
     out->stage = a->stage;
     out->priority = r->priority;
     out->target_left_us = at_least_zero(r->target_us - now_us - own - after);
-    out->dead_left_us = at_least_zero(r->begin_by_us - now_us - own - least);
-    out->end_left_us = at_least_zero(r->begin_by_us - now_us);
+    out->dead_left_us = at_least_zero(req_by_us(r) - now_us - own - least);
+    out->end_left_us = at_least_zero(req_by_us(r) - now_us);
     out->bytes = st->bytes;
     for (int k = 0; k < r->route->stage_count; k++) {
         if (st->after >> k & 1) {
@@ -377,6 +377,16 @@
     return true;
 }
 
+bool
+pieces_lost(const struct request *r)
+{
+    int count = 0;
+    for (int i = 0; i < r->route->stage_count; i++) {
+        count += r->stages[i].count;
+    }
+    return r->freed && count > 0;
+}
+
 int
 pieces_inputs(const struct request *r, struct str *out, int max)
 {
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -48,6 +48,12 @@
     return false;
 }
 
+int64_t
+req_by_us(const struct request *r)
+{
+    return r->begun ? r->deadline_us : r->begin_by_us;
+}
+
 static bool
 is_stream(const struct request *r)
 {
@@ -274,12 +280,19 @@
                             .zone_penalty_us = ZONE_PENALTY_US,
                             .nodes = forward_nodes(f),
                             .tried_count = r->tried_count};
-    int64_t by_us = r->begun ? r->deadline_us : r->begin_by_us;
+    int64_t by_us = req_by_us(r);
     if (now_us + SEND_MIN_US > by_us) {
         req_refuse(f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
                    "no time is left", 0);
         return;
     }
+    if (pieces_lost(r)) {
+        if (!pieces_restart(f, now_us, r)) {
+            req_refuse(f, now_us, r, ERRKIND_NO_ENDPOINT,
+                       "results of stages were given back", 200);
+        }
+        return;
+    }
     for (int i = 0; i < r->tried_count; i++) {
         ask.tried[i] = r->tried[i];
     }
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -177,7 +177,7 @@
     struct map services;  /* hash of name -> struct svc */
     struct map endpoints; /* hash of id -> struct endpoint */
     struct timers timers;
-    uint64_t next_call;
+    uint64_t next_call; /* of calls and asks; begins at random */
     bool draining;
     bool dispatch;       /* pieces or waiting requests may be sent */
     GHashTable *strikes; /* low half of the content's digest -> strike */
@@ -191,6 +191,9 @@
 };
 
 /* request.c */
+/** The caller leaves then, unless its answer has ended or, before its first
+ * event, begun. */
+int64_t req_by_us(const struct request *r);
 void req_send_or_wait(struct forward *f, int64_t now_us, struct request *r);
 void req_refuse(struct forward *f, int64_t now_us, struct request *r,
                 enum errkind kind, const char *why, int64_t retry_ms);
@@ -212,6 +215,8 @@
 void pieces_drop(struct forward *f, int64_t now_us, struct request *r);
 /** Makes all stages again. @return false if that was done too often */
 bool pieces_restart(struct forward *f, int64_t now_us, struct request *r);
+/** The results were given back, and the final call needs them once more. */
+bool pieces_lost(const struct request *r);
 /** Results that the final call needs. @return their number */
 int pieces_inputs(const struct request *r, struct str *out, int max);
 /** Time until the final call if no piece waits. */
--- a/src/model/stage_work.h
+++ b/src/model/stage_work.h
@@ -36,7 +36,8 @@
 
 /** Asks for pieces of one stage of one request. Strings are views. */
 struct stage_ask {
-    uint64_t ask;     /**< chosen by the asking node */
+    uint64_t ask;     /**< chosen by the asking node; a later process of the
+                           node must not choose it again */
     uint64_t service; /**< hash of its name */
     int group;        /**< of the service's endpoints */
     struct str request_id;
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -105,6 +105,17 @@
      .stage_service = {"ledger", "roll"},
      .stage_after = {0, 1},
      .stage_bytes = {8000, 60000}},
+    {.host = "resumed",
+     .service = "pool",
+     .kind = REPEAT_STREAM,
+     .resumable = true,
+     .max_attempts = 2,
+     .timeout_us = 6 * SECOND,
+     .target_us = 1600 * MS,
+     .leave_us = 2 * SECOND,
+     .stage_count = 1,
+     .stage_service = {"ledger"},
+     .stage_bytes = {8000}},
     {.host = "three",
      .service = "pool",
      .kind = REPEAT_STREAM,
@@ -418,6 +429,43 @@
     forward_world_free(r.w);
 }
 
+/* A node that restarts and numbers its asks from the same start would be told
+ * the results of its old requests, and give them to new ones. The callers of
+ * the new process ask for the same stages while the owners still work on the
+ * old asks; forward_world checks the results of each call. */
+static void
+test_restart(void)
+{
+    for (int back_ms = 1; back_ms < 400; back_ms += 57) {
+        struct rig r;
+        rig_init(&r, 3);
+        struct fw_ask ask = {.host = "three",
+                             .patience_us = 6 * SECOND,
+                             .prompt_tokens = 2000,
+                             .pieces = {1, 6, 8}};
+        for (int round = 0; round < 2; round++) {
+            for (int i = 0; i < 6; i++) {
+                forward_world_send(r.w, 0, &ask);
+                forward_world_run(r.w, forward_world_now(r.w) + 20 * MS);
+            }
+            if (round == 0) {
+                forward_world_run(r.w, forward_world_now(r.w) + back_ms * MS);
+                forward_world_restart(r.w, 0);
+            }
+        }
+        forward_world_run(r.w, forward_world_now(r.w) + 7 * SECOND);
+        int answered = 0;
+        for (int i = 6; i < 12; i++) {
+            answered += forward_world_request(r.w, i)->end == FW_ANSWERED;
+        }
+        g_assert_cmpint(answered, ==, 6);
+        for (int k = 4; k < ENDPOINTS; k++) {
+            g_assert_cmpint(r.e[k].held, ==, 0);
+        }
+        forward_world_free(r.w);
+    }
+}
+
 /* A stream whose answer has begun must not be ended at the time by which it
  * has to begin: it breaks just before, and the other endpoint takes no work
  * until half a second later. */
@@ -456,6 +504,31 @@
     forward_world_free(w);
 }
 
+/* A stream that goes on at another endpoint needs the results of its stages
+ * once more; those that were read have been given back. forward_world checks
+ * that the second call has them. */
+static void
+test_resumed(void)
+{
+    struct rig r;
+    rig_init(&r, 2);
+    r.e[0].break_after = r.e[1].break_after = 2;
+    struct fw_ask ask = {.host = "resumed",
+                         .patience_us = 6 * SECOND,
+                         .prompt_tokens = 2000,
+                         .pieces = {2}};
+    int q = forward_world_send(r.w, 0, &ask);
+    forward_world_run(r.w, forward_world_now(r.w) + 300 * MS);
+    r.e[0].break_after = r.e[1].break_after = 0;
+    forward_world_run(r.w, forward_world_now(r.w) + 3 * SECOND);
+    const struct fw_request *f = forward_world_request(r.w, q);
+    g_assert_cmpint(f->end, ==, FW_ANSWERED);
+    g_assert_cmpint(f->runs, ==, 2);
+    g_assert_true(g_str_has_suffix(f->body.ptr, "data: e5\n\n"));
+    g_assert_cmpint(r.e[4].held + r.e[5].held, ==, 0);
+    forward_world_free(r.w);
+}
+
 static int64_t
 thread_ns(void)
 {
@@ -684,8 +757,10 @@
     g_test_add_func("/forward/room", test_room);
     g_test_add_func("/forward/owner-lost", test_owner_lost);
     g_test_add_func("/forward/late-ask", test_late_ask);
+    g_test_add_func("/forward/restart", test_restart);
     g_test_add_func("/forward/long-queue", test_long_queue);
     g_test_add_func("/forward/begun", test_begun);
+    g_test_add_func("/forward/resumed", test_resumed);
     g_test_add_func("/forward/leaving", test_leaving);
     g_test_add_func("/forward/lost-messages", test_lost_messages);
     g_test_add_func("/forward/slow-maker", test_slow_maker);
--- a/tests/test_forward_random.c
+++ b/tests/test_forward_random.c
@@ -1,7 +1,7 @@
 /* Random faults against several forwarding cores: endpoints die, fall silent,
- * turn slow, leave and return, nodes are cut off, callers leave. Guards
- * against actions that run twice, refusals of what has run, requests that
- * never end and misuse of memory. */
+ * turn slow, leave and return, nodes are cut off or restart, callers leave.
+ * Guards against actions that run twice, refusals of what has run, requests
+ * that never end and misuse of memory. */
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
@@ -94,7 +94,7 @@
       bool *left)
 {
     struct fw_endpoint *at = &e[rng_below(rng, ENDPOINTS)];
-    switch (rng_below(rng, 9)) {
+    switch (rng_below(rng, 10)) {
     case 0:
         at->dead = !at->dead;
         break;
@@ -121,6 +121,9 @@
         forward_world_cut(w, (int)rng_below(rng, NODES),
                           rng_below(rng, 2) == 0);
         break;
+    case 8:
+        forward_world_restart(w, (int)rng_below(rng, NODES));
+        break;
     default:
         if (forward_world_count(w) > 0) {
             forward_world_leave(
