Ask for large results when the final call is near

Ruled out as the first cause: the number of calls (56% of what full calls would do at usual load) and engines (14% of their reading speed).

Change: a stage whose large results only the final call reads is asked for 100 ms before the other stages are expected to take no longer than it does.

Test: /forward/large-results, 17 results at once before, 8 after, bound 12.

--- a/src/flow/timers.h
+++ b/src/flow/timers.h
@@ -19,6 +19,7 @@
     TIMER_ENDPOINT, /**< id: hash of the endpoint id */
     TIMER_POOL,     /**< id: hash of the pool name */
     TIMER_BEGIN,    /**< id: req */
+    TIMER_STAGE,    /**< id: req */
 };
 
 struct timer {
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -406,6 +406,12 @@
             req_deadline(f, now_us, r);
         }
         break;
+    case TIMER_STAGE:
+        r = map_get(&f->requests, t->id);
+        if (r) {
+            pieces_due(f, now_us, r);
+        }
+        break;
     case TIMER_SILENCE:
         req_silence(f, now_us, t->id);
         break;
--- a/src/forward/pieces.c
+++ b/src/forward/pieces.c
@@ -8,6 +8,9 @@
 #define STAGE_RESTARTS 2
 /* Bytes that are worth keeping inside a zone. */
 #define LARGE_RESULT_BYTES 500000
+/* Large results are asked for this much ahead, so that they seldom come last.
+ */
+#define LARGE_AHEAD_US (100 * MS)
 /* Time from the final call to the first byte, besides reading the prompt. */
 #define FINAL_US (40 * MS)
 /* Share of a prompt that is not in an engine's memory, before one is chosen;
@@ -63,10 +66,11 @@
     return r->stages[i].ready == r->stages[i].count;
 }
 
-/* Longest way through the stages that are left, from stage @p from on.
+/* Longest way through the stages that are left, from stage @p from on and but
+ * for stage @p skip (-1: from the start, all).
  * @param now_us 0: without waits */
 static int64_t
-way_us(const struct request *r, int from, int64_t now_us)
+way_us(const struct request *r, int from, int skip, int64_t now_us)
 {
     int64_t at[ROUTING_MAX_STAGES] = {0};
     int64_t latest = 0;
@@ -80,7 +84,7 @@
             counts |= k == from || (from >= 0 && at[k] > 0);
             at[i] = at[k] > at[i] ? at[k] : at[i];
         }
-        if (counts && !stage_done(r, i)) {
+        if (counts && i != skip && !stage_done(r, i)) {
             at[i] += length_us(st->svc, st->count);
             at[i] += now_us ? wait_now(st->svc, r->priority, now_us) : 0;
         }
@@ -92,13 +96,13 @@
 int64_t
 pieces_left_us(const struct request *r)
 {
-    return way_us(r, -1, 0);
+    return way_us(r, -1, -1, 0);
 }
 
 int64_t
 pieces_expected_us(int64_t now_us, const struct request *r)
 {
-    return way_us(r, -1, now_us);
+    return way_us(r, -1, -1, now_us);
 }
 
 int64_t
@@ -210,8 +214,8 @@
     const struct route_stage *st = &r->route->stages[a->stage];
     const struct svc *s = r->stages[a->stage].svc;
     int64_t own = length_us(s, r->stages[a->stage].count);
-    int64_t after = way_us(r, a->stage, now_us) + pieces_final_us(r);
-    int64_t least = way_us(r, a->stage, 0) + FINAL_US / 2;
+    int64_t after = way_us(r, a->stage, -1, now_us) + pieces_final_us(r);
+    int64_t least = way_us(r, a->stage, -1, 0) + FINAL_US / 2;
     out->ask = a->id;
     out->service = s->hash;
     out->group = a->group;
@@ -282,6 +286,43 @@
     return true;
 }
 
+/* Large results that only the final call reads are asked for when the other
+ * stages are about to take no longer, since the room that they take at the
+ * endpoints is what stops others in a burst. */
+static bool
+postpone(struct forward *f, int64_t now_us, struct request *r, int stage)
+{
+    struct stage *st = &r->stages[stage];
+    const struct route_stage *info = &r->route->stages[stage];
+    st->due_us = 0;
+    if (info->feeds_stage || st->count * info->bytes < LARGE_RESULT_BYTES) {
+        return false;
+    }
+    int64_t own =
+        length_us(st->svc, st->count) + wait_now(st->svc, r->priority, now_us);
+    int64_t spare = way_us(r, -1, stage, now_us) - own - LARGE_AHEAD_US;
+    if (spare <= 0) {
+        return false;
+    }
+    st->due_us = now_us + spare;
+    timers_add(&f->timers, st->due_us, TIMER_STAGE, r->id);
+    return true;
+}
+
+void
+pieces_due(struct forward *f, int64_t now_us, struct request *r)
+{
+    for (int i = 0; i < r->route->stage_count; i++) {
+        const struct stage *st = &r->stages[i];
+        if (r->state != REQ_STAGES || !st->due_us || now_us < st->due_us ||
+            stage_done(r, i)) {
+            continue;
+        }
+        while (open_ask(f, now_us, r, i)) {
+        }
+    }
+}
+
 bool
 pieces_advance(struct forward *f, int64_t now_us, struct request *r)
 {
@@ -291,7 +332,10 @@
             continue;
         }
         done = false;
-        while (inputs_ready(r, i) && open_ask(f, now_us, r, i)) {
+        if (!inputs_ready(r, i) || postpone(f, now_us, r, i)) {
+            continue;
+        }
+        while (open_ask(f, now_us, r, i)) {
         }
     }
     return done;
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -61,6 +61,7 @@
     int ready;
     struct stage_piece *pieces;
     struct svc *svc;
+    int64_t due_us; /* its pieces are asked for then; 0: at once */
 };
 
 struct request {
@@ -211,6 +212,8 @@
 bool pieces_plan(struct forward *f, int64_t now_us, struct request *r);
 /** Asks for the pieces whose inputs are ready. @return true if all are done */
 bool pieces_advance(struct forward *f, int64_t now_us, struct request *r);
+/** Asks for pieces that were put off until now. */
+void pieces_due(struct forward *f, int64_t now_us, struct request *r);
 /** Ends all asks; results are given back. */
 void pieces_drop(struct forward *f, int64_t now_us, struct request *r);
 /** Makes all stages again. @return false if that was done too often */
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -134,6 +134,17 @@
      .stage_count = 1,
      .stage_service = {"press"},
      .stage_bytes = {3000000}},
+    {.host = "draft",
+     .service = "pool",
+     .kind = REPEAT_STREAM,
+     .priority = 1,
+     .max_attempts = 1,
+     .timeout_us = 6 * SECOND,
+     .target_us = 1600 * MS,
+     .stage_count = 4,
+     .stage_service = {"press", "ledger", "roll", "board"},
+     .stage_after = {0, 0, 2, 4},
+     .stage_bytes = {3000000, 8000, 60000, 6000}},
     {.host = "three",
      .service = "pool",
      .kind = REPEAT_STREAM,
@@ -543,6 +554,36 @@
     forward_world_free(r.w);
 }
 
+/* Large results that wait for the other stages take the room that later
+ * requests need: in a burst their pieces must be made when the final call is
+ * near. Each request needs 6 MB of the 72 MB for a call and the last stage,
+ * about 0.4 s; from its start on it would be 0.8 s. */
+static void
+test_large_results(void)
+{
+    struct rig r;
+    rig_init(&r, 3);
+    struct fw_ask ask = {.host = "draft",
+                         .patience_us = 6 * SECOND,
+                         .prompt_tokens = 2000,
+                         .pieces = {2, 1, 4, 8}};
+    int late = 0;
+    for (int i = 0; i < 24; i++) {
+        forward_world_send(r.w, i % 3, &ask);
+        forward_world_run(r.w, forward_world_now(r.w) + 100 * MS);
+    }
+    forward_world_run(r.w, forward_world_now(r.w) + 3 * SECOND);
+    for (int i = 0; i < 24; i++) {
+        const struct fw_request *q = forward_world_request(r.w, i);
+        late += q->end != FW_ANSWERED || q->first_us - q->sent_us > 1600 * MS;
+    }
+    int most = r.e[10].max_held + r.e[11].max_held;
+    g_test_message("late %d, large results at once %d", late, most);
+    g_assert_cmpint(late, ==, 0);
+    g_assert_cmpint(most, <=, 12);
+    forward_world_free(r.w);
+}
+
 /* A stream whose answer has begun must not be ended at the time by which it
  * has to begin: it breaks just before, and the other endpoint takes no work
  * until half a second later. */
@@ -836,6 +877,7 @@
     g_test_add_func("/forward/late-ask", test_late_ask);
     g_test_add_func("/forward/restart", test_restart);
     g_test_add_func("/forward/unknown-results", test_unknown_results);
+    g_test_add_func("/forward/large-results", test_large_results);
     g_test_add_func("/forward/long-queue", test_long_queue);
     g_test_add_func("/forward/begun", test_begun);
     g_test_add_func("/forward/resumed", test_resumed);
