Give results back 100 ms after the final call

Most of the time results lay there for engines that had read them: they were given back at the first byte of the answer, 350 ms (median) to 1,200 ms after the call, while an engine fetches them before it reads the prompt.

Change: they are given back 100 ms after the call was sent. An engine that fetches later answers that they are gone, and the stages are made again.

--- a/src/flow/flow.c
+++ b/src/flow/flow.c
@@ -83,7 +83,8 @@
             break;
         }
         case TIMER_STAGE:
-    case TIMER_BEGIN: /* of the forwarding core only */
+        case TIMER_FETCHED:
+        case TIMER_BEGIN: /* of the forwarding core only */
             break;
         }
     }
--- a/src/flow/timers.h
+++ b/src/flow/timers.h
@@ -20,6 +20,7 @@
     TIMER_POOL,     /**< id: hash of the pool name */
     TIMER_BEGIN,    /**< id: req */
     TIMER_STAGE,    /**< id: req */
+    TIMER_FETCHED,  /**< id: call */
 };
 
 struct timer {
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -412,6 +412,12 @@
             pieces_due(f, now_us, r);
         }
         break;
+    case TIMER_FETCHED:
+        r = map_get(&f->calls, t->id);
+        if (r) {
+            pieces_drop(f, now_us, r);
+        }
+        break;
     case TIMER_SILENCE:
         req_silence(f, now_us, t->id);
         break;
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -30,6 +30,9 @@
  * answer can travel back. */
 #define RETURN_US (5 * MS)
 #define MAX_INPUTS 512
+/* An endpoint fetches the results of stages before it reads the prompt; they
+ * are given back after this time, since their room is what others wait for. */
+#define FETCH_US (100 * MS)
 #define CONNECT_US (3 * MS)
 #define FIRST_TOKEN_US (25 * MS)
 #define STRIKE_HOLD_US (120 * SECOND)
@@ -262,6 +265,9 @@
     LOG_EVENT(LOG_DEBUG, "sent", LOG_S("request", r->in.request_id),
               LOG_S("endpoint", e->id), LOG_I("send", r->sends));
     f->io.send(f->io.ctx, &call);
+    if (call.input_count > 0) {
+        timers_add(&f->timers, now_us + FETCH_US, TIMER_FETCHED, r->call);
+    }
     if (repeatable(r)) {
         int64_t silence = is_stream(r)
                               ? FIRST_SILENCE_US
@@ -439,6 +445,9 @@
         return;
     }
     if (status == 409) {
+        LOG_EVENT(LOG_INFO, "results_gone", LOG_S("request", r->in.request_id),
+                  LOG_S("endpoint", e->id), LOG_I("given_back", r->freed),
+                  LOG_I("ms", (now_us - r->sent_us) / MS));
         req_end_call(f, r);
         r->sends--;
         if (!pieces_restart(f, now_us, r)) {
