Tell other nodes which engine was sent a long prompt

Parts that an engine had read for another node were read again elsewhere (12% of all tokens read).

Change: a node that sends a prompt of which 1,000 tokens or more must be read tells up to 32 others; they count the time and the parts. Lost notices only make a choice worse. 60 bytes and one message a long prompt and node told.

Weighed: owners of engines that place all prompts (four messages a request, exact, needed above 32 nodes); not built.

Test: /forward/prompts-of-others, 40 pairs of prompts.

--- a/src/control/outbox.c
+++ b/src/control/outbox.c
@@ -136,6 +136,7 @@
     case MSG_STAGE_ACK:
     case MSG_STAGE_RESULT:
     case MSG_STAGE_DROP:
+    case MSG_PREFILL:
     case MSG_FEED_ASK:
     case MSG_FEED_ANSWER:
     case MSG_TYPE_COUNT:
--- a/src/daemon/gateway_link.c
+++ b/src/daemon/gateway_link.c
@@ -44,6 +44,10 @@
         out.type = MSG_STAGE_DROP;
         out.stage_drop = m->drop;
         break;
+    case STAGE_MSG_PREFILL:
+        out.type = MSG_PREFILL;
+        out.prefill = m->prefill;
+        break;
     }
     link_send(t->link, node, address_of(t, node), &out);
     t->link_ready = true;
@@ -103,6 +107,10 @@
         in.kind = STAGE_MSG_DROP;
         in.drop = m->stage_drop;
         break;
+    case MSG_PREFILL:
+        in.kind = STAGE_MSG_PREFILL;
+        in.prefill = m->prefill;
+        break;
     case MSG_FEED_ASK:
     case MSG_FEED_ANSWER:
         pass_to_control(t, m);
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -20,6 +20,9 @@
 #define EJECT_MAX_US (4 * SECOND)
 /* Share of an engine's memory that cached parts are taken to fill. */
 #define PARTS_SHARE 0.8
+/* What other nodes have sent is counted up to this time, as some of it ends
+ * early. */
+#define TOLD_MAX_US (3 * SECOND)
 /* Slowness is bounded so that one call does not exclude an endpoint. */
 #define PACE_MAX 10.0
 
@@ -189,9 +192,21 @@
     evict(e);
 }
 
+void
+endpoint_told(struct endpoint *e, const struct prefill_notice *n,
+              int64_t now_us)
+{
+    e->told_until_us = MAX(e->told_until_us, now_us) +
+                       (int64_t)(e->slowness * (double)(n->tokens * MS) /
+                                 ENGINE_TOKENS_PER_MS);
+    e->told_until_us = MIN(e->told_until_us, now_us + TOLD_MAX_US);
+    endpoint_hold(e, n->parts, n->part_tokens, n->part_count, now_us);
+}
+
 void
 endpoint_forget(struct endpoint *e)
 {
+    e->told_until_us = 0;
     g_hash_table_remove_all(e->parts);
     e->part_tokens = 0;
 }
--- a/src/forward/endpoints.h
+++ b/src/forward/endpoints.h
@@ -11,6 +11,7 @@
 
 #include "base/str.h"
 #include "model/site.h"
+#include "model/stage_work.h"
 
 /** Prefill speed that is assumed of engines, in tokens per ms; it only ranks
  * engines against each other. */
@@ -32,10 +33,11 @@
     int64_t failed_us;
     int failed_in_row;
     int64_t ejected_until_us;
-    double latency_us; /**< moving average until the head of an answer */
-    double slowness;   /**< moving ratio of actual to expected time */
-    int64_t reading;   /**< prompt tokens sent and not yet read */
-    int running;       /**< by its load report */
+    double latency_us;     /**< moving average until the head of an answer */
+    double slowness;       /**< moving ratio of actual to expected time */
+    int64_t reading;       /**< prompt tokens sent and not yet read */
+    int64_t told_until_us; /**< other nodes' prompts are read by then */
+    int running;           /**< by its load report */
     int waiting;
     int64_t reported_us; /**< 0: never */
     int64_t engine_tokens;
@@ -67,6 +69,9 @@
 /** Notes that the endpoint has read the parts. */
 void endpoint_hold(struct endpoint *e, const uint64_t *chain,
                    const int *tokens, int count, int64_t now_us);
+/** Another node has sent it a prompt. */
+void endpoint_told(struct endpoint *e, const struct prefill_notice *n,
+                   int64_t now_us);
 /** Forgets the parts, after a restart. */
 void endpoint_forget(struct endpoint *e);
 
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -361,7 +361,7 @@
         return;
     }
     int64_t ready_us =
-        now_us + pieces_expected_us(now_us, r) + pieces_final_us(r);
+        now_us + pieces_expected_us(now_us, r) + pieces_final_us(now_us, r);
     if (ready_us > r->begin_by_us) {
         req_refuse(f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
                    "the stages take longer than the caller waits",
--- a/src/forward/owners.c
+++ b/src/forward/owners.c
@@ -16,6 +16,12 @@
 #define SUSPECT_MIN_US (2 * SECOND)
 #define SUSPECT_MAX_US (16 * SECOND)
 
+/* Prompts that an engine reads in less than 20 ms are not worth a message. The
+ * number of nodes that are told bounds the messages of a large fleet: 9.5
+ * requests a second and node make 300 messages of 60 bytes. */
+#define NOTIFY_TOKENS 1000
+#define NOTIFY_NODES 32
+
 struct pool_entry {
     uint64_t service;
     int group;
@@ -286,6 +292,42 @@
     f->io.tell(f->io.ctx, node, m);
 }
 
+void
+owners_notify_prefill(struct forward *f, const struct request *r,
+                      const struct endpoint *e, int64_t tokens)
+{
+    int count = f->site->alive_count;
+    if (tokens < NOTIFY_TOKENS || count == 0) {
+        return;
+    }
+    struct stage_msg m = {.kind = STAGE_MSG_PREFILL};
+    m.prefill.endpoint = e->hash;
+    m.prefill.tokens = tokens;
+    m.prefill.part_count = r->prompt.count;
+    for (int i = 0; i < r->prompt.count; i++) {
+        m.prefill.parts[i] = r->prompt.chain[i];
+        m.prefill.part_tokens[i] = r->prompt.tokens[i];
+    }
+    /* In a large fleet each node tells others than its neighbours do. */
+    int first = (int)(f->self % (uint64_t)count);
+    for (int i = 0, told = 0; i < count && told < NOTIFY_NODES; i++) {
+        const struct site_node *n = &f->site->alive[(first + i) % count];
+        if (n->hash != f->self && n->address.len > 0) {
+            f->io.tell(f->io.ctx, n->hash, &m);
+            told++;
+        }
+    }
+}
+
+static void
+take_prefill(struct forward *f, int64_t now_us, const struct prefill_notice *n)
+{
+    struct endpoint *e = map_get(&f->endpoints, n->endpoint);
+    if (e) {
+        endpoint_told(e, n, now_us);
+    }
+}
+
 void
 forward_stage_msg(struct forward *f, int64_t now_us, uint64_t from,
                   const struct stage_msg *m)
@@ -307,6 +349,9 @@
     case STAGE_MSG_DROP:
         take_drop(f, now_us, from, &m->drop);
         break;
+    case STAGE_MSG_PREFILL:
+        take_prefill(f, now_us, &m->prefill);
+        break;
     case STAGE_MSG_ACK:
     case STAGE_MSG_RESULT:
         pieces_answer(f, now_us, from, m);
--- a/src/forward/pieces.c
+++ b/src/forward/pieces.c
@@ -106,13 +106,13 @@
 }
 
 int64_t
-pieces_final_us(const struct request *r)
+pieces_final_us(int64_t now_us, const struct request *r)
 {
     if (!r->svc->info.is_engine) {
         return FINAL_US / 4;
     }
     if (r->planned) {
-        return FINAL_US + place_read_us(r->planned, &r->prompt, NULL);
+        return FINAL_US + place_read_us(r->planned, &r->prompt, now_us, NULL);
     }
     return FINAL_US + (int64_t)(UNCACHED_SHARE * (double)r->prompt.total) *
                           MS / ENGINE_TOKENS_PER_MS;
@@ -214,7 +214,8 @@
     const struct route_stage *st = &r->route->stages[a->stage];
     const struct svc *s = r->stages[a->stage].svc;
     int64_t own = length_us(s, r->stages[a->stage].count);
-    int64_t after = way_us(r, a->stage, -1, now_us) + pieces_final_us(r);
+    int64_t after =
+        way_us(r, a->stage, -1, now_us) + pieces_final_us(now_us, r);
     int64_t least = way_us(r, a->stage, -1, 0) + FINAL_US / 2;
     out->ask = a->id;
     out->service = s->hash;
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -39,13 +39,14 @@
 
 int64_t
 place_read_us(const struct endpoint *e, const struct place_prompt *p,
-              int64_t *uncached)
+              int64_t now_us, int64_t *uncached)
 {
     int64_t left = p->total - endpoint_held(e, p->chain, p->tokens, p->count);
     if (uncached) {
         *uncached = left;
     }
-    return (left + e->reading) * MS / ENGINE_TOKENS_PER_MS;
+    return (left + e->reading) * MS / ENGINE_TOKENS_PER_MS +
+           MAX(e->told_until_us - now_us, 0);
 }
 
 static bool
@@ -101,11 +102,11 @@
 
 static double
 engine_cost(const struct endpoint *e, const struct place_ask *ask,
-            const struct endpoint *const first[COMMON_ENGINES])
+            int64_t now_us, const struct endpoint *const first[COMMON_ENGINES])
 {
     const struct place_prompt *p = ask->prompt;
     int64_t uncached;
-    double cost = (double)place_read_us(e, p, &uncached);
+    double cost = (double)place_read_us(e, p, now_us, &uncached);
     int64_t own = p->count > 0 ? p->tokens[p->count - 1] : p->total;
     double again = uncached > own ? (double)(uncached - own) : 0;
     for (int i = 0; i < COMMON_ENGINES; i++) {
@@ -145,8 +146,8 @@
         if (!endpoint_open(e, now_us) || tried(ask, e)) {
             continue;
         }
-        double cost =
-            ask->prompt ? engine_cost(e, ask, first) : plain_cost(e, now_us);
+        double cost = ask->prompt ? engine_cost(e, ask, now_us, first)
+                                  : plain_cost(e, now_us);
         cost += endpoint_failures(e, now_us) * FAILURE_COST_US;
         if (!str_eq(e->zone, ask->zone)) {
             cost += (double)ask->zone_penalty_us;
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -36,7 +36,7 @@
 
 /** Expected time until an engine has read the prompt. */
 int64_t place_read_us(const struct endpoint *e, const struct place_prompt *p,
-                      int64_t *uncached);
+                      int64_t now_us, int64_t *uncached);
 
 /** @return the best endpoint that takes work now, NULL if there is none */
 struct endpoint *place_choose(const GPtrArray *endpoints,
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -236,7 +236,8 @@
     if (r->svc->info.is_engine) {
         int64_t uncached;
         r->expected_us =
-            FIRST_TOKEN_US + place_read_us(e, &r->prompt, &uncached);
+            FIRST_TOKEN_US + place_read_us(e, &r->prompt, now_us, &uncached);
+        owners_notify_prefill(f, r, e, uncached);
         r->reading = uncached;
         e->reading += uncached;
         endpoint_hold(e, r->prompt.chain, r->prompt.tokens, r->prompt.count,
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -227,7 +227,7 @@
 /** As pieces_left_us, with the waits seen of late. */
 int64_t pieces_expected_us(int64_t now_us, const struct request *r);
 /** Time from the final call to the first byte of the answer. */
-int64_t pieces_final_us(const struct request *r);
+int64_t pieces_final_us(int64_t now_us, const struct request *r);
 /** Repeats asks of owners that are silent. */
 void pieces_follow(struct forward *f, int64_t now_us);
 
@@ -242,6 +242,9 @@
 /** The node that owns a group of a service's endpoints now. */
 uint64_t owners_find(const struct forward *f, int64_t now_us, uint64_t service,
                      int group);
+/** Tells other nodes what an engine has to read. */
+void owners_notify_prefill(struct forward *f, const struct request *r,
+                           const struct endpoint *e, int64_t tokens);
 /** Neither heard of nor asked for a time. */
 bool owners_quiet(const struct forward *f, int64_t now_us, uint64_t node,
                   int64_t span_us);
--- a/src/forward/types.h
+++ b/src/forward/types.h
@@ -15,7 +15,7 @@
 #include "model/routing.h"
 #include "model/stage_work.h"
 
-#define FORWARD_MAX_PARTS 24
+#define FORWARD_MAX_PARTS PREFILL_MAX_PARTS
 
 /** A part of a prompt that other requests may share. */
 struct prompt_part {
--- a/src/model/stage_work.h
+++ b/src/model/stage_work.h
@@ -82,18 +82,34 @@
     bool keep_results; /**< only pieces that were not begun are dropped */
 };
 
+/** Parts of one prompt. */
+#define PREFILL_MAX_PARTS 24
+
+/** An engine was sent a long prompt. Lost notices only make the next choice of
+ * an engine worse. */
+struct prefill_notice {
+    uint64_t endpoint; /**< hash of its id */
+    int64_t tokens;    /**< that it has to read */
+    int part_count;
+    uint64_t parts[PREFILL_MAX_PARTS]; /**< digest of each part and those
+                                          before it */
+    int part_tokens[PREFILL_MAX_PARTS];
+};
+
 struct stage_msg {
     enum stage_msg_kind {
         STAGE_MSG_ASK,
         STAGE_MSG_ACK,
         STAGE_MSG_RESULT,
-        STAGE_MSG_DROP
+        STAGE_MSG_DROP,
+        STAGE_MSG_PREFILL
     } kind;
     union {
         struct stage_ask ask;
         struct stage_ack ack;
         struct stage_result result;
         struct stage_drop drop;
+        struct prefill_notice prefill;
     };
 };
 
--- a/src/wire/msg.c
+++ b/src/wire/msg.c
@@ -323,6 +323,18 @@
     io_bool(io, &b->keep_results);
 }
 
+static void
+io_prefill(struct io *io, struct prefill_notice *b)
+{
+    io_u64(io, &b->endpoint);
+    io_i64(io, &b->tokens, INT64_MAX);
+    io_int(io, &b->part_count, PREFILL_MAX_PARTS);
+    for (int i = 0; !io->bad && i < b->part_count; i++) {
+        io_u64(io, &b->parts[i]);
+        io_int(io, &b->part_tokens[i], INT32_MAX);
+    }
+}
+
 static void
 io_feed_ask(struct io *io, struct feed_ask *b)
 {
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -115,6 +115,7 @@
     X(STAGE_ACK, "stage_ack", stage_ack, struct stage_ack)                    \
     X(STAGE_RESULT, "stage_result", stage_result, struct stage_result)        \
     X(STAGE_DROP, "stage_drop", stage_drop, struct stage_drop)                \
+    X(PREFILL, "prefill", prefill, struct prefill_notice)                     \
     X(FEED_ASK, "feed_ask", feed_ask, struct feed_ask)                        \
     X(FEED_ANSWER, "feed_answer", feed_answer, struct feed_answer)
 
@@ -144,6 +145,7 @@
         struct stage_ack stage_ack;
         struct stage_result stage_result;
         struct stage_drop stage_drop;
+        struct prefill_notice prefill;
         struct feed_ask feed_ask;
         struct feed_answer feed_answer;
     };
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -584,6 +584,32 @@
     forward_world_free(r.w);
 }
 
+/* Nodes that do not know each other's prompts send them to the same engine
+ * about every second time, where one waits for the other. */
+static void
+test_prompts_of_others(void)
+{
+    struct rig r;
+    rig_init(&r, 2);
+    int together = 0;
+    for (int i = 0; i < 40; i++) {
+        int before = r.e[0].calls;
+        for (int node = 0; node < 2; node++) {
+            struct fw_ask ask = {.host = "stream",
+                                 .patience_us = 6 * SECOND,
+                                 .prompt_tokens = 20000,
+                                 .part = (uint64_t)(1 + 2 * i + node)};
+            forward_world_send(r.w, node, &ask);
+            forward_world_run(r.w, forward_world_now(r.w) + 3 * MS);
+        }
+        together += r.e[0].calls - before != 1;
+        forward_world_run(r.w, forward_world_now(r.w) + SECOND);
+    }
+    g_test_message("pairs at one engine: %d of 40", together);
+    g_assert_cmpint(together, <=, 4);
+    forward_world_free(r.w);
+}
+
 /* A stream whose answer has begun must not be ended at the time by which it
  * has to begin: it breaks just before, and the other endpoint takes no work
  * until half a second later. */
@@ -878,6 +904,7 @@
     g_test_add_func("/forward/restart", test_restart);
     g_test_add_func("/forward/unknown-results", test_unknown_results);
     g_test_add_func("/forward/large-results", test_large_results);
+    g_test_add_func("/forward/prompts-of-others", test_prompts_of_others);
     g_test_add_func("/forward/long-queue", test_long_queue);
     g_test_add_func("/forward/begun", test_begun);
     g_test_add_func("/forward/resumed", test_resumed);
--- a/tests/test_msg.c
+++ b/tests/test_msg.c
@@ -67,6 +67,7 @@
     {MSG_STAGE_RESULT, 1, 2,
      .stage_result = {BIG, 3, PIECE_GONE, {"h", 1}, 9, 10}},
     {MSG_STAGE_DROP, 1, 2, .stage_drop = {BIG, true}},
+    {MSG_PREFILL, 1, 2, .prefill = {9, 5000, 2, {BIG, 3}, {4000, 1000}}},
     {MSG_FEED_ASK, 1, 2, .feed_ask = {BIG, 1, 5, true}},
     {MSG_FEED_ANSWER, 1, 2,
      .feed_answer = {.ask = BIG,
