--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -287,7 +287,7 @@
 {
     struct world_node *n = ctx;
     struct fw_request *r = forward_world_by_id(n->world, request);
-    (void)why;
+    r->why = why;
     r->status = errkind_info(kind)->http_status;
     r->retry_after_ms = retry_after_ms;
     end_request(n, request, r->status == 503 ? FW_REFUSED : FW_FAILED);
--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -56,7 +56,8 @@
     int64_t first_us; /**< first byte of the answer */
     int64_t end_us;
     int64_t retry_after_ms;
-    int runs; /**< endpoints that ran it */
+    const char *why; /**< it was refused; NULL: it was not */
+    int runs;        /**< endpoints that ran it */
     struct buf body;
 };
 
--- a/src/forward/pieces.c
+++ b/src/forward/pieces.c
@@ -490,7 +490,8 @@
         break;
     case PIECE_LATE:
         req_refuse(f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
-                   "a stage cannot be done in time", 0);
+                   "a stage cannot be done in time",
+                   wait_now(r->stages[stage].svc, r->priority, now_us) / MS);
         break;
     case PIECE_GONE:
         f->count.pieces_failed++;
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -742,6 +742,8 @@
                          .prompt_tokens = 2000,
                          .pieces = {2, 8}};
     int count[FW_ABORTED + 1] = {0};
+    int64_t longest_ms = 0;
+    int late = 0;
     for (int i = 0; i < 120; i++) {
         forward_world_send(r.w, i % 3, &ask);
         forward_world_run(r.w, forward_world_now(r.w) + 10 * MS);
@@ -753,7 +755,14 @@
         g_assert_cmpint(q->end, !=, FW_OPEN);
         int64_t begun = q->first_us > 0 ? q->first_us : q->end_us;
         g_assert_cmpint(begun - q->sent_us, <, 2 * SECOND);
+        if (q->why && strcmp(q->why, "a stage cannot be done in time") == 0) {
+            late++;
+            longest_ms = MAX(longest_ms, q->retry_after_ms);
+        }
     }
+    /* Callers that return before the queue is gone are only refused again. */
+    g_assert_cmpint(late, >, 0);
+    g_assert_cmpint(longest_ms, >=, 300);
     g_test_message("answered %d, refused %d, failed %d", count[FW_ANSWERED],
                    count[FW_REFUSED], count[FW_FAILED]);
     /* The second stage makes the pieces of 30 requests in the time; a third
