Read bounds of the gateway's settings that are fractions

Ruled out: rounding in the deploy template; it cannot compute.

Change: FIELD_FLOOR rounds down, FIELD_SECONDS reads seconds into milliseconds. The keys are now stop.limit_s and bounds.repeat_window_s.

Before: /settings/gateway fails at its third row (33.16). After: passes.

--- a/src/daemon/gateway_main.c
+++ b/src/daemon/gateway_main.c
@@ -36,7 +36,7 @@
     "\n"
     "Without FILE the environment variable CAMPHORFALL_CONFIG names it.\n"
     "SIGHUP reads the settings again. SIGTERM or SIGINT: readiness fails at\n"
-    "once; open requests finish within [stop] limit_ms.\n"
+    "once; open requests finish within [stop] limit_s.\n"
     "\n"
     "Exit codes: 0 graceful end or settings in order, 1 runtime failure,\n"
     "2 wrong usage, 3 settings faulty.\n";
--- a/src/settings/fields.c
+++ b/src/settings/fields.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <inttypes.h>
+#include <math.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -154,6 +155,28 @@
     return (double)f->number / 1000;
 }
 
+/* A number in units of 1/@p unit, rounded down. */
+static int
+read_floor(struct settings_check *c, const struct settings_field *f,
+           const char *name, const json_t *v, int unit)
+{
+    double n = json_is_number(v) ? floor(json_number_value(v) * unit) : 0;
+    if (!v) {
+        return (int)f->number;
+    }
+    if (!json_is_number(v)) {
+        settings_fault(c, name, "must be a number");
+    }
+    else if (!(n >= (double)f->lo && n <= (double)f->hi)) {
+        settings_fault(c, name, "must be from %g to %g", (double)f->lo / unit,
+                       (double)f->hi / unit);
+    }
+    else {
+        return (int)n;
+    }
+    return (int)f->number;
+}
+
 static void
 read_field(struct settings_check *c, const struct settings_field *f,
            json_t *doc, void *out)
@@ -175,6 +198,12 @@
     case FIELD_REAL:
         *(double *)at = read_real(c, f, name, v);
         break;
+    case FIELD_FLOOR:
+        *(int *)at = read_floor(c, f, name, v, 1);
+        break;
+    case FIELD_SECONDS:
+        *(int *)at = read_floor(c, f, name, v, 1000);
+        break;
     case FIELD_BOOL:
         if (v && !json_is_boolean(v)) {
             settings_fault(c, name, "must be true or false");
--- a/src/settings/fields.h
+++ b/src/settings/fields.h
@@ -16,11 +16,13 @@
 #include "base/str.h"
 
 enum settings_field_kind {
-    FIELD_TEXT, /**< struct str */
-    FIELD_INT,  /**< int */
-    FIELD_BOOL, /**< bool */
-    FIELD_SEED, /**< uint64_t */
-    FIELD_REAL, /**< double; given as a number with or without fraction */
+    FIELD_TEXT,    /**< struct str */
+    FIELD_INT,     /**< int */
+    FIELD_BOOL,    /**< bool */
+    FIELD_SEED,    /**< uint64_t */
+    FIELD_REAL,    /**< double; given as a number with or without fraction */
+    FIELD_FLOOR,   /**< int; a fraction is rounded down */
+    FIELD_SECONDS, /**< int, milliseconds; given in seconds, also fractions */
 };
 
 struct settings_field {
@@ -31,7 +33,7 @@
     int64_t lo;
     int64_t hi;
     int64_t number;   /**< default of all but FIELD_TEXT; in thousandths for
-                           FIELD_REAL */
+                           FIELD_REAL and, as lo and hi, for FIELD_SECONDS */
     const char *text; /**< default of FIELD_TEXT; NULL: must be given */
 };
 
--- a/src/settings/gateway_settings.c
+++ b/src/settings/gateway_settings.c
@@ -18,15 +18,15 @@
     {"metrics", "address", FIELD_TEXT, AT(metrics), 0, 63, 0, ""},
     {"link", "address", FIELD_TEXT, AT(link), 1, 63, 0, NULL},
     {"store", "address", FIELD_TEXT, AT(store), 1, 63, 0, NULL},
-    {"stop", "limit_ms", FIELD_INT, AT(stop_ms), 1000, 3600000, 8000, NULL},
+    {"stop", "limit_s", FIELD_SECONDS, AT(stop_ms), 1000, 3600000, 8000, NULL},
     {"stop", "balancer_ms", FIELD_INT, AT(balancer_ms), 0, 600000, 2300, NULL},
-    {"bounds", "revoke_ms", FIELD_INT, AT(revoke_ms), 100, 3600000, 5000,
+    {"bounds", "revoke_ms", FIELD_FLOOR, AT(revoke_ms), 100, 3600000, 5000,
      NULL},
     {"bounds", "repeat_ratio", FIELD_REAL, AT(repeat_ratio), 0, 100, 200,
      NULL},
-    {"bounds", "repeat_slack", FIELD_INT, AT(repeat_slack), 0, 1000000, 10,
+    {"bounds", "repeat_slack", FIELD_FLOOR, AT(repeat_slack), 0, 1000000, 10,
      NULL},
-    {"bounds", "repeat_window_ms", FIELD_INT, AT(repeat_window_ms), 100,
+    {"bounds", "repeat_window_s", FIELD_SECONDS, AT(repeat_window_ms), 100,
      3600000, 10000, NULL},
     {"log", "level", FIELD_TEXT, AT(log_level), 0, 15, 0, "info"},
 };
@@ -67,7 +67,7 @@
     check_address(&c, "store.address", out->store);
     check_address(&c, "link.address", out->link);
     if (out->balancer_ms >= out->stop_ms) {
-        settings_fault(&c, "stop.balancer_ms", "must be below stop.limit_ms");
+        settings_fault(&c, "stop.balancer_ms", "must be below stop.limit_s");
     }
     settings_check_level(&c, out->log_level);
     if (c.faults) {
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -23,12 +23,12 @@
     struct str metrics;   /**< [metrics] address, "IP:PORT"; empty: none */
     struct str link;      /**< [link] address, "IP:PORT", for other nodes */
     struct str store;     /**< [store] address, "IP:PORT" */
-    int stop_ms;          /**< [stop] limit_ms: until the node must end */
+    int stop_ms;          /**< [stop] limit_s: until the node must end */
     int balancer_ms;      /**< [stop] balancer_ms: until no caller comes */
     int revoke_ms;        /**< [bounds] revoke_ms: credentials stop */
     double repeat_ratio;  /**< [bounds] repeat_ratio, of the requests */
     int repeat_slack;     /**< [bounds] repeat_slack, repeats a window */
-    int repeat_window_ms; /**< [bounds] repeat_window_ms */
+    int repeat_window_ms; /**< [bounds] repeat_window_s */
     struct str log_level; /**< [log] level */
 };
 
--- a/tests/platform/rig_platform.c
+++ b/tests/platform/rig_platform.c
@@ -124,7 +124,7 @@
         "[ready]\naddress = \"127.0.0.1:%d\"\n"
         "[link]\naddress = \"127.0.0.1:%d\"\n"
         "[store]\naddress = \"127.0.0.1:%d\"\n"
-        "[stop]\nlimit_ms = 4000\nbalancer_ms = 300\n",
+        "[stop]\nlimit_s = 4\nbalancer_ms = 300\n",
         name, p->port, r->ready_port[i], r->link_port[i], r->store_port);
     g_file_set_contents(path, text, -1, NULL);
     g_free(text);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/clean.h"
+#include "settings/gateway_settings.h"
 #include "settings/settings.h"
 
 #define PUB "Yne@$w-vo<fVvi]a<NY6T1ed:M$fCG*[IaLV{hID"
@@ -98,11 +99,71 @@
     g_assert_cmpint(settings_load("none", &none, &errors), ==, ST_IO);
 }
 
+#define GATEWAY                                                               \
+    "[node]\nname='a'\nzone='z'\n[callers]\naddress='127.0.0.1:1'\n"          \
+    "[ready]\naddress='127.0.0.1:2'\n[link]\naddress='127.0.0.1:3'\n"         \
+    "[store]\naddress='127.0.0.1:4'\n"
+
+/* Guards against a node that does not start because the platform gives a bound
+ * as a fraction. */
+static void
+test_gateway(void)
+{
+    static const struct {
+        const char *bounds;
+        const char *fault; /* NULL: none */
+        int want[4];       /* stop, revocation, slack, window */
+    } rows[] = {
+        {"", NULL, {8000, 5000, 10, 10000}},
+        {"[stop]\nlimit_s=7\n[bounds]\nrevoke_ms=900\nrepeat_slack=33\n"
+         "repeat_window_s=4\nrepeat_ratio=1",
+         NULL,
+         {7000, 900, 33, 4000}},
+        {"[stop]\nlimit_s=7.2504\n[bounds]\nrevoke_ms=4999.9\n"
+         "repeat_slack=33.16\nrepeat_window_s=0.5\nrepeat_ratio=0.2",
+         NULL,
+         {7250, 4999, 33, 500}},
+        {"[stop]\nlimit_s=0.5",
+         "f: stop.limit_s: must be from 1 to 3600",
+         {0}},
+        {"[bounds]\nrepeat_slack=true", "repeat_slack: must be a number", {0}},
+        {"[bounds]\nrevoke_ms=[1, 2]",
+         "f: bounds.revoke_ms: must be a number",
+         {0}},
+        {"[bounds]\nrevoke_ms=nan",
+         "f: bounds.revoke_ms: must be a number",
+         {0}},
+        {"[bounds]\nrepeat_window_s='4'",
+         "repeat_window_s: must be a number",
+         {0}},
+        {"[bounds]\ncolour=1.5", "f: bounds.colour: unknown key", {0}},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        CLEAN(buf_free) struct buf errors = {0};
+        CLEAN(gateway_settings_free) struct gateway_settings s = {0};
+        CLEAN(buf_free) struct buf text = {0};
+        buf_printf(&text, "%s%s\n", GATEWAY, rows[i].bounds);
+        enum status st =
+            gateway_settings_parse(buf_str(&text), "f", &s, &errors);
+        g_test_message("row %zu: %s", i, errors.ptr ? errors.ptr : "");
+        g_assert_cmpint(st, ==, rows[i].fault ? ST_INVALID : ST_OK);
+        if (rows[i].fault) {
+            g_assert_nonnull(strstr(errors.ptr, rows[i].fault));
+            continue;
+        }
+        g_assert_cmpint(s.stop_ms, ==, rows[i].want[0]);
+        g_assert_cmpint(s.revoke_ms, ==, rows[i].want[1]);
+        g_assert_cmpint(s.repeat_slack, ==, rows[i].want[2]);
+        g_assert_cmpint(s.repeat_window_ms, ==, rows[i].want[3]);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/settings/faults", test_faults);
     g_test_add_func("/settings/example", test_example);
+    g_test_add_func("/settings/gateway", test_gateway);
     return g_test_run();
 }
