Share all watches of the store and open connections between nodes on demand

Each published site (a changed endpoint, a joined node) made every node send a greeting to all others, which also opened a CURVE connection from each node to each; addresses were searched linearly for each message.

Ruled out: wider gathering alone (the greeting stayed quadratic); longer watches without a better contact (a contact that counts from the send time of the newest answered call is two waits old).

Change: watchers answer asks for all three parts, after a second at the latest, and tell the age of their contact; a watch without news shows the state at the end of its wait. A watcher that is silent is passed over for all parts. Links are opened by the first message, which waits for the handshake; nodes tell of long prompts to those that follow them in the order of hashes; heartbeats come from one side every 2 s. Lists of nodes are compared by a version. Leases last 10 s instead of 6 s.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -359,6 +359,8 @@
         snprintf(text, sizeof(text), "tcp://%d key%d", i, w->nodes[i].starts);
         site_add_node(site, str_from(w->nodes[i].name), str_from(text));
     }
+    site_sort_nodes(site);
+    site->nodes_version = ++w->nodes_version;
     for (int i = 0; i < w->endpoint_count; i++) {
         const struct fw_endpoint *e = w->shops[i].spec;
         char address[24];
--- a/bench/forward_world_state.h
+++ b/bench/forward_world_state.h
@@ -92,6 +92,7 @@
 struct forward_world {
     int64_t now_us;
     struct rng rng;
+    uint64_t nodes_version;
     int node_count;
     struct world_node *nodes;
     int endpoint_count;
--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/clean.h"
 #include "base/hash.h"
 #include "base/log.h"
 #include "control/feed_state.h"
@@ -8,24 +9,34 @@
 /* A watch is answered at least this often; half of it is the mean age of what
  * a node knows. The keys of teams must stop working within seconds. */
 #define OPERATOR_WAIT_MS 1000
-/* Watchers answer other nodes from their own watches, so theirs are short: an
- * ask is answered within two of them, and a watcher that has died is noticed
- * before a change has to be in force. */
-#define WATCHER_WAIT_MS 650
+/* A watcher's contact is told to other nodes, whose own is older by the time
+ * that an ask is kept, 1 s. With the time until a silent watcher is passed
+ * over, 1.4 s, contacts stay below 4 s; credentials are trusted for 4.75 s
+ * where their removal must be in force within 5 s. */
+#define WATCHER_WAIT_MS 1300
+/* Timers of the store and of this node may differ by this much. */
+#define WAIT_MARGIN_US (20 * MS)
+/* Changes are answered at once and a silent connection is ended by its
+ * keep-alive probes, so this bounds only the calls without news. */
+#define WATCHER_ENDPOINTS_WAIT_MS 4000
 /* Changes that come in quick succession are taken together: heartbeats of the
  * servers come all the time, and each answered watch is a call of the store.
  */
 #define GATHER_OPERATOR_US (50 * MS)
 #define GATHER_ENDPOINTS_US (300 * MS)
-#define GATHER_NODES_US (50 * MS)
-/* An answer of a watcher travels between nodes. */
-#define WATCHER_SLACK_MS 150
+#define GATHER_NODES_US (250 * MS)
+/* An answer of a watcher travels between nodes and waits for two threads. */
+#define WATCHER_SLACK_US (400 * MS)
+/* A watcher that cannot tell again so soon after the store was asked is passed
+ * over. */
+#define DIRECT_AGAIN_US (2 * SECOND)
+/* A watcher without contact keeps an ask, but this node tries others. */
+#define PATIENT_US (1400 * MS)
 /* A connection that has gone silent is noticed after this time and the slack
  * of a call; leaving endpoints must be known within seconds. */
 #define ENDPOINTS_WAIT_MS 1500
-/* Every node watches the nodes itself, so this is most of what a large fleet
- * asks. Owners that are gone are noticed by their silence; a join that is
- * seen late only lets limits that nodes share be too high for that time. */
+/* Owners that are gone are noticed by their silence; a join that is seen late
+ * only lets limits that nodes share be too high for that time. */
 #define NODES_WAIT_MS 15000
 /* After a failure the store is asked without waiting, with short time-outs,
  * so that its return is noticed soon. Each such call is one that the store
@@ -45,9 +56,10 @@
 /* Records expire after three missed heartbeats of a second or more each, so a
  * shorter time without an answer removes none that is alive. */
 #define OUTAGE_US (2000 * MS)
-/* The registration of a node that died ends after this time. */
-#define LEASE_TTL_MS 6000
-#define LEASE_RENEW_US (2 * SECOND)
+/* The registration of a node that died ends after this time; it outlasts two
+ * renewals that were lost. */
+#define LEASE_TTL_MS 10000
+#define LEASE_RENEW_US (3300 * MS)
 #define LEASE_RETRY_US (500 * MS)
 /* Limits that nodes share shrink at once when a node joins and grow only when
  * it has been missing this long, since an unseen node may still send. */
@@ -81,6 +93,8 @@
         g_queue_init(&f->tracks[i].recent);
     }
     f->self = hash64(node);
+    f->watchers = g_array_new(FALSE, FALSE, sizeof(struct watcher));
+    f->watchers_old = true;
     f->suspects =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     g_queue_init(&f->answers);
@@ -106,6 +120,7 @@
         feed_forget_recent(&f->tracks[i], 0);
     }
     g_hash_table_destroy(f->suspects);
+    g_array_free(f->watchers, TRUE);
     g_queue_clear_full(&f->answers, free);
     buf_free(&f->key);
     free(f);
@@ -138,22 +153,39 @@
     int64_t gap =
         t->which == FEED_TRACK_NODES ? NODES_PROBE_GAP_US : PROBE_GAP_US;
     t->due_us = now_us + gap / 2 + (int64_t)rng_below(&f->rng, (uint64_t)gap);
-    feed_refuse_asks(f, t);
+    feed_refuse_asks(f, now_us, t);
 }
 
+/* Time of the newest answer for any part. */
+static int64_t
+last_answered_us(const struct feed *f)
+{
+    int64_t last = 0;
+    for (int i = 0; i < FEED_TRACKS; i++) {
+        last = MAX(last, f->tracks[i].answered_us);
+    }
+    return last;
+}
+
+/* @param contact_us what was acknowledged before is known now */
 static void
-track_answered(struct feed *f, int64_t now_us, struct track *t)
+track_answered(struct feed *f, int64_t now_us, struct track *t,
+               int64_t contact_us)
 {
+    int64_t last = last_answered_us(f);
+    if (t->failing && last && now_us - last > OUTAGE_US) {
+        f->outage_end_us = now_us;
+    }
     if (t->failing) {
         LOG_EVENT(LOG_INFO, "store_back", LOG_S("prefix", t->prefix),
                   LOG_I("contact_age_ms", contact_age_ms(t, now_us)));
     }
-    if (t->which == FEED_TRACK_ENDPOINTS && t->failing && t->answered_us &&
-        now_us - t->answered_us > OUTAGE_US) {
-        f->hold_until_us = now_us + RETURN_HOLD_US;
+    if (t->which == FEED_TRACK_ENDPOINTS && t->failing && f->outage_end_us &&
+        now_us - f->outage_end_us < RETURN_HOLD_US) {
+        f->hold_until_us = f->outage_end_us + RETURN_HOLD_US;
     }
     t->failing = false;
-    t->contact_us = t->sent_us;
+    t->contact_us = MAX(t->contact_us, contact_us);
     t->answered_us = now_us;
     t->due_us = now_us;
 }
@@ -201,7 +233,7 @@
 
 static void
 track_result(struct feed *f, int64_t now_us, struct track *t,
-             const struct kv_result *r)
+             const struct kv_result *r, int64_t contact_us)
 {
     t->busy = false;
     if (r->outcome == KV_COMPACTED) {
@@ -214,7 +246,7 @@
         track_failed(f, now_us, t, r);
         return;
     }
-    track_answered(f, now_us, t);
+    track_answered(f, now_us, t, contact_us);
     if (!t->following) {
         list_result(f, now_us, t, r);
         return;
@@ -232,7 +264,7 @@
         return;
     }
     t->revision = r->revision;
-    feed_answer_asks(f, t);
+    feed_answer_asks(f, now_us, t);
     if (r->item_count > 0) {
         static const int64_t gather[] = {GATHER_OPERATOR_US,
                                          GATHER_ENDPOINTS_US, GATHER_NODES_US};
@@ -240,15 +272,21 @@
     }
 }
 
-/* The store is asked directly next, so that the contact does not age while
- * one watcher after the other is found to be gone. */
+/* A watcher is asked no more. For the operator's part the store is asked
+ * next, so that the contact does not age while one watcher after the other is
+ * found to be gone; other parts ask another watcher. */
 static void
-pass_over(struct feed *f, int64_t now_us, struct track *t)
+pass_over(struct feed *f, int64_t now_us, uint64_t node, bool failing)
 {
-    feed_set_suspect(f, now_us, t->via, t->failing);
-    t->direct = true;
-    t->busy = false;
-    t->due_us = now_us;
+    feed_set_suspect(f, now_us, node, failing);
+    for (int i = 0; i < FEED_TRACKS; i++) {
+        struct track *t = &f->tracks[i];
+        if (t->busy && t->via == node) {
+            t->direct = t->which == FEED_TRACK_OPERATOR;
+            t->busy = false;
+            t->due_us = now_us;
+        }
+    }
 }
 
 void
@@ -260,8 +298,17 @@
         if (!t->busy || !t->via || t->id != answer->ask) {
             continue;
         }
+        uint64_t node = t->via;
         if (!answer->known) {
-            pass_over(f, now_us, t);
+            /* Only the store can tell what this node has missed. */
+            if (answer->age_us == FEED_AGE_UNKNOWN || feed_is_stale(answer) ||
+                now_us - t->direct_us < DIRECT_AGAIN_US) {
+                pass_over(f, now_us, node, t->failing);
+            }
+            t->direct = true;
+            t->direct_us = now_us;
+            t->busy = false;
+            t->due_us = now_us;
             return;
         }
         struct kv_item items[FEED_RELAY_ITEMS];
@@ -278,22 +325,25 @@
                                               : t->revision,
                               .item_count = answer->item_count,
                               .items = items};
-        if (!answer->fresh) {
-            t->sent_us = t->contact_us;
+        track_result(f, now_us, t, &r,
+                     answer->age_us == FEED_AGE_UNKNOWN
+                         ? 0
+                         : t->sent_us - answer->age_us);
+        if (feed_is_stale(answer)) {
+            pass_over(f, now_us, node, false);
+            t->direct = t->which == FEED_TRACK_OPERATOR;
         }
-        track_result(f, now_us, t, &r);
         return;
     }
 }
 
-/* A watcher that does not answer: the store is asked directly. */
 static void
 pass_over_silent(struct feed *f, int64_t now_us, struct track *t)
 {
     if (t->busy && t->via && now_us >= t->via_until_us) {
         LOG_EVENT(LOG_WARN, "watcher_silent", LOG_I("node", t->via),
                   LOG_S("prefix", t->prefix));
-        pass_over(f, now_us, t);
+        pass_over(f, now_us, t->via, t->failing);
     }
 }
 
@@ -308,6 +358,28 @@
     return FEED_TRACKS;
 }
 
+/* How long the store may keep a watch without news. */
+static int64_t
+wait_ms(const struct feed *f, const struct track *t)
+{
+    if (t->failing || t->direct) {
+        return PROBE_WAIT_MS;
+    }
+    if (g_hash_table_size(f->nodes) <= DIRECT_NODES) {
+        return t->wait_ms;
+    }
+    switch (t->which) {
+    case FEED_TRACK_OPERATOR:
+        return WATCHER_WAIT_MS;
+    case FEED_TRACK_ENDPOINTS:
+        return WATCHER_ENDPOINTS_WAIT_MS;
+    case FEED_TRACK_NODES:
+    case FEED_TRACKS:
+        break;
+    }
+    return t->wait_ms;
+}
+
 static bool
 track_op(struct feed *f, int64_t now_us, struct track *t, struct kv_op *out)
 {
@@ -331,20 +403,17 @@
     else {
         out->kind = KV_WATCH;
         out->revision = t->revision;
-        t->via = t->direct ? 0 : feed_choose_watcher(f, now_us, t->which);
+        t->via = t->direct ? 0 : feed_choose_watcher(f, now_us);
         out->patient = t->failing;
-        t->direct = false;
         out->via = t->via;
-        int64_t wait_ms = t->wait_ms;
-        if (g_hash_table_size(f->nodes) > DIRECT_NODES &&
-            t->which != FEED_TRACK_NODES) {
-            wait_ms = WATCHER_WAIT_MS;
-        }
-        out->wait_ms = t->failing ? PROBE_WAIT_MS : wait_ms;
+        out->wait_ms = wait_ms(f, t);
         out->timeout_ms =
-            t->failing ? PROBE_TIMEOUT_MS : wait_ms + CALL_SLACK_MS;
+            t->failing ? PROBE_TIMEOUT_MS : out->wait_ms + CALL_SLACK_MS;
+        t->waited_us = out->wait_ms * MS;
         t->via_until_us =
-            now_us + (2 * WATCHER_WAIT_MS + WATCHER_SLACK_MS) * MS;
+            now_us + (t->failing ? PATIENT_US
+                                 : feed_hold_us(t->which) + WATCHER_SLACK_US);
+        t->direct = false;
     }
     t->busy = true;
     t->sent_us = now_us;
@@ -445,6 +514,7 @@
 feed_next_op(struct feed *f, int64_t now_us, struct kv_op *out)
 {
     *out = (struct kv_op){0};
+    feed_answer_due(f, now_us);
     if (lease_op(f, now_us, out)) {
         return true;
     }
@@ -456,6 +526,17 @@
     return false;
 }
 
+/* What was acknowledged before this time is in the answer. The store answers a
+ * watch without changes only when its wait has ended. */
+static int64_t
+shown_us(const struct track *t, int64_t now_us, const struct kv_result *r)
+{
+    bool waited = t->following && r->item_count == 0 &&
+                  now_us - t->sent_us >= t->waited_us;
+    return waited ? MAX(t->sent_us, t->sent_us + t->waited_us - WAIT_MARGIN_US)
+                  : t->sent_us;
+}
+
 void
 feed_result(struct feed *f, int64_t now_us, const struct kv_result *r)
 {
@@ -465,7 +546,8 @@
     }
     for (int i = 0; i < FEED_TRACKS; i++) {
         if (r->id == f->tracks[i].id) {
-            track_result(f, now_us, &f->tracks[i], r);
+            track_result(f, now_us, &f->tracks[i], r,
+                         shown_us(&f->tracks[i], now_us, r));
         }
     }
 }
@@ -473,7 +555,7 @@
 int64_t
 feed_wakeup(const struct feed *f)
 {
-    int64_t at = INT64_MAX;
+    int64_t at = feed_answers_wakeup(f);
     for (int i = 0; i < FEED_TRACKS; i++) {
         const struct track *t = &f->tracks[i];
         int64_t due = t->due_us;
@@ -520,6 +602,16 @@
     }
 }
 
+static bool
+evacuated(const struct feed *f, struct str zone)
+{
+    if (g_hash_table_size(f->evacuations) == 0) {
+        return false;
+    }
+    CLEAN_FREE char *name = g_strndup(zone.ptr, zone.len);
+    return g_hash_table_contains(f->evacuations, name);
+}
+
 struct site *
 feed_site(struct feed *f, int64_t now_us)
 {
@@ -542,14 +634,13 @@
         site_add_node(s, str_from(k),
                       str_from(g_hash_table_lookup(f->addresses, k)));
     }
+    site_sort_nodes(s);
+    s->nodes_version = f->nodes_version;
     g_hash_table_iter_init(&it, f->records);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct record *r = v;
-        char zone[64];
-        g_snprintf(zone, sizeof(zone), "%.*s", STR_FMT(r->info.zone));
         int service = routing_find_service(f->routing, r->info.service);
-        if (service >= 0 && !r->info.draining &&
-            !g_hash_table_contains(f->evacuations, zone)) {
+        if (service >= 0 && !r->info.draining && !evacuated(f, r->info.zone)) {
             site_add(s, &r->info, service, r->cold_until_us);
         }
     }
--- a/src/control/feed.h
+++ b/src/control/feed.h
@@ -55,7 +55,8 @@
 void feed_free(struct feed *f);
 
 /** The next operation to submit; one with via set goes to that node as an ask
- * with the operation's id and the track. @return false if there is none now */
+ * with the operation's id and the track. Also answers asks of other nodes that
+ * have waited long enough. @return false if there is none now */
 bool feed_next_op(struct feed *f, int64_t now_us, struct kv_op *out);
 void feed_result(struct feed *f, int64_t now_us, const struct kv_result *r);
 
--- a/src/control/feed_records.c
+++ b/src/control/feed_records.c
@@ -132,6 +132,15 @@
     }
 }
 
+static void
+nodes_changed(struct feed *f, const GHashTable *table)
+{
+    if (table == f->nodes) {
+        f->watchers_old = true;
+        f->nodes_version++;
+    }
+}
+
 static void
 set_name(struct feed *f, GHashTable *table, const char *event, struct str name)
 {
@@ -139,6 +148,7 @@
     if (!g_hash_table_contains(table, key)) {
         LOG_EVENT(LOG_INFO, event, LOG_S("name", name));
         f->changed = true;
+        nodes_changed(f, table);
     }
     g_hash_table_replace(table, key, GINT_TO_POINTER(2));
 }
@@ -156,6 +166,7 @@
     }
     g_hash_table_remove(table, key);
     f->changed = true;
+    nodes_changed(f, table);
 }
 
 static void
@@ -166,6 +177,7 @@
         g_hash_table_replace(f->addresses, g_strdup(node),
                              g_strndup(registered.ptr, registered.len));
         f->changed = true;
+        f->nodes_version++;
     }
 }
 
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -50,7 +50,13 @@
     uint64_t ask;
     int64_t revision; /* that the asker has */
     bool known;
-    bool fresh;
+    int64_t age_us; /* see struct feed_answer */
+};
+
+/* A node that watches the store for others. */
+struct watcher {
+    uint64_t node;
+    uint64_t rank;
 };
 
 /* A change that others may ask for. */
@@ -72,12 +78,14 @@
     bool complete; /* a list has ended once */
     uint64_t id;   /* of the call under way */
     int64_t sent_us;
+    int64_t waited_us; /* that the store keeps it without news */
     int64_t due_us;
     int64_t revision;
     char *page_after;
     int64_t list_revision; /* of the first page */
     int64_t contact_us;    /* send time of the newest answered call */
     bool direct;           /* the next call goes to the store */
+    int64_t direct_us;     /* a watcher could not tell then */
     int64_t via_until_us;  /* the node must have answered */
     uint64_t via;          /* node asked by the call under way; 0: the store */
     GArray *asks;          /* struct waiting_ask */
@@ -94,6 +102,10 @@
     struct rng rng;
     struct track tracks[FEED_TRACKS];
     uint64_t self;         /* hash of this node's name */
+    GArray *watchers;      /* struct watcher, highest rank first */
+    bool watchers_old;     /* nodes have changed since */
+    int64_t outage_end_us; /* end of the last outage that was long enough for
+                              records to lapse */
     GHashTable *suspects;  /* hash of node -> int64_t, until when */
     GQueue answers;        /* struct ready_answer */
     int64_t hold_until_us; /* removed records still hold */
@@ -105,6 +117,7 @@
     GHashTable *evacuations; /* zone -> 1: unlisted, 2: listed */
     GHashTable *nodes;       /* name -> 1: unlisted, 2: listed */
     GHashTable *addresses;   /* name of node -> what it registered */
+    uint64_t nodes_version;  /* rises with each change of nodes, addresses */
     int share_nodes;
     int64_t fewer_since_us;
     bool changed;
@@ -134,15 +147,22 @@
 void feed_keep_recent(struct track *t, const struct kv_item *item);
 /** Drops the oldest changes beyond a number and a size. */
 void feed_forget_recent(struct track *t, guint most);
-/** After an answer of the store. */
-void feed_answer_asks(struct feed *f, struct track *t);
+/** After an answer of the store: nodes that wait for its changes are told. */
+void feed_answer_asks(struct feed *f, int64_t now_us, struct track *t);
+/** Answers asks that have waited long enough. */
+void feed_answer_due(struct feed *f, int64_t now_us);
+/** When feed_answer_due has something to do. */
+int64_t feed_answers_wakeup(const struct feed *f);
+/** How long a watcher keeps an ask without news. */
+int64_t feed_hold_us(enum feed_track which);
 /** The store cannot be asked: nodes that wait are told so, unless they have no
  * contact either. */
-void feed_refuse_asks(struct feed *f, struct track *t);
+void feed_refuse_asks(struct feed *f, int64_t now_us, struct track *t);
 void feed_set_suspect(struct feed *f, int64_t now_us, uint64_t node,
                       bool failing);
+/** Whether the node has told that its contact is too old. */
+bool feed_is_stale(const struct feed_answer *answer);
 /** The node to ask instead of the store; 0: the store. */
-uint64_t feed_choose_watcher(const struct feed *f, int64_t now_us,
-                             enum feed_track which);
+uint64_t feed_choose_watcher(struct feed *f, int64_t now_us);
 
 #endif
--- a/src/daemon/gateway_link.c
+++ b/src/daemon/gateway_link.c
@@ -4,22 +4,16 @@
 #include "base/log.h"
 #include "daemon/gateway_traffic_state.h"
 
+/* A connection is opened by the first message, which waits for the handshake:
+ * a few round trips, or until the other node has read this one's key from the
+ * store. An older ask has been repeated. */
+#define EARLY_MS 400
+
 static struct str
 address_of(const struct gateway_traffic *t, uint64_t node)
 {
-    for (int i = 0; t->site && i < t->site->alive_count; i++) {
-        if (t->site->alive[i].hash == node) {
-            return t->site->alive[i].address;
-        }
-    }
-    return (struct str){0};
-}
-
-void
-gateway_link_greet(struct gateway_traffic *t, uint64_t node)
-{
-    const struct stage_msg hello = {.kind = STAGE_MSG_DROP};
-    gateway_link_tell(t, node, &hello);
+    const struct site_node *n = t->site ? site_find_node(t->site, node) : NULL;
+    return n ? n->address : (struct str){0};
 }
 
 void
@@ -57,8 +51,9 @@
 gateway_link_reconnect(void *ctx, uint64_t node)
 {
     struct gateway_traffic *t = ctx;
+    const struct stage_msg hello = {.kind = STAGE_MSG_DROP};
     link_reset(t->link, address_of(t, node));
-    gateway_link_greet(t, node);
+    gateway_link_tell(t, node, &hello);
 }
 
 static void
@@ -147,6 +142,7 @@
     struct link_options opts = {.address = buf_str(&address),
                                 .public_key = str_from(t->shared->link_public),
                                 .secret_key = str_from(t->shared->link_secret),
+                                .early_ms = EARLY_MS,
                                 .ctx = t,
                                 .message = on_link_message,
                                 .lost = on_link_lost};
--- a/src/daemon/gateway_traffic.c
+++ b/src/daemon/gateway_traffic.c
@@ -382,9 +382,8 @@
 /* Events of the control thread */
 
 static void
-use_site(struct gateway_traffic *t, struct site *site)
+set_peers(struct gateway_traffic *t, const struct site *site)
 {
-    const struct caller_limits *l = routing_limits(site->routing);
     struct link_peer *peers =
         mem_zero((size_t)site->alive_count + 1, sizeof(*peers));
     int count = 0;
@@ -395,14 +394,18 @@
         }
     }
     link_set_peers(t->link, peers, count);
+    free(peers);
+}
+
+static void
+use_site(struct gateway_traffic *t, struct site *site)
+{
+    const struct caller_limits *l = routing_limits(site->routing);
+    if (!t->site || t->site->nodes_version != site->nodes_version) {
+        set_peers(t, site);
+    }
     site_unref(t->site);
     t->site = site_ref(site);
-    for (int i = 0; i < site->alive_count; i++) {
-        if (site->alive[i].hash != t->node) {
-            gateway_link_greet(t, site->alive[i].hash);
-        }
-    }
-    free(peers);
     forward_set_site(t->forward, gateway_now_us(), site);
     http_in_set_max_body(t->in, l->body_bytes > 0 ? (size_t)l->body_bytes
                                                   : DEFAULT_BODY_BYTES);
--- a/src/daemon/gateway_traffic_state.h
+++ b/src/daemon/gateway_traffic_state.h
@@ -40,9 +40,6 @@
 /** Binds the link to other nodes. Errors: as link_new. */
 enum status gateway_link_open(struct gateway_traffic *t,
                               const struct gateway_settings *set);
-/** Opens the connection to a node ahead of need, since nothing is queued
- * before it is there: a drop of no ask is without effect. */
-void gateway_link_greet(struct gateway_traffic *t, uint64_t node);
 /** Effects of the forwarding core. @p ctx is the struct gateway_traffic */
 void gateway_link_tell(void *ctx, uint64_t node, const struct stage_msg *m);
 void gateway_link_reconnect(void *ctx, uint64_t node);
--- a/src/forward/owners.c
+++ b/src/forward/owners.c
@@ -172,14 +172,19 @@
 void
 owners_set_site(struct forward *f, int64_t now_us)
 {
-    clear_restarted(f);
+    if (f->nodes_version != f->site->nodes_version) {
+        f->nodes_version = f->site->nodes_version;
+        clear_restarted(f);
+    }
     size_t at = 0;
     struct svc *s;
     struct pool_entry *e;
     while ((s = map_next(&f->services, &at))) {
         int n = (int)s->endpoints->len;
         s->groups = n > 0 ? (n + GROUP_ENDPOINTS - 1) / GROUP_ENDPOINTS : 1;
-        g_ptr_array_sort(s->endpoints, by_zone_and_id);
+        if (s->info.does_pieces) {
+            g_ptr_array_sort(s->endpoints, by_zone_and_id);
+        }
     }
     for (at = 0; (e = map_next(&f->pools, &at));) {
         fill_pool(f, now_us, e);
@@ -308,8 +313,9 @@
         m.prefill.parts[i] = r->prompt.chain[i];
         m.prefill.part_tokens[i] = r->prompt.tokens[i];
     }
-    /* In a large fleet each node tells others than its neighbours do. */
-    int first = (int)(f->self % (uint64_t)count);
+    /* Those that follow this node in the order of hashes, so that joins change
+     * few of them and with them few connections. */
+    int first = site_node_at(f->site, f->self);
     for (int i = 0, told = 0; i < count && told < NOTIFY_NODES; i++) {
         const struct site_node *n = &f->site->alive[(first + i) % count];
         if (n->hash != f->self && n->address.len > 0) {
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -166,17 +166,18 @@
     struct rng rng;
     struct site *site;
     int64_t contact_us;
-    int64_t ran_us;       /* last forward_run */
-    struct map requests;  /* id -> struct request */
-    struct map calls;     /* id -> struct request */
-    struct map asks;      /* id -> struct open_ask */
-    struct map pools;     /* service hash + group -> struct pool_entry */
-    struct map peers;     /* hash of node -> struct peer */
-    GQueue inbox;         /* struct local_msg */
-    uint64_t self;        /* hash of this node's name */
-    int64_t asks_due_us;  /* open asks are looked at; INT64_MAX: none */
-    struct map services;  /* hash of name -> struct svc */
-    struct map endpoints; /* hash of id -> struct endpoint */
+    int64_t ran_us;         /* last forward_run */
+    struct map requests;    /* id -> struct request */
+    struct map calls;       /* id -> struct request */
+    struct map asks;        /* id -> struct open_ask */
+    struct map pools;       /* service hash + group -> struct pool_entry */
+    struct map peers;       /* hash of node -> struct peer */
+    GQueue inbox;           /* struct local_msg */
+    uint64_t self;          /* hash of this node's name */
+    uint64_t nodes_version; /* of the site */
+    int64_t asks_due_us;    /* open asks are looked at; INT64_MAX: none */
+    struct map services;    /* hash of name -> struct svc */
+    struct map endpoints;   /* hash of id -> struct endpoint */
     struct timers timers;
     uint64_t next_call; /* of calls and asks; begins at random */
     bool draining;
--- a/src/model/site.c
+++ b/src/model/site.c
@@ -74,6 +74,45 @@
     }
 }
 
+static int
+by_hash(const void *a, const void *b)
+{
+    const struct site_node *x = a;
+    const struct site_node *y = b;
+    return (x->hash > y->hash) - (x->hash < y->hash);
+}
+
+void
+site_sort_nodes(struct site *s)
+{
+    qsort(s->alive, (size_t)s->alive_count, sizeof(s->alive[0]), by_hash);
+}
+
+int
+site_node_at(const struct site *s, uint64_t hash)
+{
+    int lo = 0;
+    int hi = s->alive_count;
+    while (lo < hi) {
+        int mid = lo + (hi - lo) / 2;
+        if (s->alive[mid].hash < hash) {
+            lo = mid + 1;
+        }
+        else {
+            hi = mid;
+        }
+    }
+    return lo;
+}
+
+const struct site_node *
+site_find_node(const struct site *s, uint64_t hash)
+{
+    int i = site_node_at(s, hash);
+    return i < s->alive_count && s->alive[i].hash == hash ? &s->alive[i]
+                                                          : NULL;
+}
+
 void
 endpoint_record_free(struct endpoint_record *e)
 {
--- a/src/model/site.h
+++ b/src/model/site.h
@@ -45,7 +45,8 @@
     int node_count; /**< nodes that share limits, at least 1; may be more than
                          the nodes that are known to live */
     int alive_count;
-    struct site_node *alive; /**< nodes that are registered */
+    struct site_node *alive; /**< nodes that are registered, by hash */
+    uint64_t nodes_version;  /**< differs when alive differs */
     int endpoint_count;
     struct site_endpoint *endpoints;
 };
@@ -56,6 +57,13 @@
                       int nodes);
 /** Adds a node by its name and what it registered, "ADDRESS KEY". */
 void site_add_node(struct site *s, struct str name, struct str registered);
+/** Orders the nodes, after the last site_add_node. */
+void site_sort_nodes(struct site *s);
+/** Index of the first node whose hash is not below @p hash; alive_count if
+ * there is none. */
+int site_node_at(const struct site *s, uint64_t hash);
+/** @return NULL: not registered */
+const struct site_node *site_find_node(const struct site *s, uint64_t hash);
 struct site *site_ref(struct site *s);
 void site_unref(struct site *s);
 /** Copies the strings. */
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -25,13 +25,24 @@
  * share. */
 #define BATCH 256
 
+/* Messages that wait for a connection to be established. */
+#define EARLY_MAX 64
+/* A silent connection is noticed after two to five seconds; owners that do not
+ * answer are noticed sooner by the asks. The accepting side is told by
+ * HEARTBEAT_TTL_MS and sends none of its own, since a fleet has many idle
+ * connections. */
+#define HEARTBEAT_MS 2000
+#define HEARTBEAT_TIMEOUT_MS 3000
+#define HEARTBEAT_TTL_MS 6000
+
 #define COUNTER_LIST(X)                                                       \
     X(sent)                                                                   \
     X(dropped)                                                                \
     X(received)                                                               \
     X(malformed)                                                              \
     X(denied)                                                                 \
-    X(held)
+    X(held)                                                                   \
+    X(early)
 
 struct peer {
     char *address;
@@ -43,6 +54,13 @@
     uint64_t node; /* last addressed */
     bool up;       /* the last message was queued */
     bool dirty;    /* in link->dirty: may have input */
+    GQueue early;  /* struct early_msg, for the first connection */
+};
+
+/* A message that waits for a connection. */
+struct early_msg {
+    struct buf bytes;
+    gint64 came_us;
 };
 
 /* Identity that the ROUTER gave to the connection of a node. */
@@ -113,9 +131,18 @@
     }
 }
 
+static void
+early_free(gpointer p)
+{
+    struct early_msg *m = p;
+    buf_free(&m->bytes);
+    free(m);
+}
+
 static void
 close_socket(struct peer *peer)
 {
+    g_queue_clear_full(&peer->early, early_free);
     if (peer->socket) {
         watch(peer->link, peer->socket, EPOLL_CTL_DEL, NULL);
         zmq_close(peer->socket);
@@ -433,6 +460,25 @@
     return true;
 }
 
+/* Sends what has waited for the connection and is not too old. */
+static void
+flush_early(struct link *l, struct peer *p)
+{
+    gint64 before = g_get_monotonic_time() - (gint64)l->opts.early_ms * 1000;
+    struct early_msg *m;
+    while ((m = g_queue_peek_head(&p->early))) {
+        bool old = m->came_us < before;
+        if (!old && zmq_send(p->socket, m->bytes.ptr, m->bytes.len,
+                             ZMQ_DONTWAIT) < 0) {
+            return;
+        }
+        p->up |= !old;
+        l->count.dropped += old;
+        l->count.sent += !old;
+        early_free(g_queue_pop_head(&p->early));
+    }
+}
+
 static void
 report_lost(struct link *l)
 {
@@ -468,6 +514,7 @@
             taken++;
             continue;
         }
+        flush_early(l, p);
         p->dirty = false;
         g_ptr_array_set_size(l->dirty, (int)l->dirty->len - 1);
     }
@@ -496,8 +543,9 @@
     set_int(p->socket, ZMQ_RECONNECT_IVL, 100);
     set_int(p->socket, ZMQ_RECONNECT_IVL_MAX, 1000);
     set_int(p->socket, ZMQ_CONNECT_TIMEOUT, 1000);
-    set_int(p->socket, ZMQ_HEARTBEAT_IVL, 1000);
-    set_int(p->socket, ZMQ_HEARTBEAT_TIMEOUT, 3000);
+    set_int(p->socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
+    set_int(p->socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
+    set_int(p->socket, ZMQ_HEARTBEAT_TTL, HEARTBEAT_TTL_MS);
     if (l->curve) {
         zmq_setsockopt(p->socket, ZMQ_CURVE_SERVERKEY, p->key, KEY_TEXT + 1);
         zmq_setsockopt(p->socket, ZMQ_CURVE_PUBLICKEY, l->public_key,
@@ -545,11 +593,32 @@
            zmq_send(l->router, l->out.ptr, l->out.len, ZMQ_DONTWAIT) >= 0;
 }
 
+static bool
+keep_early(struct link *l, struct peer *p)
+{
+    if (l->opts.early_ms == 0 || p->up ||
+        g_queue_get_length(&p->early) == EARLY_MAX) {
+        return false;
+    }
+    struct early_msg *m = mem_zero(1, sizeof(*m));
+    buf_append_str(&m->bytes, buf_str(&l->out));
+    m->came_us = g_get_monotonic_time();
+    g_queue_push_tail(&p->early, m);
+    l->count.early++;
+    return true;
+}
+
 static bool
 send_to(struct link *l, struct peer *p, uint64_t node)
 {
-    bool ok = zmq_send(p->socket, l->out.ptr, l->out.len, ZMQ_DONTWAIT) >= 0;
+    flush_early(l, p);
+    bool ok = g_queue_is_empty(&p->early) &&
+              zmq_send(p->socket, l->out.ptr, l->out.len, ZMQ_DONTWAIT) >= 0;
     p->node = node;
+    if (!ok && keep_early(l, p)) {
+        mark_dirty(p);
+        return true;
+    }
     mark_dirty(p);
     /* Nothing can be queued before the first connection is established; that
      * says nothing about the node. */
@@ -608,8 +677,6 @@
     set_int(l->router, ZMQ_ROUTER_MANDATORY, 1);
     set_int(l->router, ZMQ_RCVHWM, RECEIVE_LIMIT);
     set_int(l->router, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS);
-    set_int(l->router, ZMQ_HEARTBEAT_IVL, 1000);
-    set_int(l->router, ZMQ_HEARTBEAT_TIMEOUT, 3000);
     int64_t largest = MSG_MAX_BYTES;
     zmq_setsockopt(l->router, ZMQ_MAXMSGSIZE, &largest, sizeof(largest));
     if (l->curve) {
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -26,6 +26,8 @@
     struct str secret_key;
     int peer_count; /**< always allowed, whatever link_set_peers says */
     const struct link_peer *peers;
+    int early_ms; /**< messages to a peer that is not connected yet wait this
+                       long; 0: they are dropped */
     void *ctx;
     /** A decoded message; its strings are valid during the call. */
     void (*message)(void *ctx, const struct msg *m);
--- a/src/wire/msg.c
+++ b/src/wire/msg.c
@@ -349,7 +349,7 @@
 {
     io_u64(io, &b->ask);
     io_bool(io, &b->known);
-    io_bool(io, &b->fresh);
+    io_i64(io, &b->age_us, INT64_MAX);
     io_i64(io, &b->revision, INT64_MAX);
     io_int(io, &b->item_count, FEED_RELAY_ITEMS);
     for (int i = 0; !io->bad && i < b->item_count; i++) {
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -17,6 +17,7 @@
     char secret_key[41];
     int got;
     int lost;
+    int early_ms;
     uint64_t from;
 };
 
@@ -54,6 +55,7 @@
         .secret_key = str_from(n->secret_key),
         .peer_count = peer ? 1 : 0,
         .peers = &p,
+        .early_ms = n->early_ms,
         .ctx = n,
         .message = on_message,
         .lost = on_lost,
@@ -227,6 +229,42 @@
     link_free(n[0].link);
 }
 
+/* Guards against the loss of the message that opens a connection: an ask would
+ * wait until it is repeated. */
+static void
+test_first_message(void)
+{
+    struct node n[2] = {0};
+    open_node(&n[0], "tcp://127.0.0.1:*", true, NULL);
+    n[1].early_ms = 10000;
+    open_node(&n[1], "tcp://127.0.0.1:*", true, &n[0]);
+    struct link_peer p = {str_from(link_address(n[1].link)),
+                          str_from(n[1].public_key)};
+    link_set_peers(n[0].link, &p, 1);
+    for (int i = 0; i < 3; i++) {
+        g_assert_true(send_ping(&n[1], link_address(n[0].link), 2));
+    }
+    gint64 end = g_get_monotonic_time() + LIMIT_US;
+    while (n[0].got < 3) {
+        g_assert_cmpint(g_get_monotonic_time(), <, end);
+        run(n, 2);
+    }
+    g_assert_cmpint(counter(&n[1], "cf_link_dropped_total "), ==, 0);
+    /* To nobody: messages end when they are too old, and do not pile up. */
+    link_free(n[0].link);
+    link_free(n[1].link);
+    n[1] = (struct node){.early_ms = 20};
+    open_node(&n[1], "tcp://127.0.0.1:*", false, NULL);
+    for (int i = 0; i < 200; i++) {
+        send_ping(&n[1], "tcp://127.0.0.1:1", 2);
+    }
+    g_assert_cmpint(counter(&n[1], "cf_link_early_total "), ==, 64);
+    g_usleep(30 * 1000);
+    send_ping(&n[1], "tcp://127.0.0.1:1", 2);
+    g_assert_cmpint(counter(&n[1], "cf_link_dropped_total "), ==, 200);
+    link_free(n[1].link);
+}
+
 /* A node that connects before its key is known here: libzmq lets a refused
  * handshake wait for two seconds, in which the node would be taken for dead.
  * The connection is up as soon as the key is known. */
@@ -260,6 +298,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/link/both-ways", test_both_ways);
     g_test_add_func("/link/reply-over-connection", test_reply_over_connection);
+    g_test_add_func("/link/first-message", test_first_message);
     g_test_add_func("/link/early-key", test_early_key);
     g_test_add_func("/link/unknown-key", test_unknown_key);
     g_test_add_func("/link/restarted-and-dead-peer",
--- a/tests/test_msg.c
+++ b/tests/test_msg.c
@@ -72,6 +72,7 @@
     {MSG_FEED_ANSWER, 1, 2,
      .feed_answer = {.ask = BIG,
                      .known = true,
+                     .age_us = FEED_AGE_UNKNOWN,
                      .revision = 4,
                      .item_count = 1,
                      .items = {{{"k", 1}, {"v", 1}, 3, false}}}},
@@ -95,8 +96,13 @@
     for (int t = 0; t < MSG_TYPE_COUNT; t++) {
         g_assert_true(seen[t]);
     }
+    /* A watcher without contact must not seem to have a new one. */
     CLEAN(buf_free) struct buf a = {0};
     struct msg m;
+    msg_encode(&rows[G_N_ELEMENTS(rows) - 1], &a);
+    msg_decode(buf_str(&a), &m);
+    g_assert_cmpint(m.feed_answer.age_us, ==, FEED_AGE_UNKNOWN);
+    buf_clear(&a);
     msg_encode(&rows[7], &a);
     msg_decode(buf_str(&a), &m);
     g_assert_cmpuint(m.claim.key.hi, ==, BIG);
