Bound what a node holds of answers, and let callers' backlog stop a stream

Cause: a server whose answer never ends filled the node's memory (1.7 GB in two seconds by an endless body), for head, trailers, interim heads, body, events and answers about stages alike. A byte now and then kept a stalled stream alive; a handle of a stage went unchecked into a header; answers that broke counted as crashes of an endpoint, for all routes.

Ruled out: a limit in the relay alone; it does not know events. A limit by the configured body size; it bounds what callers send.

The call is closed, and what may be repeated goes to another endpoint. A caller 256 KiB behind stops the reading of its stream. Only whole events are progress; pauses that the route allows are not silence. Strikes are kept for a content and route, not for bytes that are no answer, and end with a whole answer.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -252,6 +252,15 @@
     forward_world_by_id(n->world, request)->first_us = n->world->now_us;
 }
 
+/* Callers take everything at once. */
+static void
+io_hold(void *ctx, uint64_t call, uint64_t request)
+{
+    (void)ctx;
+    (void)call;
+    (void)request;
+}
+
 static size_t
 io_body(void *ctx, uint64_t request, struct str bytes)
 {
@@ -395,7 +404,7 @@
     const struct forward_io io = {
         n,       io_send,      io_send_pieces, io_release,   io_ask_room,
         io_tell, io_reconnect, io_cancel,      io_keep_head, io_begin,
-        io_body, io_finish,    io_abort,       io_refuse};
+        io_hold, io_body,      io_finish,      io_abort,     io_refuse};
     n->core = forward_new(&opts, &io);
 }
 
--- a/src/daemon/gateway_traffic.c
+++ b/src/daemon/gateway_traffic.c
@@ -19,6 +19,12 @@
 #define MAX_RESULTS 256
 #define DEFAULT_HEADER_MS 5000
 #define DEFAULT_IDLE_MS 60000
+/* Answers about stages: a hundred results of some hundred bytes, or a report.
+ */
+#define STAGE_ANSWER_MAX_BYTES (1u << 20)
+/* A call that was held is read again when the caller has taken all but this.
+ */
+#define TAKEN_BYTES (32u << 10)
 /* The loop turns at least this often, so that a stalled thread is noticed. */
 #define TURN_US (200 * MS)
 #define DEFAULT_BODY_BYTES (8 << 20)
@@ -212,6 +218,36 @@
                   (int)x->head->len, length);
 }
 
+struct held_call {
+    uint64_t call;
+    uint64_t request;
+};
+
+static void
+io_hold(void *ctx, uint64_t call, uint64_t request)
+{
+    struct gateway_traffic *t = ctx;
+    struct held_call h = {call, request};
+    relay_pause(t->relay, call, true);
+    g_array_append_val(t->held, h);
+}
+
+/* Reads on the calls whose callers have caught up. */
+static void
+follow_held(struct gateway_traffic *t)
+{
+    for (guint i = 0; i < t->held->len;) {
+        struct held_call h = g_array_index(t->held, struct held_call, i);
+        if (http_in_write(t->in, h.request, STR_LIT("")) > TAKEN_BYTES) {
+            i++;
+            continue;
+        }
+        g_array_remove_index_fast(t->held, i);
+        forward_taken(t->forward, gateway_now_us(), h.call);
+        relay_pause(t->relay, h.call, false);
+    }
+}
+
 static size_t
 io_body(void *ctx, uint64_t request, struct str bytes)
 {
@@ -272,6 +308,8 @@
     }
 }
 
+static void on_end(void *ctx, uint64_t id, enum relay_result result);
+
 static void
 on_bytes(void *ctx, uint64_t id, struct str bytes)
 {
@@ -283,6 +321,12 @@
     if (c->kind == OUT_REQUEST) {
         forward_bytes(t->forward, gateway_now_us(), id, bytes);
     }
+    else if (c->in.len + bytes.len > STAGE_ANSWER_MAX_BYTES) {
+        LOG_EVENT(LOG_WARN, "answer_too_long", LOG_I("kind", c->kind),
+                  LOG_I("bytes", c->in.len + bytes.len));
+        relay_cancel(t->relay, id);
+        on_end(t, id, RELAY_GARBAGE);
+    }
     else {
         buf_append_str(&c->in, bytes);
     }
@@ -296,6 +340,8 @@
         return CALL_END_WHOLE;
     case RELAY_UNSENT:
         return CALL_END_UNSENT;
+    case RELAY_GARBAGE:
+        return CALL_END_GARBAGE;
     case RELAY_BROKEN:
     case RELAY_TIMEOUT:
         break;
@@ -490,6 +536,7 @@
         int64_t loop_now = loop_now_us();
         http_in_run(t->in, loop_now);
         relay_run(t->relay, loop_now);
+        follow_held(t);
         if (t->link_ready) {
             t->link_ready = link_run(t->link);
         }
@@ -523,6 +570,7 @@
     }
     g_hash_table_destroy(t->calls);
     g_hash_table_destroy(t->exchanges);
+    g_array_free(t->held, TRUE);
     loop_free(t->loop);
     free(t);
 }
@@ -554,6 +602,7 @@
                                   io_cancel,
                                   io_keep_head,
                                   io_begin,
+                                  io_hold,
                                   io_body,
                                   io_finish,
                                   io_abort,
@@ -568,6 +617,7 @@
                                          exchange_free);
     t->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
                                      out_call_free);
+    t->held = g_array_new(FALSE, FALSE, sizeof(struct held_call));
     t->node = hash64(set->name);
     t->forward = forward_new(&opts, &io);
     t->relay = relay_new(t->loop, sink);
--- a/src/daemon/gateway_traffic_state.h
+++ b/src/daemon/gateway_traffic_state.h
@@ -33,6 +33,7 @@
     GHashTable *exchanges;         /* id -> struct exchange */
     GHashTable *calls;             /* id -> struct out_call */
     const struct relay_head *head; /* being handed in */
+    GArray *held; /* struct held_call, whose callers lag behind */
     uint64_t next_release;
     bool draining;
 };
--- a/src/edge/relay.c
+++ b/src/edge/relay.c
@@ -32,6 +32,7 @@
     bool head_ready;
     bool head_given;
     bool paused;
+    size_t head_bytes; /* of heads and trailers */
     int status;
     int64_t length;
     GArray *answer_headers; /* struct http_header; strings are owned */
@@ -56,7 +57,7 @@
 relay_result_name(enum relay_result r)
 {
     static const char *const names[] = {"complete", "unsent", "broken",
-                                        "timeout"};
+                                        "garbage", "timeout"};
     return names[r];
 }
 
@@ -130,6 +131,10 @@
 {
     struct call *c = ctx;
     size_t len = size * n;
+    c->head_bytes += len;
+    if (c->head_bytes > RELAY_HEAD_MAX) {
+        return 0; /* ends the call */
+    }
     if (c->head_ready) {
         return len; /* a trailer */
     }
@@ -385,6 +390,16 @@
     }
 }
 
+/* Errors of an answer that breaks the protocol, not of the connection. A
+ * header line beyond libcurl's own limit counts as out of memory there. */
+static bool
+is_garbage(CURLcode rc)
+{
+    return rc == CURLE_WEIRD_SERVER_REPLY ||
+           rc == CURLE_UNSUPPORTED_PROTOCOL ||
+           rc == CURLE_BAD_CONTENT_ENCODING || rc == CURLE_OUT_OF_MEMORY;
+}
+
 static void
 on_done(void *ctx, CURL *easy, CURLcode rc)
 {
@@ -406,6 +421,9 @@
     else if (rc == CURLE_OPERATION_TIMEDOUT) {
         result = RELAY_TIMEOUT;
     }
+    else if (c->head_bytes > RELAY_HEAD_MAX || is_garbage(rc)) {
+        result = RELAY_GARBAGE;
+    }
     finish(r, c, result);
 }
 
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -26,10 +26,15 @@
     int64_t timeout_ms; /**< for the whole call */
 };
 
+/** Bytes of all heads and trailers of one answer. */
+#define RELAY_HEAD_MAX (64 << 10)
+
 enum relay_result {
     RELAY_COMPLETE, /**< the answer was whole */
     RELAY_UNSENT,   /**< no byte of the request was sent */
     RELAY_BROKEN,   /**< sent; the answer is missing or not whole */
+    RELAY_GARBAGE,  /**< sent; what came is no answer, or its head or trailers
+                         are longer than RELAY_HEAD_MAX */
     RELAY_TIMEOUT,  /**< sent; not whole at the time limit */
 };
 
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -283,9 +283,10 @@
 }
 
 static bool
-poisonous(struct forward *f, int64_t now_us, const struct forward_request *in)
+poisonous(struct forward *f, int64_t now_us, const struct forward_request *in,
+          const struct route *route)
 {
-    uint64_t key = in->content.lo;
+    uint64_t key = req_strike_key(in, route);
     const struct strike *s = g_hash_table_lookup(f->strikes, &key);
     return s && s->count >= STRIKES_MAX && now_us < s->until_us;
 }
@@ -346,7 +347,7 @@
                      0);
         return;
     }
-    if (poisonous(f, now_us, in)) {
+    if (poisonous(f, now_us, in, route)) {
         f->count.poisonous++;
         refuse_early(f, in, ERRKIND_QUARANTINED,
                      "endpoints crashed while running this request", 0);
--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -53,6 +53,8 @@
                    struct str bytes);
 void forward_end(struct forward *f, int64_t now_us, uint64_t call,
                  enum call_end end);
+/** The caller has taken what it was given after io->hold. */
+void forward_taken(struct forward *f, int64_t now_us, uint64_t call);
 
 /** The end of a call that io->send_pieces started.
  * @param status 0: no whole answer @param results one for each item if
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -13,6 +13,19 @@
 /* A stream that may be resumed goes on elsewhere after this silence. Callers
  * leave after two seconds or more. */
 #define STREAM_SILENCE_US (1200 * MS)
+/* Answers that are held until they are whole, and parts of events. The
+ * largest ones of real endpoints have some kilobytes; a node has 260 MB and
+ * more. */
+#define ANSWER_MAX_BYTES (4u << 20)
+#define EVENT_MAX_BYTES (256u << 10)
+/* All held answers together; checked when one is larger than a share. */
+#define HELD_MAX_BYTES (16u << 20)
+#define HELD_SHARE_BYTES (512u << 10)
+/* Beyond this backlog of its caller, a stream is read no further. */
+#define CALLER_BACKLOG_BYTES (256u << 10)
+/* A stream is silent if no event comes for this many of the longest pauses
+ * that its route allows, and for STREAM_SILENCE_US. */
+#define SILENT_PAUSES 2
 /* Before its first event a stream may wait behind other prompts. */
 #define FIRST_SILENCE_US (2500 * MS)
 /* Cost of another zone for plain calls: a round trip. */
@@ -350,16 +363,16 @@
 
 /* Strikes of requests that were running when endpoints died */
 
-static uint64_t
-strike_key(const struct request *r)
+uint64_t
+req_strike_key(const struct forward_request *in, const struct route *route)
 {
-    return r->in.content.lo;
+    return in->content.lo ^ hash64(route->name);
 }
 
 static void
 strike(struct forward *f, int64_t now_us, const struct request *r)
 {
-    uint64_t key = strike_key(r);
+    uint64_t key = req_strike_key(&r->in, r->route);
     struct strike *s = g_hash_table_lookup(f->strikes, &key);
     if (!s) {
         uint64_t *copy = g_new(uint64_t, 1);
@@ -547,25 +560,86 @@
     }
 }
 
-static void
+/* @return false if no event is whole */
+static bool
 pass_events(struct forward *f, struct request *r)
 {
     int64_t id = r->last_event;
     size_t whole = stream_whole(&r->answer, &id);
     if (whole == 0) {
-        return;
+        return false;
     }
     if (!r->begun) {
         r->begun = true;
         f->io.begin(f->io.ctx, r->id, -1);
     }
-    f->io.body(f->io.ctx, r->id, str_of(r->answer.ptr, whole));
+    size_t backlog =
+        f->io.body(f->io.ctx, r->id, str_of(r->answer.ptr, whole));
+    if (backlog > CALLER_BACKLOG_BYTES && !r->held) {
+        r->held = true;
+        f->io.hold(f->io.ctx, r->call, r->id);
+    }
     r->last_event = id;
     size_t rest = r->answer.len - whole;
     for (size_t i = 0; i < rest; i++) {
         r->answer.ptr[i] = r->answer.ptr[whole + i];
     }
     r->answer.len = rest;
+    return true;
+}
+
+void
+forward_taken(struct forward *f, int64_t now_us, uint64_t call)
+{
+    struct request *r = map_get(&f->calls, call);
+    if (r) {
+        r->held = false;
+        r->heard_us = now_us;
+    }
+}
+
+static bool
+passes_events(const struct request *r)
+{
+    return is_stream(r) && good_status(r->status);
+}
+
+/* Whether the answer under way takes more memory than a node gives it. */
+static bool
+too_long(const struct forward *f, const struct request *r)
+{
+    size_t limit = passes_events(r) ? EVENT_MAX_BYTES : ANSWER_MAX_BYTES;
+    size_t sum = 0;
+    size_t at = 0;
+    const struct request *other;
+    if (r->answer.len > limit || r->answer.len < HELD_SHARE_BYTES) {
+        return r->answer.len > limit;
+    }
+    while ((other = map_next(&f->requests, &at))) {
+        sum += other->answer.len;
+    }
+    return sum > HELD_MAX_BYTES;
+}
+
+/* The first byte of a plain answer, or the first event of a stream. */
+static void
+answer_begins(struct forward *f, int64_t now_us, struct request *r)
+{
+    r->state = REQ_ANSWER;
+    first_byte(f, now_us, r);
+    if (is_stream(r) && repeatable(r)) {
+        timers_add(&f->timers, now_us + STREAM_SILENCE_US, TIMER_SILENCE,
+                   r->call);
+    }
+}
+
+static void
+end_too_long(struct forward *f, int64_t now_us, struct request *r)
+{
+    f->count.too_long++;
+    endpoint_bad(r->endpoint, now_us, false);
+    f->io.cancel(f->io.ctx, r->call);
+    call_broken(f, now_us, r, "the answer is too long");
 }
 
 void
@@ -576,18 +650,19 @@
     if (!r || !r->accepted) {
         return;
     }
-    if (r->state == REQ_SENT) {
-        r->state = REQ_ANSWER;
-        first_byte(f, now_us, r);
-        if (is_stream(r) && repeatable(r)) {
-            timers_add(&f->timers, now_us + STREAM_SILENCE_US, TIMER_SILENCE,
-                       r->call);
+    buf_append_str(&r->answer, bytes);
+    if (passes_events(r) && !pass_events(f, r)) {
+        if (too_long(f, r)) {
+            end_too_long(f, now_us, r);
         }
+        return;
     }
     r->heard_us = now_us;
-    buf_append_str(&r->answer, bytes);
-    if (is_stream(r) && good_status(r->status)) {
-        pass_events(f, r);
+    if (r->state == REQ_SENT) {
+        answer_begins(f, now_us, r);
+    }
+    if (too_long(f, r)) {
+        end_too_long(f, now_us, r);
     }
 }
 
@@ -600,6 +675,8 @@
     }
     f->io.finish(f->io.ctx, r->id);
     f->count.answers++;
+    uint64_t key = req_strike_key(&r->in, r->route);
+    g_hash_table_remove(f->strikes, &key);
     hist_add(&f->latency, now_us - r->arrived_us);
     log_end(r, now_us, "answered", "whole");
     req_free(f, r);
@@ -623,11 +700,15 @@
         return;
     case CALL_END_BROKEN:
         endpoint_bad(e, now_us, false);
-        if (now_us < r->deadline_us) {
+        if (now_us < r->deadline_us && (!r->accepted || is_stream(r))) {
             strike(f, now_us, r);
         }
         call_broken(f, now_us, r, "the connection to the endpoint broke");
         return;
+    case CALL_END_GARBAGE:
+        endpoint_bad(e, now_us, false);
+        call_broken(f, now_us, r, "what the endpoint sent is no answer");
+        return;
     case CALL_END_WHOLE:
         break;
     }
@@ -649,10 +730,15 @@
         return;
     }
     bool stream = is_stream(r);
-    int64_t limit = r->state == REQ_ANSWER ? STREAM_SILENCE_US
-                    : stream               ? FIRST_SILENCE_US
-                                           : SILENCE_MIN_US;
+    int64_t limit =
+        r->state == REQ_ANSWER
+            ? MAX(STREAM_SILENCE_US, SILENT_PAUSES * r->route->gap_us)
+        : stream ? FIRST_SILENCE_US
+                 : SILENCE_MIN_US;
     int64_t due = r->heard_us + limit;
+    if (r->held) {
+        due = now_us + limit;
+    }
     if (now_us < due) {
         timers_add(&f->timers, due, TIMER_SILENCE, call);
         return;
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -34,6 +34,7 @@
     X(unsent, "sends that found no connection")                               \
     X(not_executed, "sends that an endpoint rejected")                        \
     X(broken, "sends without a whole answer")                                 \
+    X(too_long, "answers longer than a node holds")                           \
     X(crossed, "answers of other requests")                                   \
     X(resumed, "streams that went on at another endpoint")                    \
     X(piece_calls, "calls of pieces")                                         \
@@ -95,11 +96,13 @@
     uint64_t tried[PLACE_MAX_TRIED];
     bool accepted; /* the head of the call under way was taken */
     bool begun;    /* the caller's answer has begun */
+    bool held;     /* the caller has not taken what it was given */
     int status;
     int64_t length;
     struct buf answer;  /* plain: whole body; stream: part of an event */
     int64_t last_event; /* given to the caller whole; -1: none */
-    int64_t heard_us;   /* last byte from the endpoint */
+    int64_t heard_us;   /* last head, whole event or, of a plain answer, byte
+                           from the endpoint */
     bool freed;         /* results were released */
 };
 
@@ -202,6 +205,9 @@
 void req_free(struct forward *f, struct request *r);
 void req_silence(struct forward *f, int64_t now_us, uint64_t call);
 void req_deadline(struct forward *f, int64_t now_us, struct request *r);
+/** Identifies a request content among those that crash endpoints. */
+uint64_t req_strike_key(const struct forward_request *in,
+                        const struct route *route);
 /** Tries the requests that wait for an endpoint again. */
 void req_retry_waiting(struct forward *f, int64_t now_us, struct svc *s);
 int forward_nodes(const struct forward *f);
--- a/src/forward/types.h
+++ b/src/forward/types.h
@@ -111,9 +111,10 @@
 
 /** How a call ended. */
 enum call_end {
-    CALL_END_WHOLE,  /**< the answer was whole */
-    CALL_END_UNSENT, /**< no byte was sent */
-    CALL_END_BROKEN, /**< sent; no whole answer */
+    CALL_END_WHOLE,   /**< the answer was whole */
+    CALL_END_UNSENT,  /**< no byte was sent */
+    CALL_END_BROKEN,  /**< sent; no whole answer */
+    CALL_END_GARBAGE, /**< sent; what came is no answer */
 };
 
 /** Effects. Called from inside the core's functions. */
@@ -133,6 +134,9 @@
     /** Begins the caller's answer with the kept head.
      * @param length of the body, -1 if unknown */
     void (*begin)(void *ctx, uint64_t request, int64_t length);
+    /** Stops reading the answer of a call until the caller has taken what it
+     * was given; then forward_taken is called. */
+    void (*hold)(void *ctx, uint64_t call, uint64_t request);
     /** @return bytes that the caller has not taken yet */
     size_t (*body)(void *ctx, uint64_t request, struct str bytes);
     void (*finish)(void *ctx, uint64_t request);
--- a/tests/platform/rig_platform.c
+++ b/tests/platform/rig_platform.c
@@ -118,14 +118,16 @@
         r->ready_port[i] = rig_port();
         r->link_port[i] = rig_port();
     }
-    char *text = g_strdup_printf(
-        "[node]\nname = \"%s\"\nzone = \"a\"\n"
-        "[callers]\naddress = \"127.0.0.1:%d\"\n"
-        "[ready]\naddress = \"127.0.0.1:%d\"\n"
-        "[link]\naddress = \"127.0.0.1:%d\"\n"
-        "[store]\naddress = \"127.0.0.1:%d\"\n"
-        "[stop]\nlimit_s = 4\nbalancer_ms = 300\n",
-        name, p->port, r->ready_port[i], r->link_port[i], r->store_port);
+    char *text =
+        g_strdup_printf("[node]\nname = \"%s\"\nzone = \"a\"\n"
+                        "[callers]\naddress = \"127.0.0.1:%d\"\n"
+                        "[ready]\naddress = \"127.0.0.1:%d\"\n"
+                        "[link]\naddress = \"127.0.0.1:%d\"\n"
+                        "[store]\naddress = \"127.0.0.1:%d\"\n"
+                        "[stop]\nlimit_s = 4\nbalancer_ms = 300\n"
+                        "[bounds]\nrepeat_slack = %d\n",
+                        name, p->port, r->ready_port[i], r->link_port[i],
+                        r->store_port, r->repeat_slack);
     g_file_set_contents(path, text, -1, NULL);
     g_free(text);
     const char *args[] = {path, NULL};
@@ -152,6 +154,7 @@
 platform_rig_open_stopped(struct platform_rig *r)
 {
     memset(r, 0, sizeof(*r));
+    r->repeat_slack = 10;
     g_mutex_init(&r->lock);
     r->actions = g_ptr_array_new_with_free_func(g_free);
     snprintf(r->dir, sizeof(r->dir), "/tmp/cf-platform-XXXXXX");
--- a/tests/platform/rig_platform.h
+++ b/tests/platform/rig_platform.h
@@ -37,6 +37,7 @@
     int link_port[PR_NODES];
     int store_port; /**< that nodes use; a proxy may stand before the store */
     int version;
+    int repeat_slack; /**< of the nodes' settings; set before they start */
     GMutex lock;
     GPtrArray *actions; /**< struct pr_action, all that were asked */
 };
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -209,6 +209,11 @@
         {"{\"items\":[{\"reason\":\"room\"}]}", 1, PIECE_ROOM},
         {"{\"items\":[{\"reason\":\"late\"}]}", 1, PIECE_LATE},
         {"{\"items\":[{\"reason\":\"odd\"}]}", 1, PIECE_ERROR},
+        /* A handle becomes part of a header. */
+        {"{\"items\":[{\"handle\":\"\"}]}", 1, PIECE_ERROR},
+        {"{\"items\":[{\"handle\":\"h\\r\\nX: y\"}]}", 1, PIECE_ERROR},
+        {"{\"items\":[{\"handle\":\"h,other\"}]}", 1, PIECE_ERROR},
+        {"{\"items\":[{\"handle\":\"h\\u00e9\"}]}", 1, PIECE_ERROR},
         {"{\"items\":[{},{},{},{},{}]}", -1, PIECE_ERROR},
         {"{\"items\":[{\"handle\"", -1, PIECE_ERROR},
         {"", -1, PIECE_ERROR},
