--- /dev/null
+++ b/src/base/crash.c
@@ -0,0 +1,75 @@
+#include "base/crash.h"
+
+#include <execinfo.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <unistd.h>
+
+#include "base/log.h"
+
+#define FRAMES_MAX 48
+/* Large enough for backtrace on a stack that has overflowed. */
+#define STACK_BYTES (64 << 10)
+
+static char stack[STACK_BYTES];
+
+static void
+put(const char *text)
+{
+    size_t len = strlen(text);
+    if (write(STDOUT_FILENO, text, len) < 0) {
+        return; /* nobody reads the log any more */
+    }
+}
+
+static void
+put_number(int n)
+{
+    char text[12];
+    size_t at = sizeof(text) - 1;
+    text[at] = 0;
+    do {
+        text[--at] = (char)('0' + n % 10);
+        n /= 10;
+    } while (n > 0 && at > 0);
+    put(text + at);
+}
+
+/* Uses only functions that are safe in a handler; backtrace was called before,
+ * as its first call loads a library. */
+static void
+on_crash(int sig)
+{
+    void *frames[FRAMES_MAX];
+    char name[16] = "";
+    prctl(PR_GET_NAME, name);
+    put("level=error event=crash signal=");
+    put_number(sig);
+    put(" thread=");
+    put(name);
+    put(" last_event=");
+    put(log_last_event() ? log_last_event() : "none");
+    put("\n");
+    backtrace_symbols_fd(frames, backtrace(frames, FRAMES_MAX), STDOUT_FILENO);
+    raise(sig); /* the default action holds again, see SA_RESETHAND */
+}
+
+void
+crash_init(void)
+{
+    static const int signals[] = {SIGSEGV, SIGBUS, SIGABRT, SIGFPE, SIGILL};
+    void *frame;
+    stack_t alternate = {.ss_sp = stack, .ss_size = sizeof(stack)};
+    struct sigaction act = {.sa_handler = on_crash,
+                            .sa_flags =
+                                (int)SA_RESETHAND | SA_ONSTACK | SA_NODEFER};
+    backtrace(&frame, 1);
+    /* Only of this thread; others overflow their stacks without a word. */
+    sigaltstack(&alternate, NULL);
+    sigemptyset(&act.sa_mask);
+    for (size_t i = 0; i < sizeof(signals) / sizeof(signals[0]); i++) {
+        sigaction(signals[i], &act, NULL);
+    }
+}
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -140,6 +140,14 @@
     return G_LOG_WRITER_HANDLED;
 }
 
+static __thread const char *last_event;
+
+const char *
+log_last_event(void)
+{
+    return last_event;
+}
+
 void
 log_init(enum log_level level, struct str node)
 {
@@ -156,6 +164,7 @@
     static const GLogLevelFlags flags[] = {G_LOG_LEVEL_DEBUG, G_LOG_LEVEL_INFO,
                                            G_LOG_LEVEL_MESSAGE,
                                            G_LOG_LEVEL_WARNING};
+    last_event = event;
     if (level < lowest) {
         return;
     }
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -46,6 +46,10 @@
 void log_write(enum log_level level, const char *event,
                const struct log_field *fields);
 
+/** The name of the calling thread's newest event, written or not; NULL: none.
+ */
+const char *log_last_event(void);
+
 /** Sets the lowest level that is written and the node name of each line. */
 void log_init(enum log_level lowest, struct str node);
 
--- a/src/daemon/gateway_control.c
+++ b/src/daemon/gateway_control.c
@@ -1,6 +1,7 @@
 #include <pthread.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
+#include <sys/prctl.h>
 #include <sys/stat.h>
 
 #include "base/log.h"
@@ -296,6 +297,7 @@
 run(void *ctx)
 {
     struct gateway_control *c = ctx;
+    prctl(PR_SET_NAME, "control");
     while (atomic_load(&c->shared->phase) != GATEWAY_STOPPING) {
         int64_t now = gateway_now_us();
         follow_settings(c, now);
--- a/src/daemon/gateway_main.c
+++ b/src/daemon/gateway_main.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 #include <zmq.h>
 
+#include "base/crash.h"
 #include "base/log.h"
 #include "daemon/gateway.h"
 #include "edge/loop.h"
@@ -237,6 +238,7 @@
     int rc = 0;
     if (!check) {
         log_init(level_of(g.settings.log_level), g.settings.name);
+        crash_init();
         rc = run(&g, path);
     }
     gateway_settings_free(&g.settings);
--- a/src/daemon/gateway_traffic.c
+++ b/src/daemon/gateway_traffic.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/prctl.h>
 
 #include "base/hash.h"
 #include "base/log.h"
@@ -527,6 +528,7 @@
 run(void *ctx)
 {
     struct gateway_traffic *t = ctx;
+    prctl(PR_SET_NAME, "traffic");
     while (atomic_load(&t->shared->phase) != GATEWAY_STOPPING) {
         int64_t now = gateway_now_us();
         follow_phase(t);
--- a/tests/platform/test_gateway.c
+++ b/tests/platform/test_gateway.c
@@ -241,6 +241,33 @@
     platform_rig_close(&r);
 }
 
+/* A process that ends by a fault says where: else its log just stops. */
+static void
+test_crash(void)
+{
+    struct platform_rig r;
+    char *text = NULL;
+    platform_rig_open(&r);
+    g_assert_cmpint(ask(&r, 1, "check", PR_KEY), ==, 200);
+    kill(r.nodes[1].pid, SIGSEGV);
+    for (int i = 0; i < 500; i++) {
+        g_free(text);
+        g_assert_true(g_file_get_contents(r.nodes[1].log, &text, NULL, NULL));
+        if (strstr(text, "camphorfall-gateway(")) {
+            break;
+        }
+        g_usleep(10000);
+    }
+    const char *at = strstr(text, "event=crash signal=11 thread=");
+    g_assert_nonnull(at);
+    g_assert_nonnull(strstr(at, " last_event="));
+    g_assert_nonnull(strstr(at, "camphorfall-gateway("));
+    g_free(text);
+    proc_end(r.nodes[1].pid, SIGKILL);
+    r.nodes[1].pid = 0;
+    platform_rig_close(&r);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -250,5 +277,6 @@
     g_test_add_func("/gateway/operator", test_operator);
     g_test_add_func("/gateway/explain", test_explain);
     g_test_add_func("/gateway/stop", test_stop);
+    g_test_add_func("/gateway/crash", test_crash);
     return g_test_run();
 }
