Recover links between nodes after a restart of all

Cause: all 118 nodes lost power and came back before their leases had ended. Each listed the keys of the processes before, asked a watcher for news of the nodes, and could reach none under the old keys; owners of stages that were busy with a handshake with every node were passed over after 500 ms, which moved the load to the next owner in rank, again and again.

Change: nodes are watched directly for 3 s after a list, and after a watcher was silent. An owner that has never answered is given 1.5 s, its connection 800 ms. Answers go over the asker's connection, which halves handshakes. Connections only for notices are opened every 100 ms at most.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -27,6 +27,9 @@
 #define GATHER_NODES_US (250 * MS)
 /* An answer of a watcher travels between nodes and waits for two threads. */
 #define WATCHER_SLACK_US (400 * MS)
+/* Nodes are watched directly for this time after they were listed; processes
+ * that are started together register within it. */
+#define LISTED_US (3 * SECOND)
 /* A watcher that cannot tell again so soon after the store was asked is passed
  * over. */
 #define DIRECT_AGAIN_US (2 * SECOND)
@@ -213,6 +216,7 @@
     feed_end_list(f, now_us, t->which);
     t->complete = true;
     t->revision = t->list_revision;
+    t->listed_us = now_us;
     feed_forget_recent(t, 0);
     t->recent_from = t->revision;
     t->following = true;
@@ -272,9 +276,10 @@
     }
 }
 
-/* A watcher is asked no more. For the operator's part the store is asked
- * next, so that the contact does not age while one watcher after the other is
- * found to be gone; other parts ask another watcher. */
+/* A watcher is asked no more. The store is asked next: for the operator's part
+ * so that the contact does not age while one watcher after the other is found
+ * to be gone, and for the nodes because a watcher that has restarted cannot be
+ * reached before its new key is known. */
 static void
 pass_over(struct feed *f, int64_t now_us, uint64_t node, bool failing)
 {
@@ -282,7 +287,7 @@
     for (int i = 0; i < FEED_TRACKS; i++) {
         struct track *t = &f->tracks[i];
         if (t->busy && t->via == node) {
-            t->direct = t->which == FEED_TRACK_OPERATOR;
+            t->direct = t->which != FEED_TRACK_ENDPOINTS;
             t->busy = false;
             t->due_us = now_us;
         }
@@ -358,13 +363,25 @@
     return FEED_TRACKS;
 }
 
+/* After a restart of many nodes, a list shows the keys of the processes
+ * before. */
+static bool
+newly_listed(const struct track *t, int64_t now_us)
+{
+    return t->which == FEED_TRACK_NODES && t->listed_us &&
+           now_us - t->listed_us < LISTED_US;
+}
+
 /* How long the store may keep a watch without news. */
 static int64_t
-wait_ms(const struct feed *f, const struct track *t)
+wait_ms(const struct feed *f, const struct track *t, int64_t now_us)
 {
     if (t->failing || t->direct) {
         return PROBE_WAIT_MS;
     }
+    if (newly_listed(t, now_us)) {
+        return OPERATOR_WAIT_MS;
+    }
     if (g_hash_table_size(f->nodes) <= DIRECT_NODES) {
         return t->wait_ms;
     }
@@ -403,10 +420,12 @@
     else {
         out->kind = KV_WATCH;
         out->revision = t->revision;
-        t->via = t->direct ? 0 : feed_choose_watcher(f, now_us);
+        t->via = t->direct || newly_listed(t, now_us)
+                     ? 0
+                     : feed_choose_watcher(f, now_us);
         out->patient = t->failing;
         out->via = t->via;
-        out->wait_ms = wait_ms(f, t);
+        out->wait_ms = wait_ms(f, t, now_us);
         out->timeout_ms =
             t->failing ? PROBE_TIMEOUT_MS : out->wait_ms + CALL_SLACK_MS;
         t->waited_us = out->wait_ms * MS;
--- a/src/control/feed_records.c
+++ b/src/control/feed_records.c
@@ -84,8 +84,9 @@
         r->cold_until_us =
             now_us + cold_time(f, info.service) + COLD_MARGIN_US;
     }
-    if (!old || old->info.draining != info.draining || started ||
-        old->missing_us) {
+    bool listed = !f->tracks[FEED_TRACK_ENDPOINTS].complete;
+    if (!listed && (!old || old->info.draining != info.draining || started ||
+                    old->missing_us)) {
         LOG_EVENT(LOG_INFO, "endpoint", LOG_S("endpoint", id),
                   LOG_S("service", info.service),
                   LOG_S("address", info.address), LOG_S("zone", info.zone),
@@ -146,7 +147,9 @@
 {
     char *key = g_strndup(name.ptr, name.len);
     if (!g_hash_table_contains(table, key)) {
-        LOG_EVENT(LOG_INFO, event, LOG_S("name", name));
+        if (table != f->nodes || f->tracks[FEED_TRACK_NODES].complete) {
+            LOG_EVENT(LOG_INFO, event, LOG_S("name", name));
+        }
         f->changed = true;
         nodes_changed(f, table);
     }
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -83,6 +83,7 @@
     int64_t revision;
     char *page_after;
     int64_t list_revision; /* of the first page */
+    int64_t listed_us;     /* a list ended then; 0: none has */
     int64_t contact_us;    /* send time of the newest answered call */
     bool direct;           /* the next call goes to the store */
     int64_t direct_us;     /* a watcher could not tell then */
--- a/src/daemon/gateway_link.c
+++ b/src/daemon/gateway_link.c
@@ -9,6 +9,9 @@
  * store. An older ask has been repeated. */
 #define EARLY_MS 400
 
+/* A connection that is only for notices is opened this often. */
+#define NOTIFY_OPEN_US 100000
+
 static struct str
 address_of(const struct gateway_traffic *t, uint64_t node)
 {
@@ -16,11 +19,30 @@
     return n ? n->address : (struct str){0};
 }
 
+/* Notices are worth a new connection now and then, not a handshake with all
+ * their nodes at the moment of a restart. */
+static bool
+may_notify(struct gateway_traffic *t, uint64_t node)
+{
+    int64_t now_us = gateway_now_us();
+    if (link_up(t->link, address_of(t, node))) {
+        return true;
+    }
+    if (now_us < t->notify_open_us) {
+        return false;
+    }
+    t->notify_open_us = now_us + NOTIFY_OPEN_US;
+    return true;
+}
+
 void
 gateway_link_tell(void *ctx, uint64_t node, const struct stage_msg *m)
 {
     struct gateway_traffic *t = ctx;
     struct msg out = {.from = t->node};
+    if (m->kind == STAGE_MSG_PREFILL && !may_notify(t, node)) {
+        return;
+    }
     switch (m->kind) {
     case STAGE_MSG_ASK:
         out.type = MSG_STAGE_ASK;
@@ -142,6 +164,7 @@
     struct link_options opts = {.address = buf_str(&address),
                                 .public_key = str_from(t->shared->link_public),
                                 .secret_key = str_from(t->shared->link_secret),
+                                .reply = true,
                                 .early_ms = EARLY_MS,
                                 .ctx = t,
                                 .message = on_link_message,
--- a/src/daemon/gateway_traffic_state.h
+++ b/src/daemon/gateway_traffic_state.h
@@ -33,7 +33,8 @@
     GHashTable *exchanges;         /* id -> struct exchange */
     GHashTable *calls;             /* id -> struct out_call */
     const struct relay_head *head; /* being handed in */
-    GArray *held; /* struct held_call, whose callers lag behind */
+    GArray *held;           /* struct held_call, whose callers lag behind */
+    int64_t notify_open_us; /* the next connection for notices */
     uint64_t next_release;
     bool draining;
 };
--- a/src/forward/owners.c
+++ b/src/forward/owners.c
@@ -13,6 +13,11 @@
  * connection is opened anew. Owners acknowledge an ask at once. */
 #define SILENT_US (500 * MS)
 #define RECONNECT_US (150 * MS)
+/* Until a process has said its first word, its connection may still be under
+ * way: after a restart of all nodes, each owner has a handshake with each node
+ * to do. To pass it over would only move that load to the next node. */
+#define FIRST_SILENT_US (1500 * MS)
+#define FIRST_RECONNECT_US (800 * MS)
 #define SUSPECT_MIN_US (2 * SECOND)
 #define SUSPECT_MAX_US (16 * SECOND)
 
@@ -162,6 +167,7 @@
         uint64_t key = hash64(n->key);
         if (p->key != key) {
             p->key = key;
+            p->heard_us = 0;
             p->unanswered_us = 0;
             p->suspect_until_us = 0;
             p->suspect_span_us = SUSPECT_MIN_US;
@@ -371,12 +377,17 @@
     size_t at = 0;
     struct peer *p;
     while ((p = map_next(&f->peers, &at))) {
-        if (p->unanswered_us && !p->reconnected &&
-            now_us - p->unanswered_us >= RECONNECT_US) {
+        bool first = p->heard_us == 0;
+        int64_t silent_us = now_us - p->unanswered_us;
+        if (!p->unanswered_us) {
+            continue;
+        }
+        if (!p->reconnected &&
+            silent_us >= (first ? FIRST_RECONNECT_US : RECONNECT_US)) {
             p->reconnected = true;
             f->io.reconnect(f->io.ctx, p->node);
         }
-        if (!p->unanswered_us || now_us - p->unanswered_us < SILENT_US ||
+        if (silent_us < (first ? FIRST_SILENT_US : SILENT_US) ||
             now_us < p->suspect_until_us) {
             continue;
         }
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -629,14 +629,25 @@
     return ok;
 }
 
+bool
+link_up(const struct link *l, struct str address)
+{
+    CLEAN_FREE char *text = g_strndup(address.ptr, address.len);
+    const struct peer *p = text ? g_hash_table_lookup(l->peers, text) : NULL;
+    return p && p->up;
+}
+
 bool
 link_send(struct link *l, uint64_t node, struct str address,
           const struct msg *m)
 {
-    struct peer *p = address.len ? peer_at(l, address) : NULL;
     buf_clear(&l->out);
     msg_encode(m, &l->out);
-    bool ok = p ? send_to(l, p, node) : address.len == 0 && send_back(l, node);
+    bool back =
+        (address.len == 0 || (l->opts.reply && !link_up(l, address))) &&
+        send_back(l, node);
+    struct peer *p = address.len && !back ? peer_at(l, address) : NULL;
+    bool ok = back || (p && send_to(l, p, node));
     l->count.sent += ok;
     l->count.dropped += !ok;
     return ok;
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -26,6 +26,8 @@
     struct str secret_key;
     int peer_count; /**< always allowed, whatever link_set_peers says */
     const struct link_peer *peers;
+    bool reply;   /**< a node that is not connected to is answered over the
+                       connection on which it was heard */
     int early_ms; /**< messages to a peer that is not connected yet wait this
                        long; 0: they are dropped */
     void *ctx;
@@ -55,6 +57,9 @@
 bool link_send(struct link *l, uint64_t node, struct str address,
                const struct msg *m);
 
+/** Whether the last message to @p address was queued on a connection. */
+bool link_up(const struct link *l, struct str address);
+
 /** Opens the connection to @p address anew with the next message. libzmq gives
  * a connection up for good when the peer did not know its key yet. */
 void link_reset(struct link *l, struct str address);
