Drop the bytes that a slow caller has taken

Cause: what a caller had taken stayed at the front of its buffer until all was taken, so a stream that always has a backlog grew without bound. Ruled out: backpressure alone; it bounds what is left, not what was taken.

--- a/src/edge/http_in_reply.c
+++ b/src/edge/http_in_reply.c
@@ -10,6 +10,8 @@
 
 /* A caller that does not read its stream is cut off at this backlog. */
 #define STREAM_BACKLOG (8 << 20)
+/* Bytes that a caller has taken are dropped from the front beyond this. */
+#define TAKEN_MAX (64 << 10)
 
 static void
 set_response(struct exchange *x, int status, const char *content_type,
@@ -106,6 +108,11 @@
         buf_clear(&x->out);
         x->out_at = 0;
     }
+    else if (x->out_at > TAKEN_MAX) {
+        x->out.len -= x->out_at;
+        memmove(x->out.ptr, x->out.ptr + x->out_at, x->out.len);
+        x->out_at = 0;
+    }
     return (ssize_t)n;
 }
 
--- a/tests/platform/test_gateway_limits.c
+++ b/tests/platform/test_gateway_limits.c
@@ -4,7 +4,10 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include "tests/peer.h"
 #include "tests/platform/endless.h"
 #include "tests/platform/rig_platform.h"
 #include "tests/proc.h"
@@ -199,10 +202,70 @@
     platform_rig_close(&r);
 }
 
+/* Reads the events that have come and checks that none is missing. */
+static int64_t
+check_events(const char *text, int64_t next)
+{
+    const char *at = strstr(text, "id: ");
+    while (at && strstr(at, "\n\n")) {
+        g_assert_cmpint(g_ascii_strtoll(at + 4, NULL, 10), ==, next);
+        next++;
+        at = strstr(at + 4, "id: ");
+    }
+    return next;
+}
+
+/* A caller that reads slower than the endpoint sends. Guards against a node
+ * that holds what it does not take, and against gaps where reading stopped. */
+static void
+test_slow_caller(void)
+{
+    static const struct endless_answer answer = {
+        EVENTS "\r\n", "id: {n}\ndata: {x}\n\n", 1000, 0};
+    struct platform_rig r;
+    struct buf in = {0};
+    platform_rig_open(&r);
+    struct endless *bad = endless_new();
+    endless_set(bad, &answer);
+    for (int i = 2; i < 4; i++) {
+        platform_rig_record_at(&r, i, "ready", endless_port(bad));
+    }
+    g_usleep(500000);
+    long before = peak_kb(r.nodes[0].pid);
+    int fd = client_connect(r.nodes[0].port);
+    client_send(fd, STR_LIT("POST /x/y?z=1 HTTP/1.1\r\nHost: stream\r\n"
+                            "Camphorfall-Request-Id: 0123456789abcdef\r\n"
+                            "Content-Length: 0\r\n" PR_KEY NO_PIECES
+                            "Camphorfall-Deadline-Ms: 4000\r\n\r\n"));
+    for (int i = 0; i < 100; i++) {
+        char some[16384];
+        ssize_t n = recv(fd, some, sizeof(some), 0);
+        if (n > 0) {
+            buf_append(&in, some, (size_t)n);
+        }
+        g_usleep(20000);
+    }
+    long grown = peak_kb(r.nodes[0].pid) - before;
+    /* Chunk sizes stand between the events; each event is one line of data. */
+    buf_append(&in, "", 1);
+    int64_t events = check_events(in.ptr, 0);
+    g_test_message("peak grew by %ld kB, %ld events taken", grown,
+                   (long)events);
+    g_assert_cmpint(events, >, 500);
+    if (measured()) {
+        g_assert_cmpint(grown, <, GROWTH_MAX_KB);
+    }
+    close(fd);
+    endless_free(bad);
+    buf_free(&in);
+    platform_rig_close(&r);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/gateway/endless", test_endless);
+    g_test_add_func("/gateway/slow-caller", test_slow_caller);
     return g_test_run();
 }
