Send notices over the connections of other nodes, too

Ruled out: the choice of nodes; at 25 nodes all are told.

Change: a node is reachable over its own connection or the other's.

--- a/src/daemon/gateway_link.c
+++ b/src/daemon/gateway_link.c
@@ -25,7 +25,7 @@
 may_notify(struct gateway_traffic *t, uint64_t node)
 {
     int64_t now_us = gateway_now_us();
-    if (link_up(t->link, address_of(t, node))) {
+    if (link_reachable(t->link, node, address_of(t, node))) {
         return true;
     }
     if (now_us < t->notify_open_us) {
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -629,7 +629,7 @@
     return ok;
 }
 
-bool
+static bool
 link_up(const struct link *l, struct str address)
 {
     CLEAN_FREE char *text = g_strndup(address.ptr, address.len);
@@ -637,6 +637,13 @@
     return p && p->up;
 }
 
+bool
+link_reachable(const struct link *l, uint64_t node, struct str address)
+{
+    return link_up(l, address) ||
+           (l->opts.reply && g_hash_table_contains(l->heard, &node));
+}
+
 bool
 link_send(struct link *l, uint64_t node, struct str address,
           const struct msg *m)
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -57,8 +57,8 @@
 bool link_send(struct link *l, uint64_t node, struct str address,
                const struct msg *m);
 
-/** Whether the last message to @p address was queued on a connection. */
-bool link_up(const struct link *l, struct str address);
+/** Whether a message can be sent without a new connection, as far as known. */
+bool link_reachable(const struct link *l, uint64_t node, struct str address);
 
 /** Opens the connection to @p address anew with the next message. libzmq gives
  * a connection up for good when the peer did not know its key yet. */
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -18,6 +18,7 @@
     int got;
     int lost;
     int early_ms;
+    bool reply;
     uint64_t from;
 };
 
@@ -55,6 +56,7 @@
         .secret_key = str_from(n->secret_key),
         .peer_count = peer ? 1 : 0,
         .peers = &p,
+        .reply = n->reply,
         .early_ms = n->early_ms,
         .ctx = n,
         .message = on_message,
@@ -265,6 +267,38 @@
     link_free(n[1].link);
 }
 
+/* Guards against a second handshake for the way back, and against nodes that
+ * are taken for unreachable although they can be answered. */
+static void
+test_answer_over_asking_connection(void)
+{
+    struct node n[2] = {{.reply = true}, {.reply = true, .early_ms = 10000}};
+    open_node(&n[0], "tcp://127.0.0.1:*", true, NULL);
+    open_node(&n[1], "tcp://127.0.0.1:*", true, &n[0]);
+    struct link_peer p = {str_from(link_address(n[1].link)),
+                          str_from(n[1].public_key)};
+    link_set_peers(n[0].link, &p, 1);
+    struct msg m = {.type = MSG_ACK, .from = 1};
+    g_assert_false(link_reachable(n[0].link, 2, p.address));
+    deliver(n, 2, 1, 0);
+    g_assert_true(link_reachable(n[0].link, 2, p.address));
+    g_assert_true(
+        link_reachable(n[1].link, 7, str_from(link_address(n[0].link))));
+    for (int i = 0; i < 20; i++) {
+        g_assert_true(link_send(n[0].link, 2, p.address, &m));
+    }
+    gint64 end = g_get_monotonic_time() + LIMIT_US;
+    while (n[1].got < 20) {
+        g_assert_cmpint(g_get_monotonic_time(), <, end);
+        run(n, 2);
+    }
+    /* Nothing had to wait for a connection of its own. */
+    g_assert_cmpint(counter(&n[0], "cf_link_early_total "), ==, 0);
+    g_assert_cmpint(counter(&n[0], "cf_link_dropped_total "), ==, 0);
+    link_free(n[1].link);
+    link_free(n[0].link);
+}
+
 /* A node that connects before its key is known here: libzmq lets a refused
  * handshake wait for two seconds, in which the node would be taken for dead.
  * The connection is up as soon as the key is known. */
@@ -299,6 +333,8 @@
     g_test_add_func("/link/both-ways", test_both_ways);
     g_test_add_func("/link/reply-over-connection", test_reply_over_connection);
     g_test_add_func("/link/first-message", test_first_message);
+    g_test_add_func("/link/answer-over-asking-connection",
+                    test_answer_over_asking_connection);
     g_test_add_func("/link/early-key", test_early_key);
     g_test_add_func("/link/unknown-key", test_unknown_key);
     g_test_add_func("/link/restarted-and-dead-peer",
