Tell a stalled node's own silence from that of owners; try owners again sooner

Cause: a node that did not run for a second found all owners silent when it woke, before it had read their answers; and since a passed-over owner is kept away until one ask is answered in time, 2 s of a second owner for a group cost more than the trouble itself. A never-heard owner got 1.5 s even if it was long there and dead.

Ruled out: clearing the time at any word (a slow owner's late word does it).

Change: a gap in which this node did not look is not counted. Owners are tried again after 0.5 s (doubling), and only an answer to that very ask counts. The long patience holds for 5 s after a key was first seen.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -490,6 +490,12 @@
     w->nodes[node].delay_us = delay_us;
 }
 
+void
+forward_world_stall(struct forward_world *w, int node, int64_t span_us)
+{
+    w->nodes[node].stalled_until_us = w->now_us + span_us;
+}
+
 void
 forward_world_restart(struct forward_world *w, int node)
 {
@@ -643,6 +649,23 @@
     }
 }
 
+/* @return true if the node does not run now; it gets @p h later */
+static bool
+put_off(struct forward_world *w, struct happening *h)
+{
+    int64_t until_us = w->nodes[h->node].stalled_until_us;
+    if (h->kind == H_TURN || w->now_us > until_us) {
+        return false;
+    }
+    struct happening *later =
+        forward_world_plan(w, until_us + STEP_US, h->kind, h->node);
+    int64_t at_us = later->at_us;
+    *later = *h;
+    later->at_us = at_us;
+    free(h);
+    return true;
+}
+
 void
 forward_world_run(struct forward_world *w, int64_t until_us)
 {
@@ -653,6 +676,9 @@
                 break;
             }
             struct happening *h = take_first(w);
+            if (put_off(w, h)) {
+                continue;
+            }
             happen(w, h);
             happening_free(h);
         }
@@ -661,7 +687,8 @@
             if (!n->store_lost) {
                 forward_set_contact(n->core, w->now_us);
             }
-            if (forward_wakeup(n->core) <= w->now_us) {
+            if (w->now_us >= n->stalled_until_us &&
+                forward_wakeup(n->core) <= w->now_us) {
                 forward_run(n->core, w->now_us);
             }
         }
--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -99,6 +99,9 @@
 void forward_world_cut(struct forward_world *w, int node, bool cut);
 /** A node handles messages of others this much later. */
 void forward_world_delay(struct forward_world *w, int node, int64_t delay_us);
+/** A node does not run for a time; what comes meanwhile is handled right
+ * after its timers. */
+void forward_world_stall(struct forward_world *w, int node, int64_t span_us);
 /** The process of a node ends and is started again; its callers' requests are
  * aborted. */
 void forward_world_restart(struct forward_world *w, int node);
--- a/bench/forward_world_state.h
+++ b/bench/forward_world_state.h
@@ -84,7 +84,8 @@
     int index;
     struct forward *core;
     bool cut;
-    int64_t delay_us; /* until a message that has come is handled */
+    int64_t delay_us;         /* until a message that has come is handled */
+    int64_t stalled_until_us; /* does not run before */
     bool store_lost;
     int starts;
     char name[24];
--- a/src/forward/owners.c
+++ b/src/forward/owners.c
@@ -15,11 +15,16 @@
 #define RECONNECT_US (150 * MS)
 /* Until a process has said its first word, its connection may still be under
  * way: after a restart of all nodes, each owner has a handshake with each node
- * to do. To pass it over would only move that load to the next node. */
+ * to do. To pass it over would only move that load to the next node. A key
+ * is new for NEW_KEY_US. */
+#define NEW_KEY_US (5 * SECOND)
 #define FIRST_SILENT_US (1500 * MS)
 #define FIRST_RECONNECT_US (800 * MS)
-#define SUSPECT_MIN_US (2 * SECOND)
+#define SUSPECT_MIN_US (500 * MS)
 #define SUSPECT_MAX_US (16 * SECOND)
+/* Asks are looked at every 60 ms; a longer gap is time in which this node did
+ * not run, and no silence of others. */
+#define STALLED_US (150 * MS)
 
 /* Prompts that an engine reads in less than 20 ms are not worth a message. The
  * number of nodes that are told bounds the messages of a large fleet: 9.5
@@ -159,7 +164,7 @@
 
 /* A node that has registered with a new key has restarted and answers. */
 static void
-clear_restarted(struct forward *f)
+clear_restarted(struct forward *f, int64_t now_us)
 {
     for (int i = 0; i < f->site->alive_count; i++) {
         const struct site_node *n = &f->site->alive[i];
@@ -167,6 +172,7 @@
         uint64_t key = hash64(n->key);
         if (p->key != key) {
             p->key = key;
+            p->key_us = now_us;
             p->heard_us = 0;
             p->unanswered_us = 0;
             p->suspect_until_us = 0;
@@ -180,7 +186,7 @@
 {
     if (f->nodes_version != f->site->nodes_version) {
         f->nodes_version = f->site->nodes_version;
-        clear_restarted(f);
+        clear_restarted(f, now_us);
     }
     size_t at = 0;
     struct svc *s;
@@ -308,6 +314,7 @@
     }
     if (m->kind == STAGE_MSG_ASK && !p->unanswered_us) {
         p->unanswered_us = now_us;
+        p->unanswered_ask = m->ask.ask;
         p->reconnected = false;
     }
     f->io.tell(f->io.ctx, node, m);
@@ -350,6 +357,13 @@
     }
 }
 
+static bool
+answers(const struct stage_msg *m, uint64_t ask)
+{
+    return (m->kind == STAGE_MSG_ACK && m->ack.ask == ask) ||
+           (m->kind == STAGE_MSG_RESULT && m->result.ask == ask);
+}
+
 void
 forward_stage_msg(struct forward *f, int64_t now_us, uint64_t from,
                   const struct stage_msg *m)
@@ -359,12 +373,14 @@
         /* A late word of a slow node does not end its time; an answer in time
          * to the first ask after it does. */
         if (p->suspect_until_us && p->unanswered_us &&
-            now_us >= p->suspect_until_us) {
+            answers(m, p->unanswered_ask)) {
             LOG_EVENT(LOG_INFO, "node_answers", LOG_I("node", from));
             p->suspect_until_us = 0;
             p->suspect_span_us = SUSPECT_MIN_US;
         }
-        p->unanswered_us = 0;
+        if (p->suspect_until_us == 0) {
+            p->unanswered_us = 0;
+        }
         p->heard_us = now_us;
     }
     switch (m->kind) {
@@ -389,12 +405,19 @@
 {
     size_t at = 0;
     struct peer *p;
+    int64_t looked_us = f->looked_us;
+    f->looked_us = now_us;
     while ((p = map_next(&f->peers, &at))) {
-        bool first = p->heard_us == 0;
+        bool first = p->heard_us == 0 && now_us - p->key_us < NEW_KEY_US;
         int64_t silent_us = now_us - p->unanswered_us;
         if (!p->unanswered_us) {
             continue;
         }
+        int64_t gap_us = now_us - MAX(looked_us, p->unanswered_us);
+        if (gap_us > STALLED_US) {
+            p->unanswered_us += gap_us;
+            silent_us -= gap_us;
+        }
         if (!p->reconnected &&
             silent_us >= (first ? FIRST_RECONNECT_US : RECONNECT_US)) {
             p->reconnected = true;
--- a/src/forward/pieces.c
+++ b/src/forward/pieces.c
@@ -563,6 +563,7 @@
         a->previous = a->owner;
         a->known = false;
         a->owner = owners_find(f, now_us, s->hash, a->group);
+        f->count.owner_changes++;
         LOG_EVENT(LOG_INFO, "stage_owner_changed",
                   LOG_S("request", r->in.request_id),
                   LOG_I("stage", a->stage));
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -41,6 +41,7 @@
     X(pieces, "pieces sent")                                                  \
     X(pieces_rejected, "calls of pieces that an endpoint rejected")           \
     X(pieces_failed, "pieces without a result")                               \
+    X(owner_changes, "asks that were taken from a silent owner")              \
     X(poisonous, "requests refused since they crash endpoints")
 
 enum req_state {
@@ -123,10 +124,12 @@
 struct peer {
     uint64_t node;
     uint64_t key;     /* hash of its public key; changes when it restarts */
+    int64_t key_us;   /* it was first seen */
     bool reconnected; /* since unanswered_us */
-    int64_t unanswered_us; /* oldest message without a word since; 0: none */
-    int64_t asked_us;      /* last ask */
-    int64_t heard_us;      /* last word */
+    int64_t unanswered_us;   /* oldest message without a word since; 0: none */
+    uint64_t unanswered_ask; /* that message */
+    int64_t asked_us;        /* last ask */
+    int64_t heard_us;        /* last word */
     int64_t suspect_until_us;
     int64_t suspect_span_us;
 };
@@ -178,6 +181,7 @@
     GQueue inbox;           /* struct local_msg */
     uint64_t self;          /* hash of this node's name */
     uint64_t nodes_version; /* of the site */
+    int64_t looked_us;      /* at silent owners */
     int64_t asks_due_us;    /* open asks are looked at; INT64_MAX: none */
     struct map services;    /* hash of name -> struct svc */
     struct map endpoints;   /* hash of id -> struct endpoint */
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -482,6 +482,33 @@
     }
 }
 
+/* A node that did not run for a second has heard nobody in it. Guards against
+ * asks that it then takes away from sound owners. */
+static void
+test_asker_stalled(void)
+{
+    struct rig r;
+    struct fw_ask ask = {.host = "staged",
+                         .patience_us = 6 * SECOND,
+                         .prompt_tokens = 2000,
+                         .pieces = {1, 8}};
+    rig_init(&r, 3);
+    for (int node = 0; node < 3; node++) {
+        for (int i = 0; i < 5; i++) {
+            forward_world_send(r.w, node, &ask);
+        }
+        /* Its messages and timers wait until it runs again. */
+        forward_world_stall(r.w, node, SECOND);
+        forward_world_run(r.w, forward_world_now(r.w) + 4 * SECOND);
+        struct buf out = {0};
+        forward_metrics(forward_world_core(r.w, node), &out);
+        g_assert_nonnull(
+            strstr(out.ptr, "cf_forward_owner_changes_total 0\n"));
+        buf_free(&out);
+    }
+    forward_world_free(r.w);
+}
+
 /* An ask that reaches its owner after the request has ended must not leave
  * results behind: the owner is told when its results come. */
 static void
@@ -949,6 +976,7 @@
     g_test_add_func("/forward/room", test_room);
     g_test_add_func("/forward/owner-lost", test_owner_lost);
     g_test_add_func("/forward/owner-slow", test_owner_slow);
+    g_test_add_func("/forward/asker-stalled", test_asker_stalled);
     g_test_add_func("/forward/late-ask", test_late_ask);
     g_test_add_func("/forward/restart", test_restart);
     g_test_add_func("/forward/unknown-results", test_unknown_results);
