Ask for the nodes twice after a list instead of watching them

Cause: after a list of nodes each process watched them directly for 3 s, which took up to seven calls a process at a start of all.

Change: two direct asks 600 ms apart, then the watcher.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -27,9 +27,10 @@
 #define GATHER_NODES_US (250 * MS)
 /* An answer of a watcher travels between nodes and waits for two threads. */
 #define WATCHER_SLACK_US (400 * MS)
-/* Nodes are watched directly for this time after they were listed; processes
- * that are started together register within it. */
-#define LISTED_US (3 * SECOND)
+/* Nodes are asked for directly for this time after they were listed, this
+ * often; processes that are started together register within it. */
+#define LISTED_US (1600 * MS)
+#define LISTED_GAP_US (600 * MS)
 /* A watcher that cannot tell again so soon after the store was asked is passed
  * over. */
 #define DIRECT_AGAIN_US (2 * SECOND)
@@ -193,6 +194,16 @@
     t->due_us = now_us;
 }
 
+/* After a restart of many nodes, a list shows the keys of the processes
+ * before. */
+static bool
+newly_listed(const struct feed *f, const struct track *t, int64_t now_us)
+{
+    return t->which == FEED_TRACK_NODES &&
+           g_hash_table_size(f->nodes) > DIRECT_NODES && t->listed_us &&
+           now_us - t->listed_us < LISTED_US;
+}
+
 static void
 list_result(struct feed *f, int64_t now_us, struct track *t,
             const struct kv_result *r)
@@ -220,6 +231,9 @@
     feed_forget_recent(t, 0);
     t->recent_from = t->revision;
     t->following = true;
+    if (newly_listed(f, t, now_us)) {
+        t->due_us = now_us + LISTED_GAP_US;
+    }
     LOG_EVENT(LOG_INFO, "store_listed", LOG_S("prefix", t->prefix),
               LOG_I("revision", t->revision),
               LOG_I("endpoints", g_hash_table_size(f->records)),
@@ -269,7 +283,10 @@
     }
     t->revision = r->revision;
     feed_answer_asks(f, now_us, t);
-    if (r->item_count > 0) {
+    if (newly_listed(f, t, now_us)) {
+        t->due_us = now_us + LISTED_GAP_US;
+    }
+    else if (r->item_count > 0) {
         static const int64_t gather[] = {GATHER_OPERATOR_US,
                                          GATHER_ENDPOINTS_US, GATHER_NODES_US};
         t->due_us = now_us + gather[t->which];
@@ -363,25 +380,13 @@
     return FEED_TRACKS;
 }
 
-/* After a restart of many nodes, a list shows the keys of the processes
- * before. */
-static bool
-newly_listed(const struct track *t, int64_t now_us)
-{
-    return t->which == FEED_TRACK_NODES && t->listed_us &&
-           now_us - t->listed_us < LISTED_US;
-}
-
 /* How long the store may keep a watch without news. */
 static int64_t
 wait_ms(const struct feed *f, const struct track *t, int64_t now_us)
 {
-    if (t->failing || t->direct) {
+    if (t->failing || t->direct || newly_listed(f, t, now_us)) {
         return PROBE_WAIT_MS;
     }
-    if (newly_listed(t, now_us)) {
-        return OPERATOR_WAIT_MS;
-    }
     if (g_hash_table_size(f->nodes) <= DIRECT_NODES) {
         return t->wait_ms;
     }
@@ -420,7 +425,7 @@
     else {
         out->kind = KV_WATCH;
         out->revision = t->revision;
-        t->via = t->direct || newly_listed(t, now_us)
+        t->via = t->direct || newly_listed(f, t, now_us)
                      ? 0
                      : feed_choose_watcher(f, now_us);
         out->patient = t->failing;
