Let nodes that stop finish over their connections; register after the lists

Cause: a node that stops ends its registration while its last requests and the calls that it makes for others still run. A started node registered before it knew the site and ignored asks until then.

A node registers after its lists are complete. The long patience holds while a third of the keys is new. Engines are in the common order again.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -24,7 +24,7 @@
  */
 #define GATHER_OPERATOR_US (50 * MS)
 #define GATHER_ENDPOINTS_US (300 * MS)
-#define GATHER_NODES_US (250 * MS)
+#define GATHER_NODES_US (50 * MS)
 /* An answer of a watcher travels between nodes and waits for two threads. */
 #define WATCHER_SLACK_US (400 * MS)
 /* Nodes are asked for directly for this time after they were listed, this
@@ -485,6 +485,16 @@
     }
 }
 
+static bool
+all_listed(const struct feed *f)
+{
+    bool listed = true;
+    for (int i = 0; i < FEED_TRACKS; i++) {
+        listed &= f->tracks[i].complete;
+    }
+    return listed;
+}
+
 static bool
 lease_op(struct feed *f, int64_t now_us, struct kv_op *out)
 {
@@ -502,6 +512,10 @@
         f->lease_state = LEASE_ASKED;
         break;
     case LEASE_HELD:
+        /* Other nodes ask a registered one, so it must know the site. */
+        if (!all_listed(f)) {
+            return false;
+        }
         out->kind = KV_PUT;
         out->key = buf_str(&f->key);
         out->value = f->registered;
@@ -589,6 +603,7 @@
         at = due < at ? due : at;
     }
     if (!f->lease_id && f->lease_state != LEASE_ENDED &&
+        (f->lease_state != LEASE_HELD || all_listed(f)) &&
         f->lease_due_us < at) {
         at = f->lease_due_us;
     }
--- a/src/daemon/gateway_link.c
+++ b/src/daemon/gateway_link.c
@@ -9,6 +9,9 @@
  * store. An older ask has been repeated. */
 #define EARLY_MS 400
 
+/* A node that stops leaves the list of nodes before its last requests and
+ * those that it does for others have ended; it has some seconds for them. */
+#define LEAVE_MS 12000
 /* A connection that is only for notices is opened this often. */
 #define NOTIFY_OPEN_US 100000
 
@@ -165,6 +168,7 @@
                                 .public_key = str_from(t->shared->link_public),
                                 .secret_key = str_from(t->shared->link_secret),
                                 .reply = true,
+                                .leave_ms = LEAVE_MS,
                                 .early_ms = EARLY_MS,
                                 .ctx = t,
                                 .message = on_link_message,
--- a/src/forward/owners.c
+++ b/src/forward/owners.c
@@ -13,11 +13,12 @@
  * connection is opened anew. Owners acknowledge an ask at once. */
 #define SILENT_US (500 * MS)
 #define RECONNECT_US (150 * MS)
-/* Until a process has said its first word, its connection may still be under
- * way: after a restart of all nodes, each owner has a handshake with each node
- * to do. To pass it over would only move that load to the next node. A key
- * is new for NEW_KEY_US. */
+/* After a restart of many nodes, each owner has a handshake with each node to
+ * do before it can say its first word. To pass it over would only move that
+ * load to the next node. It holds when a third of the keys have changed within
+ * NEW_KEY_US. */
 #define NEW_KEY_US (5 * SECOND)
+#define NEW_KEYS_SHARE 3
 #define FIRST_SILENT_US (1500 * MS)
 #define FIRST_RECONNECT_US (800 * MS)
 #define SUSPECT_MIN_US (500 * MS)
@@ -162,9 +163,19 @@
     return p;
 }
 
+static void
+count_new_key(struct forward *f, int64_t now_us)
+{
+    if (now_us - f->new_keys_us >= NEW_KEY_US) {
+        f->new_keys = 0;
+        f->new_keys_us = now_us;
+    }
+    f->new_keys++;
+}
+
 /* A node that has registered with a new key has restarted and answers. */
 static void
-clear_restarted(struct forward *f, int64_t now_us)
+clear_restarted(struct forward *f, int64_t now_us, bool first)
 {
     for (int i = 0; i < f->site->alive_count; i++) {
         const struct site_node *n = &f->site->alive[i];
@@ -172,7 +183,9 @@
         uint64_t key = hash64(n->key);
         if (p->key != key) {
             p->key = key;
-            p->key_us = now_us;
+            if (!first) {
+                count_new_key(f, now_us);
+            }
             p->heard_us = 0;
             p->unanswered_us = 0;
             p->suspect_until_us = 0;
@@ -185,8 +198,9 @@
 owners_set_site(struct forward *f, int64_t now_us)
 {
     if (f->nodes_version != f->site->nodes_version) {
+        bool first = f->nodes_version == UINT64_MAX;
         f->nodes_version = f->site->nodes_version;
-        clear_restarted(f, now_us);
+        clear_restarted(f, now_us, first);
     }
     size_t at = 0;
     struct svc *s;
@@ -194,9 +208,7 @@
     while ((s = map_next(&f->services, &at))) {
         int n = (int)s->endpoints->len;
         s->groups = n > 0 ? (n + GROUP_ENDPOINTS - 1) / GROUP_ENDPOINTS : 1;
-        if (s->info.does_pieces) {
-            g_ptr_array_sort(s->endpoints, by_zone_and_id);
-        }
+        g_ptr_array_sort(s->endpoints, by_zone_and_id);
     }
     for (at = 0; (e = map_next(&f->pools, &at));) {
         fill_pool(f, now_us, e);
@@ -400,6 +412,13 @@
     }
 }
 
+static bool
+many_new_keys(const struct forward *f, int64_t now_us)
+{
+    return now_us - f->new_keys_us < NEW_KEY_US && f->site &&
+           f->new_keys * NEW_KEYS_SHARE >= f->site->alive_count;
+}
+
 static void
 find_silent(struct forward *f, int64_t now_us)
 {
@@ -408,7 +427,7 @@
     int64_t looked_us = f->looked_us;
     f->looked_us = now_us;
     while ((p = map_next(&f->peers, &at))) {
-        bool first = p->heard_us == 0 && now_us - p->key_us < NEW_KEY_US;
+        bool first = p->heard_us == 0 && many_new_keys(f, now_us);
         int64_t silent_us = now_us - p->unanswered_us;
         if (!p->unanswered_us) {
             continue;
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -124,7 +124,6 @@
 struct peer {
     uint64_t node;
     uint64_t key;     /* hash of its public key; changes when it restarts */
-    int64_t key_us;   /* it was first seen */
     bool reconnected; /* since unanswered_us */
     int64_t unanswered_us;   /* oldest message without a word since; 0: none */
     uint64_t unanswered_ask; /* that message */
@@ -182,9 +181,11 @@
     uint64_t self;          /* hash of this node's name */
     uint64_t nodes_version; /* of the site */
     int64_t looked_us;      /* at silent owners */
-    int64_t asks_due_us;    /* open asks are looked at; INT64_MAX: none */
-    struct map services;    /* hash of name -> struct svc */
-    struct map endpoints;   /* hash of id -> struct endpoint */
+    int new_keys;           /* of nodes, since new_keys_us */
+    int64_t new_keys_us;
+    int64_t asks_due_us;  /* open asks are looked at; INT64_MAX: none */
+    struct map services;  /* hash of name -> struct svc */
+    struct map endpoints; /* hash of id -> struct endpoint */
     struct timers timers;
     uint64_t next_call; /* of calls and asks; begins at random */
     bool draining;
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -47,9 +47,10 @@
 struct peer {
     char *address;
     char key[KEY_TEXT + 1];
-    bool fixed;   /* from the options */
-    bool allowed; /* in the last link_set_peers */
-    void *socket; /* NULL until first used */
+    bool fixed;     /* from the options */
+    bool allowed;   /* in the last link_set_peers */
+    gint64 left_us; /* the first time it was not; 0: it is */
+    void *socket;   /* NULL until first used */
     struct link *link;
     uint64_t node; /* last addressed */
     bool up;       /* the last message was queued */
@@ -199,10 +200,16 @@
 static gboolean
 is_stale(gpointer address, gpointer value, gpointer ctx)
 {
-    const struct peer *p = value;
+    struct peer *p = value;
+    const struct link *l = ctx;
+    gint64 now_us = g_get_monotonic_time();
     (void)address;
-    (void)ctx;
-    return !p->fixed && !p->allowed;
+    if (p->fixed || p->allowed) {
+        p->left_us = 0;
+        return FALSE;
+    }
+    p->left_us = p->left_us ? p->left_us : now_us;
+    return now_us - p->left_us >= (gint64)l->opts.leave_ms * 1000;
 }
 
 static void
@@ -220,7 +227,7 @@
     for (int i = 0; i < count; i++) {
         peer_put(l, &peers[i])->allowed = true;
     }
-    g_hash_table_foreach_remove(l->peers, is_stale, NULL);
+    g_hash_table_foreach_remove(l->peers, is_stale, l);
     answer_held(l);
 }
 
@@ -629,6 +636,22 @@
     return ok;
 }
 
+/* The connection to a node that has left the allowed peers. */
+static struct peer *
+leaving_peer(const struct link *l, uint64_t node)
+{
+    GHashTableIter it;
+    gpointer value;
+    g_hash_table_iter_init(&it, l->peers);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        struct peer *p = value;
+        if (p->socket && p->left_us && p->node == node) {
+            return p;
+        }
+    }
+    return NULL;
+}
+
 static bool
 link_up(const struct link *l, struct str address)
 {
@@ -653,7 +676,10 @@
     bool back =
         (address.len == 0 || (l->opts.reply && !link_up(l, address))) &&
         send_back(l, node);
-    struct peer *p = address.len && !back ? peer_at(l, address) : NULL;
+    struct peer *p = NULL;
+    if (!back) {
+        p = address.len ? peer_at(l, address) : leaving_peer(l, node);
+    }
     bool ok = back || (p && send_to(l, p, node));
     l->count.sent += ok;
     l->count.dropped += !ok;
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -28,6 +28,8 @@
     const struct link_peer *peers;
     bool reply;   /**< a node that is not connected to is answered over the
                        connection on which it was heard */
+    int leave_ms; /**< peers that are not allowed any more may still finish
+                       what they do for this long; 0: they are cut off */
     int early_ms; /**< messages to a peer that is not connected yet wait this
                        long; 0: they are dropped */
     void *ctx;
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -261,6 +261,12 @@
     rig_init(&r);
     struct kv_op op = pending(&r, KV_LEASE, "");
     answer(&r, &op, KV_OK, 0, NULL, 0);
+    /* Others ask a registered node, so it must know the site. */
+    submit(&r);
+    for (int i = 0; i < r.count; i++) {
+        g_assert_cmpint(r.ops[i].kind, ==, KV_LIST);
+    }
+    start(&r);
     op = pending(&r, KV_PUT, "");
     g_assert_true(str_eq_c(op.key, "n/node-0"));
     g_assert_cmpint(op.lease, ==, 7);
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -19,6 +19,7 @@
     int lost;
     int early_ms;
     bool reply;
+    int leave_ms;
     uint64_t from;
 };
 
@@ -57,6 +58,7 @@
         .peer_count = peer ? 1 : 0,
         .peers = &p,
         .reply = n->reply,
+        .leave_ms = n->leave_ms,
         .early_ms = n->early_ms,
         .ctx = n,
         .message = on_message,
@@ -299,6 +301,36 @@
     link_free(n[0].link);
 }
 
+/* A node that stops has left the list before its last answers. Guards against
+ * their loss: others would do its work again. */
+static void
+test_leaving(void)
+{
+    struct node n[2] = {{.reply = true, .leave_ms = 60000},
+                        {.reply = true, .leave_ms = 60000}};
+    open_node(&n[0], "tcp://127.0.0.1:*", true, NULL);
+    open_node(&n[1], "tcp://127.0.0.1:*", true, &n[0]);
+    struct link_peer p = {str_from(link_address(n[1].link)),
+                          str_from(n[1].public_key)};
+    link_set_peers(n[0].link, &p, 1);
+    deliver(n, 2, 0, 1);
+    link_set_peers(n[0].link, NULL, 0);
+    /* Its answer over the asker's connection, a message to it without its
+     * address, and one over a connection that it opens now. */
+    struct msg m = {.type = MSG_ACK, .from = 2};
+    g_assert_true(link_send(n[1].link, 1, STR_LIT(""), &m));
+    g_assert_true(link_send(n[0].link, 7, STR_LIT(""), &m));
+    gint64 end = g_get_monotonic_time() + LIMIT_US;
+    int before = n[1].got;
+    while (n[0].got < 1 || n[1].got < before + 1) {
+        g_assert_cmpint(g_get_monotonic_time(), <, end);
+        run(n, 2);
+    }
+    deliver(n, 2, 1, 0);
+    link_free(n[1].link);
+    link_free(n[0].link);
+}
+
 /* A node that connects before its key is known here: libzmq lets a refused
  * handshake wait for two seconds, in which the node would be taken for dead.
  * The connection is up as soon as the key is known. */
@@ -335,6 +367,7 @@
     g_test_add_func("/link/first-message", test_first_message);
     g_test_add_func("/link/answer-over-asking-connection",
                     test_answer_over_asking_connection);
+    g_test_add_func("/link/leaving", test_leaving);
     g_test_add_func("/link/early-key", test_early_key);
     g_test_add_func("/link/unknown-key", test_unknown_key);
     g_test_add_func("/link/restarted-and-dead-peer",
