--- a/tests/test_feed_fleet.c
+++ b/tests/test_feed_fleet.c
@@ -315,7 +315,7 @@
     g_snprintf(value, sizeof(value), "tcp://x key%d", n->starts);
     n->version = 0;
     n->feed = feed_new(&feed_text_codec, str_from(n->name), str_from(value),
-                       (uint64_t)(i + n->starts));
+                       (uint64_t)i + (uint64_t)n->starts);
 }
 
 /* The registration of a node that was killed ends with its lease. */
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -148,7 +148,8 @@
         g_test_message("row %zu: %s", i, errors.ptr ? errors.ptr : "");
         g_assert_cmpint(st, ==, rows[i].fault ? ST_INVALID : ST_OK);
         if (rows[i].fault) {
-            g_assert_nonnull(strstr(errors.ptr, rows[i].fault));
+            g_assert_nonnull(
+                strstr(errors.ptr ? errors.ptr : "", rows[i].fault));
             continue;
         }
         g_assert_cmpint(s.stop_ms, ==, rows[i].want[0]);
