Publish a change at once whichever way the store's answer came

Cause: an answer of the store that was finished by a timer of libcurl, not by an event of the loop, was taken between publishing and waiting, and the change waited for the next call: up to 300 ms, or a second.

Change: the feed is due while a site waits to be taken.

/feed/changes failed before (not due after a change).

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -590,10 +590,19 @@
     }
 }
 
+/* A site that nobody has taken yet. */
+static bool
+site_due(const struct feed *f)
+{
+    return f->changed && f->routing &&
+           f->tracks[FEED_TRACK_OPERATOR].complete &&
+           f->tracks[FEED_TRACK_ENDPOINTS].complete;
+}
+
 int64_t
 feed_wakeup(const struct feed *f)
 {
-    int64_t at = feed_answers_wakeup(f);
+    int64_t at = site_due(f) ? 0 : feed_answers_wakeup(f);
     for (int i = 0; i < FEED_TRACKS; i++) {
         const struct track *t = &f->tracks[i];
         int64_t due = t->due_us;
@@ -659,9 +668,7 @@
     gpointer v;
     feed_drop_missing(f, now_us);
     update_share(f, now_us);
-    if (!f->changed || !f->routing ||
-        !f->tracks[FEED_TRACK_OPERATOR].complete ||
-        !f->tracks[FEED_TRACK_ENDPOINTS].complete) {
+    if (!site_due(f)) {
         return NULL;
     }
     f->changed = false;
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -137,6 +137,9 @@
         struct kv_op op = pending(&r, KV_WATCH, "e/");
         g_assert_cmpint(op.revision, ==, revision - 1);
         answer(&r, &op, KV_OK, revision, change, 1);
+        /* A change must not wait for the next call to be in force. */
+        bool due = feed_wakeup(r.f) <= r.now;
+        g_assert_cmpint(due, ==, rows[i].endpoints >= 0);
         g_assert_cmpint(endpoints(&r), ==, rows[i].endpoints);
     }
     /* A zone out of service, and an older configuration that must not hold. */
