Hold a stream again that goes on elsewhere while its caller lags

Cause: the mark that a caller lags outlived the call, so the call of the next endpoint was read without bound and its silence was never noticed. Found by reading the change.

Ruled out: clearing it when the caller has caught up; that names the old call.

Change: a new call begins without the mark.

/forward/resumed-lagging: held once before, twice (once a call) after.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -252,13 +252,13 @@
     forward_world_by_id(n->world, request)->first_us = n->world->now_us;
 }
 
-/* Callers take everything at once. */
 static void
 io_hold(void *ctx, uint64_t call, uint64_t request)
 {
-    (void)ctx;
+    struct world_node *n = ctx;
     (void)call;
     (void)request;
+    n->world->holds++;
 }
 
 static size_t
@@ -266,7 +266,7 @@
 {
     struct world_node *n = ctx;
     buf_append_str(&forward_world_by_id(n->world, request)->body, bytes);
-    return 0;
+    return n->world->backlog;
 }
 
 static void
@@ -490,6 +490,18 @@
     w->nodes[node].delay_us = delay_us;
 }
 
+void
+forward_world_lag(struct forward_world *w, size_t backlog)
+{
+    w->backlog = backlog;
+}
+
+int
+forward_world_holds(const struct forward_world *w)
+{
+    return w->holds;
+}
+
 void
 forward_world_stall(struct forward_world *w, int node, int64_t span_us)
 {
--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -99,6 +99,10 @@
 void forward_world_cut(struct forward_world *w, int node, bool cut);
 /** A node handles messages of others this much later. */
 void forward_world_delay(struct forward_world *w, int node, int64_t delay_us);
+/** Callers have this much left to take. */
+void forward_world_lag(struct forward_world *w, size_t backlog);
+/** Times that a node stopped reading a call for its caller. */
+int forward_world_holds(const struct forward_world *w);
 /** A node does not run for a time; what comes meanwhile is handled right
  * after its timers. */
 void forward_world_stall(struct forward_world *w, int node, int64_t span_us);
--- a/bench/forward_world_state.h
+++ b/bench/forward_world_state.h
@@ -95,6 +95,8 @@
     int64_t now_us;
     struct rng rng;
     uint64_t nodes_version;
+    size_t backlog; /* of every caller */
+    int holds;
     int node_count;
     struct world_node *nodes;
     int endpoint_count;
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -242,6 +242,7 @@
     r->sent_us = now_us;
     r->heard_us = now_us;
     r->accepted = false;
+    r->held = false;
     r->sends++;
     if (r->tried_count < PLACE_MAX_TRIED) {
         r->tried[r->tried_count++] = e->hash;
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -739,6 +739,28 @@
     forward_world_free(r.w);
 }
 
+/* A stream that goes on elsewhere while its caller lags is held there, too.
+ * Guards against a call that is read without bound. */
+static void
+test_resumed_lagging(void)
+{
+    struct rig r;
+    rig_init(&r, 2);
+    r.e[0].break_after = r.e[1].break_after = 2;
+    struct fw_ask ask = {.host = "resumed",
+                         .patience_us = 6 * SECOND,
+                         .prompt_tokens = 2000,
+                         .pieces = {2}};
+    forward_world_lag(r.w, 1 << 20);
+    int q = forward_world_send(r.w, 0, &ask);
+    forward_world_run(r.w, forward_world_now(r.w) + 300 * MS);
+    r.e[0].break_after = r.e[1].break_after = 0;
+    forward_world_run(r.w, forward_world_now(r.w) + 3 * SECOND);
+    g_assert_cmpint(forward_world_request(r.w, q)->runs, ==, 2);
+    g_assert_cmpint(forward_world_holds(r.w), ==, 2);
+    forward_world_free(r.w);
+}
+
 static int64_t
 thread_ns(void)
 {
@@ -985,6 +1007,7 @@
     g_test_add_func("/forward/long-queue", test_long_queue);
     g_test_add_func("/forward/begun", test_begun);
     g_test_add_func("/forward/resumed", test_resumed);
+    g_test_add_func("/forward/resumed-lagging", test_resumed_lagging);
     g_test_add_func("/forward/leaving", test_leaving);
     g_test_add_func("/forward/lost-messages", test_lost_messages);
     g_test_add_func("/forward/slow-maker", test_slow_maker);
