Contact stage owners before the first request, and give their first answer longer

Cause: an owner has a CURVE handshake with each node before its first answer. With 118 nodes on 0.29 of a core this takes about as long as the 500 ms after which a silent owner is skipped. Each node opened the connection again after 150 ms, which makes the owner start over, and after 500 ms all moved to the next owner, which then had the same handshakes to do. Processor time that is charged 1.4 times higher tips it over. The longer limits that exist for restarts applied only when keys changed, not at the first start.

Change: nodes contact the owners of all groups and those next in rank ahead of requests, one each 300 ms in an order of their own; the limits for a first answer hold for every node that has not answered since it started (1.5 s, connection 0.8 s); counting changed keys is gone. node_silent says answered_before.

The simulated fleet models processing time of messages and handshakes for it.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -191,6 +191,50 @@
     return str_from_bytes(copy, s.len);
 }
 
+static int
+find_node(const struct forward_world *w, uint64_t hash)
+{
+    for (int i = 0; i < w->node_count; i++) {
+        if (w->nodes[i].hash == hash) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+static void
+set_connected(struct forward_world *w, int a, int b, bool connected)
+{
+    w->connected[a * w->node_count + b] = connected;
+    w->connected[b * w->node_count + a] = connected;
+}
+
+/* Occupies a node with work of this length. @return the end of the work */
+static int64_t
+occupy_node(struct sim_node *n, int64_t from_us, int64_t work_us)
+{
+    if (work_us == 0) {
+        return from_us;
+    }
+    n->busy_until_us = MAX(n->busy_until_us, from_us) + work_us;
+    return n->busy_until_us;
+}
+
+/* Returns when the receiver of a message that is sent now has handled it. */
+static int64_t
+message_handled_us(struct forward_world *w, int from, int to)
+{
+    int64_t sent_us = occupy_node(&w->nodes[from], w->now_us, w->message_us);
+    int64_t work_us = w->message_us;
+    if (!w->connected[from * w->node_count + to]) {
+        set_connected(w, from, to, true);
+        work_us += w->handshake_us;
+    }
+    return occupy_node(&w->nodes[to],
+                       sent_us + ONE_WAY_US + w->nodes[to].message_delay_us,
+                       work_us);
+}
+
 static void
 io_send_message(void *ctx, uint64_t node, const struct stage_msg *m)
 {
@@ -200,38 +244,40 @@
         w->drop_count--;
         return;
     }
-    for (int i = 0; i < w->node_count; i++) {
-        if (hash64(str_from_cstr(w->nodes[i].name)) != node || n->cut ||
-            w->nodes[i].cut) {
-            continue;
-        }
-        struct sim_event *ev = forward_world_schedule(
-            w, w->now_us + ONE_WAY_US + w->nodes[i].message_delay_us,
-            SIM_MESSAGE, i);
-        ev->from = hash64(str_from_cstr(n->name));
-        ev->msg = g_new(struct stage_msg, 1);
-        *ev->msg = *m;
-        ev->strings = g_ptr_array_new_with_free_func(g_free);
-        if (m->kind == STAGE_MSG_REQUEST) {
-            struct stage_work_request *a = &ev->msg->request;
-            a->request_id = copy_str(ev->strings, a->request_id);
-            a->zone = copy_str(ev->strings, a->zone);
-            a->key = copy_str(ev->strings, a->key);
-            for (int k = 0; k < a->input_count; k++) {
-                a->inputs[k] = copy_str(ev->strings, a->inputs[k]);
-            }
-        }
-        else if (m->kind == STAGE_MSG_RESULT) {
-            ev->msg->result.handle = copy_str(ev->strings, m->result.handle);
+    int to = find_node(w, node);
+    if (to < 0 || n->cut || w->nodes[to].cut) {
+        return;
+    }
+    struct sim_event *ev = forward_world_schedule(
+        w, message_handled_us(w, n->index, to), SIM_MESSAGE, to);
+    ev->from = n->hash;
+    ev->msg = g_new(struct stage_msg, 1);
+    *ev->msg = *m;
+    ev->strings = g_ptr_array_new_with_free_func(g_free);
+    if (m->kind == STAGE_MSG_REQUEST) {
+        struct stage_work_request *a = &ev->msg->request;
+        a->request_id = copy_str(ev->strings, a->request_id);
+        a->zone = copy_str(ev->strings, a->zone);
+        a->key = copy_str(ev->strings, a->key);
+        for (int k = 0; k < a->input_count; k++) {
+            a->inputs[k] = copy_str(ev->strings, a->inputs[k]);
         }
     }
+    else if (m->kind == STAGE_MSG_RESULT) {
+        ev->msg->result.handle = copy_str(ev->strings, m->result.handle);
+    }
 }
 
 static void
 io_reconnect(void *ctx, uint64_t node)
 {
-    (void)ctx;
-    (void)node;
+    struct sim_node *n = ctx;
+    int to = find_node(n->world, node);
+    if (to >= 0) {
+        set_connected(n->world, n->index, to, true);
+        occupy_node(&n->world->nodes[to], n->world->now_us + ONE_WAY_US,
+                    n->world->handshake_us);
+    }
 }
 
 static void
@@ -463,11 +509,13 @@
     w->routing = make_routing(w, routes, route_count);
     w->node_count = nodes;
     w->nodes = mem_calloc((size_t)nodes, sizeof(struct sim_node));
+    w->connected = mem_calloc((size_t)nodes * (size_t)nodes, sizeof(bool));
     for (int i = 0; i < nodes; i++) {
         struct sim_node *n = &w->nodes[i];
         n->world = w;
         n->index = i;
         snprintf(n->name, sizeof(n->name), "node-%d", i);
+        n->hash = hash64(str_from_cstr(n->name));
         start_node(w, n);
     }
     forward_world_publish_view(w, NULL);
@@ -497,6 +545,7 @@
     g_ptr_array_free(w->requests, TRUE);
     g_hash_table_destroy(w->cancelled);
     g_hash_table_destroy(w->result_owners);
+    free(w->connected);
     free(w->nodes);
     free(w->sim_endpoints);
     free(w);
@@ -515,6 +564,14 @@
     w->nodes[node].message_delay_us = delay_us;
 }
 
+void
+forward_world_set_processing_times(struct forward_world *w, int64_t message_us,
+                                   int64_t handshake_us)
+{
+    w->message_us = message_us;
+    w->handshake_us = handshake_us;
+}
+
 void
 forward_world_set_caller_backlog(struct forward_world *w, size_t backlog)
 {
@@ -555,6 +612,9 @@
             ev->kind = SIM_DROPPED;
         }
     }
+    for (int i = 0; i < w->node_count; i++) {
+        set_connected(w, node, i, false);
+    }
     start_node(w, n);
     bool *removed = g_new0(bool, w->endpoint_count);
     for (int i = 0; i < w->endpoint_count; i++) {
--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -107,6 +107,12 @@
 /** Delays the messages that a node receives from other nodes. */
 void forward_world_set_message_delay(struct forward_world *w, int node,
                                      int64_t delay_us);
+/** Sets the time for which a message occupies its sender and its receiver, and
+ * the time for which the handshake of a new connection occupies the node that
+ * accepts it. A node does one of these at a time. Both are 0 at first. */
+void forward_world_set_processing_times(struct forward_world *w,
+                                        int64_t message_us,
+                                        int64_t handshake_us);
 /** Sets the number of bytes that each caller is reported not to have read
  * yet. */
 void forward_world_set_caller_backlog(struct forward_world *w, size_t backlog);
--- a/bench/forward_world_state.h
+++ b/bench/forward_world_state.h
@@ -88,9 +88,11 @@
     /* From the arrival of a message to its handling. */
     int64_t message_delay_us;
     int64_t paused_until_us; /* the node does not run before this time */
+    int64_t busy_until_us;   /* end of the processing of its last message */
     bool store_lost;
     int start_count;
     char name[24];
+    uint64_t hash; /* of name */
 };
 
 struct forward_world {
@@ -101,6 +103,10 @@
     int pause_count;
     int node_count;
     struct sim_node *nodes;
+    int64_t message_us;   /* processing time of a message */
+    int64_t handshake_us; /* processing time of a handshake */
+    bool *connected;      /* for each pair of nodes, [from * node_count + to];
+                             both directions are set together */
     int endpoint_count;
     struct sim_endpoint *sim_endpoints;
     const struct fw_service *services;
--- a/src/forward/owners.c
+++ b/src/forward/owners.c
@@ -14,14 +14,17 @@
  * request at once. */
 #define SILENCE_TIMEOUT_US (500 * MS)
 #define RECONNECT_AFTER_US (150 * MS)
-/* After a restart of many nodes, each owner has to complete a handshake with
- * each node before it can send its first message. Using another owner would
- * only move that load to the next node, so the longer time limits below apply
- * when a third of the keys have changed within CHANGED_KEYS_WINDOW_US. */
-#define CHANGED_KEYS_WINDOW_US (5 * SECOND)
-#define CHANGED_KEYS_DIVISOR 3
-#define RESTART_SILENCE_TIMEOUT_US (1500 * MS)
-#define RESTART_RECONNECT_AFTER_US (800 * MS)
+/* Limits for a node that has not replied since it started. An owner completes
+ * a handshake with each node before its first reply, which takes longer the
+ * more nodes there are, and longer still if each node starts it again. */
+#define FIRST_SILENCE_TIMEOUT_US (1500 * MS)
+#define FIRST_RECONNECT_AFTER_US (800 * MS)
+/* The owners of all groups, and the nodes that would replace them, are
+ * contacted before the first request, one per interval, once the list of nodes
+ * has not changed for CONTACT_DELAY_US. */
+#define CONTACT_RANKS 2
+#define CONTACT_DELAY_US (500 * MS)
+#define CONTACT_INTERVAL_US (300 * MS)
 #define SUSPECT_MIN_US (500 * MS)
 #define SUSPECT_MAX_US (16 * SECOND)
 /* Owners are checked every 60 ms. A longer gap means that this node did not
@@ -170,20 +173,10 @@
     return p;
 }
 
-static void
-count_changed_key(struct forward *f, int64_t now_us)
-{
-    if (now_us - f->changed_keys_since_us >= CHANGED_KEYS_WINDOW_US) {
-        f->changed_keys = 0;
-        f->changed_keys_since_us = now_us;
-    }
-    f->changed_keys++;
-}
-
 /* A node that has registered with a new key has restarted, so its silence
  * before no longer counts. */
 static void
-reset_restarted_nodes(struct forward *f, int64_t now_us, bool first)
+reset_restarted_nodes(struct forward *f)
 {
     for (int i = 0; i < f->cluster_view->alive_count; i++) {
         const struct cluster_node *n = &f->cluster_view->alive[i];
@@ -191,9 +184,7 @@
         uint64_t key = hash64(n->key);
         if (p->key != key) {
             p->key = key;
-            if (!first) {
-                count_changed_key(f, now_us);
-            }
+            p->contacted = false;
             p->last_received_us = 0;
             p->unanswered_us = 0;
             p->suspect_until_us = 0;
@@ -206,9 +197,9 @@
 owners_set_site(struct forward *f, int64_t now_us)
 {
     if (f->nodes_version != f->cluster_view->nodes_version) {
-        bool first = f->nodes_version == UINT64_MAX;
         f->nodes_version = f->cluster_view->nodes_version;
-        reset_restarted_nodes(f, now_us, first);
+        reset_restarted_nodes(f);
+        f->contact_due_us = now_us + CONTACT_DELAY_US;
     }
     size_t at = 0;
     struct service_state *s;
@@ -273,6 +264,13 @@
            (now_us < p->suspect_until_us || p->unanswered_us);
 }
 
+static uint64_t
+owner_rank(uint64_t node, uint64_t service, int group)
+{
+    uint64_t parts[3] = {node, service, (uint64_t)group};
+    return XXH3_64bits(parts, sizeof(parts));
+}
+
 uint64_t
 owners_find(const struct forward *f, int64_t now_us, uint64_t service,
             int group)
@@ -285,8 +283,7 @@
             (n->address.len == 0 || should_avoid(f, now_us, n->hash))) {
             continue;
         }
-        uint64_t parts[3] = {n->hash, service, (uint64_t)group};
-        uint64_t rank = XXH3_64bits(parts, sizeof(parts));
+        uint64_t rank = owner_rank(n->hash, service, group);
         if (rank > best_rank) {
             best_rank = rank;
             best = n->hash;
@@ -383,12 +380,14 @@
     }
 }
 
+/* A contact message is answered with a drop. */
 static bool
 replies_to(const struct stage_msg *m, uint64_t request)
 {
     return (m->kind == STAGE_MSG_ACK && m->ack.correlation_id == request) ||
            (m->kind == STAGE_MSG_RESULT &&
-            m->result.correlation_id == request);
+            m->result.correlation_id == request) ||
+           (m->kind == STAGE_MSG_DROP && m->drop.correlation_id == request);
 }
 
 void
@@ -427,15 +426,6 @@
     }
 }
 
-static bool
-many_changed_keys(const struct forward *f, int64_t now_us)
-{
-    return now_us - f->changed_keys_since_us < CHANGED_KEYS_WINDOW_US &&
-           f->cluster_view &&
-           f->changed_keys * CHANGED_KEYS_DIVISOR >=
-               f->cluster_view->alive_count;
-}
-
 static void
 detect_silent_owners(struct forward *f, int64_t now_us)
 {
@@ -444,7 +434,7 @@
     int64_t owners_checked_us = f->owners_checked_us;
     f->owners_checked_us = now_us;
     while ((p = map_next(&f->peers, &at))) {
-        bool first = p->last_received_us == 0 && many_changed_keys(f, now_us);
+        bool first = p->last_received_us == 0;
         int64_t silent_us = now_us - p->unanswered_us;
         if (!p->unanswered_us) {
             continue;
@@ -454,18 +444,19 @@
             p->unanswered_us += gap_us;
             silent_us -= gap_us;
         }
-        if (!p->reconnected && silent_us >= (first ? RESTART_RECONNECT_AFTER_US
+        if (!p->reconnected && silent_us >= (first ? FIRST_RECONNECT_AFTER_US
                                                    : RECONNECT_AFTER_US)) {
             p->reconnected = true;
             f->io.reconnect(f->io.ctx, p->node);
         }
         if (silent_us <
-                (first ? RESTART_SILENCE_TIMEOUT_US : SILENCE_TIMEOUT_US) ||
+                (first ? FIRST_SILENCE_TIMEOUT_US : SILENCE_TIMEOUT_US) ||
             now_us < p->suspect_until_us) {
             continue;
         }
         LOG_EVENT(LOG_WARN, "node_silent", LOG_INT("node", p->node),
-                  LOG_INT("ms", (now_us - p->unanswered_us) / MS));
+                  LOG_INT("ms", (now_us - p->unanswered_us) / MS),
+                  LOG_INT("answered_before", !first));
         p->unanswered_us = 0;
         p->suspect_until_us = now_us + p->suspect_duration_us;
         if (p->suspect_duration_us < SUSPECT_MAX_US) {
@@ -474,12 +465,91 @@
     }
 }
 
+static uint64_t
+find_ranked_owner(const struct forward *f, uint64_t service, int group,
+                  int place)
+{
+    uint64_t limit = UINT64_MAX;
+    uint64_t found = 0;
+    for (int at = 0; at <= place; at++) {
+        uint64_t best_rank = 0;
+        found = 0;
+        for (int i = 0; i < f->cluster_view->alive_count; i++) {
+            const struct cluster_node *n = &f->cluster_view->alive[i];
+            uint64_t rank = owner_rank(n->hash, service, group);
+            if (rank < limit && rank > best_rank) {
+                best_rank = rank;
+                found = n->hash;
+            }
+        }
+        limit = best_rank;
+    }
+    return found;
+}
+
+/* Returns an owner that this node has not contacted; 0: none. Nodes begin with
+ * different owners, so that each owner is contacted by few of them at a time.
+ */
+static struct peer *
+next_uncontacted_owner(struct forward *f)
+{
+    struct peer *best = NULL;
+    uint64_t best_order = 0;
+    size_t at = 0;
+    const struct service_state *s;
+    while ((s = map_next(&f->services, &at))) {
+        for (int i = 0;
+             s->info.processes_pieces && i < s->groups * CONTACT_RANKS; i++) {
+            uint64_t node = find_ranked_owner(f, s->hash, i / CONTACT_RANKS,
+                                              i % CONTACT_RANKS);
+            const struct cluster_node *n =
+                cluster_view_find_node(f->cluster_view, node);
+            struct peer *p = n && node != f->self && n->address.len > 0
+                                 ? get_peer(f, node)
+                                 : NULL;
+            uint64_t order = owner_rank(f->self, node, 0);
+            if (p && !p->contacted && p->last_received_us == 0 &&
+                order >= best_order) {
+                best = p;
+                best_order = order;
+            }
+        }
+    }
+    return best;
+}
+
+/* Opens the connection to one more owner. An acknowledgement of a request that
+ * the owner has not sent is answered with a drop, which shows that the owner
+ * is alive. */
+static void
+contact_owners(struct forward *f, int64_t now_us)
+{
+    if (now_us < f->contact_due_us) {
+        return;
+    }
+    struct peer *p = next_uncontacted_owner(f);
+    f->contact_due_us = p ? now_us + CONTACT_INTERVAL_US : INT64_MAX;
+    if (!p) {
+        return;
+    }
+    struct stage_msg m = {.kind = STAGE_MSG_ACK};
+    m.ack.correlation_id = ++f->next_call;
+    p->contacted = true;
+    if (!p->unanswered_us) {
+        p->unanswered_us = now_us;
+        p->unanswered_request = m.ack.correlation_id;
+        p->reconnected = false;
+    }
+    f->io.send_message(f->io.ctx, p->node, &m);
+}
+
 void
 owners_run(struct forward *f, int64_t now_us)
 {
     size_t at = 0;
     struct pool_entry *e;
     struct local_message *m;
+    contact_owners(f, now_us);
     detect_silent_owners(f, now_us);
     pieces_check_requests(f, now_us);
     while ((e = map_next(&f->pools, &at))) {
@@ -495,7 +565,7 @@
 int64_t
 owners_next_wakeup_us(const struct forward *f)
 {
-    int64_t at = f->requests_check_us;
+    int64_t at = MIN(f->requests_check_us, f->contact_due_us);
     size_t i = 0;
     const struct pool_entry *e;
     while ((e = map_next(&f->pools, &i))) {
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -129,6 +129,7 @@
 struct peer {
     uint64_t node;
     uint64_t key;     /* hash of its public key; changes when it restarts */
+    bool contacted;   /* was sent a message ahead of the first request */
     bool reconnected; /* since unanswered_us */
     int64_t unanswered_us; /* send time of the oldest message with no reply
                               since; 0: none */
@@ -190,8 +191,8 @@
     uint64_t self;             /* hash of this node's name */
     uint64_t nodes_version;    /* nodes_version of the cluster view */
     int64_t owners_checked_us; /* last run of detect_silent_owners */
-    int changed_keys;          /* changes since changed_keys_since_us */
-    int64_t changed_keys_since_us;
+    int64_t contact_due_us;    /* next message to an owner that this node has
+                                  not contacted; INT64_MAX: none */
     int64_t requests_check_us; /* next check of pending stage requests;
                                   INT64_MAX: none */
     struct map services;       /* hash of name -> struct service_state */
