Let a simulated node begin the work of a message when it arrives

The simulated fleet reserved a node's time for a message that arrives later from the moment at which it was sent, so that a slow sender also made all its receivers busy.

Also counts messages and connections that are opened again, for the next test.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -220,19 +220,13 @@
     return n->busy_until_us;
 }
 
-/* Returns when the receiver of a message that is sent now has handled it. */
+/* Returns when a message that is sent now arrives. */
 static int64_t
-message_handled_us(struct forward_world *w, int from, int to)
+message_arrival_us(struct forward_world *w, struct sim_node *from,
+                   const struct sim_node *to)
 {
-    int64_t sent_us = occupy_node(&w->nodes[from], w->now_us, w->message_us);
-    int64_t work_us = w->message_us;
-    if (!w->connected[from * w->node_count + to]) {
-        set_connected(w, from, to, true);
-        work_us += w->handshake_us;
-    }
-    return occupy_node(&w->nodes[to],
-                       sent_us + ONE_WAY_US + w->nodes[to].message_delay_us,
-                       work_us);
+    return occupy_node(from, w->now_us, w->message_us) + ONE_WAY_US +
+           to->message_delay_us;
 }
 
 static void
@@ -249,7 +243,13 @@
         return;
     }
     struct sim_event *ev = forward_world_schedule(
-        w, message_handled_us(w, n->index, to), SIM_MESSAGE, to);
+        w, message_arrival_us(w, n, &w->nodes[to]), SIM_MESSAGE, to);
+    ev->work_us = w->message_us;
+    if (!w->connected[n->index * w->node_count + to]) {
+        set_connected(w, n->index, to, true);
+        ev->work_us += w->handshake_us;
+    }
+    w->nodes[to].received_messages++;
     ev->from = n->hash;
     ev->msg = g_new(struct stage_msg, 1);
     *ev->msg = *m;
@@ -273,9 +273,10 @@
 {
     struct sim_node *n = ctx;
     int to = find_node(n->world, node);
+    n->world->reconnect_count++;
     if (to >= 0) {
         set_connected(n->world, n->index, to, true);
-        occupy_node(&n->world->nodes[to], n->world->now_us + ONE_WAY_US,
+        occupy_node(&n->world->nodes[to], n->world->now_us,
                     n->world->handshake_us);
     }
 }
@@ -591,6 +592,18 @@
     w->nodes[node].paused_until_us = w->now_us + duration_us;
 }
 
+int
+forward_world_received_messages(const struct forward_world *w, int node)
+{
+    return w->nodes[node].received_messages;
+}
+
+int
+forward_world_reconnect_count(const struct forward_world *w)
+{
+    return w->reconnect_count;
+}
+
 void
 forward_world_restart_node(struct forward_world *w, int node)
 {
@@ -751,6 +764,19 @@
     }
 }
 
+/* @param ev is freed */
+static void
+reschedule(struct forward_world *w, struct sim_event *ev, int64_t at_us)
+{
+    struct sim_event *later =
+        forward_world_schedule(w, at_us, ev->kind, ev->node);
+    uint64_t seq = later->seq;
+    *later = *ev;
+    later->at_us = at_us;
+    later->seq = seq;
+    free(ev);
+}
+
 /* Reschedules an event of a paused node for the end of the pause. @return
  * true if it was rescheduled; @p ev is then freed */
 static bool
@@ -760,12 +786,22 @@
     if (ev->kind == SIM_SLOT_FREE || w->now_us > until_us) {
         return false;
     }
-    struct sim_event *later =
-        forward_world_schedule(w, until_us + STEP_US, ev->kind, ev->node);
-    int64_t at_us = later->at_us;
-    *later = *ev;
-    later->at_us = at_us;
-    free(ev);
+    reschedule(w, ev, until_us + STEP_US);
+    return true;
+}
+
+/* Reschedules a message for the time at which its node has done the work that
+ * came before it and that of the message. @return true if it was rescheduled;
+ * @p ev is then freed */
+static bool
+defer_for_work(struct forward_world *w, struct sim_event *ev)
+{
+    if (ev->work_us == 0) {
+        return false;
+    }
+    int64_t done_us = occupy_node(&w->nodes[ev->node], w->now_us, ev->work_us);
+    ev->work_us = 0;
+    reschedule(w, ev, done_us);
     return true;
 }
 
@@ -779,7 +815,7 @@
                 break;
             }
             struct sim_event *ev = pop_event(w);
-            if (defer_if_paused(w, ev)) {
+            if (defer_if_paused(w, ev) || defer_for_work(w, ev)) {
                 continue;
             }
             dispatch_event(w, ev);
--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -123,6 +123,10 @@
  * handled right after its timers. */
 void forward_world_pause_node(struct forward_world *w, int node,
                               int64_t duration_us);
+/** Number of messages that other nodes have sent to a node. */
+int forward_world_received_messages(const struct forward_world *w, int node);
+/** Number of times that a node closed a connection to open it again. */
+int forward_world_reconnect_count(const struct forward_world *w);
 /** Ends the process of a node and starts it again; the open requests of its
  * callers are aborted. */
 void forward_world_restart_node(struct forward_world *w, int node);
--- a/bench/forward_world_state.h
+++ b/bench/forward_world_state.h
@@ -44,6 +44,7 @@
     struct piece_result *results;
     uint64_t from;
     struct stage_msg *msg;
+    int64_t work_us;    /* processing time that its node has not spent yet */
     GPtrArray *strings; /* owns the strings of msg and results */
     int endpoint;
     int64_t free_bytes;
@@ -89,6 +90,7 @@
     int64_t message_delay_us;
     int64_t paused_until_us; /* the node does not run before this time */
     int64_t busy_until_us;   /* end of the processing of its last message */
+    int received_messages;
     bool store_lost;
     int start_count;
     char name[24];
@@ -101,6 +103,7 @@
     uint64_t nodes_version;
     size_t backlog; /* unread bytes reported for every caller */
     int pause_count;
+    int reconnect_count;
     int node_count;
     struct sim_node *nodes;
     int64_t message_us;   /* processing time of a message */
