Do not open the connection to an owner again after a pause of 150 ms

Callers saw: with little processor time to spare, streams late for seconds after an owner of stage endpoints had stood still for a moment.

Change: 300 ms, and up to 150 ms more that differ from node to node, so that an owner that answers again keeps most of its connections. A silent connection is opened again before the owner is skipped (500 ms), as before.

--- a/src/forward/owners.c
+++ b/src/forward/owners.c
@@ -13,7 +13,8 @@
  * which the connection is reopened before that. Owners acknowledge a stage
  * request at once. */
 #define SILENCE_TIMEOUT_US (500 * MS)
-#define RECONNECT_AFTER_US (150 * MS)
+#define RECONNECT_MIN_US (300 * MS)
+#define RECONNECT_SPREAD_US (150 * MS)
 /* Limits for a node that has not replied since it started. An owner completes
  * a handshake with each node before its first reply, which takes longer the
  * more nodes there are, and longer still if each node starts it again. */
@@ -426,6 +427,19 @@
     }
 }
 
+/* Nodes open their connections to the same owner again at different times, so
+ * that one which is only slow answers some of them before it has handshakes
+ * with all. */
+static int64_t
+reconnect_after_us(const struct forward *f, const struct peer *p)
+{
+    if (p->last_received_us == 0) {
+        return FIRST_RECONNECT_AFTER_US;
+    }
+    return RECONNECT_MIN_US +
+           (int64_t)(owner_rank(f->self, p->node, 0) % RECONNECT_SPREAD_US);
+}
+
 static void
 detect_silent_owners(struct forward *f, int64_t now_us)
 {
@@ -444,8 +458,7 @@
             p->unanswered_us += gap_us;
             silent_us -= gap_us;
         }
-        if (!p->reconnected && silent_us >= (first ? FIRST_RECONNECT_AFTER_US
-                                                   : RECONNECT_AFTER_US)) {
+        if (!p->reconnected && silent_us >= reconnect_after_us(f, p)) {
             p->reconnected = true;
             f->io.reconnect(f->io.ctx, p->node);
         }
--- a/tests/test_forward_fleet.c
+++ b/tests/test_forward_fleet.c
@@ -170,10 +170,44 @@
     }
 }
 
+/* @return the node that was sent the most stage requests */
+static int
+busiest_owner(struct fleet *f)
+{
+    int best = 0;
+    for (int i = 1; i < NODES; i++) {
+        if (forward_world_received_messages(f->w, i) >
+            forward_world_received_messages(f->w, best)) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+/* Owners are busy for most of the time, so that they take long to make up for
+ * a pause. Each node that opens its connection to such an owner again gives it
+ * one more handshake. */
+static void
+test_owner_pauses(void)
+{
+    struct fleet *f = mem_calloc(1, sizeof(*f));
+    fleet_init(f);
+    forward_world_set_processing_times(f->w, 225, 12000);
+    forward_world_run_until(f->w, forward_world_now_us(f->w) + 5 * SECOND);
+    send_requests(f, SECOND);
+    int reconnects = forward_world_reconnect_count(f->w);
+    forward_world_pause_node(f->w, busiest_owner(f), 200 * MS);
+    send_requests(f, 300 * MS);
+    g_assert_cmpint(forward_world_reconnect_count(f->w), ==, reconnects);
+    forward_world_free(f->w);
+    free(f);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/forward-fleet/first-requests", test_first_requests);
+    g_test_add_func("/forward-fleet/owner-pauses", test_owner_pauses);
     return g_test_run();
 }
