Answer late results of ended stage requests with one drop, not one each

Callers saw: owners of stage endpoints that are behind stay behind; streams late or refused.

Cause: a node answers each message about a request that it does not know with a drop. A slow owner reads the drop of an ended request late and sends its results meanwhile, up to 16 for a request here, each of which gave it one more message to read.

Change: only acknowledgements are answered so. The drop that the end of the request sent is on its way; if it was lost, the owner's reminder after 500 ms brings another.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -250,6 +250,7 @@
         ev->work_us += w->handshake_us;
     }
     w->nodes[to].received_messages++;
+    w->message_counts[m->kind]++;
     ev->from = n->hash;
     ev->msg = g_new(struct stage_msg, 1);
     *ev->msg = *m;
@@ -598,6 +599,13 @@
     return w->nodes[node].received_messages;
 }
 
+int
+forward_world_message_count(const struct forward_world *w,
+                            enum stage_msg_kind kind)
+{
+    return w->message_counts[kind];
+}
+
 int
 forward_world_reconnect_count(const struct forward_world *w)
 {
--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -125,6 +125,9 @@
                               int64_t duration_us);
 /** Number of messages that other nodes have sent to a node. */
 int forward_world_received_messages(const struct forward_world *w, int node);
+/** Number of messages of one kind that nodes have sent to each other. */
+int forward_world_message_count(const struct forward_world *w,
+                                enum stage_msg_kind kind);
 /** Number of times that a node closed a connection to open it again. */
 int forward_world_reconnect_count(const struct forward_world *w);
 /** Ends the process of a node and starts it again; the open requests of its
--- a/bench/forward_world_state.h
+++ b/bench/forward_world_state.h
@@ -104,6 +104,7 @@
     size_t backlog; /* unread bytes reported for every caller */
     int pause_count;
     int reconnect_count;
+    int message_counts[STAGE_MSG_PREFILL + 1]; /* by kind */
     int node_count;
     struct sim_node *nodes;
     int64_t message_us;   /* processing time of a message */
--- a/src/forward/pieces.c
+++ b/src/forward/pieces.c
@@ -541,6 +541,12 @@
     uint64_t id = m->kind == STAGE_MSG_ACK ? m->ack.correlation_id
                                            : m->result.correlation_id;
     struct pending_stage_request *a = map_get(&f->pending_requests, id);
+    if (!a && m->kind == STAGE_MSG_RESULT) {
+        /* The drop message of the ended request is on its way, or follows the
+         * owner's next acknowledgement. One for each late result would keep a
+         * slow owner busy. */
+        return;
+    }
     if (!a) {
         /* The stage request has ended, and its drop message was lost or
          * arrived before it. */
--- a/tests/test_forward_fleet.c
+++ b/tests/test_forward_fleet.c
@@ -203,11 +203,41 @@
     free(f);
 }
 
+/* Results that a slow owner sends for requests that have ended must not be
+ * answered one by one, since a request may have dozens of pieces. */
+static void
+test_late_results(void)
+{
+    struct fleet *f = mem_calloc(1, sizeof(*f));
+    fleet_init(f);
+    forward_world_run_until(f->w, forward_world_now_us(f->w) + 5 * SECOND);
+    send_requests(f, 100 * MS);
+    forward_world_run_until(f->w, forward_world_now_us(f->w) + 350 * MS);
+    int before = forward_world_message_count(f->w, STAGE_MSG_DROP);
+    int requests = forward_world_request_count(f->w);
+    for (int i = 0; i < NODES; i++) {
+        forward_world_set_message_delay(f->w, i, 400 * MS);
+    }
+    for (int i = 0; i < requests; i++) {
+        forward_world_disconnect_caller(f->w, i);
+    }
+    forward_world_run_until(f->w, forward_world_now_us(f->w) + 6 * SECOND);
+    int drops = forward_world_message_count(f->w, STAGE_MSG_DROP) - before;
+    g_test_message("%d drop messages for %d requests", drops, requests);
+    g_assert_cmpint(drops, <=, 5 * requests);
+    for (int i = 0; i < ENDPOINTS; i++) {
+        g_assert_cmpint(f->endpoints[i].held, ==, 0);
+    }
+    forward_world_free(f->w);
+    free(f);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/forward-fleet/first-requests", test_first_requests);
     g_test_add_func("/forward-fleet/owner-pauses", test_owner_pauses);
+    g_test_add_func("/forward-fleet/late-results", test_late_results);
     return g_test_run();
 }
