Resend stage requests to a slow owner less often each time

Cause: a request without an acknowledgement was resent every 170 ms, with all its inputs. An owner that is 500 ms behind read each three times, and fell behind further.

Change: the time doubles with each resend, up to 1.36 s. The check for dead owners does not depend on it.

/forward-fleet/resends-back-off fails before (134 requests sent for 45 that are acknowledged after 480 ms) and passes now (90).

--- a/src/forward/pieces.c
+++ b/src/forward/pieces.c
@@ -21,9 +21,11 @@
 #define WAIT_HALF_LIFE_US (400 * MS)
 #define WAIT_WEIGHT 0.3
 /* Interval between checks of pending stage requests, and the time after which
- * one is resent. */
+ * one is resent. The time doubles with each resend up to
+ * RESEND_MAX_DOUBLINGS: an owner that is only slow has all of them to read. */
 #define CHECK_REQUESTS_US (60 * MS)
 #define RESEND_US (170 * MS)
+#define RESEND_MAX_DOUBLINGS 3
 /* An acknowledged stage request is resent only in case results were lost. A
  * request with its inputs takes kilobytes of a slow link. */
 #define RESEND_ACKNOWLEDGED_US (700 * MS)
@@ -576,7 +578,7 @@
     if (a->acknowledged && now_us - a->sent_us < RESEND_ACKNOWLEDGED_US) {
         return owners_is_quiet(f, now_us, a->owner, RESEND_US);
     }
-    return now_us - a->sent_us >= RESEND_US;
+    return now_us - a->sent_us >= RESEND_US << a->resend_doublings;
 }
 
 /* Moves a request to another owner if its owner is suspect, and resends it if
@@ -598,6 +600,7 @@
         f->io.send_message(f->io.ctx, a->owner, &drop);
         a->previous_owner = a->owner;
         a->acknowledged = false;
+        a->resend_doublings = 0;
         a->owner = owners_find(f, now_us, s->hash, a->group);
         f->counters.owner_changes++;
         LOG_EVENT(LOG_INFO, "stage_owner_changed",
@@ -606,6 +609,8 @@
         send_stage_request(f, now_us, r, a);
     }
     else if (a->owner != f->self && resend_due(f, now_us, a)) {
+        a->resend_doublings =
+            MIN(a->resend_doublings + 1, RESEND_MAX_DOUBLINGS);
         send_stage_request(f, now_us, r, a);
     }
 }
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -122,6 +122,7 @@
                                 0: none */
     int64_t sent_us;
     int missing_count; /* pieces without a result */
+    int resend_doublings;
     bool acknowledged; /* the owner has acknowledged the request */
 };
 
--- a/tests/test_forward_fleet.c
+++ b/tests/test_forward_fleet.c
@@ -232,6 +232,26 @@
     free(f);
 }
 
+/* An owner that is slow to acknowledge has to read each repetition. */
+static void
+test_resends_back_off(void)
+{
+    struct fleet *f = mem_calloc(1, sizeof(*f));
+    fleet_init(f);
+    forward_world_run_until(f->w, forward_world_now_us(f->w) + 5 * SECOND);
+    for (int i = 0; i < NODES; i++) {
+        forward_world_set_message_delay(f->w, i, 240 * MS);
+    }
+    send_requests(f, 100 * MS);
+    int requests = forward_world_request_count(f->w);
+    forward_world_run_until(f->w, forward_world_now_us(f->w) + 450 * MS);
+    int sent = forward_world_message_count(f->w, STAGE_MSG_REQUEST);
+    g_test_message("%d stage requests sent for %d", sent, requests);
+    g_assert_cmpint(sent, <=, 2 * requests);
+    forward_world_free(f->w);
+    free(f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -239,5 +259,6 @@
     g_test_add_func("/forward-fleet/first-requests", test_first_requests);
     g_test_add_func("/forward-fleet/owner-pauses", test_owner_pauses);
     g_test_add_func("/forward-fleet/late-results", test_late_results);
+    g_test_add_func("/forward-fleet/resends-back-off", test_resends_back_off);
     return g_test_run();
 }
