Ask skipped owners with a message of their own, not with a caller's request

Cause: silence was noticed only while requests were open, since checks came every 200 ms on an idle node, which counts as a pause of the node itself; so the messages ahead of requests did not find dead owners. After its time was over a skipped owner was tried with the next request.

Change: a skipped node is avoided until it has answered a contact message in time; it gets one each time its skipping ends. While a node owes an answer, owners are checked every 60 ms.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -34,6 +34,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     f->self = hash64(opts->node);
     f->requests_check_us = INT64_MAX;
+    f->contact_due_us = f->owners_due_us = INT64_MAX;
     f->nodes_version = UINT64_MAX;
     g_queue_init(&f->inbox);
     hist_init(&f->latency, HIST_SAMPLES);
--- a/src/forward/owners.c
+++ b/src/forward/owners.c
@@ -10,8 +10,9 @@
  * owner of 24 handles about 400 stage requests a second. */
 #define MAX_GROUP_ENDPOINTS 24
 /* Time without a reply after which another owner is used, and the time after
- * which the connection is reopened before that. Owners acknowledge a stage
- * request at once. */
+ * which the connection is reopened before that, which differs from node to
+ * node by up to RECONNECT_SPREAD_US. Owners acknowledge a stage request at
+ * once. */
 #define SILENCE_TIMEOUT_US (500 * MS)
 #define RECONNECT_MIN_US (300 * MS)
 #define RECONNECT_SPREAD_US (150 * MS)
@@ -28,8 +29,10 @@
 #define CONTACT_INTERVAL_US (300 * MS)
 #define SUSPECT_MIN_US (500 * MS)
 #define SUSPECT_MAX_US (16 * SECOND)
-/* Owners are checked every 60 ms. A longer gap means that this node did not
- * run, and does not count as silence of others. */
+/* Interval of checks while a node has not replied. */
+#define OWNER_CHECK_US (60 * MS)
+/* Owners are checked every OWNER_CHECK_US. A longer gap means that this node
+ * did not run, and does not count as silence of others. */
 #define STALL_THRESHOLD_US (150 * MS)
 
 /* Prompts that an engine prefills in less than 20 ms are not worth a message.
@@ -254,15 +257,13 @@
            now_us - p->last_request_us >= span_us;
 }
 
-/* Returns whether the node is suspect, or was sent one more stage request
- * after that and has not replied: a single request at a time probes whether a
- * node is back. */
+/* A suspect node is avoided until it has replied to a contact message in time,
+ * so that no request waits for one that is dead. */
 static bool
-should_avoid(const struct forward *f, int64_t now_us, uint64_t node)
+should_avoid(const struct forward *f, uint64_t node)
 {
     const struct peer *p = map_get(&f->peers, node);
-    return p && p->suspect_until_us &&
-           (now_us < p->suspect_until_us || p->unanswered_us);
+    return p && p->suspect_until_us;
 }
 
 static uint64_t
@@ -273,15 +274,14 @@
 }
 
 uint64_t
-owners_find(const struct forward *f, int64_t now_us, uint64_t service,
-            int group)
+owners_find(const struct forward *f, uint64_t service, int group)
 {
     uint64_t best = f->self;
     uint64_t best_rank = 0;
     for (int i = 0; i < f->cluster_view->alive_count; i++) {
         const struct cluster_node *n = &f->cluster_view->alive[i];
         if (n->hash != f->self &&
-            (n->address.len == 0 || should_avoid(f, now_us, n->hash))) {
+            (n->address.len == 0 || should_avoid(f, n->hash))) {
             continue;
         }
         uint64_t rank = owner_rank(n->hash, service, group);
@@ -433,13 +433,45 @@
 static int64_t
 reconnect_after_us(const struct forward *f, const struct peer *p)
 {
-    if (p->last_received_us == 0) {
+    if (p->last_received_us == 0 && !p->suspect_until_us) {
         return FIRST_RECONNECT_AFTER_US;
     }
     return RECONNECT_MIN_US +
            (int64_t)(owner_rank(f->self, p->node, 0) % RECONNECT_SPREAD_US);
 }
 
+/* Sends an acknowledgement of a request that the node has not sent. It is
+ * answered with a drop, which shows that the node is alive. */
+static void
+contact_node(struct forward *f, int64_t now_us, struct peer *p)
+{
+    struct stage_msg m = {.kind = STAGE_MSG_ACK};
+    m.ack.correlation_id = ++f->next_call;
+    p->contacted = true;
+    if (!p->unanswered_us) {
+        p->unanswered_us = now_us;
+        p->unanswered_request = m.ack.correlation_id;
+        p->reconnected = false;
+    }
+    f->io.send_message(f->io.ctx, p->node, &m);
+}
+
+/* Contacts a suspect node again when its time has passed. @return when to
+ * check the node next */
+static int64_t
+check_suspect(struct forward *f, int64_t now_us, struct peer *p)
+{
+    if (!p->suspect_until_us ||
+        !cluster_view_find_node(f->cluster_view, p->node)) {
+        return INT64_MAX;
+    }
+    if (now_us < p->suspect_until_us) {
+        return p->suspect_until_us;
+    }
+    contact_node(f, now_us, p);
+    return now_us + OWNER_CHECK_US;
+}
+
 static void
 detect_silent_owners(struct forward *f, int64_t now_us)
 {
@@ -447,12 +479,16 @@
     struct peer *p;
     int64_t owners_checked_us = f->owners_checked_us;
     f->owners_checked_us = now_us;
+    f->owners_due_us = INT64_MAX;
     while ((p = map_next(&f->peers, &at))) {
-        bool first = p->last_received_us == 0;
+        bool first = p->last_received_us == 0 && !p->suspect_until_us;
         int64_t silent_us = now_us - p->unanswered_us;
         if (!p->unanswered_us) {
+            f->owners_due_us =
+                MIN(f->owners_due_us, check_suspect(f, now_us, p));
             continue;
         }
+        f->owners_due_us = MIN(f->owners_due_us, now_us + OWNER_CHECK_US);
         int64_t gap_us = now_us - MAX(owners_checked_us, p->unanswered_us);
         if (gap_us > STALL_THRESHOLD_US) {
             p->unanswered_us += gap_us;
@@ -469,7 +505,7 @@
         }
         LOG_EVENT(LOG_WARN, "node_silent", LOG_INT("node", p->node),
                   LOG_INT("ms", (now_us - p->unanswered_us) / MS),
-                  LOG_INT("answered_before", !first));
+                  LOG_INT("answered_before", p->last_received_us != 0));
         p->unanswered_us = 0;
         p->suspect_until_us = now_us + p->suspect_duration_us;
         if (p->suspect_duration_us < SUSPECT_MAX_US) {
@@ -478,6 +514,7 @@
     }
 }
 
+/* @param place 0: the owner; 1: the node that would replace it */
 static uint64_t
 find_ranked_owner(const struct forward *f, uint64_t service, int group,
                   int place)
@@ -500,7 +537,7 @@
     return found;
 }
 
-/* Returns an owner that this node has not contacted; 0: none. Nodes begin with
+/* Returns an owner that this node has not contacted, or NULL. Nodes begin with
  * different owners, so that each owner is contacted by few of them at a time.
  */
 static struct peer *
@@ -531,9 +568,7 @@
     return best;
 }
 
-/* Opens the connection to one more owner. An acknowledgement of a request that
- * the owner has not sent is answered with a drop, which shows that the owner
- * is alive. */
+/* Opens the connection to one more owner. */
 static void
 contact_owners(struct forward *f, int64_t now_us)
 {
@@ -542,18 +577,9 @@
     }
     struct peer *p = next_uncontacted_owner(f);
     f->contact_due_us = p ? now_us + CONTACT_INTERVAL_US : INT64_MAX;
-    if (!p) {
-        return;
+    if (p) {
+        contact_node(f, now_us, p);
     }
-    struct stage_msg m = {.kind = STAGE_MSG_ACK};
-    m.ack.correlation_id = ++f->next_call;
-    p->contacted = true;
-    if (!p->unanswered_us) {
-        p->unanswered_us = now_us;
-        p->unanswered_request = m.ack.correlation_id;
-        p->reconnected = false;
-    }
-    f->io.send_message(f->io.ctx, p->node, &m);
 }
 
 void
@@ -578,7 +604,8 @@
 int64_t
 owners_next_wakeup_us(const struct forward *f)
 {
-    int64_t at = MIN(f->requests_check_us, f->contact_due_us);
+    int64_t at =
+        MIN(MIN(f->requests_check_us, f->contact_due_us), f->owners_due_us);
     size_t i = 0;
     const struct pool_entry *e;
     while ((e = map_next(&f->pools, &i))) {
--- a/src/forward/pieces.c
+++ b/src/forward/pieces.c
@@ -299,7 +299,7 @@
     a->stage = stage;
     a->missing_count = count;
     a->group = (int)(r->in.content.hi % (uint64_t)st->service->groups);
-    a->owner = owners_find(f, now_us, st->service->hash, a->group);
+    a->owner = owners_find(f, st->service->hash, a->group);
     map_put(&f->pending_requests, a->id, a);
     send_stage_request(f, now_us, r, a);
     return true;
@@ -575,8 +575,9 @@
 resend_due(const struct forward *f, int64_t now_us,
            const struct pending_stage_request *a)
 {
-    if (a->acknowledged && now_us - a->sent_us < RESEND_ACKNOWLEDGED_US) {
-        return owners_is_quiet(f, now_us, a->owner, RESEND_US);
+    if (a->acknowledged) {
+        return now_us - a->sent_us >= RESEND_ACKNOWLEDGED_US ||
+               owners_is_quiet(f, now_us, a->owner, RESEND_US);
     }
     return now_us - a->sent_us >= RESEND_US << a->resend_doublings;
 }
@@ -601,7 +602,7 @@
         a->previous_owner = a->owner;
         a->acknowledged = false;
         a->resend_doublings = 0;
-        a->owner = owners_find(f, now_us, s->hash, a->group);
+        a->owner = owners_find(f, s->hash, a->group);
         f->counters.owner_changes++;
         LOG_EVENT(LOG_INFO, "stage_owner_changed",
                   LOG_STR("request", r->in.request_id),
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -192,6 +192,7 @@
     uint64_t self;             /* hash of this node's name */
     uint64_t nodes_version;    /* nodes_version of the cluster view */
     int64_t owners_checked_us; /* last run of detect_silent_owners */
+    int64_t owners_due_us;     /* next run that is due; INT64_MAX: none */
     int64_t contact_due_us;    /* next message to an owner that this node has
                                   not contacted; INT64_MAX: none */
     int64_t requests_check_us; /* next check of pending stage requests;
@@ -273,8 +274,7 @@
 void owners_send(struct forward *f, int64_t now_us, uint64_t node,
                  const struct stage_msg *m, uint64_t service, int group);
 /** Returns the node that currently owns an endpoint group of a service. */
-uint64_t owners_find(const struct forward *f, int64_t now_us, uint64_t service,
-                     int group);
+uint64_t owners_find(const struct forward *f, uint64_t service, int group);
 /** Notifies other nodes of a prompt that an engine has to prefill. */
 void owners_notify_prefill(struct forward *f, const struct request *r,
                            const struct endpoint *e, int64_t tokens);
--- a/tests/test_forward_fleet.c
+++ b/tests/test_forward_fleet.c
@@ -184,17 +184,25 @@
     return best;
 }
 
-/* Owners are busy for most of the time, so that they take long to make up for
- * a pause. Each node that opens its connection to such an owner again gives it
- * one more handshake. */
-static void
-test_owner_pauses(void)
+/* A fleet whose owners are busy for most of the time, so that they take long
+ * to make up for a pause. */
+static struct fleet *
+start_busy_fleet(void)
 {
     struct fleet *f = mem_calloc(1, sizeof(*f));
     fleet_init(f);
     forward_world_set_processing_times(f->w, 225, 12000);
     forward_world_run_until(f->w, forward_world_now_us(f->w) + 5 * SECOND);
     send_requests(f, SECOND);
+    return f;
+}
+
+/* Each node that opens its connection to a slow owner again gives it one more
+ * handshake. */
+static void
+test_owner_pauses(void)
+{
+    struct fleet *f = start_busy_fleet();
     int reconnects = forward_world_reconnect_count(f->w);
     forward_world_pause_node(f->w, busiest_owner(f), 200 * MS);
     send_requests(f, 300 * MS);
@@ -203,6 +211,28 @@
     free(f);
 }
 
+/* An owner that is dead but still registered is found without making the first
+ * request of each node wait for it. */
+static void
+test_dead_owner(void)
+{
+    struct fleet *f = start_busy_fleet();
+    int owner = busiest_owner(f);
+    forward_world_free(f->w);
+    fleet_init(f);
+    forward_world_set_cut(f->w, owner, true);
+    forward_world_run_until(f->w, forward_world_now_us(f->w) + 5500 * MS);
+    send_requests(f, 400 * MS);
+    forward_world_run_until(f->w, forward_world_now_us(f->w) + 8 * SECOND);
+    int all = forward_world_request_count(f->w);
+    int on_time = count_on_time(f, 0);
+    /* Requests of callers at the dead node are not answered. */
+    g_test_message("%d of %d on time", on_time, all);
+    g_assert_cmpint(on_time, >=, all * 95 / 100);
+    forward_world_free(f->w);
+    free(f);
+}
+
 /* Results that a slow owner sends for requests that have ended must not be
  * answered one by one, since a request may have dozens of pieces. */
 static void
@@ -258,6 +288,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/forward-fleet/first-requests", test_first_requests);
     g_test_add_func("/forward-fleet/owner-pauses", test_owner_pauses);
+    g_test_add_func("/forward-fleet/dead-owner", test_dead_owner);
     g_test_add_func("/forward-fleet/late-results", test_late_results);
     g_test_add_func("/forward-fleet/resends-back-off", test_resends_back_off);
     return g_test_run();
