Name the prompt parts in the outcome of requests and calls, and say how far a broken call was

The logs could not tell whether requests that share a prompt part crash endpoints, or calls break for another reason: call_broken, answered, refused and failed did not name the parts, and a break did not say whether the response had begun.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -222,6 +222,7 @@
            enum errkind kind, const char *why, int64_t age_us)
 {
     int status = errkind_info(kind)->http_status;
+    char parts[REQ_PARTS_TEXT_BYTES];
     f->counters.refusals++;
     LOG_EVENT(LOG_INFO, "refused", LOG_STR("request", in->request_id),
               LOG_STR("host", in->host), LOG_STR("path", in->path),
@@ -229,7 +230,8 @@
               LOG_INT("contact_age_ms", age_us / MS),
               LOG_INT("config", f->cluster_view
                                     ? routing_version(f->cluster_view->routing)
-                                    : -1));
+                                    : -1),
+              LOG_STR("parts", req_format_parts(in, parts)));
     f->io.refuse(f->io.ctx, in->id, kind, why, status == 503 ? 300 : 0);
 }
 
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -1,3 +1,5 @@
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 
 #include "base/log.h"
@@ -138,10 +140,24 @@
     free(r);
 }
 
+struct str
+req_format_parts(const struct forward_request *in,
+                 char text[REQ_PARTS_TEXT_BYTES])
+{
+    size_t len = 0;
+    for (int i = 0; i < in->part_count; i++) {
+        len += (size_t)snprintf(text + len, REQ_PARTS_TEXT_BYTES - len,
+                                i > 0 ? ",%" PRIx64 : "%" PRIx64,
+                                in->parts[i].id);
+    }
+    return str_from_bytes(text, len);
+}
+
 static void
 log_outcome(const struct request *r, int64_t now_us, const char *event,
             const char *why)
 {
+    char parts[REQ_PARTS_TEXT_BYTES];
     LOG_EVENT(LOG_INFO, event, LOG_STR("request", r->in.request_id),
               LOG_STR("route", r->route->name), LOG_STR("team", r->team),
               LOG_CSTR("why", why), LOG_INT("status", r->status),
@@ -154,7 +170,8 @@
               LOG_INT("sends", r->sends), LOG_INT("unsent", r->unsent),
               LOG_INT("maybe_ran", r->may_have_run),
               LOG_INT("left_ms", (r->deadline_us - now_us) / MS),
-              LOG_INT("config", routing_version(r->cluster_view->routing)));
+              LOG_INT("config", routing_version(r->cluster_view->routing)),
+              LOG_STR("parts", req_format_parts(&r->in, parts)));
 }
 
 void
@@ -418,10 +435,16 @@
                    const char *why)
 {
     struct endpoint *e = r->endpoint;
+    char parts[REQ_PARTS_TEXT_BYTES];
     LOG_EVENT(LOG_INFO, "call_broken", LOG_STR("request", r->in.request_id),
               LOG_STR("endpoint", e->id), LOG_CSTR("why", why),
               LOG_INT("ms", (now_us - r->sent_us) / MS),
-              LOG_INT("last_event", r->last_event_id));
+              LOG_INT("last_event", r->last_event_id),
+              LOG_INT("head", r->head_accepted),
+              LOG_INT("begun", r->state == REQ_RESPONDING),
+              LOG_INT("bytes", r->response.len),
+              LOG_INT("other_calls", e->in_flight - 1),
+              LOG_STR("parts", req_format_parts(&r->in, parts)));
     f->counters.broken++;
     r->may_have_run = true;
     req_detach_call(f, r);
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -228,6 +228,12 @@
  * content's digest and the route. */
 uint64_t req_strike_key(const struct forward_request *in,
                         const struct route *route);
+/** Size of a text that holds the ids of all prompt parts of a request. */
+#define REQ_PARTS_TEXT_BYTES (FORWARD_MAX_PARTS * 17 + 1)
+/** Writes the hexadecimal ids of the prompt parts, separated by commas.
+ * @return a view of @p text */
+struct str req_format_parts(const struct forward_request *in,
+                            char text[REQ_PARTS_TEXT_BYTES]);
 /** Retries the requests that wait for an endpoint. */
 void req_retry_waiting(struct forward *f, int64_t now_us,
                        struct service_state *s);
