--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -33,6 +33,7 @@
     ev->seq = ++w->seq;
     ev->kind = kind;
     ev->node = node;
+    ev->endpoint = -1;
     ev->meta = (struct response_meta){
         .same_request = true, .sealed = true, .length = -1, .running = -1};
     g_ptr_array_add(w->events, ev);
@@ -499,6 +500,8 @@
     w->events = g_ptr_array_new();
     w->cancelled =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    w->deadly_arrivals_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    w->crashes_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
     w->endpoint_count = endpoint_count;
     w->sim_endpoints =
         mem_calloc((size_t)endpoint_count, sizeof(struct sim_endpoint));
@@ -545,6 +548,8 @@
     routing_unref(w->routing);
     g_ptr_array_free(w->events, TRUE);
     g_ptr_array_free(w->requests, TRUE);
+    g_array_free(w->deadly_arrivals_us, TRUE);
+    g_array_free(w->crashes_us, TRUE);
     g_hash_table_destroy(w->cancelled);
     g_hash_table_destroy(w->result_owners);
     free(w->connected);
@@ -629,7 +634,8 @@
     n->cut = false;
     for (guint i = 0; i < w->events->len; i++) {
         struct sim_event *ev = g_ptr_array_index(w->events, i);
-        if (ev->node == node && ev->kind != SIM_SLOT_FREE) {
+        if (ev->node == node && ev->kind != SIM_SLOT_FREE &&
+            ev->kind != SIM_CRASH && ev->kind != SIM_RESTART) {
             ev->kind = SIM_DROPPED;
         }
     }
@@ -686,11 +692,17 @@
         .prompt_tokens = ask->prompt_tokens,
         .piece_key = STR_LIT("key")};
     if (ask->shared_prompt_id) {
-        in.part_count = 2;
-        in.parts[0] = (struct prompt_part){ask->shared_prompt_id,
-                                           ask->prompt_tokens * 3 / 4};
-        in.parts[1] = (struct prompt_part){content, ask->prompt_tokens / 4};
+        in.parts[in.part_count++] = (struct prompt_part){
+            ask->shared_prompt_id, ask->prompt_tokens * 3 / 4};
+        if (ask->second_part) {
+            in.parts[in.part_count++] =
+                (struct prompt_part){ask->second_part, 0};
+        }
+        in.parts[in.part_count++] =
+            (struct prompt_part){content, ask->prompt_tokens / 4};
     }
+    r->parts[0] = ask->shared_prompt_id;
+    r->parts[1] = ask->second_part;
     for (int i = 0; i < 4; i++) {
         in.piece_counts[i] = ask->pieces[i];
     }
@@ -738,6 +750,19 @@
         forward_world_start_calls(w, s);
         return;
     }
+    if (ev->kind == SIM_CRASH) {
+        /* Endpoints drop a request whose connection was closed. */
+        if (g_hash_table_contains(w->cancelled, &key)) {
+            return;
+        }
+        g_array_append_val(w->crashes_us, w->now_us);
+        forward_world_crash_endpoint(w, ev->endpoint, w->deadly_down_us);
+        return;
+    }
+    if (ev->kind == SIM_RESTART) {
+        w->sim_endpoints[ev->endpoint].spec->dead = false;
+        return;
+    }
     if (ev->kind != SIM_MESSAGE && g_hash_table_contains(w->cancelled, &key)) {
         return;
     }
@@ -767,6 +792,8 @@
         }
         break;
     case SIM_SLOT_FREE:
+    case SIM_CRASH:
+    case SIM_RESTART:
     case SIM_DROPPED:
         break;
     }
@@ -791,7 +818,8 @@
 defer_if_paused(struct forward_world *w, struct sim_event *ev)
 {
     int64_t until_us = w->nodes[ev->node].paused_until_us;
-    if (ev->kind == SIM_SLOT_FREE || w->now_us > until_us) {
+    if (ev->kind == SIM_SLOT_FREE || ev->kind == SIM_CRASH ||
+        ev->kind == SIM_RESTART || w->now_us > until_us) {
         return false;
     }
     reschedule(w, ev, until_us + STEP_US);
--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -61,6 +61,7 @@
     const char
         *refusal_reason; /**< reason of the refusal; NULL: not refused */
     int runs;            /**< times that an endpoint ran it */
+    uint64_t parts[2];   /**< its shared prompt parts; 0: none */
     struct buf body;
 };
 
@@ -140,6 +141,27 @@
 void forward_world_set_store_lost(struct forward_world *w, int node,
                                   bool lost);
 
+/** An endpoint that has sent the head of a response to a request with this
+ * prompt part crashes before the body: its calls break, and it refuses
+ * connections for @p down_us. 0: no part. */
+void forward_world_set_deadly_part(struct forward_world *w, uint64_t part,
+                                   int64_t down_us);
+/** Breaks all calls at an endpoint, which refuses connections for
+ * @p down_us. */
+void forward_world_crash_endpoint(struct forward_world *w, int endpoint,
+                                  int64_t down_us);
+/** Breaks all calls at an endpoint, which stays up. */
+void forward_world_reset_connections(struct forward_world *w, int endpoint);
+/** Number of endpoints that the deadly part has crashed. */
+int forward_world_crash_count(const struct forward_world *w);
+/** Returns when the deadly part crashed an endpoint for the n-th time, counted
+ * from 0. */
+int64_t forward_world_crash_us(const struct forward_world *w, int n);
+/** Number of calls with the deadly part that reached an endpoint at or after
+ * @p since_us. */
+int forward_world_deadly_arrivals(const struct forward_world *w,
+                                  int64_t since_us);
+
 /** A request that a caller sends. */
 struct fw_request_spec {
     const char *host;
@@ -149,6 +171,8 @@
     int prompt_tokens;
     uint64_t shared_prompt_id; /**< id of the shared beginning of the prompt;
                       0: none */
+    uint64_t second_part; /**< id of the part after the shared beginning; 0:
+                             none */
     uint64_t content;
 };
 
--- a/bench/forward_world_endpoint.c
+++ b/bench/forward_world_endpoint.c
@@ -32,17 +32,38 @@
                : NULL;
 }
 
+/* Time between the head of a response and the first event. */
+#define FIRST_EVENT_US (20 * MS)
+
+/* Schedules an event of a call that runs at an endpoint. */
+static struct sim_event *
+schedule_answer(struct forward_world *w, const struct sim_endpoint *s,
+                const struct sim_call *job, int64_t at_us,
+                enum sim_event_kind kind)
+{
+    struct sim_event *ev = forward_world_schedule(w, at_us, kind, job->node);
+    ev->call = job->call;
+    ev->endpoint = (int)(s - w->sim_endpoints);
+    return ev;
+}
+
+static bool
+has_deadly_part(const struct forward_world *w, const struct fw_request *r)
+{
+    return w->deadly_part &&
+           (r->parts[0] == w->deadly_part || r->parts[1] == w->deadly_part);
+}
+
 static void
 answer_request(struct forward_world *w, struct sim_endpoint *s,
                struct sim_call *job, int64_t done_us)
 {
     struct fw_endpoint *e = s->spec;
     struct fw_request *r = forward_world_find_request(w, job->request);
-    struct sim_event *ev = forward_world_schedule(w, done_us + ONE_WAY_US,
-                                                  SIM_CALL_HEAD, job->node);
+    struct sim_event *ev =
+        schedule_answer(w, s, job, done_us + ONE_WAY_US, SIM_CALL_HEAD);
     e->runs++;
     r->runs++;
-    ev->call = job->call;
     ev->status = e->fail_next_requests > 0 ? 500 : 200;
     e->fail_next_requests -= e->fail_next_requests > 0;
     bool breaks = e->break_next_requests > 0;
@@ -52,12 +73,19 @@
         ev->end = CALL_END_BROKEN;
         return;
     }
+    if (has_deadly_part(w, r)) {
+        struct sim_event *crash = forward_world_schedule(
+            w, done_us + FIRST_EVENT_US, SIM_CRASH, job->node);
+        crash->endpoint = (int)(s - w->sim_endpoints);
+        crash->call = job->call;
+        schedule_answer(w, s, job, crash->at_us + ONE_WAY_US, SIM_CALL_END)
+            ->end = CALL_END_BROKEN;
+        return;
+    }
     int64_t at = done_us + ONE_WAY_US;
     int events = e->events > 0 ? e->events : 1;
     for (int i = job->resume_after + 1; i < events || i == 0; i++) {
-        struct sim_event *b =
-            forward_world_schedule(w, at, SIM_CALL_BYTES, job->node);
-        b->call = job->call;
+        struct sim_event *b = schedule_answer(w, s, job, at, SIM_CALL_BYTES);
         if (e->events > 0) {
             snprintf(b->text, sizeof(b->text), "id: %d\ndata: e%d\n\n", i, i);
         }
@@ -67,26 +95,20 @@
         at += 10 * MS;
         if (e->break_after_event > 0 && i == e->break_after_event) {
             e->break_after_event = 0;
-            struct sim_event *end =
-                forward_world_schedule(w, at, SIM_CALL_END, job->node);
-            end->call = job->call;
-            end->end = CALL_END_BROKEN;
+            schedule_answer(w, s, job, at, SIM_CALL_END)->end =
+                CALL_END_BROKEN;
             return;
         }
     }
-    struct sim_event *end =
-        forward_world_schedule(w, at, SIM_CALL_END, job->node);
-    end->call = job->call;
-    end->end = CALL_END_COMPLETE;
+    schedule_answer(w, s, job, at, SIM_CALL_END)->end = CALL_END_COMPLETE;
 }
 
 static void
 answer_pieces(struct forward_world *w, struct sim_endpoint *s,
               struct sim_call *job, int64_t done_us)
 {
-    struct sim_event *ev = forward_world_schedule(w, done_us + ONE_WAY_US,
-                                                  SIM_PIECES_END, job->node);
-    ev->call = job->call;
+    struct sim_event *ev =
+        schedule_answer(w, s, job, done_us + ONE_WAY_US, SIM_PIECES_END);
     ev->status = 200;
     ev->end = CALL_END_COMPLETE;
     ev->result_count = job->count;
@@ -217,6 +239,10 @@
     e->calls++;
     e->pieces += job->pieces ? job->count : 0;
     e->last_arrival_us = w->now_us;
+    if (!job->pieces &&
+        has_deadly_part(w, forward_world_find_request(w, job->request))) {
+        g_array_append_val(w->deadly_arrivals_us, w->now_us);
+    }
     if ((int)g_queue_get_length(&s->waiting) + s->running >=
         e->slots + e->queue) {
         e->rejected++;
@@ -227,3 +253,111 @@
     g_queue_push_tail(&s->waiting, job);
     forward_world_start_calls(w, s);
 }
+
+struct broken_call {
+    int node;
+    uint64_t call;
+    bool pieces;
+};
+
+/* Drops the events of the calls that run at an endpoint. @return the calls,
+ * each once */
+static GArray *
+drop_running_calls(const struct forward_world *w, int endpoint)
+{
+    GArray *broken = g_array_new(FALSE, FALSE, sizeof(struct broken_call));
+    for (guint i = 0; i < w->events->len; i++) {
+        struct sim_event *ev = g_ptr_array_index(w->events, i);
+        /* Responses that were sent before the break still arrive. */
+        bool answer = ev->kind == SIM_CALL_HEAD ||
+                      ev->kind == SIM_CALL_BYTES || ev->kind == SIM_CALL_END ||
+                      ev->kind == SIM_PIECES_END;
+        if (ev->endpoint != endpoint || ev->kind == SIM_RESTART ||
+            (answer && ev->at_us <= w->now_us + ONE_WAY_US)) {
+            continue;
+        }
+        struct broken_call b = {ev->node, ev->call,
+                                ev->kind == SIM_PIECES_END};
+        ev->kind = SIM_DROPPED;
+        for (guint k = 0; answer && k < broken->len; k++) {
+            const struct broken_call *o =
+                &g_array_index(broken, struct broken_call, k);
+            answer = o->node != b.node || o->call != b.call;
+        }
+        if (answer) {
+            g_array_append_val(broken, b);
+        }
+    }
+    return broken;
+}
+
+void
+forward_world_break_calls(struct forward_world *w, struct sim_endpoint *s)
+{
+    struct sim_call *job;
+    GArray *broken = drop_running_calls(w, (int)(s - w->sim_endpoints));
+    while ((job = g_queue_pop_head(&s->waiting))) {
+        struct broken_call b = {job->node, job->call, job->pieces};
+        g_array_append_val(broken, b);
+        free(job);
+    }
+    for (guint i = 0; i < broken->len; i++) {
+        const struct broken_call *b =
+            &g_array_index(broken, struct broken_call, i);
+        struct sim_event *ev = forward_world_schedule(
+            w, w->now_us + ONE_WAY_US,
+            b->pieces ? SIM_PIECES_END : SIM_CALL_END, b->node);
+        ev->call = b->call;
+        ev->end = CALL_END_BROKEN;
+    }
+    g_array_free(broken, TRUE);
+    s->running = 0;
+}
+
+void
+forward_world_set_deadly_part(struct forward_world *w, uint64_t part,
+                              int64_t down_us)
+{
+    w->deadly_part = part;
+    w->deadly_down_us = down_us;
+}
+
+void
+forward_world_crash_endpoint(struct forward_world *w, int endpoint,
+                             int64_t down_us)
+{
+    struct sim_endpoint *s = &w->sim_endpoints[endpoint];
+    struct sim_event *up =
+        forward_world_schedule(w, w->now_us + down_us, SIM_RESTART, 0);
+    up->endpoint = endpoint;
+    s->spec->dead = true;
+    forward_world_break_calls(w, s);
+}
+
+void
+forward_world_reset_connections(struct forward_world *w, int endpoint)
+{
+    forward_world_break_calls(w, &w->sim_endpoints[endpoint]);
+}
+
+int
+forward_world_crash_count(const struct forward_world *w)
+{
+    return (int)w->crashes_us->len;
+}
+
+int64_t
+forward_world_crash_us(const struct forward_world *w, int n)
+{
+    return g_array_index(w->crashes_us, int64_t, n);
+}
+
+int
+forward_world_deadly_arrivals(const struct forward_world *w, int64_t since_us)
+{
+    int n = 0;
+    for (guint i = 0; i < w->deadly_arrivals_us->len; i++) {
+        n += g_array_index(w->deadly_arrivals_us, int64_t, i) >= since_us;
+    }
+    return n;
+}
--- a/bench/forward_world_state.h
+++ b/bench/forward_world_state.h
@@ -26,6 +26,8 @@
     SIM_FREE_MEMORY,
     SIM_MESSAGE,
     SIM_SLOT_FREE,
+    SIM_CRASH,
+    SIM_RESTART,
     SIM_DROPPED, /* dropped because its node has restarted */
 };
 
@@ -46,7 +48,7 @@
     struct stage_msg *msg;
     int64_t work_us;    /* processing time that its node has not spent yet */
     GPtrArray *strings; /* owns the strings of msg and results */
-    int endpoint;
+    int endpoint;       /* -1: the event does not come from an endpoint */
     int64_t free_bytes;
 };
 
@@ -127,6 +129,10 @@
     int route_count;
     enum stage_msg_kind drop_kind;
     int drop_count; /* messages of drop_kind still to drop */
+    uint64_t deadly_part;
+    int64_t deadly_down_us;
+    GArray *deadly_arrivals_us; /* int64_t */
+    GArray *crashes_us;         /* int64_t */
 };
 
 /** Adds an event to the queue. @return owned by the queue */
@@ -152,6 +158,9 @@
  * INT64_MAX if they are unlimited */
 int64_t forward_world_free_bytes(struct forward_world *w,
                                  struct sim_endpoint *s);
+/** Breaks the calls that wait or run at an endpoint. */
+void forward_world_break_calls(struct forward_world *w,
+                               struct sim_endpoint *s);
 /** Reports to a node that its call got no connection and was not sent. */
 void forward_world_fail_unsent(struct forward_world *w, int node,
                                uint64_t call, bool pieces);
--- /dev/null
+++ b/tests/test_forward_crashes.c
@@ -0,0 +1,184 @@
+/* Guards against prompt parts that crash one endpoint after the other, and
+ * against sound requests that are refused because they were running beside
+ * such a part or share another part with it. */
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/rng.h"
+#include "bench/forward_world.h"
+
+#define MS 1000LL
+#define SECOND 1000000LL
+#define ENGINES_MAX 60
+#define DEADLY_PART 666
+#define SAME_FIRST_PART 777
+#define FIRST_PARTS 1000 /* ids of first parts start here */
+#define DOWN_US (3 * SECOND)
+/* Time in which all nodes must act on the fifth crash, and the number of later
+ * sends that are allowed. */
+#define CONTACT_US (3 * SECOND)
+#define CRASHES_KNOWN 5
+#define LATE_SENDS_MAX 3
+
+static const struct fw_service service = {.name = "pool", .engine = true};
+static const struct fw_route route = {.host = "stream",
+                                      .service = "pool",
+                                      .kind = REPEAT_STREAM,
+                                      .resumable = true,
+                                      .max_attempts = 2,
+                                      .timeout_us = 8 * SECOND,
+                                      .target_us = 1 * SECOND};
+
+struct fleet {
+    struct forward_world *w;
+    int nodes;
+    struct fw_endpoint endpoints[ENGINES_MAX];
+    char ids[ENGINES_MAX][24];
+    struct rng rng;
+};
+
+static void
+fleet_init(struct fleet *f, int nodes, int engines, uint64_t seed)
+{
+    static const char *const zones[] = {"a", "b", "c"};
+    memset(f, 0, sizeof(*f));
+    f->nodes = nodes;
+    rng_seed(&f->rng, seed);
+    for (int i = 0; i < engines; i++) {
+        snprintf(f->ids[i], sizeof(f->ids[i]), "pool-%d", i);
+        f->endpoints[i] = (struct fw_endpoint){.id = f->ids[i],
+                                               .service = "pool",
+                                               .zone = zones[i % 3],
+                                               .slots = 64,
+                                               .queue = 100,
+                                               .work_us = 60 * MS,
+                                               .events = 40};
+    }
+    f->w = forward_world_new(nodes, &service, 1, &route, 1, f->endpoints,
+                             engines, seed);
+}
+
+static int
+send(struct fleet *f, int node, uint64_t first, uint64_t second)
+{
+    struct fw_request_spec spec = {.host = "stream",
+                                   .caller_timeout_us = 8 * SECOND,
+                                   .prompt_tokens = 2000,
+                                   .shared_prompt_id = first,
+                                   .second_part = second};
+    spec.content =
+        (uint64_t)forward_world_request_count(f->w) * 0x9e3779b97f4a7c15ULL;
+    return forward_world_send_request(f->w, node, &spec);
+}
+
+struct load {
+    int requests_per_s;
+    int first_parts; /* number of first parts that requests share */
+    int hot_percent; /* requests whose first part is the first one */
+    int deadly_per_1000;
+    int same_percent; /* sound requests with the first part that all requests
+                         with the deadly part have; 0: these have any */
+};
+
+/* Sends requests to random nodes. */
+static void
+run_load(struct fleet *f, const struct load *l, int64_t duration_us)
+{
+    int64_t count = duration_us * l->requests_per_s / SECOND;
+    for (int64_t i = 0; i < count; i++) {
+        uint64_t first = FIRST_PARTS;
+        uint64_t second = 0;
+        if (rng_uniform(&f->rng) * 100 >= l->hot_percent) {
+            first += (uint64_t)(rng_uniform(&f->rng) * l->first_parts);
+        }
+        if (rng_uniform(&f->rng) * 1000 < l->deadly_per_1000) {
+            second = DEADLY_PART;
+        }
+        if (l->same_percent &&
+            (second || rng_uniform(&f->rng) * 100 < l->same_percent)) {
+            first = SAME_FIRST_PART;
+        }
+        send(f, (int)(rng_uniform(&f->rng) * f->nodes), first, second);
+        forward_world_run_until(f->w, forward_world_now_us(f->w) +
+                                          SECOND / l->requests_per_s);
+    }
+}
+
+/* Number of calls with the deadly part that were sent too late. */
+static int
+late_sends(const struct fleet *f)
+{
+    if (forward_world_crash_count(f->w) < CRASHES_KNOWN) {
+        return 0;
+    }
+    return forward_world_deadly_arrivals(
+        f->w, forward_world_crash_us(f->w, CRASHES_KNOWN - 1) + CONTACT_US);
+}
+
+/* Share of the sound requests from index @p since on, with this first part
+ * (0: any), that an endpoint began to run. */
+static double
+sound_share(const struct fleet *f, int since, uint64_t first)
+{
+    int sent = 0;
+    int begun = 0;
+    for (int i = since; i < forward_world_request_count(f->w); i++) {
+        const struct fw_request *r = forward_world_request(f->w, i);
+        if (r->parts[1] != DEADLY_PART &&
+            (first == 0 || r->parts[0] == first)) {
+            sent++;
+            begun += r->runs > 0;
+        }
+    }
+    g_assert_cmpint(sent, >=, 20);
+    return (double)begun / sent;
+}
+
+static const struct {
+    const char *title;
+    int nodes;
+    int engines;
+    struct load load;
+} days[] = {
+    {"a few nodes", 5, 24, {40, 75, 0, 25, 0}},
+    {"a few nodes, one first part", 5, 24, {40, 75, 0, 25, 5}},
+    {"a few nodes, one request in five", 5, 24, {40, 75, 0, 200, 5}},
+    {"a hot part beside it", 5, 24, {60, 75, 40, 25, 0}},
+    {"25 nodes", 25, 40, {150, 300, 0, 25, 3}},
+    {"118 nodes", 118, 60, {400, 800, 0, 25, 1}},
+};
+
+static void
+test_part(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(days); i++) {
+        const struct load *l = &days[i].load;
+        struct fleet f;
+        fleet_init(&f, days[i].nodes, days[i].engines, 29 + i);
+        run_load(&f, l, 2 * SECOND);
+        forward_world_set_deadly_part(f.w, DEADLY_PART, DOWN_US);
+        int since = forward_world_request_count(f.w);
+        run_load(&f, l, 14 * SECOND);
+        double sound = sound_share(&f, since, 0);
+        double same =
+            l->same_percent ? sound_share(&f, since, SAME_FIRST_PART) : 1;
+        g_test_message("%s: %d crashes, %d late sends, %.2f of the sound "
+                       "requests begun, %.2f of those with the same part",
+                       days[i].title, forward_world_crash_count(f.w),
+                       late_sends(&f), sound, same);
+        g_assert_cmpint(late_sends(&f), <=, LATE_SENDS_MAX);
+        g_assert_cmpfloat(sound, >=, 0.95);
+        g_assert_cmpfloat(same, >=, 0.95);
+        forward_world_free(f.w);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/forward-crashes/part", test_part);
+    return g_test_run();
+}
