Refuse requests whose prompt parts crash engines, on all nodes

Cause: blame had the wrong unit. Strikes counted the digest of a whole request, at each node for itself, while no two of these requests were alike.

Now a call that breaks between the response head and the body makes the node probe the endpoint. If it refuses connections, the call's shared prompt parts are suspected; answers clear them; what all such calls have in common is blocked after two crashes. Reports, answers and blocks are passed from node to node. The first part of such prompts is in as many crashes as the deadly one, so sets are blocked, not parts. Blocked sets are tried again after minutes.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -172,7 +172,7 @@
 }
 
 static void
-io_ask_room(void *ctx, const struct memory_query_call *call)
+io_ask_room(void *ctx, const struct report_call *call)
 {
     struct sim_node *n = ctx;
     struct forward_world *w = n->world;
@@ -184,6 +184,19 @@
         s->spec->dead || s->spec->silent ? -1 : forward_world_free_bytes(w, s);
 }
 
+static void
+io_probe(void *ctx, const struct report_call *call)
+{
+    struct sim_node *n = ctx;
+    struct forward_world *w = n->world;
+    const struct sim_endpoint *s =
+        forward_world_find_endpoint(w, call->address);
+    struct sim_event *ev = forward_world_schedule(
+        w, w->now_us + 2 * ONE_WAY_US, SIM_PROBED, n->index);
+    ev->call = call->id;
+    ev->end = s->spec->dead ? CALL_END_UNSENT : CALL_END_COMPLETE;
+}
+
 static struct str
 copy_str(GPtrArray *strings, struct str s)
 {
@@ -476,7 +489,8 @@
                                   io_body,
                                   io_finish,
                                   io_abort,
-                                  io_refuse};
+                                  io_refuse,
+                                  io_probe};
     n->core = forward_new(&opts, &io);
 }
 
@@ -786,6 +800,10 @@
     case SIM_FREE_MEMORY:
         forward_memory_reported(n->core, w->now_us, ev->call, ev->free_bytes);
         break;
+    case SIM_PROBED:
+        forward_endpoint_probed(n->core, w->now_us, ev->call,
+                                ev->end == CALL_END_UNSENT);
+        break;
     case SIM_MESSAGE:
         if (!n->cut) {
             forward_handle_stage_msg(n->core, w->now_us, ev->from, ev->msg);
--- a/bench/forward_world_state.h
+++ b/bench/forward_world_state.h
@@ -24,6 +24,7 @@
     SIM_CALL_END,
     SIM_PIECES_END,
     SIM_FREE_MEMORY,
+    SIM_PROBED,
     SIM_MESSAGE,
     SIM_SLOT_FREE,
     SIM_CRASH,
@@ -106,7 +107,7 @@
     size_t backlog; /* unread bytes reported for every caller */
     int pause_count;
     int reconnect_count;
-    int message_counts[STAGE_MSG_PREFILL + 1]; /* by kind */
+    int message_counts[STAGE_MSG_KIND_COUNT]; /* by kind */
     int node_count;
     struct sim_node *nodes;
     int64_t message_us;   /* processing time of a message */
--- a/src/daemon/gateway_link.c
+++ b/src/daemon/gateway_link.c
@@ -70,6 +70,12 @@
         out.type = MSG_PREFILL;
         out.prefill = m->prefill;
         break;
+    case STAGE_MSG_PARTS:
+        out.type = MSG_PARTS;
+        out.part_notice = m->parts;
+        break;
+    case STAGE_MSG_KIND_COUNT:
+        return;
     }
     link_send(t->link, node, node_address(t, node), &out);
     t->link_ready = true;
@@ -136,6 +142,10 @@
         in.kind = STAGE_MSG_PREFILL;
         in.prefill = m->prefill;
         break;
+    case MSG_PARTS:
+        in.kind = STAGE_MSG_PARTS;
+        in.parts = m->part_notice;
+        break;
     case MSG_FEED_ASK:
     case MSG_FEED_ANSWER:
         push_to_control(t, m);
--- a/src/daemon/gateway_traffic.c
+++ b/src/daemon/gateway_traffic.c
@@ -39,7 +39,13 @@
     GArray *head; /* struct http_header; strings are owned */
 };
 
-enum out_call_kind { OUT_REQUEST, OUT_PIECES, OUT_RELEASE, OUT_MEMORY_QUERY };
+enum out_call_kind {
+    OUT_REQUEST,
+    OUT_PIECES,
+    OUT_RELEASE,
+    OUT_MEMORY_QUERY,
+    OUT_PROBE
+};
 
 /* An open call to an endpoint. */
 struct out_call {
@@ -161,10 +167,10 @@
 }
 
 static void
-io_ask_room(void *ctx, const struct memory_query_call *call)
+query_report(struct gateway_traffic *t, enum out_call_kind kind,
+             const struct report_call *call)
 {
-    struct gateway_traffic *t = ctx;
-    add_call(t, call->id, OUT_MEMORY_QUERY);
+    add_call(t, call->id, kind);
     struct relay_call r = {.id = call->id,
                            .address = call->address,
                            .method = STR_LIT("GET"),
@@ -174,6 +180,18 @@
     relay_start_call(t->relay, &r);
 }
 
+static void
+io_ask_room(void *ctx, const struct report_call *call)
+{
+    query_report(ctx, OUT_MEMORY_QUERY, call);
+}
+
+static void
+io_probe(void *ctx, const struct report_call *call)
+{
+    query_report(ctx, OUT_PROBE, call);
+}
+
 static void
 finish_memory_query(struct gateway_traffic *t, uint64_t id,
                     const struct out_call *c, enum relay_result result)
@@ -348,6 +366,7 @@
     case RELAY_COMPLETE:
         return CALL_END_COMPLETE;
     case RELAY_NOT_SENT:
+    case RELAY_REFUSED:
         return CALL_END_UNSENT;
     case RELAY_INVALID_RESPONSE:
         return CALL_END_MALFORMED;
@@ -396,6 +415,10 @@
     case OUT_MEMORY_QUERY:
         finish_memory_query(t, id, c, result);
         break;
+    case OUT_PROBE:
+        forward_endpoint_probed(t->forward, gateway_now_us(), id,
+                                result == RELAY_REFUSED);
+        break;
     case OUT_RELEASE:
         if (result != RELAY_COMPLETE) {
             LOG_EVENT(LOG_DEBUG, "release_failed",
@@ -626,7 +649,8 @@
                                   io_body,
                                   io_finish,
                                   io_abort,
-                                  io_refuse};
+                                  io_refuse,
+                                  io_probe};
     const struct relay_callbacks sink = {t, on_head, on_bytes, on_end};
     settings_split_address(set->listen, &in.address, &in.port);
     t->shared = shared;
--- a/src/edge/relay.c
+++ b/src/edge/relay.c
@@ -1,5 +1,6 @@
 #include "edge/relay.h"
 
+#include <errno.h>
 #include <glib.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -57,8 +58,8 @@
 const char *
 relay_result_name(enum relay_result r)
 {
-    static const char *const names[] = {"complete", "unsent", "broken",
-                                        "garbage", "timeout"};
+    static const char *const names[] = {"complete", "unsent",  "refused",
+                                        "broken",   "garbage", "timeout"};
     return names[r];
 }
 
@@ -412,16 +413,20 @@
     struct call *c = NULL;
     long connects = 0;
     long sent = 0;
+    long os_error = 0;
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&c);
     curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
     curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
+    curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &os_error);
     r->connections_opened += (uint64_t)connects;
     enum relay_result result = RELAY_INCOMPLETE;
     if (rc == CURLE_OK && c->head_complete) {
         result = RELAY_COMPLETE;
     }
     else if (c->send_count == 0 || (sent == 0 && c->send_count < 2)) {
-        result = RELAY_NOT_SENT;
+        result = rc == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED
+                     ? RELAY_REFUSED
+                     : RELAY_NOT_SENT;
     }
     else if (rc == CURLE_OPERATION_TIMEDOUT) {
         result = RELAY_TIMEOUT;
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -33,6 +33,8 @@
 enum relay_result {
     RELAY_COMPLETE,         /**< the response was complete */
     RELAY_NOT_SENT,         /**< no byte of the request was sent */
+    RELAY_REFUSED,          /**< as RELAY_NOT_SENT; the endpoint refused the
+                        connection */
     RELAY_INCOMPLETE,       /**< sent; the response is missing or incomplete */
     RELAY_INVALID_RESPONSE, /**< sent; the received bytes are not a valid
                         response, or its headers and trailers exceed
--- /dev/null
+++ b/src/forward/crashes.c
@@ -0,0 +1,353 @@
+#include "forward/crashes.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+
+/* An endpoint that has crashed refuses connections at once. */
+#define PROBE_TIMEOUT_MS 400
+/* Calls that one probe stands for; more calls of one node at an engine that
+ * have no response yet are rare and add little evidence. */
+#define PROBE_MAX_CALLS 4
+/* Notices of crashes that a node accepts in a second, so that the loss of many
+ * endpoints at once does not cause many messages. */
+#define NOTICES_PER_S 40
+/* Blocks are sent again at this interval, so that a node that has started
+ * knows them long before it counts as running. */
+#define SYNC_INTERVAL_US (1 * SECOND)
+#define SYNC_OFFSETS 3
+
+/* Notices go to the nodes at these distances in the order of hashes, which
+ * pass on what is new to them. Connections to these nodes exist, since notices
+ * of prompts use them; every node of 400 is reached in some 20 steps. */
+static const int notify_offsets[] = {1, 2, 4, 16, 32};
+
+struct crash_probe {
+    uint64_t endpoint; /* hash of its id */
+    struct str name;   /* owned */
+    int64_t at_us;     /* when the first call broke */
+    int call_count;
+    struct part_notice calls[PROBE_MAX_CALLS];
+};
+
+void
+crashes_init(struct forward *f)
+{
+    f->blame = blame_new((double)(f->self >> 11) / (double)(1ULL << 53));
+    f->sync_due_us = INT64_MAX;
+}
+
+static void
+probe_free(struct crash_probe *p)
+{
+    str_free(&p->name);
+    free(p);
+}
+
+void
+crashes_free(struct forward *f)
+{
+    size_t at = 0;
+    struct crash_probe *p;
+    while ((p = map_next(&f->probes, &at))) {
+        probe_free(p);
+    }
+    map_free(&f->probes);
+    blame_free(f->blame);
+}
+
+/* Copies the ids of the parts that other requests may share: all but the last
+ * one. @return their number */
+static int
+shared_parts(const struct forward_request *in,
+             uint64_t out[PART_NOTICE_MAX_PARTS])
+{
+    int n = 0;
+    for (int i = 0; i + 1 < in->part_count && n < PART_NOTICE_MAX_PARTS; i++) {
+        out[n++] = in->parts[i].id;
+    }
+    return n;
+}
+
+static struct str
+format_parts(const uint64_t *parts, int count, char text[REQ_PARTS_TEXT_BYTES])
+{
+    struct forward_request in = {.part_count = 0};
+    for (int i = 0; i < count && i < FORWARD_MAX_PARTS; i++) {
+        in.parts[in.part_count++].id = parts[i];
+    }
+    return req_format_parts(&in, text);
+}
+
+static void
+send_notice(struct forward *f, const struct part_notice *n, int offset_count)
+{
+    struct stage_msg m = {.kind = STAGE_MSG_PARTS, .parts = *n};
+    int count = f->cluster_view ? f->cluster_view->alive_count : 0;
+    int self = count ? cluster_view_lower_bound(f->cluster_view, f->self) : 0;
+    for (int i = 0; i < offset_count && notify_offsets[i] < count; i++) {
+        const struct cluster_node *node =
+            &f->cluster_view->alive[(self + notify_offsets[i]) % count];
+        if (node->hash != f->self && node->address.len > 0) {
+            f->io.send_message(f->io.ctx, node->hash, &m);
+        }
+    }
+}
+
+static void
+flood_notice(struct forward *f, const struct part_notice *n)
+{
+    send_notice(f, n, (int)G_N_ELEMENTS(notify_offsets));
+}
+
+static struct part_notice
+block_notice(const struct part_block *block, int64_t now_us)
+{
+    struct part_notice n = {.kind = PART_BLOCKED,
+                            .age_us = MAX(now_us - block->last_us, 0),
+                            .trials = block->trials,
+                            .part_count = block->part_count};
+    memcpy(n.parts, block->parts, sizeof(n.parts));
+    return n;
+}
+
+bool
+crashes_is_blocked(const struct forward *f, const struct request *r)
+{
+    uint64_t parts[PART_NOTICE_MAX_PARTS];
+    return !r->trial && blame_block_count(f->blame) > 0 &&
+           r->service->info.is_engine &&
+           blame_find_block(f->blame, parts, shared_parts(&r->in, parts));
+}
+
+/* Refuses the open requests with blocked parts, also those that were sent and
+ * not answered yet: an endpoint drops a request whose connection closes. */
+static void
+refuse_open_requests(struct forward *f, int64_t now_us)
+{
+    GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    size_t at = 0;
+    struct request *r;
+    while ((r = map_next(&f->requests, &at))) {
+        if (r->state != REQ_RESPONDING && !r->response_started &&
+            crashes_is_blocked(f, r)) {
+            g_array_append_val(ids, r->id);
+        }
+    }
+    for (guint i = 0; i < ids->len; i++) {
+        r = map_get(&f->requests, g_array_index(ids, uint64_t, i));
+        if (r) {
+            f->counters.part_refusals++;
+            req_refuse(f, now_us, r, ERRKIND_NO_ENDPOINT, CRASHES_REFUSAL,
+                       CRASHES_RETRY_MS);
+        }
+    }
+    g_array_free(ids, TRUE);
+}
+
+static void
+handle_block(struct forward *f, int64_t now_us, const struct part_notice *n,
+             const char *source)
+{
+    char text[REQ_PARTS_TEXT_BYTES];
+    f->counters.parts_blocked++;
+    LOG_EVENT(LOG_WARN, "parts_blocked",
+              LOG_STR("parts", format_parts(n->parts, n->part_count, text)),
+              LOG_CSTR("source", source), LOG_INT("trials", n->trials),
+              LOG_INT("age_ms", n->age_us / MS),
+              LOG_INT("blocks", blame_block_count(f->blame)));
+    f->sync_due_us = MIN(f->sync_due_us, now_us + SYNC_INTERVAL_US);
+    flood_notice(f, n);
+    refuse_open_requests(f, now_us);
+}
+
+/* Returns whether one more notice may be accepted in this second. */
+static bool
+take_notice(struct forward *f, int64_t now_us)
+{
+    if (now_us - f->notices_since_us >= SECOND) {
+        if (f->notices_accepted > NOTICES_PER_S) {
+            LOG_EVENT(LOG_WARN, "crash_notices_dropped",
+                      LOG_INT("count", f->notices_accepted - NOTICES_PER_S));
+        }
+        f->notices_since_us = now_us;
+        f->notices_accepted = 0;
+    }
+    return ++f->notices_accepted <= NOTICES_PER_S;
+}
+
+static void
+handle_crashed_call(struct forward *f, int64_t now_us,
+                    const struct part_notice *n, const char *source)
+{
+    const struct part_block *block;
+    if (!blame_add_crash(f->blame, now_us, n, &block)) {
+        return;
+    }
+    flood_notice(f, n);
+    if (block) {
+        struct part_notice b = block_notice(block, now_us);
+        handle_block(f, now_us, &b, source);
+    }
+}
+
+void
+crashes_call_broken(struct forward *f, int64_t now_us, const struct request *r)
+{
+    struct part_notice n = {.kind = PART_CRASHED,
+                            .endpoint = r->endpoint->hash,
+                            .head_sent = r->head_accepted};
+    n.part_count = shared_parts(&r->in, n.parts);
+    if (n.part_count == 0 || !r->service->info.is_engine ||
+        r->state != REQ_SENT) {
+        return;
+    }
+    struct crash_probe *p = NULL;
+    size_t at = 0;
+    while ((p = map_next(&f->probes, &at))) {
+        if (p->endpoint == n.endpoint) {
+            break;
+        }
+    }
+    if (p) {
+        if (p->call_count < PROBE_MAX_CALLS) {
+            p->calls[p->call_count++] = n;
+        }
+        return;
+    }
+    p = mem_calloc(1, sizeof(*p));
+    p->endpoint = n.endpoint;
+    p->name = str_dup(r->endpoint->id);
+    p->at_us = now_us;
+    p->calls[p->call_count++] = n;
+    struct report_call probe = {.id = ++f->next_call,
+                                .address = r->endpoint->address,
+                                .timeout_ms = PROBE_TIMEOUT_MS};
+    map_put(&f->probes, probe.id, p);
+    f->io.probe_endpoint(f->io.ctx, &probe);
+}
+
+void
+forward_endpoint_probed(struct forward *f, int64_t now_us, uint64_t call,
+                        bool refused)
+{
+    struct crash_probe *p = map_remove(&f->probes, call);
+    if (!p) {
+        return;
+    }
+    LOG_EVENT(LOG_INFO, refused ? "endpoint_crashed" : "endpoint_not_crashed",
+              LOG_STR("endpoint", p->name), LOG_INT("calls", p->call_count),
+              LOG_INT("ms", (now_us - p->at_us) / MS));
+    struct endpoint *e = map_get(&f->endpoints, p->endpoint);
+    if (refused && e) {
+        endpoint_record_failure(e, now_us, true);
+    }
+    for (int i = 0; refused && i < p->call_count; i++) {
+        p->calls[i].age_us = now_us - p->at_us;
+        if (take_notice(f, now_us)) {
+            handle_crashed_call(f, now_us, &p->calls[i], "own");
+        }
+    }
+    probe_free(p);
+}
+
+void
+crashes_response_started(struct forward *f, int64_t now_us,
+                         const struct request *r)
+{
+    uint64_t parts[PART_NOTICE_MAX_PARTS];
+    int count = r->service->info.is_engine ? shared_parts(&r->in, parts) : 0;
+    struct part_notice n = {.kind = PART_ANSWERED};
+    for (int i = 0; i < count; i++) {
+        if (blame_add_answer(f->blame, now_us, now_us, parts[i])) {
+            n.parts[n.part_count++] = parts[i];
+        }
+    }
+    if (n.part_count > 0) {
+        char text[REQ_PARTS_TEXT_BYTES];
+        LOG_EVENT(LOG_INFO, "parts_cleared",
+                  LOG_STR("parts", format_parts(n.parts, n.part_count, text)),
+                  LOG_STR("request", r->in.request_id));
+        flood_notice(f, &n);
+    }
+}
+
+bool
+crashes_refuses(struct forward *f, int64_t now_us,
+                const struct forward_request *in, bool *trial)
+{
+    uint64_t parts[PART_NOTICE_MAX_PARTS];
+    *trial = false;
+    if (blame_block_count(f->blame) == 0) {
+        return false;
+    }
+    struct part_block *block =
+        blame_find_block(f->blame, parts, shared_parts(in, parts));
+    if (!block) {
+        return false;
+    }
+    if (!blame_is_trial_due(f->blame, now_us, block)) {
+        f->counters.part_refusals++;
+        return true;
+    }
+    blame_start_trial(block, now_us);
+    struct part_notice n = block_notice(block, now_us);
+    LOG_EVENT(LOG_INFO, "parts_tried", LOG_STR("request", in->request_id),
+              LOG_INT("trials", block->trials));
+    flood_notice(f, &n);
+    *trial = true;
+    return false;
+}
+
+void
+crashes_handle_notice(struct forward *f, int64_t now_us,
+                      const struct part_notice *n)
+{
+    bool news = false;
+    switch (n->kind) {
+    case PART_CRASHED:
+        if (take_notice(f, now_us)) {
+            handle_crashed_call(f, now_us, n, "node");
+        }
+        break;
+    case PART_ANSWERED:
+        for (int i = 0; i < n->part_count; i++) {
+            news |= blame_add_answer(f->blame, now_us, now_us - n->age_us,
+                                     n->parts[i]);
+        }
+        if (news) {
+            flood_notice(f, n);
+        }
+        break;
+    case PART_BLOCKED:
+        if (blame_add_block(f->blame, now_us, n)) {
+            handle_block(f, now_us, n, "node");
+        }
+        break;
+    case PART_NOTICE_KIND_COUNT:
+        break;
+    }
+}
+
+void
+crashes_run(struct forward *f, int64_t now_us)
+{
+    if (now_us < f->sync_due_us) {
+        return;
+    }
+    int count = blame_block_count(f->blame);
+    for (int i = 0; i < count; i++) {
+        struct part_notice n = block_notice(blame_block(f->blame, i), now_us);
+        send_notice(f, &n, SYNC_OFFSETS);
+    }
+    f->sync_due_us = count > 0 ? now_us + SYNC_INTERVAL_US : INT64_MAX;
+}
+
+int64_t
+crashes_next_wakeup_us(const struct forward *f)
+{
+    return f->sync_due_us;
+}
--- /dev/null
+++ b/src/forward/crashes.h
@@ -0,0 +1,42 @@
+/**
+ * @file crashes.h
+ * Refuses requests whose prompt parts crash endpoints. A call that breaks
+ * before its response has a body makes this node probe the endpoint; if it
+ * refuses connections, the call is evidence against the prompt parts, which is
+ * passed on to all nodes. Private to src/forward.
+ */
+#ifndef FORWARD_CRASHES_H
+#define FORWARD_CRASHES_H
+
+#include "forward/state.h"
+
+void crashes_init(struct forward *f);
+void crashes_free(struct forward *f);
+
+/** Handles a call that broke; call this while the request still has its
+ * endpoint. */
+void crashes_call_broken(struct forward *f, int64_t now_us,
+                         const struct request *r);
+/** Handles the first byte of a successful response. */
+void crashes_response_started(struct forward *f, int64_t now_us,
+                              const struct request *r);
+/** Returns whether a new request has to be refused. Lets one through from time
+ * to time and sets @p trial then. */
+bool crashes_refuses(struct forward *f, int64_t now_us,
+                     const struct forward_request *in, bool *trial);
+/** Returns whether the parts of an open request have been blocked since it
+ * arrived. */
+bool crashes_is_blocked(const struct forward *f, const struct request *r);
+void crashes_handle_notice(struct forward *f, int64_t now_us,
+                           const struct part_notice *n);
+/** Sends the blocks to nodes that may not know them, at intervals. */
+void crashes_run(struct forward *f, int64_t now_us);
+int64_t crashes_next_wakeup_us(const struct forward *f);
+
+/** Reason of a refusal. */
+#define CRASHES_REFUSAL "endpoints crash when they answer this prompt"
+/** Retry-After of a refusal: the parts stay blocked for much longer, and a
+ * caller whose request is sound may return once answers have cleared it. */
+#define CRASHES_RETRY_MS 5000
+
+#endif
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "forward/crashes.h"
 #include "forward/state.h"
 
 /* An unknown route or credential is refused permanently only if the
@@ -15,6 +16,8 @@
 /* A request that was not sent is refused this long before its caller
  * disconnects, so that the caller learns that it was not run. */
 #define REFUSE_EARLY_US (60 * MS)
+/* Retry-After of a refusal that another node may not give. */
+#define RETRY_AFTER_MS 300
 /* Number of recent latencies that the quantiles are computed from. */
 #define HIST_SAMPLES 2000
 
@@ -37,6 +40,7 @@
     f->contact_due_us = f->owners_due_us = INT64_MAX;
     f->nodes_version = UINT64_MAX;
     g_queue_init(&f->inbox);
+    crashes_init(f);
     hist_init(&f->latency, HIST_SAMPLES);
     hist_init(&f->first_byte, HIST_SAMPLES);
     return f;
@@ -67,6 +71,7 @@
         free(v);
     }
     owners_free(f);
+    crashes_free(f);
     for (at = 0; (v = map_next(&f->services, &at));) {
         service_free(v);
     }
@@ -219,7 +224,8 @@
 
 static void
 refuse_new(struct forward *f, const struct forward_request *in,
-           enum errkind kind, const char *why, int64_t age_us)
+           enum errkind kind, const char *why, int64_t age_us,
+           int64_t retry_ms)
 {
     int status = errkind_info(kind)->http_status;
     char parts[REQ_PARTS_TEXT_BYTES];
@@ -232,7 +238,7 @@
                                     ? routing_version(f->cluster_view->routing)
                                     : -1),
               LOG_STR("parts", req_format_parts(in, parts)));
-    f->io.refuse(f->io.ctx, in->id, kind, why, status == 503 ? 300 : 0);
+    f->io.refuse(f->io.ctx, in->id, kind, why, status == 503 ? retry_ms : 0);
 }
 
 /* Finds the route and the team. @return false if the request was refused */
@@ -242,7 +248,8 @@
 {
     int64_t age = f->contact_us ? now_us - f->contact_us : INT64_MAX / 2;
     if (!f->cluster_view) {
-        refuse_new(f, in, ERRKIND_NOT_READY, "no configuration yet", age);
+        refuse_new(f, in, ERRKIND_NOT_READY, "no configuration yet", age,
+                   RETRY_AFTER_MS);
         return false;
     }
     const struct routing *rt = f->cluster_view->routing;
@@ -252,7 +259,7 @@
         refuse_new(f, in,
                    age > CONFIG_FRESH_US ? ERRKIND_NOT_READY
                                          : ERRKIND_NOT_FOUND,
-                   "no route", age);
+                   "no route", age, RETRY_AFTER_MS);
         return false;
     }
     if ((*route)->is_public || !routing_has_teams(rt)) {
@@ -260,7 +267,8 @@
     }
     if (age > f->opts.max_store_age_us) {
         refuse_new(f, in, ERRKIND_NOT_READY,
-                   "credentials cannot be checked without the store", age);
+                   "credentials cannot be checked without the store", age,
+                   RETRY_AFTER_MS);
         return false;
     }
     *team = routing_find_team_by_credential(rt, in->credential);
@@ -268,7 +276,7 @@
         refuse_new(f, in,
                    age > CONFIG_FRESH_US ? ERRKIND_NOT_READY
                                          : ERRKIND_UNAUTHENTICATED,
-                   "unknown credential", age);
+                   "unknown credential", age, RETRY_AFTER_MS);
         return false;
     }
     return true;
@@ -348,7 +356,7 @@
     f->counters.requests++;
     if (f->draining) {
         refuse_new(f, in, ERRKIND_NOT_READY, "the node is stopping",
-                   now_us - f->contact_us);
+                   now_us - f->contact_us, RETRY_AFTER_MS);
         return;
     }
     if (!authorize(f, now_us, in, &route, &team)) {
@@ -356,16 +364,26 @@
     }
     int target = pick_target(f, route);
     if (target < 0) {
-        refuse_new(f, in, ERRKIND_NO_ENDPOINT, "the route has no service", 0);
+        refuse_new(f, in, ERRKIND_NO_ENDPOINT, "the route has no service", 0,
+                   RETRY_AFTER_MS);
         return;
     }
     if (is_quarantined(f, now_us, in, route)) {
         f->counters.poisonous++;
         refuse_new(f, in, ERRKIND_QUARANTINED,
-                   "endpoints crashed while running this request", 0);
+                   "endpoints crashed while running this request", 0,
+                   RETRY_AFTER_MS);
+        return;
+    }
+    bool trial = false;
+    if (routing_service(f->cluster_view->routing, target)->is_engine &&
+        crashes_refuses(f, now_us, in, &trial)) {
+        refuse_new(f, in, ERRKIND_NO_ENDPOINT, CRASHES_REFUSAL, 0,
+                   CRASHES_RETRY_MS);
         return;
     }
     struct request *r = request_new(f, now_us, in, route, team);
+    r->trial = trial;
     r->service = map_get(
         &f->services,
         hash64(routing_service(f->cluster_view->routing, target)->name));
@@ -465,6 +483,7 @@
         }
     }
     f->last_run_us = now_us;
+    crashes_run(f, now_us);
     owners_run(f, now_us);
 }
 
@@ -473,6 +492,7 @@
 {
     int64_t at = timers_next_due_us(&f->timers);
     int64_t owners = owners_next_wakeup_us(f);
+    at = MIN(at, crashes_next_wakeup_us(f));
     size_t i = 0;
     const struct service_state *s;
     while ((s = map_next(&f->services, &i))) {
--- a/src/forward/owners.c
+++ b/src/forward/owners.c
@@ -2,6 +2,7 @@
 #include <xxhash.h>
 
 #include "base/log.h"
+#include "forward/crashes.h"
 #include "forward/state.h"
 
 /* Maximum number of endpoints in one group. A group is owned by one node,
@@ -95,7 +96,7 @@
 }
 
 static void
-on_query_memory(void *ctx, const struct memory_query_call *call)
+on_query_memory(void *ctx, const struct report_call *call)
 {
     struct forward *f = ctx;
     f->io.query_memory(f->io.ctx, call);
@@ -420,6 +421,11 @@
     case STAGE_MSG_PREFILL:
         handle_prefill_notice(f, now_us, &m->prefill);
         break;
+    case STAGE_MSG_PARTS:
+        crashes_handle_notice(f, now_us, &m->parts);
+        break;
+    case STAGE_MSG_KIND_COUNT:
+        break;
     case STAGE_MSG_ACK:
     case STAGE_MSG_RESULT:
         pieces_handle_reply(f, now_us, from, m);
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "base/log.h"
+#include "forward/crashes.h"
 #include "forward/state.h"
 
 /* Maximum number of sends of one request that reached no endpoint or were
@@ -332,6 +333,12 @@
                    "no time is left", 0);
         return;
     }
+    if (crashes_is_blocked(f, r)) {
+        f->counters.part_refusals++;
+        req_refuse(f, now_us, r, ERRKIND_NO_ENDPOINT, CRASHES_REFUSAL,
+                   CRASHES_RETRY_MS);
+        return;
+    }
     if (pieces_were_released(r)) {
         if (!pieces_restart(f, now_us, r)) {
             req_refuse(f, now_us, r, ERRKIND_NO_ENDPOINT,
@@ -447,6 +454,7 @@
               LOG_STR("parts", req_format_parts(&r->in, parts)));
     f->counters.broken++;
     r->may_have_run = true;
+    r->trial = false;
     req_detach_call(f, r);
     buf_clear(&r->response);
     if (try_take_repeat(f, now_us, r)) {
@@ -669,6 +677,9 @@
 {
     r->state = REQ_RESPONDING;
     record_first_byte(f, now_us, r);
+    if (is_success_status(r->status)) {
+        crashes_response_started(f, now_us, r);
+    }
     if (is_stream(r) && is_repeatable(r)) {
         timers_add(&f->timers, now_us + STREAM_SILENCE_US, TIMER_SILENCE,
                    r->call);
@@ -746,6 +757,7 @@
         if (now_us < r->deadline_us && (!r->head_accepted || is_stream(r))) {
             add_strike(f, now_us, r);
         }
+        crashes_call_broken(f, now_us, r);
         handle_broken_call(f, now_us, r,
                            "the connection to the endpoint broke");
         return;
--- a/src/forward/stage_pool.h
+++ b/src/forward/stage_pool.h
@@ -16,7 +16,7 @@
     void *ctx;
     void (*send_pieces)(void *ctx, const struct pieces_call *call);
     void (*release_results)(void *ctx, const struct release_call *call);
-    void (*query_memory)(void *ctx, const struct memory_query_call *call);
+    void (*query_memory)(void *ctx, const struct report_call *call);
     /** Sends an acknowledgement or result to the requesting node. */
     void (*send_message)(void *ctx, uint64_t node, const struct stage_msg *m);
     uint64_t (*next_call)(void *ctx);
--- a/src/forward/stage_room.c
+++ b/src/forward/stage_room.c
@@ -95,9 +95,9 @@
         }
         p->memory_query_due_us = now_us + QUERY_INTERVAL_US;
         if (!pe->memory_query && endpoint_is_available(pe->endpoint, now_us)) {
-            struct memory_query_call call = {p->io.next_call(p->io.ctx),
-                                             pe->endpoint->address,
-                                             QUERY_TIMEOUT_MS};
+            struct report_call call = {p->io.next_call(p->io.ctx),
+                                       pe->endpoint->address,
+                                       QUERY_TIMEOUT_MS};
             pe->memory_query = call.id;
             pe->used_at_query_bytes = pe->used_bytes + pe->releasing_bytes;
             p->io.query_memory(p->io.ctx, &call);
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -12,6 +12,7 @@
 #include "base/rng.h"
 #include "flow/map.h"
 #include "flow/timers.h"
+#include "forward/blame.h"
 #include "forward/endpoints.h"
 #include "forward/forward.h"
 #include "forward/place.h"
@@ -41,7 +42,10 @@
     X(pieces_rejected, "calls of pieces that an endpoint rejected")           \
     X(pieces_failed, "pieces without a result")                               \
     X(owner_changes, "asks that were taken from a silent owner")              \
-    X(poisonous, "requests refused since they crash endpoints")
+    X(poisonous, "requests refused since they crash endpoints")               \
+    X(part_refusals,                                                          \
+      "requests refused since a prompt part crashes endpoints")               \
+    X(parts_blocked, "prompt parts that were blocked")
 
 enum req_state {
     REQ_RUNNING_STAGES, /* its stages are running */
@@ -109,6 +113,7 @@
     int64_t last_activity_us; /* last response head, complete event or, for a
                                  plain response, byte from the endpoint */
     bool results_released;    /* stage results were released */
+    bool trial;               /* sent although its prompt parts are blocked */
 };
 
 /* A request for pieces that was sent to the owner of an endpoint group. */
@@ -203,10 +208,16 @@
     uint64_t next_call; /* last id of a call or stage request; starts at a
                            random number */
     bool draining;
-    bool dispatch_needed;   /* pieces or waiting requests may be sendable */
-    GHashTable *strikes;    /* req_strike_key -> struct strike */
-    struct hist latency;    /* until the complete response, us */
-    struct hist first_byte; /* until the first byte, us */
+    bool dispatch_needed; /* pieces or waiting requests may be sendable */
+    GHashTable *strikes;  /* req_strike_key -> struct strike */
+    struct blame *blame;
+    struct map probes;        /* call -> struct crash_probe */
+    int64_t sync_due_us;      /* next repetition of the blocks; INT64_MAX: none
+                               */
+    int64_t notices_since_us; /* start of the second of notices_accepted */
+    int notices_accepted;     /* notices of crashes */
+    struct hist latency;      /* until the complete response, us */
+    struct hist first_byte;   /* until the first byte, us */
 #define X(id, help) uint64_t id;
     struct {
         FORWARD_COUNTER_LIST(X)
--- a/src/forward/types.h
+++ b/src/forward/types.h
@@ -87,8 +87,9 @@
     const struct str *handles;
 };
 
-/** Queries the memory that an endpoint has left for results. */
-struct memory_query_call {
+/** Queries the report of an endpoint: the memory that it has left for results,
+ * or only whether it accepts connections. */
+struct report_call {
     uint64_t id;
     struct str address;
     int64_t timeout_ms;
@@ -129,7 +130,7 @@
     void (*send_call)(void *ctx, const struct forward_call *call);
     void (*send_pieces)(void *ctx, const struct pieces_call *call);
     void (*release_results)(void *ctx, const struct release_call *call);
-    void (*query_memory)(void *ctx, const struct memory_query_call *call);
+    void (*query_memory)(void *ctx, const struct report_call *call);
     /** Sends a message to another node; it may be lost. */
     void (*send_message)(void *ctx, uint64_t node, const struct stage_msg *m);
     /** Reopens the connection to a node that does not reply. */
@@ -151,6 +152,9 @@
     void (*abort_response)(void *ctx, uint64_t request);
     void (*refuse)(void *ctx, uint64_t request, enum errkind kind,
                    const char *why, int64_t retry_after_ms);
+    /** Queries the report of an endpoint to find out whether it accepts
+     * connections; ends with forward_endpoint_probed. */
+    void (*probe_endpoint)(void *ctx, const struct report_call *call);
 };
 
 #endif
--- a/src/model/stage_work.h
+++ b/src/model/stage_work.h
@@ -14,6 +14,7 @@
 #include <stdint.h>
 
 #include "base/str.h"
+#include "model/part_notice.h"
 
 /** Maximum number of pieces in a request; larger stages need several. */
 #define STAGE_MAX_PIECES 64
@@ -88,7 +89,7 @@
 };
 
 /** Maximum number of parts of a prompt. */
-#define PREFILL_MAX_PARTS 24
+#define PREFILL_MAX_PARTS PART_NOTICE_MAX_PARTS
 
 /** Reports that an engine was sent a long prompt. A lost notice only makes the
  * next choice of an engine worse. */
@@ -107,7 +108,9 @@
         STAGE_MSG_ACK,
         STAGE_MSG_RESULT,
         STAGE_MSG_DROP,
-        STAGE_MSG_PREFILL
+        STAGE_MSG_PREFILL,
+        STAGE_MSG_PARTS,
+        STAGE_MSG_KIND_COUNT
     } kind;
     union {
         struct stage_work_request request;
@@ -115,6 +118,7 @@
         struct stage_result result;
         struct stage_drop drop;
         struct prefill_notice prefill;
+        struct part_notice parts;
     };
 };
 
--- a/src/wire/msg.c
+++ b/src/wire/msg.c
@@ -337,6 +337,20 @@
     }
 }
 
+static void
+io_part_notice(struct io *io, struct part_notice *b)
+{
+    IO_ENUM(io, b->kind, PART_NOTICE_KIND_COUNT);
+    io_i64(io, &b->age_us, INT64_MAX);
+    io_u64(io, &b->endpoint);
+    io_bool(io, &b->head_sent);
+    io_int(io, &b->trials, INT32_MAX);
+    io_int(io, &b->part_count, PART_NOTICE_MAX_PARTS);
+    for (int i = 0; !io->is_malformed && i < b->part_count; i++) {
+        io_u64(io, &b->parts[i]);
+    }
+}
+
 static void
 io_feed_query(struct io *io, struct feed_query *b)
 {
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -98,6 +98,7 @@
  * CREDIT_REPLY: matched by credit id; a late grant is released.
  * CREDIT_QUERY, CREDIT_STATE: repeated until answered or settled.
  * STAGE_*: see model/stage_work.h. FEED_*: see model/feed_relay.h.
+ * PARTS: see model/part_notice.h.
  */
 #define MSG_LIST(X)                                                           \
     X(PING, "ping", probe, struct probe_body)                                 \
@@ -122,7 +123,8 @@
     X(STAGE_DROP, "stage_drop", stage_drop, struct stage_drop)                \
     X(PREFILL, "prefill", prefill, struct prefill_notice)                     \
     X(FEED_ASK, "feed_ask", feed_query, struct feed_query)                    \
-    X(FEED_ANSWER, "feed_answer", feed_reply, struct feed_reply)
+    X(FEED_ANSWER, "feed_answer", feed_reply, struct feed_reply)              \
+    X(PARTS, "parts", part_notice, struct part_notice)
 
 enum msg_type {
 #define X(id, name, field, type) MSG_##id,
@@ -153,6 +155,7 @@
         struct prefill_notice prefill;
         struct feed_query feed_query;
         struct feed_reply feed_reply;
+        struct part_notice part_notice;
     };
 };
 
--- a/tests/test_forward_crashes.c
+++ b/tests/test_forward_crashes.c
@@ -175,10 +175,140 @@
     }
 }
 
+/* Sends requests with the deadly part until it is blocked. */
+static void
+crash_until_blocked(struct fleet *f, const struct load *l)
+{
+    run_load(f, l, 2 * SECOND);
+    forward_world_set_deadly_part(f->w, DEADLY_PART, DOWN_US);
+    run_load(f, l, 8 * SECOND);
+    g_assert_cmpint(forward_world_crash_count(f->w), >=, 2);
+    g_assert_cmpint(forward_world_crash_count(f->w), <=, CRASHES_KNOWN);
+}
+
+/* Sends requests with the deadly part to one node. @return number that
+ * reached an endpoint */
+static int
+send_deadly(struct fleet *f, int node, int count)
+{
+    int64_t since_us = forward_world_now_us(f->w);
+    for (int i = 0; i < count; i++) {
+        send(f, node, SAME_FIRST_PART, DEADLY_PART);
+        forward_world_run_until(f->w, forward_world_now_us(f->w) + 100 * MS);
+    }
+    return forward_world_deadly_arrivals(f->w, since_us);
+}
+
+static const struct load usual = {60, 75, 0, 25, 5};
+
+/* A node that starts later, or misses the first messages, refuses the part as
+ * well, without crashes of its own. */
+static void
+test_started_later(void)
+{
+    struct fleet f;
+    fleet_init(&f, 6, 24, 31);
+    forward_world_drop_messages(f.w, STAGE_MSG_PARTS, 12);
+    crash_until_blocked(&f, &usual);
+    for (int node = 0; node < f.nodes; node++) {
+        forward_world_restart_node(f.w, node);
+        run_load(&f, &usual, 2500 * MS);
+        g_assert_cmpint(send_deadly(&f, node, 10), ==, 0);
+    }
+    forward_world_free(f.w);
+}
+
+/* Calls that break without a crash, as connections are reset, blame nobody:
+ * neither a part that many requests share nor one that few do. */
+static void
+test_resets(void)
+{
+    struct fleet f;
+    fleet_init(&f, 5, 24, 32);
+    for (int i = 0; i < 200; i++) {
+        run_load(&f, &(struct load){60, 75, 40, 0, 5}, 50 * MS);
+        forward_world_reset_connections(f.w, i % 24);
+    }
+    int since = forward_world_request_count(f.w);
+    run_load(&f, &(struct load){60, 75, 40, 0, 5}, 8 * SECOND);
+    g_assert_cmpfloat(sound_share(&f, since, 0), ==, 1);
+    forward_world_free(f.w);
+}
+
+/* Endpoints that crash one after the other for another reason, a third of
+ * them at once every few seconds: no sound request is refused for long. */
+static void
+test_other_crashes(void)
+{
+    struct fleet f;
+    const struct load sound = {60, 75, 40, 0, 5};
+    fleet_init(&f, 5, 24, 33);
+    int since = forward_world_request_count(f.w);
+    for (int i = 0; i < 24; i++) {
+        run_load(&f, &sound, 1 * SECOND);
+        forward_world_crash_endpoint(f.w, i * 7 % 24, 2 * SECOND);
+        for (int k = 0; i % 6 == 0 && k < 8; k++) {
+            forward_world_crash_endpoint(f.w, (i + 3 * k) % 24, 2 * SECOND);
+        }
+    }
+    run_load(&f, &sound, 3 * SECOND);
+    g_assert_cmpfloat(sound_share(&f, since, 0), >=, 0.99);
+    g_assert_cmpfloat(sound_share(&f, since, SAME_FIRST_PART), >=, 0.99);
+    forward_world_free(f.w);
+}
+
+/* The part is tried again later, at most three times in ten minutes, and
+ * served once it no longer crashes endpoints. */
+static void
+test_tried_again(void)
+{
+    struct fleet f;
+    const struct load slow = {2, 75, 0, 500, 5};
+    fleet_init(&f, 5, 24, 34);
+    crash_until_blocked(&f, &usual);
+    int64_t blocked_us = forward_world_now_us(f.w);
+    run_load(&f, &slow, 600 * SECOND);
+    g_assert_cmpint(forward_world_deadly_arrivals(f.w, blocked_us), <=,
+                    LATE_SENDS_MAX);
+    forward_world_set_deadly_part(f.w, 0, 0);
+    run_load(&f, &slow, 1200 * SECOND);
+    int since = forward_world_request_count(f.w);
+    run_load(&f, &slow, 30 * SECOND);
+    for (int i = since; i < forward_world_request_count(f.w); i++) {
+        g_assert_cmpint(forward_world_request(f.w, i)->runs, >, 0);
+    }
+    forward_world_free(f.w);
+}
+
+/* A refusal says that the request was not run, and only if that is true. */
+static void
+test_truthful(void)
+{
+    struct fleet f;
+    fleet_init(&f, 5, 24, 35);
+    crash_until_blocked(&f, &usual);
+    int refused = 0;
+    for (int i = 0; i < forward_world_request_count(f.w); i++) {
+        const struct fw_request *r = forward_world_request(f.w, i);
+        if (r->end == FW_REFUSED) {
+            g_assert_cmpint(r->runs, ==, 0);
+            g_assert_cmpint(r->parts[1], ==, DEADLY_PART);
+            refused++;
+        }
+    }
+    g_assert_cmpint(refused, >, 0);
+    forward_world_free(f.w);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/forward-crashes/part", test_part);
+    g_test_add_func("/forward-crashes/started-later", test_started_later);
+    g_test_add_func("/forward-crashes/resets", test_resets);
+    g_test_add_func("/forward-crashes/other-crashes", test_other_crashes);
+    g_test_add_func("/forward-crashes/tried-again", test_tried_again);
+    g_test_add_func("/forward-crashes/truthful", test_truthful);
     return g_test_run();
 }
--- a/tests/test_msg.c
+++ b/tests/test_msg.c
@@ -69,6 +69,8 @@
      .stage_result = {LARGE_U64, 3, PIECE_INPUT_GONE, {"h", 1}, 9, 10}},
     {MSG_STAGE_DROP, 1, 2, .stage_drop = {LARGE_U64, true}},
     {MSG_PREFILL, 1, 2, .prefill = {9, 5000, 2, {LARGE_U64, 3}, {4000, 1000}}},
+    {MSG_PARTS, 1, 2,
+     .part_notice = {PART_BLOCKED, 7, LARGE_U64, true, 3, 2, {LARGE_U64, 3}}},
     {MSG_FEED_ASK, 1, 2, .feed_query = {LARGE_U64, 1, 5, true}},
     {MSG_FEED_ANSWER, 1, 2,
      .feed_reply = {.correlation_id = LARGE_U64,
