--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -28,6 +28,8 @@
     int break_next_requests; /**< next requests whose connection breaks after
                        the run */
     int fail_next_requests;  /**< next requests that are answered with 500 */
+    int stale_refusals; /**< next requests that run while an earlier refusal,
+                           with the id of another request, arrives again */
     int events; /**< in a streamed answer; 0: the answer is not streamed */
     int break_after_event; /**< the next stream breaks after this event; 0:
                               none */
--- a/bench/forward_world_endpoint.c
+++ b/bench/forward_world_endpoint.c
@@ -66,6 +66,14 @@
     r->runs++;
     ev->status = e->fail_next_requests > 0 ? 500 : 200;
     e->fail_next_requests -= e->fail_next_requests > 0;
+    if (e->stale_refusals > 0) {
+        e->stale_refusals--;
+        struct sim_event *stale = schedule_answer(
+            w, s, job, w->now_us + 2 * ONE_WAY_US, SIM_CALL_HEAD);
+        stale->status = 503;
+        stale->meta.not_executed = true;
+        stale->meta.same_request = false;
+    }
     bool breaks = e->break_next_requests > 0;
     e->break_next_requests -= breaks;
     if (breaks) {
--- a/tests/platform/fake_server.c
+++ b/tests/platform/fake_server.c
@@ -48,7 +48,6 @@
 {
     char seal[96];
     snprintf(seal, sizeof(seal), "%s.%s", sv.id, id);
-    fh_add_header(r, "Camphorfall-Request-Id", id);
     fh_add_header(r, "Camphorfall-Response-Seal", seal);
 }
 
@@ -232,6 +231,9 @@
         stage_free(r);
         return;
     }
+    if (id) {
+        fh_add_header(r, "Camphorfall-Request-Id", id);
+    }
     if (expected_instance && strcmp(expected_instance, sv.id) != 0) {
         fh_add_header(r, "Camphorfall-Instance-Id", sv.id);
         fh_reply_json(r, 421, json_object());
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -999,6 +999,35 @@
     forward_world_free(r.w);
 }
 
+/* Guards against an earlier refusal that an endpoint writes once more: the
+ * request that it arrives for is running, so its caller must not be told that
+ * it was not run, and an action must not be sent again. */
+static void
+test_stale_refusal(void)
+{
+    static const char *const hosts[] = {"action", "check", "stream",
+                                        "stream-once"};
+    for (size_t i = 0; i < G_N_ELEMENTS(hosts); i++) {
+        struct rig r;
+        rig_init(&r, 1);
+        for (int n = 0; n < 6; n++) {
+            for (int e = 0; e < 4; e++) {
+                r.e[e].stale_refusals = 1 + n % 3;
+            }
+            const struct fw_request *a = submit(
+                &r, &(struct fw_request_spec){.host = hosts[i],
+                                              .caller_timeout_us = 1500 * MS,
+                                              .prompt_tokens = 100});
+            g_assert_cmpint(a->runs, >=, 1);
+            g_assert_cmpint(a->end, !=, FW_REFUSED);
+            if (i % 3 == 0) {
+                g_assert_cmpint(a->runs, ==, 1);
+            }
+        }
+        forward_world_free(r.w);
+    }
+}
+
 static void
 test_gone(void)
 {
@@ -1046,6 +1075,7 @@
     g_test_add_func("/forward/slow-maker", test_slow_maker);
     g_test_add_func("/forward/cold", test_cold);
     g_test_add_func("/forward/poison", test_poison);
+    g_test_add_func("/forward/stale-refusal", test_stale_refusal);
     g_test_add_func("/forward/gone", test_gone);
     return g_test_run();
 }
