Treat a stream that ends without an event as broken

A response without a length ends with its connection. If the endpoint closed it after the head, the caller got a complete stream without an event, and a crash seen this way was no evidence against a prompt part. Only a stream that resumes an earlier one may have no event.

/forward/empty-stream failed before (answered, body of 0 bytes).

--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -30,6 +30,8 @@
     int fail_next_requests;  /**< next requests that are answered with 500 */
     int stale_refusals; /**< next requests that run while an earlier refusal,
                            with the id of another request, arrives again */
+    int empty_next_streams; /**< next streams that end whole without an event,
+                               as when the endpoint closes the connection */
     int events; /**< in a streamed answer; 0: the answer is not streamed */
     int break_after_event; /**< the next stream breaks after this event; 0:
                               none */
--- a/bench/forward_world_endpoint.c
+++ b/bench/forward_world_endpoint.c
@@ -91,6 +91,11 @@
         return;
     }
     int64_t at = done_us + ONE_WAY_US;
+    if (e->empty_next_streams > 0) {
+        e->empty_next_streams--;
+        schedule_answer(w, s, job, at, SIM_CALL_END)->end = CALL_END_COMPLETE;
+        return;
+    }
     int events = e->events > 0 ? e->events : 1;
     for (int i = job->resume_after + 1; i < events || i == 0; i++) {
         struct sim_event *b = schedule_answer(w, s, job, at, SIM_CALL_BYTES);
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -736,6 +736,19 @@
     req_free(f, r);
 }
 
+/* Returns whether a response whose end was received is whole. A response
+ * without a length ends with its connection, so a stream must end after a
+ * complete event. It may have none only if it resumes an earlier one. */
+static bool
+is_whole_response(const struct request *r)
+{
+    if (!r->head_accepted || !is_relayed_stream(r)) {
+        return r->head_accepted;
+    }
+    return r->response.len == 0 &&
+           (r->state == REQ_RESPONDING || r->last_event_id >= 0);
+}
+
 void
 forward_call_ended(struct forward *f, int64_t now_us, uint64_t call,
                    enum call_end end)
@@ -770,9 +783,8 @@
     case CALL_END_COMPLETE:
         break;
     }
-    if (!r->head_accepted || (is_stream(r) && is_success_status(r->status) &&
-                              r->response.len > 0)) {
-        /* A stream must end after a complete event. */
+    if (!is_whole_response(r)) {
+        crashes_call_broken(f, now_us, r);
         handle_broken_call(f, now_us, r, "the answer is not whole");
         return;
     }
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -999,6 +999,36 @@
     forward_world_free(r.w);
 }
 
+/* Guards against a response without a length whose endpoint closes the
+ * connection after the head: the caller must not get a whole empty stream. */
+static void
+test_empty_stream(void)
+{
+    static const char *const hosts[] = {"stream", "stream-once"};
+    for (size_t i = 0; i < G_N_ELEMENTS(hosts); i++) {
+        struct rig r;
+        rig_init(&r, 1);
+        for (int e = 0; e < 2; e++) {
+            r.e[e].empty_next_streams = e == 0 || i == 1;
+        }
+        for (int n = 0; n < 2; n++) {
+            const struct fw_request *a = submit(
+                &r, &(struct fw_request_spec){.host = hosts[i],
+                                              .caller_timeout_us = 4 * SECOND,
+                                              .prompt_tokens = 100});
+            if (a->end == FW_ANSWERED) {
+                g_assert_cmpuint(a->body.len, >, 0);
+            }
+            else {
+                g_assert_cmpint(i, ==, 1);
+                g_assert_cmpint(a->end, ==, FW_FAILED);
+            }
+        }
+        g_assert_cmpint(r.e[0].empty_next_streams, ==, 0);
+        forward_world_free(r.w);
+    }
+}
+
 /* Guards against an earlier refusal that an endpoint writes once more: the
  * request that it arrives for is running, so its caller must not be told that
  * it was not run, and an action must not be sent again. */
@@ -1075,6 +1105,7 @@
     g_test_add_func("/forward/slow-maker", test_slow_maker);
     g_test_add_func("/forward/cold", test_cold);
     g_test_add_func("/forward/poison", test_poison);
+    g_test_add_func("/forward/empty-stream", test_empty_stream);
     g_test_add_func("/forward/stale-refusal", test_stale_refusal);
     g_test_add_func("/forward/gone", test_gone);
     return g_test_run();
