Send nothing more to an endpoint that says in a response that it leaves

The endpoint is now out of use at this node until its record names another start time, also if the record is missing for a time.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -450,7 +450,8 @@
         struct endpoint_record rec = {.id = str_from_cstr(e->id),
                                       .address = str_from_cstr(address),
                                       .zone = str_from_cstr(e->zone),
-                                      .slots = e->slots};
+                                      .slots = e->slots,
+                                      .started_ms = e->started_ms};
         w->sim_endpoints[i].removed = removed && removed[i];
         if (!w->sim_endpoints[i].removed) {
             cluster_view_add_endpoint(
--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -35,6 +35,8 @@
     int events; /**< in a streamed answer; 0: the answer is not streamed */
     int break_after_event; /**< the next stream breaks after this event; 0:
                               none */
+    bool leaving;          /**< says so in its responses; still in the view */
+    int64_t started_ms;
     int64_t result_memory_bytes; /**< memory for results; 0: unlimited */
     int64_t cold_until_us;
     /* Counted during the run. */
--- a/bench/forward_world_endpoint.c
+++ b/bench/forward_world_endpoint.c
@@ -44,6 +44,7 @@
     struct sim_event *ev = forward_world_schedule(w, at_us, kind, job->node);
     ev->call = job->call;
     ev->endpoint = (int)(s - w->sim_endpoints);
+    ev->meta.leaving = s->spec->leaving;
     return ev;
 }
 
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "base/hash.h"
+#include "base/log.h"
 
 #define MS 1000LL
 #define SECOND 1000000LL
@@ -28,6 +29,10 @@
  * endpoint. */
 #define SLOWNESS_MAX 10.0
 
+/* An endpoint that leaves is gone, and its record with it, within this time
+ * after the record was missing for the first time. */
+#define LEAVING_MEMORY_US (600 * SECOND)
+
 struct part {
     int tokens;
     int64_t used_us;
@@ -43,6 +48,7 @@
     e->hash = hash64(from->id);
     e->slowness = 1.0;
     e->reported_running = -1;
+    e->started_ms = from->started_ms;
     e->cached_parts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     return e;
@@ -116,10 +122,34 @@
            exp2(-(double)(now_us - e->last_failure_us) / FAILURE_HALF_LIFE_US);
 }
 
+void
+endpoint_apply_response(struct endpoint *e, bool leaving)
+{
+    if (leaving && !e->leaving) {
+        LOG_EVENT(LOG_INFO, "endpoint_leaving", LOG_STR("endpoint", e->id));
+        e->leaving = true;
+    }
+}
+
+bool
+endpoint_is_remembered(const struct endpoint *e, int64_t now_us)
+{
+    return e->leaving && now_us - e->unlisted_us < LEAVING_MEMORY_US;
+}
+
+void
+endpoint_set_start(struct endpoint *e, int64_t started_ms)
+{
+    if (e->started_ms != started_ms) {
+        e->started_ms = started_ms;
+        e->leaving = false;
+    }
+}
+
 bool
 endpoint_is_available(const struct endpoint *e, int64_t now_us)
 {
-    if (!e->usable || now_us < e->ejected_until_us) {
+    if (!e->usable || e->leaving || now_us < e->ejected_until_us) {
         return false;
     }
     return now_us >= e->cold_until_us || e->cold_requests_per_s <= 0 ||
--- a/src/forward/endpoints.h
+++ b/src/forward/endpoints.h
@@ -23,6 +23,10 @@
     struct str zone;    /**< owned */
     uint64_t hash;      /**< hash of id */
     bool usable;        /**< listed in the current cluster view */
+    bool leaving; /**< has said that it is about to stop; it gets no new work
+                     until it starts again */
+    int64_t unlisted_us; /**< when it left the cluster view */
+    int64_t started_ms;  /**< start time of its process; 0: unknown */
     int64_t cold_until_us;
     double cold_requests_per_s; /**< requests per second its service allows
                           while cold; 0: no limit */
@@ -63,6 +67,14 @@
  */
 double endpoint_failure_rate(const struct endpoint *e, int64_t now_us);
 
+/** Applies what a response says of its endpoint besides its load. */
+void endpoint_apply_response(struct endpoint *e, bool leaving);
+/** Returns whether the state of an endpoint that is not in the cluster view is
+ * still needed, since it may be listed again without having started again. */
+bool endpoint_is_remembered(const struct endpoint *e, int64_t now_us);
+/** Sets the start time from its record; another one than before means that the
+ * endpoint has started again. */
+void endpoint_set_start(struct endpoint *e, int64_t started_ms);
 /** Returns whether work may be sent now, given its ejection and cold state. */
 bool endpoint_is_available(const struct endpoint *e, int64_t now_us);
 /** Records a send. A cold endpoint may get the next request from this node
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -120,13 +120,14 @@
 
 /* Frees endpoints that have left once nothing is in flight there. */
 static void
-free_unused(struct forward *f)
+free_unused(struct forward *f, int64_t now_us)
 {
     GPtrArray *unused = g_ptr_array_new();
     size_t at = 0;
     struct endpoint *e;
     while ((e = map_next(&f->endpoints, &at))) {
-        if (!e->usable && e->in_flight == 0 && e->calls_in_flight == 0) {
+        if (!e->usable && e->in_flight == 0 && e->calls_in_flight == 0 &&
+            !endpoint_is_remembered(e, now_us)) {
             g_ptr_array_add(unused, e);
         }
     }
@@ -153,6 +154,7 @@
         e->address = str_dup(from->address);
     }
     e->usable = true;
+    endpoint_set_start(e, from->started_ms);
     e->cold_requests_per_s = info->cold_requests_per_s;
     e->cold_us = info->cold_us;
     e->engine_tokens = info->engine_tokens;
@@ -173,7 +175,9 @@
     cluster_view_unref(f->cluster_view);
     f->cluster_view = cluster_view_ref(cluster_view);
     while ((v = map_next(&f->endpoints, &at))) {
-        ((struct endpoint *)v)->usable = false;
+        struct endpoint *e = v;
+        e->unlisted_us = e->usable ? now_us : e->unlisted_us;
+        e->usable = false;
     }
     for (at = 0; (v = map_next(&f->services, &at));) {
         g_ptr_array_set_size(((struct service_state *)v)->endpoints, 0);
@@ -192,7 +196,7 @@
         }
     }
     owners_set_site(f, now_us);
-    free_unused(f);
+    free_unused(f, now_us);
     f->dispatch_needed = true;
 }
 
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -83,7 +83,7 @@
     uint64_t key = p->chain[p->count - 2];
     for (guint i = 0; i < endpoints->len; i++) {
         const struct endpoint *e = g_ptr_array_index(endpoints, i);
-        if (!e->usable) {
+        if (!e->usable || e->leaving) {
             continue;
         }
         if (!out[0] ||
@@ -177,7 +177,7 @@
     int64_t next = INT64_MAX;
     for (guint i = 0; i < endpoints->len; i++) {
         const struct endpoint *e = g_ptr_array_index(endpoints, i);
-        if (!e->usable || was_tried(query, e)) {
+        if (!e->usable || e->leaving || was_tried(query, e)) {
             continue;
         }
         int64_t at = now_us;
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -541,6 +541,7 @@
         e->reported_waiting = meta->waiting;
         e->load_report_us = now_us;
     }
+    endpoint_apply_response(e, meta->same_request && meta->leaving);
     /* A faulty endpoint may write an earlier refusal once more. */
     if (meta->same_request && (meta->not_executed || meta->other_instance)) {
         handle_not_executed(f, now_us, r, status, meta);
--- a/src/forward/types.h
+++ b/src/forward/types.h
@@ -104,6 +104,7 @@
     bool other_instance;    /**< the address now belongs to another endpoint */
     bool content_encoded;   /**< has a Content-Encoding, so the body is not as
                        the   endpoint sent it */
+    bool leaving;           /**< the endpoint is about to stop */
     bool closes_connection; /**< the endpoint closes the connection after it */
     int64_t length;         /**< body length; -1: unknown */
     int running;            /**< load report of the endpoint; -1: unknown */
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -149,22 +149,30 @@
     static const struct {
         int status;
         const char *headers;
-        bool same, sealed, not_executed, other, content_encoded;
+        bool same, sealed, not_executed, other, content_encoded, leaving;
     } rows[] = {
+        {200,
+         "Camphorfall-Request-Id: r1\nserver-leaving: 1\n"
+         "Camphorfall-Response-Seal: x\n",
+         true, true, false, false, false, true},
+        {200,
+         "Camphorfall-Request-Id: r1\nServer-Leaving: 0\n"
+         "Camphorfall-Response-Seal: x\n",
+         true, true, false, false, false, false},
         {200, "Camphorfall-Request-Id: r1\nCamphorfall-Response-Seal: 3e.1\n",
-         true, true, false, false, false},
+         true, true, false, false, false, false},
         {200, "Camphorfall-Request-Id: r2\nCamphorfall-Response-Seal: x\n",
-         false, true, false, false, false},
-        {200, "Camphorfall-Request-Id: r1\n", true, false, false, false,
+         false, true, false, false, false, false},
+        {200, "Camphorfall-Request-Id: r1\n", true, false, false, false, false,
          false},
         {503, "Camphorfall-Not-Executed: 1\n", false, false, true, false,
-         false},
+         false, false},
         {421, "Camphorfall-Instance-Id: i-2\n", false, false, false, true,
-         false},
+         false, false},
         {200,
          "Camphorfall-Request-Id: r1\nContent-Encoding: gzip\n"
          "Camphorfall-Response-Seal: x\n",
-         true, true, false, false, true},
+         true, true, false, false, true, false},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         struct http_header headers[MAX_HEADERS];
@@ -177,6 +185,7 @@
         g_assert_cmpint(m.not_executed, ==, rows[i].not_executed);
         g_assert_cmpint(m.other_instance, ==, rows[i].other);
         g_assert_cmpint(m.content_encoded, ==, rows[i].content_encoded);
+        g_assert_cmpint(m.leaving, ==, rows[i].leaving);
     }
 }
 
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -999,6 +999,48 @@
     forward_world_free(r.w);
 }
 
+/* Guards against work that is sent to an endpoint that has said in a response
+ * that it is about to stop, while its record is still as before, is missing
+ * for a time or has come back. */
+static void
+test_leaving_header(void)
+{
+    static const char *const hosts[] = {"check", "stream", "staged"};
+    /* The endpoints that leave: of the service, or of its first stage. */
+    static const int leaving[] = {2, 0, 4};
+    for (size_t i = 0; i < G_N_ELEMENTS(hosts); i++) {
+        const struct fw_request_spec spec = {.host = hosts[i],
+                                             .caller_timeout_us = 4 * SECOND,
+                                             .prompt_tokens = 100,
+                                             .pieces = {1, 1}};
+        struct rig r;
+        bool removed[ENDPOINTS] = {false};
+        rig_init(&r, 1);
+        struct fw_endpoint *e = &r.e[leaving[i]];
+        e->leaving = true;
+        for (int n = 0; n < 30 && e->calls == 0; n++) {
+            submit(&r, &spec);
+        }
+        g_assert_cmpint(e->calls, >, 0);
+        int calls = e->calls;
+        for (int n = 0; n < 6; n++) {
+            g_assert_cmpint(submit(&r, &spec)->end, ==, FW_ANSWERED);
+            removed[leaving[i]] = n % 2 == 0;
+            forward_world_publish_view(r.w, removed);
+        }
+        g_assert_cmpint(e->calls, ==, calls);
+        /* It has started again under the same id. */
+        e->leaving = false;
+        e->started_ms = 5;
+        forward_world_publish_view(r.w, NULL);
+        for (int n = 0; n < 30 && e->calls == calls; n++) {
+            submit(&r, &spec);
+        }
+        g_assert_cmpint(e->calls, >, calls);
+        forward_world_free(r.w);
+    }
+}
+
 /* Guards against a response without a length whose endpoint closes the
  * connection after the head: the caller must not get a whole empty stream. */
 static void
@@ -1105,6 +1147,7 @@
     g_test_add_func("/forward/slow-maker", test_slow_maker);
     g_test_add_func("/forward/cold", test_cold);
     g_test_add_func("/forward/poison", test_poison);
+    g_test_add_func("/forward/leaving-header", test_leaving_header);
     g_test_add_func("/forward/empty-stream", test_empty_stream);
     g_test_add_func("/forward/stale-refusal", test_stale_refusal);
     g_test_add_func("/forward/gone", test_gone);
