Send an endpoint nothing in the time for which its 503 asks

The endpoint is now out of use at this node for the time it asks for (at most an hour), also for stage calls, and until it starts again.

--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -33,9 +33,11 @@
     int empty_next_streams; /**< next streams that end whole without an event,
                                as when the endpoint closes the connection */
     int events; /**< in a streamed answer; 0: the answer is not streamed */
-    int break_after_event; /**< the next stream breaks after this event; 0:
-                              none */
-    bool leaving;          /**< says so in its responses; still in the view */
+    int break_after_event;  /**< the next stream breaks after this event; 0:
+                               none */
+    int64_t retry_after_us; /**< rejects calls, and asks for this pause in each
+                               rejection; 0: accepts them */
+    bool leaving;           /**< says so in its responses; still in the view */
     int64_t started_ms;
     int64_t result_memory_bytes; /**< memory for results; 0: unlimited */
     int64_t cold_until_us;
--- a/bench/forward_world_endpoint.c
+++ b/bench/forward_world_endpoint.c
@@ -218,7 +218,8 @@
 }
 
 static void
-reject_call(struct forward_world *w, int node, uint64_t call, bool pieces)
+reject_call(struct forward_world *w, const struct sim_endpoint *s, int node,
+            uint64_t call, bool pieces)
 {
     struct sim_event *ev =
         forward_world_schedule(w, w->now_us + 2 * ONE_WAY_US,
@@ -226,6 +227,7 @@
     ev->call = call;
     ev->status = 503;
     ev->meta.not_executed = true;
+    ev->meta.retry_after_us = s->spec->retry_after_us;
     ev->end = CALL_END_COMPLETE;
 }
 
@@ -257,10 +259,11 @@
         has_deadly_part(w, forward_world_find_request(w, job->request))) {
         g_array_append_val(w->deadly_arrivals_us, w->now_us);
     }
-    if ((int)g_queue_get_length(&s->waiting) + s->running >=
-        e->slots + e->queue) {
+    if (e->retry_after_us > 0 ||
+        (int)g_queue_get_length(&s->waiting) + s->running >=
+            e->slots + e->queue) {
         e->rejected++;
-        reject_call(w, job->node, job->call, job->pieces);
+        reject_call(w, s, job->node, job->call, job->pieces);
         free(job);
         return;
     }
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -123,8 +123,14 @@
 }
 
 void
-endpoint_apply_response(struct endpoint *e, bool leaving)
+endpoint_apply_response(struct endpoint *e, int64_t now_us, bool leaving,
+                        int64_t pause_us)
 {
+    if (pause_us > 0 && now_us + pause_us > e->paused_until_us) {
+        LOG_EVENT(LOG_INFO, "endpoint_paused", LOG_STR("endpoint", e->id),
+                  LOG_INT("ms", pause_us / MS));
+        e->paused_until_us = now_us + pause_us;
+    }
     if (leaving && !e->leaving) {
         LOG_EVENT(LOG_INFO, "endpoint_leaving", LOG_STR("endpoint", e->id));
         e->leaving = true;
@@ -134,7 +140,8 @@
 bool
 endpoint_is_remembered(const struct endpoint *e, int64_t now_us)
 {
-    return e->leaving && now_us - e->unlisted_us < LEAVING_MEMORY_US;
+    return now_us < e->paused_until_us ||
+           (e->leaving && now_us - e->unlisted_us < LEAVING_MEMORY_US);
 }
 
 void
@@ -143,13 +150,15 @@
     if (e->started_ms != started_ms) {
         e->started_ms = started_ms;
         e->leaving = false;
+        e->paused_until_us = 0;
     }
 }
 
 bool
 endpoint_is_available(const struct endpoint *e, int64_t now_us)
 {
-    if (!e->usable || e->leaving || now_us < e->ejected_until_us) {
+    if (!e->usable || e->leaving || now_us < e->ejected_until_us ||
+        now_us < e->paused_until_us) {
         return false;
     }
     return now_us >= e->cold_until_us || e->cold_requests_per_s <= 0 ||
--- a/src/forward/endpoints.h
+++ b/src/forward/endpoints.h
@@ -25,8 +25,9 @@
     bool usable;        /**< listed in the current cluster view */
     bool leaving; /**< has said that it is about to stop; it gets no new work
                      until it starts again */
-    int64_t unlisted_us; /**< when it left the cluster view */
-    int64_t started_ms;  /**< start time of its process; 0: unknown */
+    int64_t paused_until_us; /**< it has asked for no work until then */
+    int64_t unlisted_us;     /**< when it left the cluster view */
+    int64_t started_ms;      /**< start time of its process; 0: unknown */
     int64_t cold_until_us;
     double cold_requests_per_s; /**< requests per second its service allows
                           while cold; 0: no limit */
@@ -67,8 +68,10 @@
  */
 double endpoint_failure_rate(const struct endpoint *e, int64_t now_us);
 
-/** Applies what a response says of its endpoint besides its load. */
-void endpoint_apply_response(struct endpoint *e, bool leaving);
+/** Applies what a response says of its endpoint besides its load.
+ * @param pause_us time for which it asks for no work; 0: none */
+void endpoint_apply_response(struct endpoint *e, int64_t now_us, bool leaving,
+                             int64_t pause_us);
 /** Returns whether the state of an endpoint that is not in the cluster view is
  * still needed, since it may be listed again without having started again. */
 bool endpoint_is_remembered(const struct endpoint *e, int64_t now_us);
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -180,10 +180,7 @@
         if (!e->usable || e->leaving || was_tried(query, e)) {
             continue;
         }
-        int64_t at = now_us;
-        if (e->ejected_until_us > at) {
-            at = e->ejected_until_us;
-        }
+        int64_t at = MAX(now_us, MAX(e->ejected_until_us, e->paused_until_us));
         if (e->cold_requests_per_s > 0 && at < e->cold_until_us &&
             e->cold_next_send_us > at) {
             at = e->cold_next_send_us;
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -541,7 +541,10 @@
         e->reported_waiting = meta->waiting;
         e->load_report_us = now_us;
     }
-    endpoint_apply_response(e, meta->same_request && meta->leaving);
+    if (meta->same_request) {
+        endpoint_apply_response(e, now_us, meta->leaving,
+                                meta->retry_after_us);
+    }
     /* A faulty endpoint may write an earlier refusal once more. */
     if (meta->same_request && (meta->not_executed || meta->other_instance)) {
         handle_not_executed(f, now_us, r, status, meta);
--- a/src/forward/stage_ends.c
+++ b/src/forward/stage_ends.c
@@ -134,8 +134,10 @@
     g_hash_table_steal(p->calls, &call);
     pe->endpoint->calls_in_flight--;
     pe->busy_until_us = 0;
-    endpoint_apply_response(pe->endpoint,
-                            end == CALL_END_COMPLETE && meta->leaving);
+    if (end == CALL_END_COMPLETE) {
+        endpoint_apply_response(pe->endpoint, now_us, meta->leaving,
+                                meta->retry_after_us);
+    }
     if (end != CALL_END_COMPLETE || status != 200 || count != c->count) {
         call_failed(p, now_us, c, end, status, meta);
     }
--- a/src/forward/types.h
+++ b/src/forward/types.h
@@ -105,6 +105,8 @@
     bool content_encoded;   /**< has a Content-Encoding, so the body is not as
                        the   endpoint sent it */
     bool leaving;           /**< the endpoint is about to stop */
+    int64_t retry_after_us; /**< pause that it asks for as it rejects the
+                               request; 0: none */
     bool closes_connection; /**< the endpoint closes the connection after it */
     int64_t length;         /**< body length; -1: unknown */
     int running;            /**< load report of the endpoint; -1: unknown */
--- a/tests/platform/fake_server.c
+++ b/tests/platform/fake_server.c
@@ -23,8 +23,11 @@
     int64_t held;
     int64_t pieces;
     int64_t calls;
-    int64_t drop_after;  /* the next N requests run, but get no response */
-    int64_t shed;        /* the next N requests are rejected */
+    int64_t drop_after;    /* the next N requests run, but get no response */
+    int64_t shed;          /* the next N requests are rejected */
+    int64_t retry_after_s; /* pause that rejections ask for; 0: none */
+    int64_t leaving;       /* says in all responses that it is about to stop */
+    int64_t arrivals;      /* requests that arrived */
     int64_t break_at;    /* the next stream stops after this event; -1: none */
     int64_t inputs;      /* requests that had inputs */
     bool protocol_error; /* a request violated the protocol */
@@ -184,9 +187,10 @@
 {
     if (str_eq_cstr(r->method, "POST")) {
         json_t *o = json_loadb(r->body.ptr, r->body.len, 0, NULL);
-        json_unpack(o, "{s?I,s?I,s?I,s?I}", "drop_after", &sv.drop_after,
-                    "shed", &sv.shed, "break_at", &sv.break_at, "delay_us",
-                    &sv.delay_us);
+        json_unpack(o, "{s?I,s?I,s?I,s?I,s?I,s?I}", "drop_after",
+                    &sv.drop_after, "shed", &sv.shed, "break_at", &sv.break_at,
+                    "delay_us", &sv.delay_us, "retry_after_s",
+                    &sv.retry_after_s, "leaving", &sv.leaving);
         json_decref(o);
     }
     const char *query_id = fh_query_argument(r, "id");
@@ -204,12 +208,13 @@
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         runs += GPOINTER_TO_INT(v);
     }
-    fh_reply_json(r, 200,
-                  json_pack("{s:I,s:I,s:I,s:I,s:I,s:b}", "runs",
-                            (json_int_t)runs, "held", (json_int_t)sv.held,
-                            "pieces", (json_int_t)sv.pieces, "calls",
-                            (json_int_t)sv.calls, "inputs",
-                            (json_int_t)sv.inputs, "bad", sv.protocol_error));
+    fh_reply_json(
+        r, 200,
+        json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:b}", "runs", (json_int_t)runs,
+                  "arrivals", (json_int_t)sv.arrivals, "held",
+                  (json_int_t)sv.held, "pieces", (json_int_t)sv.pieces,
+                  "calls", (json_int_t)sv.calls, "inputs",
+                  (json_int_t)sv.inputs, "bad", sv.protocol_error));
 }
 
 static void
@@ -234,6 +239,10 @@
     if (id) {
         fh_add_header(r, "Camphorfall-Request-Id", id);
     }
+    if (sv.leaving) {
+        fh_add_header(r, "Server-Leaving", "1");
+    }
+    sv.arrivals++;
     if (expected_instance && strcmp(expected_instance, sv.id) != 0) {
         fh_add_header(r, "Camphorfall-Instance-Id", sv.id);
         fh_reply_json(r, 421, json_object());
@@ -241,6 +250,11 @@
     }
     if (take(&sv.shed)) {
         fh_add_header(r, "Camphorfall-Not-Executed", "1");
+        if (sv.retry_after_s > 0) {
+            char seconds[24];
+            snprintf(seconds, sizeof(seconds), "%" PRId64, sv.retry_after_s);
+            fh_add_header(r, "Retry-After", seconds);
+        }
         fh_reply_json(r, 503, json_object());
         return;
     }
--- a/tests/platform/test_gateway.c
+++ b/tests/platform/test_gateway.c
@@ -203,6 +203,42 @@
     platform_rig_close(&r);
 }
 
+/* Sends requests to node 0 until server 0 gets one. @return the number that
+ * arrived there in the 40 requests after that */
+static long
+arrivals_after_first(struct platform_rig *r)
+{
+    long before = platform_rig_server_stat(r, 0, "arrivals");
+    for (int i = 0; i < 400; i++) {
+        g_assert_cmpint(ask(r, 0, "check", PR_KEY), ==, 200);
+        if (platform_rig_server_stat(r, 0, "arrivals") > before) {
+            break;
+        }
+    }
+    before = platform_rig_server_stat(r, 0, "arrivals");
+    for (int i = 0; i < 40; i++) {
+        g_assert_cmpint(ask(r, 0, "check", PR_KEY), ==, 200);
+    }
+    return platform_rig_server_stat(r, 0, "arrivals") - before;
+}
+
+/* Guards against servers that get requests although a response of theirs has
+ * asked for none, for a time or for good. */
+static void
+test_server_headers(void)
+{
+    struct platform_rig r;
+    platform_rig_open(&r);
+    platform_rig_post_control(&r, r.servers[0].port,
+                              "{\"shed\":1,\"retry_after_s\":60}");
+    g_assert_cmpint(arrivals_after_first(&r), ==, 0);
+    platform_rig_close(&r);
+    platform_rig_open(&r);
+    platform_rig_post_control(&r, r.servers[0].port, "{\"leaving\":1}");
+    g_assert_cmpint(arrivals_after_first(&r), ==, 0);
+    platform_rig_close(&r);
+}
+
 struct slow_request {
     struct platform_rig *r;
     int status;
@@ -282,6 +318,7 @@
     g_test_add_func("/gateway/faults", test_faults);
     g_test_add_func("/gateway/operator", test_operator);
     g_test_add_func("/gateway/explain", test_explain);
+    g_test_add_func("/gateway/server-headers", test_server_headers);
     g_test_add_func("/gateway/stop", test_stop);
     g_test_add_func("/gateway/crash", test_crash);
     return g_test_run();
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -189,6 +189,36 @@
     }
 }
 
+/* Guards against a pause that an endpoint asks for and does not get, and
+ * against one without end. */
+static void
+test_retry_after(void)
+{
+    static const struct {
+        int status;
+        const char *value;
+        int64_t us;
+    } rows[] = {{503, "3", 3000000},
+                {503, "0.25", 250000},
+                {503, "0", 0},
+                {200, "3", 0},
+                {503, "99999999999", 3600000000},
+                {503, "1e300", 3600000000},
+                {503, "-3", 0},
+                {503, "nan", 0},
+                {503, "3 s", 0},
+                {503, "", 0},
+                {503, "Fri, 04 Dec 2026 23:57:28 GMT", 0}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        const struct http_header h = {STR_LIT("retry-after"),
+                                      str_from_cstr(rows[i].value)};
+        struct response_meta m;
+        platform_read_response_headers(rows[i].status, &h, 1, STR_LIT("r1"),
+                                       &m);
+        g_assert_cmpint(m.retry_after_us, ==, rows[i].us);
+    }
+}
+
 static void
 test_pieces(void)
 {
@@ -359,6 +389,7 @@
     g_test_add_func("/platform/read-request", test_read_request);
     g_test_add_func("/platform/write-request", test_write_request);
     g_test_add_func("/platform/read-answer", test_read_answer);
+    g_test_add_func("/platform/retry-after", test_retry_after);
     g_test_add_func("/platform/room", test_room);
     g_test_add_func("/platform/pieces", test_pieces);
     g_test_add_func("/platform/routing", test_routing);
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -1018,9 +1018,9 @@
         rig_init(&r, 1);
         struct fw_endpoint *e = &r.e[leaving[i]];
         e->leaving = true;
-        for (int n = 0; n < 30 && e->calls == 0; n++) {
-            submit(&r, &spec);
-        }
+        e[1].dead = true;
+        submit(&r, &spec);
+        e[1].dead = false;
         g_assert_cmpint(e->calls, >, 0);
         int calls = e->calls;
         for (int n = 0; n < 6; n++) {
@@ -1033,14 +1033,56 @@
         e->leaving = false;
         e->started_ms = 5;
         forward_world_publish_view(r.w, NULL);
-        for (int n = 0; n < 30 && e->calls == calls; n++) {
-            submit(&r, &spec);
-        }
+        e[1].dead = true;
+        g_assert_cmpint(submit(&r, &spec)->end, ==, FW_ANSWERED);
         g_assert_cmpint(e->calls, >, calls);
         forward_world_free(r.w);
     }
 }
 
+/* Guards against work that is sent to an endpoint in the time for which it has
+ * asked for none as it rejected a request, also if all endpoints have, and
+ * against an endpoint that stays out of use after that time. */
+static void
+test_retry_after(void)
+{
+    static const char *const hosts[] = {"check", "action", "stream", "staged"};
+    /* The first of the two endpoints of the service, or of its first stage. */
+    static const int first[] = {2, 2, 0, 4};
+    for (size_t i = 0; i < 2 * G_N_ELEMENTS(hosts); i++) {
+        size_t host = i / 2;
+        bool both = i % 2;
+        const struct fw_request_spec spec = {.host = hosts[host],
+                                             .caller_timeout_us = 1 * SECOND,
+                                             .prompt_tokens = 100,
+                                             .pieces = {1, 1}};
+        struct rig r;
+        rig_init(&r, 1);
+        struct fw_endpoint *e = &r.e[first[host]];
+        e[0].retry_after_us = 60 * SECOND;
+        e[1].retry_after_us = both ? 60 * SECOND : 0;
+        e[1].dead = true;
+        submit(&r, &spec);
+        e[1].dead = false;
+        int64_t until_us = forward_world_now_us(r.w) + 40 * SECOND;
+        while (forward_world_now_us(r.w) < until_us) {
+            forward_world_send_request(r.w, 0, &spec);
+            forward_world_run_until(r.w, forward_world_now_us(r.w) + 200 * MS);
+        }
+        g_assert_cmpint(e[0].calls, ==, 1);
+        g_assert_cmpint(e[1].rejected, ==, both);
+        const struct fw_request *a =
+            forward_world_request(r.w, forward_world_request_count(r.w) - 20);
+        g_assert_cmpint(a->end == FW_ANSWERED, ==, !both);
+        e[0].retry_after_us = e[1].retry_after_us = 0;
+        forward_world_run_until(r.w, until_us + 25 * SECOND);
+        e[1].dead = true;
+        g_assert_cmpint(submit(&r, &spec)->end, ==, FW_ANSWERED);
+        g_assert_cmpint(e[0].calls, >, 1);
+        forward_world_free(r.w);
+    }
+}
+
 /* Guards against a response without a length whose endpoint closes the
  * connection after the head: the caller must not get a whole empty stream. */
 static void
@@ -1148,6 +1190,7 @@
     g_test_add_func("/forward/cold", test_cold);
     g_test_add_func("/forward/poison", test_poison);
     g_test_add_func("/forward/leaving-header", test_leaving_header);
+    g_test_add_func("/forward/retry-after", test_retry_after);
     g_test_add_func("/forward/empty-stream", test_empty_stream);
     g_test_add_func("/forward/stale-refusal", test_stale_refusal);
     g_test_add_func("/forward/gone", test_gone);
