Call stage endpoints on a new connection each time

An endpoint that wrote the response to a call for pieces once more, late, on a connection that was in use again, gave the next call results of another request: /gateway/repeated-stage-response counted 16 foreign inputs among those of 12 requests; a caller would get an answer from somebody else's data. Results bear no id of their call, and the platform's servers echo none there (trial), so they cannot be checked.

--- a/src/daemon/gateway_traffic.c
+++ b/src/daemon/gateway_traffic.c
@@ -134,15 +134,19 @@
 start_post(struct gateway_traffic *t, uint64_t id, struct out_call *c,
            struct str address, int64_t timeout_ms)
 {
-    struct relay_call r = {.id = id,
-                           .address = address,
-                           .method = STR_LIT("POST"),
-                           .target = str_from_cstr(c->post.target),
-                           .headers = c->post.headers,
-                           .header_count = c->post.header_count,
-                           .body = buf_str(&c->post.body),
-                           .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-                           .timeout_ms = timeout_ms};
+    struct relay_call r = {
+        .id = id,
+        .address = address,
+        .method = STR_LIT("POST"),
+        .target = str_from_cstr(c->post.target),
+        .headers = c->post.headers,
+        .header_count = c->post.header_count,
+        .body = buf_str(&c->post.body),
+        /* Results bear no id of their call, so an earlier response that
+         * arrives once more could not be told apart. */
+        .new_connection = c->kind == OUT_PIECES,
+        .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+        .timeout_ms = timeout_ms};
     relay_start_call(t->relay, &r);
 }
 
