Tell a node of blocked prompt parts as soon as it is seen to start

Neighbours now send the blocks when its new key appears in the view.

/forward-crashes/told-at-start failed before (3 sends by a node 20 ms after its start).

--- a/src/forward/crashes.c
+++ b/src/forward/crashes.c
@@ -332,6 +332,14 @@
     }
 }
 
+void
+crashes_node_started(struct forward *f, int64_t now_us)
+{
+    if (blame_block_count(f->blame) > 0) {
+        f->sync_due_us = now_us;
+    }
+}
+
 void
 crashes_run(struct forward *f, int64_t now_us)
 {
--- a/src/forward/crashes.h
+++ b/src/forward/crashes.h
@@ -29,6 +29,8 @@
 bool crashes_is_blocked(const struct forward *f, const struct request *r);
 void crashes_handle_notice(struct forward *f, int64_t now_us,
                            const struct part_notice *n);
+/** Another node has started and knows no blocks yet. */
+void crashes_node_started(struct forward *f, int64_t now_us);
 /** Sends the blocks to nodes that may not know them, at intervals. */
 void crashes_run(struct forward *f, int64_t now_us);
 int64_t crashes_next_wakeup_us(const struct forward *f);
--- a/src/forward/owners.c
+++ b/src/forward/owners.c
@@ -181,13 +181,14 @@
 /* A node that has registered with a new key has restarted, so its silence
  * before no longer counts. */
 static void
-reset_restarted_nodes(struct forward *f)
+reset_restarted_nodes(struct forward *f, int64_t now_us)
 {
     for (int i = 0; i < f->cluster_view->alive_count; i++) {
         const struct cluster_node *n = &f->cluster_view->alive[i];
         struct peer *p = get_peer(f, n->hash);
         uint64_t key = hash64(n->key);
         if (p->key != key) {
+            crashes_node_started(f, now_us);
             p->key = key;
             p->contacted = false;
             p->last_received_us = 0;
@@ -203,7 +204,7 @@
 {
     if (f->nodes_version != f->cluster_view->nodes_version) {
         f->nodes_version = f->cluster_view->nodes_version;
-        reset_restarted_nodes(f);
+        reset_restarted_nodes(f, now_us);
         f->contact_due_us = now_us + CONTACT_DELAY_US;
     }
     size_t at = 0;
--- a/tests/test_forward_crashes.c
+++ b/tests/test_forward_crashes.c
@@ -218,6 +218,22 @@
     forward_world_free(f.w);
 }
 
+/* A node is told of a blocked part as soon as others see that it has started:
+ * callers use it from its first moment on. */
+static void
+test_told_at_start(void)
+{
+    struct fleet f;
+    fleet_init(&f, 40, 24, 36);
+    crash_until_blocked(&f, &usual);
+    for (int node = 0; node < f.nodes; node++) {
+        forward_world_restart_node(f.w, node);
+        forward_world_run_until(f.w, forward_world_now_us(f.w) + 20 * MS);
+        g_assert_cmpint(send_deadly(&f, node, 2), ==, 0);
+    }
+    forward_world_free(f.w);
+}
+
 /* Calls that break without a crash, as connections are reset, blame nobody:
  * neither a part that many requests share nor one that few do. */
 static void
@@ -306,6 +322,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/forward-crashes/part", test_part);
     g_test_add_func("/forward-crashes/started-later", test_started_later);
+    g_test_add_func("/forward-crashes/told-at-start", test_told_at_start);
     g_test_add_func("/forward-crashes/resets", test_resets);
     g_test_add_func("/forward-crashes/other-crashes", test_other_crashes);
     g_test_add_func("/forward-crashes/tried-again", test_tried_again);
