Split the handling of responses from the sending of requests

Functions used by both got the prefix req_. Two fields that nothing reads (read_after, length) are gone.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -436,13 +436,13 @@
     case TIMER_DEADLINE:
         r = map_get(&f->requests, t->id);
         if (r) {
-            req_handle_deadline(f, now_us, r);
+            response_handle_deadline(f, now_us, r);
         }
         break;
     case TIMER_START_TIMEOUT:
         r = map_get(&f->requests, t->id);
         if (r && !r->call && !r->response_started) {
-            req_handle_deadline(f, now_us, r);
+            response_handle_deadline(f, now_us, r);
         }
         break;
     case TIMER_STAGE_DUE:
@@ -458,7 +458,7 @@
         }
         break;
     case TIMER_SILENCE:
-        req_handle_silence(f, now_us, t->id);
+        response_handle_silence(f, now_us, t->id);
         break;
     default:
         break;
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -99,7 +99,6 @@
     int64_t first_byte_us; /* first byte of the response; 0: none yet */
     int64_t expected_first_byte_us; /* expected time to the first byte */
     int64_t prefill_tokens;         /* counted in endpoint->prefill_tokens */
-    int64_t read_after; /* resume position of the current call; -1: none */
     int tried_count;
     uint64_t tried[PLACE_MAX_TRIED];
     bool head_accepted;    /* of the current call */
@@ -107,7 +106,6 @@
     bool call_paused;      /* the call is paused until the caller has read its
                               backlog */
     int status;
-    int64_t length;
     struct buf response;   /* plain: whole body; stream: an incomplete event */
     int64_t last_event_id; /* last complete one sent; -1: none */
     int64_t last_activity_us; /* last response head, complete event or, for a
@@ -233,8 +231,19 @@
 void req_refuse(struct forward *f, int64_t now_us, struct request *r,
                 enum errkind kind, const char *why, int64_t retry_ms);
 void req_free(struct forward *f, struct request *r);
-void req_handle_silence(struct forward *f, int64_t now_us, uint64_t call);
-void req_handle_deadline(struct forward *f, int64_t now_us, struct request *r);
+/** Returns whether a request may be sent again after it may have run. */
+bool req_is_repeatable(const struct request *r);
+bool req_is_stream(const struct request *r);
+/** Closes the connection of the current call, if any. */
+void req_cancel_call(struct forward *f, struct request *r);
+/** Takes one more send of the request from the budget of its service.
+ * @return false if it may not be sent again */
+bool req_take_repeat(struct forward *f, int64_t now_us, struct request *r);
+/** Counts a crash against the content of a request. */
+void req_add_strike(struct forward *f, int64_t now_us,
+                    const struct request *r);
+void req_log_outcome(const struct request *r, int64_t now_us,
+                     const char *event, const char *why);
 /** Returns the key of a request in f->strikes, made of the low half of the
  * content's digest and the route. */
 uint64_t req_strike_key(const struct forward_request *in,
@@ -252,6 +261,14 @@
 /** Removes the current call and decrements the load of its endpoint. */
 void req_detach_call(struct forward *f, struct request *r);
 
+/* response.c */
+/** Starts the limit on the time without a response of the current call. */
+void response_watch_silence(struct forward *f, int64_t now_us,
+                            const struct request *r);
+void response_handle_silence(struct forward *f, int64_t now_us, uint64_t call);
+void response_handle_deadline(struct forward *f, int64_t now_us,
+                              struct request *r);
+
 /* pieces.c */
 /** Initializes the stages. @return false if a stage has no service */
 bool pieces_init(struct forward *f, int64_t now_us, struct request *r);
