Keep the ids of simulated requests with the requests

The address sanitizer reported the blocks of g_intern_string as leaked in /forward-crashes/part, which sends some thousand requests. The simulated request holds its id now. Only bench/ is changed.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -692,12 +692,11 @@
         r->route = strcmp(w->routes[i].host, ask->host) == 0 ? i : r->route;
     }
     r->sent_us = w->now_us;
-    char id[24];
-    snprintf(id, sizeof(id), "r%llu", (unsigned long long)r->id);
+    snprintf(r->name, sizeof(r->name), "r%llu", (unsigned long long)r->id);
     uint64_t content = ask->content ? ask->content : r->id * 7919;
     struct forward_request in = {
         .id = r->id,
-        .request_id = str_from_cstr(id),
+        .request_id = str_from_cstr(r->name),
         .host = str_from_cstr(ask->host),
         .path = STR_LIT("/x"),
         .credential = ask->key ? str_from_cstr(ask->key) : STR_LIT(CREDENTIAL),
@@ -725,8 +724,6 @@
     if (!n->store_lost) {
         forward_set_store_contact(n->core, w->now_us);
     }
-    /* The id outlives the request, as the daemon's header strings do. */
-    in.request_id = str_from_cstr(g_intern_string(id));
     forward_accept(n->core, w->now_us, &in);
     return (int)w->requests->len - 1;
 }
--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -58,6 +58,7 @@
 
 struct fw_request {
     uint64_t id;
+    char name[24]; /**< the id that the caller sends */
     int node;
     int route; /**< index of its route */
     enum fw_outcome end;
