Drop blocks that no request meets, and reports with an impossible age

Found when reading the change again: blocks of prompt parts were repeated to three nodes each second for ever, also if no request with them came any more, and an age near the largest number in a notice overflowed when a trial was considered. Blocks without a crash or a trial for twelve hours end; a notice older than what it says can still matter is ignored.

--- a/src/forward/blame.c
+++ b/src/forward/blame.c
@@ -34,6 +34,9 @@
  * than ten minutes after the crashes. */
 #define TRIAL_MIN_US (120 * SECOND)
 #define TRIAL_MAX_US (3600 * SECOND)
+/* A block without a crash or a trial for this time is dropped: no request has
+ * met it since the longest time until a trial. */
+#define BLOCK_EXPIRY_US (12 * 3600 * SECOND)
 
 /* The shared parts of a call that broke in a crash. */
 struct broken_call {
@@ -107,18 +110,37 @@
     return at ? *at : INT64_MIN;
 }
 
-struct part_block *
-blame_find_block(const struct blame *b, const uint64_t *parts, int count)
+static const struct part_block *
+find_block(const struct blame *b, const uint64_t *parts, int count)
 {
     for (int i = 0; i < b->block_count; i++) {
         const struct part_block *k = &b->blocks[i];
         if (is_subset(k->parts, k->part_count, parts, count)) {
-            return (struct part_block *)k;
+            return k;
         }
     }
     return NULL;
 }
 
+struct part_block *
+blame_find_block(struct blame *b, const uint64_t *parts, int count)
+{
+    return (struct part_block *)find_block(b, parts, count);
+}
+
+void
+blame_expire_blocks(struct blame *b, int64_t now_us)
+{
+    for (int i = 0; i < b->block_count;) {
+        if (now_us - b->blocks[i].last_us >= BLOCK_EXPIRY_US) {
+            b->blocks[i] = b->blocks[--b->block_count];
+        }
+        else {
+            i++;
+        }
+    }
+}
+
 /* Returns whether a call of a crash is one of those that count as its cause:
  * the calls that a block explains, or else those with a response head, or else
  * all. */
@@ -129,8 +151,8 @@
     bool head = false;
     for (int i = 0; i < c->call_count; i++) {
         const struct broken_call *other = &c->calls[i];
-        if (blame_find_block(b, other->parts, other->part_count)) {
-            return blame_find_block(b, call->parts, call->part_count) != NULL;
+        if (find_block(b, other->parts, other->part_count)) {
+            return find_block(b, call->parts, call->part_count) != NULL;
         }
         head = head || other->head_sent;
     }
@@ -294,7 +316,7 @@
         }
     }
     const struct part_block *known =
-        blame_find_block(b, call->parts, call->part_count);
+        find_block(b, call->parts, call->part_count);
     if (best.part_count == 0 ||
         (known && known->part_count <= best.part_count)) {
         return NULL;
@@ -307,11 +329,13 @@
                 const struct part_notice *crash,
                 const struct part_block **blocked)
 {
+    *blocked = NULL;
+    if (crash->part_count == 0 || crash->age_us >= CRASH_WINDOW_US) {
+        return false;
+    }
     int64_t at_us = now_us - crash->age_us;
     struct crash *c = get_crash(b, crash->endpoint, at_us);
-    *blocked = NULL;
-    if (crash->part_count == 0 || c->call_count == CALLS_MAX ||
-        has_call(c, crash)) {
+    if (c->call_count == CALLS_MAX || has_call(c, crash)) {
         return false;
     }
     struct broken_call *call = &c->calls[c->call_count++];
@@ -400,6 +424,9 @@
     struct part_block block = {.part_count = 0,
                                .last_us = now_us - notice->age_us,
                                .trials = notice->trials};
+    if (notice->age_us >= BLOCK_EXPIRY_US) {
+        return false;
+    }
     for (int i = 0; i < notice->part_count; i++) {
         if (last_answer_us(b, notice->parts[i]) <= block.last_us) {
             block.parts[block.part_count++] = notice->parts[i];
--- a/src/forward/blame.h
+++ b/src/forward/blame.h
@@ -45,10 +45,12 @@
 bool blame_add_block(struct blame *b, int64_t now_us,
                      const struct part_notice *notice);
 
-/** Returns the block that applies to a request, whose last part is its own;
- * NULL if none does. */
-struct part_block *blame_find_block(const struct blame *b,
-                                    const uint64_t *parts, int count);
+/** Returns the block that applies to a request with these parts, without its
+ * own last one; NULL if none does. */
+struct part_block *blame_find_block(struct blame *b, const uint64_t *parts,
+                                    int count);
+/** Removes the blocks that no request has met for half a day. */
+void blame_expire_blocks(struct blame *b, int64_t now_us);
 
 /** Returns whether a request may be let through to find out whether the parts
  * still crash endpoints. */
--- a/src/forward/crashes.c
+++ b/src/forward/crashes.c
@@ -15,6 +15,8 @@
 /* Notices of crashes that a node accepts in a second, so that the loss of many
  * endpoints at once does not cause many messages. */
 #define NOTICES_PER_S 40
+/* Answers are reported at once; an older report is not genuine. */
+#define ANSWER_MAX_AGE_US (1 * SECOND)
 /* Blocks are sent again at this interval, so that a node that has started
  * knows them long before it counts as running. */
 #define SYNC_INTERVAL_US (1 * SECOND)
@@ -314,7 +316,8 @@
         }
         break;
     case PART_ANSWERED:
-        for (int i = 0; i < n->part_count; i++) {
+        for (int i = 0; i < n->part_count && n->age_us < ANSWER_MAX_AGE_US;
+             i++) {
             news |= blame_add_answer(f->blame, now_us, now_us - n->age_us,
                                      n->parts[i]);
         }
@@ -346,6 +349,7 @@
     if (now_us < f->sync_due_us) {
         return;
     }
+    blame_expire_blocks(f->blame, now_us);
     int count = blame_block_count(f->blame);
     for (int i = 0; i < count; i++) {
         struct part_notice n = block_notice(blame_block(f->blame, i), now_us);
--- a/tests/test_blame.c
+++ b/tests/test_blame.c
@@ -14,7 +14,8 @@
 /* Steps are separated by spaces. "@2.5" sets the time in seconds. "e1!s,d" and
  * "e1?s,d" report a call with parts s and d that broke as endpoint e1 crashed,
  * with and without a response head. "+s" is an answer with part s. "b:s,d"
- * is a block from another node. The expected blocks are sorted. */
+ * is a block from another node, "x" removes unused blocks. The expected blocks
+ * are sorted. */
 static const struct {
     const char *title;
     const char *steps;
@@ -51,6 +52,8 @@
      "d"},
     {"a smaller block replaces a larger one", "@1 b:s,d @2 b:d", "d"},
     {"a larger block is contained in a smaller one", "@1 b:d @2 b:s,d", "d"},
+    {"a block that no request meets ends", "@1 b:d @43300 x", ""},
+    {"a block ends no sooner", "@1 b:d @43000 x", "d"},
     {"no part", "@1 e1! @2 e2!", ""},
 };
 
@@ -91,6 +94,9 @@
         n.part_count = read_parts(step + 2, n.parts);
         blame_add_block(b, *now_us, &n);
         break;
+    case 'x':
+        blame_expire_blocks(b, *now_us);
+        break;
     default:
         g_assert_not_reached();
     }
@@ -158,7 +164,7 @@
             .kind = PART_CRASHED,
             .endpoint = (uint64_t)i % 300,
             .head_sent = i % 2,
-            .age_us = i % 7 * SECOND,
+            .age_us = i % 7 ? i % 7 * SECOND : INT64_MAX,
             .part_count = 3,
             .parts = {(uint64_t)i % 97, (uint64_t)i % 101, (uint64_t)i}};
         blame_add_crash(b, now_us, &n, &block);
