--- a/tools/fuzz_bytes.sh
+++ b/tools/fuzz_bytes.sh
@@ -8,7 +8,7 @@
 clang-14 -w -g -O1 -fsanitize=fuzzer,address,undefined -std=gnu11 $1 \
     fuzz/fuzz_bytes.c tests/byte_targets.c src/base/*.c src/model/*.c \
     src/wire/msg.c src/wire/scalar.c src/control/claim_record.c \
-    src/control/roster.c src/edge/sse.c src/settings/settings.c \
+    src/control/roster.c src/edge/sse.c src/settings/settings.c src/settings/fields.c \
     build/fuzz/toml.o $2 -o build/fuzz/fuzz_bytes
 for t in msg claim_record settings fleet vmlist roster edit sse; do
     mkdir -p "build/fuzz/$t"
