--- a/tests/platform/fake_server.c
+++ b/tests/platform/fake_server.c
@@ -6,12 +6,16 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "fakes/http.h"
 
 /* Memory for results as in the rig's configuration, and the size of one. */
 #define ROOM_MB 36
 #define RESULT_BYTES 8000
+/* From the response head to the crash; longer than the time within which
+ * crashes count as one. */
+#define CRASH_DELAY_US 100000
 
 static struct {
     struct fh *h;
@@ -26,10 +30,12 @@
     int64_t drop_after;    /* the next N requests run, but get no response */
     int64_t shed;          /* the next N requests are rejected */
     int64_t retry_after_s; /* pause that rejections ask for; 0: none */
-    int64_t leaving;       /* says in all responses that it is about to stop */
-    int64_t arrivals;      /* requests that arrived */
-    int64_t break_at;    /* the next stream stops after this event; -1: none */
-    int64_t inputs;      /* requests that had inputs */
+    int64_t crash_part; /* exits after the response head of a request with this
+                           prompt part; 0: none */
+    int64_t leaving;    /* says in all responses that it is about to stop */
+    int64_t arrivals;   /* requests that arrived */
+    int64_t break_at;   /* the next stream stops after this event; -1: none */
+    int64_t inputs;     /* requests that had inputs */
     bool protocol_error; /* a request violated the protocol */
 } sv = {.break_at = -1};
 
@@ -85,6 +91,22 @@
     fh_add_timer(sv.h, 5000, next_event, p);
 }
 
+static void
+crash(void *arg)
+{
+    (void)arg;
+    _exit(3);
+}
+
+static bool
+has_crash_part(struct fh_req *r)
+{
+    char part[32];
+    const char *parts = fh_request_header(r, "Camphorfall-Prompt-Prefix");
+    snprintf(part, sizeof(part), ",%" PRIx64 ":", (uint64_t)sv.crash_part);
+    return sv.crash_part && parts && strstr(parts, part);
+}
+
 static void
 begin_stream(struct fh_req *r)
 {
@@ -97,6 +119,10 @@
     r->user = p;
     r->on_end = on_caller_disconnected;
     fh_stream_begin(r, "text/event-stream");
+    if (has_crash_part(r)) {
+        fh_add_timer(sv.h, CRASH_DELAY_US, crash, NULL);
+        return;
+    }
     next_event(p);
 }
 
@@ -187,10 +213,11 @@
 {
     if (str_eq_cstr(r->method, "POST")) {
         json_t *o = json_loadb(r->body.ptr, r->body.len, 0, NULL);
-        json_unpack(o, "{s?I,s?I,s?I,s?I,s?I,s?I}", "drop_after",
+        json_unpack(o, "{s?I,s?I,s?I,s?I,s?I,s?I,s?I}", "drop_after",
                     &sv.drop_after, "shed", &sv.shed, "break_at", &sv.break_at,
                     "delay_us", &sv.delay_us, "retry_after_s",
-                    &sv.retry_after_s, "leaving", &sv.leaving);
+                    &sv.retry_after_s, "leaving", &sv.leaving, "crash_part",
+                    &sv.crash_part);
         json_decref(o);
     }
     const char *query_id = fh_query_argument(r, "id");
--- a/tests/platform/rig_platform.c
+++ b/tests/platform/rig_platform.c
@@ -106,6 +106,14 @@
     p->port = (int)proc_wait_log_number(p->log, "listening ");
 }
 
+void
+platform_rig_restart_server(struct platform_rig *r, int server)
+{
+    proc_signal_and_wait(r->servers[server].pid, 0);
+    start_server(r, server);
+    platform_rig_set_server_state(r, server, "ready");
+}
+
 void
 platform_rig_start_node(struct platform_rig *r, int i)
 {
--- a/tests/platform/rig_platform.h
+++ b/tests/platform/rig_platform.h
@@ -67,6 +67,8 @@
 /** @return one number of a server's statistics */
 long platform_rig_server_stat(const struct platform_rig *r, int server,
                               const char *name);
+/** Waits for the end of a server and starts it again. */
+void platform_rig_restart_server(struct platform_rig *r, int server);
 /** Posts a JSON object to /control of the process at @p port. */
 void platform_rig_post_control(const struct platform_rig *r, int port,
                                const char *json);
--- a/tests/platform/test_gateway.c
+++ b/tests/platform/test_gateway.c
@@ -239,6 +239,41 @@
     platform_rig_close(&r);
 }
 
+/* Guards against a prompt part that crashes servers at each node in turn, and
+ * against requests that are refused since they share another part with it. */
+static void
+test_crashing_part(void)
+{
+    static const char deadly[] =
+        PR_KEY "Camphorfall-Pieces: 0,0\r\n"
+               "Camphorfall-Prompt-Prefix: 309:100,29a:10,1:10\r\n";
+    static const char sound[] =
+        PR_KEY "Camphorfall-Pieces: 0,0\r\n"
+               "Camphorfall-Prompt-Prefix: 309:100,2:10\r\n";
+    static const char crash_on_part[] = "{\"crash_part\":666}";
+    struct platform_rig r;
+    platform_rig_open(&r);
+    for (int i = 2; i < 4; i++) {
+        platform_rig_post_control(&r, r.servers[i].port, crash_on_part);
+    }
+    int status = ask(&r, 0, "stream", deadly);
+    g_assert_true(status == 502 || status == 503);
+    for (int i = 2; i < 4; i++) {
+        platform_rig_restart_server(&r, i);
+        platform_rig_post_control(&r, r.servers[i].port, crash_on_part);
+    }
+    g_usleep(1500000);
+    for (int n = 0; n < PR_NODES; n++) {
+        g_assert_cmpint(ask(&r, n, "stream", deadly), ==, 503);
+        wait_for_status(&r, n, "stream", sound, 200);
+        g_assert_cmpint(ask(&r, n, "stream", deadly), ==, 503);
+    }
+    for (int i = 2; i < 4; i++) {
+        g_assert_cmpint(platform_rig_server_stat(&r, i, "bad"), ==, 0);
+    }
+    platform_rig_close(&r);
+}
+
 struct slow_request {
     struct platform_rig *r;
     int status;
@@ -319,6 +354,7 @@
     g_test_add_func("/gateway/operator", test_operator);
     g_test_add_func("/gateway/explain", test_explain);
     g_test_add_func("/gateway/server-headers", test_server_headers);
+    g_test_add_func("/gateway/crashing-part", test_crashing_part);
     g_test_add_func("/gateway/stop", test_stop);
     g_test_add_func("/gateway/crash", test_crash);
     return g_test_run();
