Release no results at a stage endpoint that has asked for a pause

Retry-After of a 503 says that an endpoint wants nothing from this node for the time. Calls and memory queries were held back, releases of results were not. They wait for the end of the pause now; results that expire sooner need none.

/forward/release-in-pause failed before: one release in a pause of 20 s.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -159,6 +159,7 @@
     struct sim_node *n = ctx;
     struct sim_endpoint *s =
         forward_world_find_endpoint(n->world, call->address);
+    s->spec->releases++;
     for (int i = 0; i < call->handle_count; i++) {
         char *key = g_strndup(call->handles[i].ptr, call->handles[i].len);
         const struct held_result *r = g_hash_table_lookup(s->results, key);
--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -47,7 +47,8 @@
     int pieces;
     int rejected;
     int no_memory_results;
-    int held; /**< results stored now */
+    int releases; /**< calls that release results */
+    int held;     /**< results stored now */
     int max_held_results;
     int max_running;
     int64_t last_arrival_us; /**< arrival of the last call */
--- a/src/forward/stage_pool.c
+++ b/src/forward/stage_pool.c
@@ -359,6 +359,14 @@
 
 /* Release of results */
 
+static void
+schedule_release(struct stage_pool *p, int64_t at_us)
+{
+    if (!p->release_due_us || at_us < p->release_due_us) {
+        p->release_due_us = at_us;
+    }
+}
+
 void
 stage_pool_release_result(struct stage_pool *p, int64_t now_us,
                           struct endpoint *e, const char *handle,
@@ -374,9 +382,7 @@
         g_hash_table_insert(p->releases, e, list);
     }
     g_ptr_array_add(list, g_strdup(handle));
-    if (!p->release_due_us) {
-        p->release_due_us = now_us + RELEASE_DELAY_US;
-    }
+    schedule_release(p, MAX(now_us + RELEASE_DELAY_US, e->paused_until_us));
 }
 
 static void
@@ -393,6 +399,10 @@
     while (g_hash_table_iter_next(&it, &k, &v)) {
         const struct endpoint *e = k;
         const GPtrArray *list = v;
+        if (now_us < e->paused_until_us) {
+            schedule_release(p, e->paused_until_us);
+            continue;
+        }
         CLEANUP_FREE struct str *handles =
             mem_calloc(list->len, sizeof(*handles));
         for (guint i = 0; i < list->len; i++) {
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -1083,6 +1083,35 @@
     }
 }
 
+/* Guards against results that are released at a stage endpoint in the time for
+ * which it has asked for no work, and against results that are never released.
+ */
+static void
+test_release_in_pause(void)
+{
+    const struct fw_request_spec spec = {.host = "resumed",
+                                         .caller_timeout_us = 4 * SECOND,
+                                         .prompt_tokens = 100,
+                                         .pieces = {1}};
+    struct rig r;
+    rig_init(&r, 1);
+    struct fw_endpoint *e = &r.e[4];
+    e[1].dead = true;
+    forward_world_send_request(r.w, 0, &spec);
+    while (e->held == 0) {
+        forward_world_run_until(r.w, forward_world_now_us(r.w) + 1 * MS);
+    }
+    e->retry_after_us = 20 * SECOND;
+    forward_world_send_request(r.w, 0, &spec);
+    forward_world_run_until(r.w, forward_world_now_us(r.w) + 19 * SECOND);
+    g_assert_cmpint(forward_world_request(r.w, 0)->end, ==, FW_ANSWERED);
+    g_assert_cmpint(e->rejected, ==, 1);
+    g_assert_cmpint(e->releases, ==, 0);
+    forward_world_run_until(r.w, forward_world_now_us(r.w) + 3 * SECOND);
+    g_assert_cmpint(e->releases, ==, 1);
+    forward_world_free(r.w);
+}
+
 /* Guards against a response without a length whose endpoint closes the
  * connection after the head: the caller must not get a whole empty stream. */
 static void
@@ -1191,6 +1220,7 @@
     g_test_add_func("/forward/poison", test_poison);
     g_test_add_func("/forward/leaving-header", test_leaving_header);
     g_test_add_func("/forward/retry-after", test_retry_after);
+    g_test_add_func("/forward/release-in-pause", test_release_in_pause);
     g_test_add_func("/forward/empty-stream", test_empty_stream);
     g_test_add_func("/forward/stale-refusal", test_stale_refusal);
     g_test_add_func("/forward/gone", test_gone);
