Do not end a resumed stream as whole by the end of its connection alone

A stream that broke and went on at a second endpoint was given to its caller as whole if that endpoint closed the connection after a head without a length or chunks: pieces were missing. Such a stream may have no event of its own only if the response is framed; otherwise it counts as broken, and the caller sees that.

/forward/empty-resumed-stream failed before: answered, instead of cut.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -34,8 +34,11 @@
     ev->kind = kind;
     ev->node = node;
     ev->endpoint = -1;
-    ev->meta = (struct response_meta){
-        .same_request = true, .sealed = true, .length = -1, .running = -1};
+    ev->meta = (struct response_meta){.same_request = true,
+                                      .sealed = true,
+                                      .framed = true,
+                                      .length = -1,
+                                      .running = -1};
     g_ptr_array_add(w->events, ev);
     void **heap = w->events->pdata;
     for (guint i = w->events->len - 1; i > 0; i = (i - 1) / 2) {
--- a/bench/forward_world_endpoint.c
+++ b/bench/forward_world_endpoint.c
@@ -94,6 +94,7 @@
     int64_t at = done_us + ONE_WAY_US;
     if (e->empty_next_streams > 0) {
         e->empty_next_streams--;
+        ev->meta.framed = false;
         schedule_answer(w, s, job, at, SIM_CALL_END)->end = CALL_END_COMPLETE;
         return;
     }
--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -192,6 +192,7 @@
         endpoint_record_success(e, now_us, now_us - r->sent_us);
     }
     r->head_accepted = true;
+    r->framed = meta->framed;
     r->may_have_run = true;
     if (r->response_started) {
         /* A resumed stream keeps the response head of its first endpoint. */
@@ -349,15 +350,16 @@
 
 /* Returns whether a response whose end was received is whole. A response
  * without a length ends with its connection, so a stream must end after a
- * complete event. It may have none only if it resumes an earlier one. */
+ * complete event. A stream that resumes an earlier one may have no event, but
+ * then only the framing shows that it has ended. */
 static bool
 is_whole_response(const struct request *r)
 {
     if (!r->head_accepted || !is_relayed_stream(r)) {
         return r->head_accepted;
     }
-    return r->response.len == 0 &&
-           (r->state == REQ_RESPONDING || r->last_event_id >= 0);
+    return r->response.len == 0 && (r->state == REQ_RESPONDING ||
+                                    (r->last_event_id >= 0 && r->framed));
 }
 
 void
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -102,6 +102,7 @@
     int tried_count;
     uint64_t tried[PLACE_MAX_TRIED];
     bool head_accepted;    /* of the current call */
+    bool framed;           /* the current response has a length or chunks */
     bool response_started; /* the response to the caller has started */
     bool call_paused;      /* the call is paused until the caller has read its
                               backlog */
--- a/src/forward/types.h
+++ b/src/forward/types.h
@@ -108,8 +108,10 @@
     int64_t retry_after_us; /**< pause that it asks for as it rejects the
                                request; 0: none */
     bool closes_connection; /**< the endpoint closes the connection after it */
-    int64_t length;         /**< body length; -1: unknown */
-    int running;            /**< load report of the endpoint; -1: unknown */
+    bool framed; /**< the body has a length or chunks; otherwise it ends with
+                    the connection */
+    int64_t length; /**< body length; -1: unknown */
+    int running;    /**< load report of the endpoint; -1: unknown */
     int waiting;
 };
 
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -189,6 +189,26 @@
     }
 }
 
+/* Guards against a response that ends with its connection and is taken for one
+ * whose end is marked. */
+static void
+test_framed(void)
+{
+    static const struct {
+        const char *headers;
+        bool framed;
+    } rows[] = {{"Content-Length: 3\n", true},
+                {"transfer-encoding: chunked\n", true},
+                {"Connection: close\n", false}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct http_header headers[MAX_HEADERS];
+        struct response_meta m;
+        int n = parse_headers(rows[i].headers, headers);
+        platform_read_response_headers(200, headers, n, STR_LIT("r1"), &m);
+        g_assert_cmpint(m.framed, ==, rows[i].framed);
+    }
+}
+
 /* Guards against a pause that an endpoint asks for and does not get, and
  * against one without end. */
 static void
@@ -389,6 +409,7 @@
     g_test_add_func("/platform/read-request", test_read_request);
     g_test_add_func("/platform/write-request", test_write_request);
     g_test_add_func("/platform/read-answer", test_read_answer);
+    g_test_add_func("/platform/framed", test_framed);
     g_test_add_func("/platform/retry-after", test_retry_after);
     g_test_add_func("/platform/room", test_room);
     g_test_add_func("/platform/pieces", test_pieces);
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -1083,6 +1083,33 @@
     }
 }
 
+/* Guards against a stream that breaks, is resumed, and whose second endpoint
+ * closes the connection after a head without a length: it is not whole, but a
+ * resumed stream without an event may be, if its end is marked. */
+static void
+test_empty_resumed_stream(void)
+{
+    struct rig r;
+    rig_init(&r, 1);
+    for (int e = 0; e < 2; e++) {
+        r.e[e].break_after_event = 2;
+        r.e[e].empty_next_streams = 0;
+    }
+    int q = forward_world_send_request(
+        r.w, 0,
+        &(struct fw_request_spec){.host = "stream",
+                                  .caller_timeout_us = 4 * SECOND,
+                                  .prompt_tokens = 100});
+    while (forward_world_request(r.w, q)->body.len == 0) {
+        forward_world_run_until(r.w, forward_world_now_us(r.w) + 1 * MS);
+    }
+    r.e[0].empty_next_streams = r.e[1].empty_next_streams = 1;
+    forward_world_run_until(r.w, forward_world_now_us(r.w) + 6 * SECOND);
+    g_assert_cmpint(forward_world_request(r.w, q)->runs, ==, 2);
+    g_assert_cmpint(forward_world_request(r.w, q)->end, ==, FW_ABORTED);
+    forward_world_free(r.w);
+}
+
 /* Guards against results that are released at a stage endpoint in the time for
  * which it has asked for no work, and against results that are never released.
  */
@@ -1221,6 +1248,8 @@
     g_test_add_func("/forward/leaving-header", test_leaving_header);
     g_test_add_func("/forward/retry-after", test_retry_after);
     g_test_add_func("/forward/release-in-pause", test_release_in_pause);
+    g_test_add_func("/forward/empty-resumed-stream",
+                    test_empty_resumed_stream);
     g_test_add_func("/forward/empty-stream", test_empty_stream);
     g_test_add_func("/forward/stale-refusal", test_stale_refusal);
     g_test_add_func("/forward/gone", test_gone);
