Do not blame a sound part for a crash of which the cause was cancelled

A call whose response head has come is left to break, so that the cause is reported, and crashes that a block explains no longer add to the blame of other calls.

--- a/src/forward/blame.c
+++ b/src/forward/blame.c
@@ -141,6 +141,18 @@
     }
 }
 
+/* Returns whether a call of a crash has parts that are blocked by now. */
+static bool
+is_explained(const struct blame *b, const struct crash *c)
+{
+    for (int i = 0; i < c->call_count; i++) {
+        if (find_block(b, c->calls[i].parts, c->calls[i].part_count)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Returns whether a call of a crash is one of those that count as its cause:
  * the calls that a block explains, or else those with a response head, or else
  * all. */
@@ -149,12 +161,11 @@
          const struct broken_call *call)
 {
     bool head = false;
+    if (is_explained(b, c)) {
+        return find_block(b, call->parts, call->part_count) != NULL;
+    }
     for (int i = 0; i < c->call_count; i++) {
-        const struct broken_call *other = &c->calls[i];
-        if (find_block(b, other->parts, other->part_count)) {
-            return find_block(b, call->parts, call->part_count) != NULL;
-        }
-        head = head || other->head_sent;
+        head = head || c->calls[i].head_sent;
     }
     return call->head_sent == head;
 }
@@ -174,9 +185,11 @@
     return weight;
 }
 
-/* Sum of the weights of the crashes since the last answer. */
+/* Sum of the weights of the crashes since the last answer.
+ * @param explained whether crashes that a block explains count */
 static int
-part_weight(const struct blame *b, int64_t now_us, uint64_t part)
+part_weight(const struct blame *b, int64_t now_us, uint64_t part,
+            bool explained)
 {
     int64_t since_us = MAX(last_answer_us(b, part), now_us - CRASH_WINDOW_US);
     int64_t group_us = INT64_MIN / 2;
@@ -184,7 +197,10 @@
     int sum = 0;
     for (int i = 0; i < b->crash_count; i++) {
         const struct crash *c = &b->crashes[i];
-        int weight = c->at_us > since_us ? crash_weight(b, c, part) : 0;
+        if (c->at_us <= since_us || (!explained && is_explained(b, c))) {
+            continue;
+        }
+        int weight = crash_weight(b, c, part);
         if (weight == 0) {
             continue;
         }
@@ -297,31 +313,34 @@
     }
 }
 
-/* Blocks parts of a call if the weight of one is high enough. Of several
- * explanations the one with the most parts is taken, which refuses the fewest
- * requests. */
+/* Blocks parts of a call if the crashes that no block explains weigh enough
+ * against one of them: a crash of which the cause is not known must not add to
+ * those that have one. The part with the most weight in all is taken, and of
+ * several the set with the most parts, which refuses the fewest requests. */
 static const struct part_block *
 block_call(struct blame *b, int64_t now_us, const struct crash *c,
            const struct broken_call *call)
 {
     struct part_block best = {.part_count = 0};
-    if (!is_cause(b, c, call)) {
+    int best_weight = 0;
+    if (!is_cause(b, c, call) ||
+        find_block(b, call->parts, call->part_count)) {
         return NULL;
     }
     for (int i = 0; i < call->part_count; i++) {
         struct part_block next = {.last_us = c->at_us};
-        if (part_weight(b, now_us, call->parts[i]) >= WEIGHT_BLOCKED) {
-            common_parts(b, now_us, call->parts[i], call, &next);
-            best = next.part_count > best.part_count ? next : best;
+        int weight = part_weight(b, now_us, call->parts[i], true);
+        if (part_weight(b, now_us, call->parts[i], false) < WEIGHT_BLOCKED ||
+            weight < best_weight) {
+            continue;
+        }
+        common_parts(b, now_us, call->parts[i], call, &next);
+        if (weight > best_weight || next.part_count > best.part_count) {
+            best = next;
+            best_weight = weight;
         }
     }
-    const struct part_block *known =
-        find_block(b, call->parts, call->part_count);
-    if (best.part_count == 0 ||
-        (known && known->part_count <= best.part_count)) {
-        return NULL;
-    }
-    return put_block(b, &best);
+    return best.part_count > 0 ? put_block(b, &best) : NULL;
 }
 
 bool
@@ -377,7 +396,7 @@
 blame_add_answer(struct blame *b, int64_t now_us, int64_t answered_us,
                  uint64_t part)
 {
-    bool suspected = part_weight(b, now_us, part) > 0;
+    bool suspected = part_weight(b, now_us, part, true) > 0;
     int64_t *at = g_hash_table_lookup(b->answers, &part);
     if (at && *at >= answered_us) {
         return false;
@@ -414,7 +433,7 @@
             i++;
         }
     }
-    return suspected && part_weight(b, now_us, part) == 0;
+    return suspected && part_weight(b, now_us, part, true) == 0;
 }
 
 bool
--- a/src/forward/crashes.c
+++ b/src/forward/crashes.c
@@ -125,8 +125,10 @@
            blame_find_block(f->blame, parts, shared_parts(&r->in, parts));
 }
 
-/* Refuses the open requests with blocked parts, also those that were sent and
- * not answered yet: an endpoint drops a request whose connection closes. */
+/* Refuses the open requests with blocked parts, also those that were sent: an
+ * endpoint drops a request whose connection closes. Not those whose response
+ * head has come: the endpoint crashes all the same, and the break of the call
+ * shows the cause. */
 static void
 refuse_open_requests(struct forward *f, int64_t now_us)
 {
@@ -134,8 +136,8 @@
     size_t at = 0;
     struct request *r;
     while ((r = map_next(&f->requests, &at))) {
-        if (r->state != REQ_RESPONDING && !r->response_started &&
-            crashes_is_blocked(f, r)) {
+        bool begun = r->call && r->head_accepted;
+        if (!begun && !r->response_started && crashes_is_blocked(f, r)) {
             g_array_append_val(ids, r->id);
         }
     }
