Probe a crashed endpoint again if it accepts a connection as it ends

A process that ends closes its connections and its listening socket one after the other. A closed connection without a response is no proof of either; the endpoint is probed again after 20 ms, up to six times.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -198,7 +198,11 @@
     struct sim_event *ev = forward_world_schedule(
         w, w->now_us + 2 * ONE_WAY_US, SIM_PROBED, n->index);
     ev->call = call->id;
-    ev->end = s->spec->dead ? CALL_END_UNSENT : CALL_END_COMPLETE;
+    ev->probed = PROBE_ALIVE;
+    if (s->spec->dead) {
+        ev->probed = w->now_us < s->crashed_us + w->exit_us ? PROBE_BROKEN
+                                                            : PROBE_REFUSED;
+    }
 }
 
 static struct str
@@ -803,8 +807,7 @@
         forward_memory_reported(n->core, w->now_us, ev->call, ev->free_bytes);
         break;
     case SIM_PROBED:
-        forward_endpoint_probed(n->core, w->now_us, ev->call,
-                                ev->end == CALL_END_UNSENT);
+        forward_endpoint_probed(n->core, w->now_us, ev->call, ev->probed);
         break;
     case SIM_MESSAGE:
         if (!n->cut) {
--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -156,6 +156,9 @@
  * connections for @p down_us. 0: no part. */
 void forward_world_set_deadly_part(struct forward_world *w, uint64_t part,
                                    int64_t down_us);
+/** Sets the time for which an endpoint that has crashed still accepts
+ * connections and closes them at once. */
+void forward_world_set_exit_time(struct forward_world *w, int64_t exit_us);
 /** Breaks all calls at an endpoint, which refuses connections for
  * @p down_us. */
 void forward_world_crash_endpoint(struct forward_world *w, int endpoint,
--- a/bench/forward_world_endpoint.c
+++ b/bench/forward_world_endpoint.c
@@ -340,6 +340,12 @@
     w->deadly_down_us = down_us;
 }
 
+void
+forward_world_set_exit_time(struct forward_world *w, int64_t exit_us)
+{
+    w->exit_us = exit_us;
+}
+
 void
 forward_world_crash_endpoint(struct forward_world *w, int endpoint,
                              int64_t down_us)
@@ -349,6 +355,7 @@
         forward_world_schedule(w, w->now_us + down_us, SIM_RESTART, 0);
     up->endpoint = endpoint;
     s->spec->dead = true;
+    s->crashed_us = w->now_us;
     forward_world_break_calls(w, s);
 }
 
--- a/bench/forward_world_state.h
+++ b/bench/forward_world_state.h
@@ -40,6 +40,7 @@
     int node;
     uint64_t call;
     enum call_end end;
+    enum probe_result probed;
     int status;
     struct response_meta meta;
     char text[64];
@@ -78,6 +79,7 @@
 struct sim_endpoint {
     struct fw_endpoint *spec;
     bool removed; /* not in the published view */
+    int64_t crashed_us;
     GQueue waiting;
     int running;
     GHashTable *results; /* handle -> struct held_result */
@@ -132,6 +134,7 @@
     int drop_count; /* messages of drop_kind still to drop */
     uint64_t deadly_part;
     int64_t deadly_down_us;
+    int64_t exit_us;
     GArray *deadly_arrivals_us; /* int64_t */
     GArray *crashes_us;         /* int64_t */
 };
--- a/src/daemon/gateway_traffic.c
+++ b/src/daemon/gateway_traffic.c
@@ -196,6 +196,23 @@
     query_report(ctx, OUT_PROBE, call);
 }
 
+static enum probe_result
+probe_result_from_relay(enum relay_result result)
+{
+    switch (result) {
+    case RELAY_REFUSED:
+        return PROBE_REFUSED;
+    case RELAY_INCOMPLETE:
+        return PROBE_BROKEN;
+    case RELAY_COMPLETE:
+    case RELAY_NOT_SENT:
+    case RELAY_INVALID_RESPONSE:
+    case RELAY_TIMEOUT:
+        break;
+    }
+    return PROBE_ALIVE;
+}
+
 static void
 finish_memory_query(struct gateway_traffic *t, uint64_t id,
                     const struct out_call *c, enum relay_result result)
@@ -421,7 +438,7 @@
         break;
     case OUT_PROBE:
         forward_endpoint_probed(t->forward, gateway_now_us(), id,
-                                result == RELAY_REFUSED);
+                                probe_result_from_relay(result));
         break;
     case OUT_RELEASE:
         if (result != RELAY_COMPLETE) {
--- a/src/forward/crashes.c
+++ b/src/forward/crashes.c
@@ -27,10 +27,20 @@
  * of prompts use them; every node of 400 is reached in some 20 steps. */
 static const int notify_offsets[] = {1, 2, 4, 16, 32};
 
+/* A process that ends closes its connections and its listening socket one
+ * after the other. A connection that is accepted in between is closed, and the
+ * endpoint is probed again after this time, at most so often. */
+#define PROBE_AGAIN_US (20 * MS)
+#define PROBE_MAX_TRIES 6
+
 struct crash_probe {
-    uint64_t endpoint; /* hash of its id */
-    struct str name;   /* owned */
-    int64_t at_us;     /* when the first call broke */
+    uint64_t endpoint;  /* hash of its id */
+    struct str address; /* owned */
+    uint64_t call;      /* of the latest probe */
+    int tries;
+    int64_t again_us; /* when to probe again; 0: a probe is under way */
+    struct str name;  /* owned */
+    int64_t at_us;    /* when the first call broke */
     int call_count;
     struct part_notice calls[PROBE_MAX_CALLS];
 };
@@ -39,13 +49,14 @@
 crashes_init(struct forward *f)
 {
     f->blame = blame_new((double)(f->self >> 11) / (double)(1ULL << 53));
-    f->sync_due_us = INT64_MAX;
+    f->sync_due_us = f->probe_due_us = INT64_MAX;
 }
 
 static void
 probe_free(struct crash_probe *p)
 {
     str_free(&p->name);
+    str_free(&p->address);
     free(p);
 }
 
@@ -198,6 +209,19 @@
     }
 }
 
+static void
+start_probe(struct forward *f, struct crash_probe *p)
+{
+    struct report_call probe = {.id = ++f->next_call,
+                                .address = p->address,
+                                .timeout_ms = PROBE_TIMEOUT_MS};
+    p->call = probe.id;
+    p->again_us = 0;
+    p->tries++;
+    map_put(&f->probes, probe.id, p);
+    f->io.probe_endpoint(f->io.ctx, &probe);
+}
+
 void
 crashes_call_broken(struct forward *f, int64_t now_us, const struct request *r)
 {
@@ -225,39 +249,75 @@
     p = mem_calloc(1, sizeof(*p));
     p->endpoint = n.endpoint;
     p->name = str_dup(r->endpoint->id);
+    p->address = str_dup(r->endpoint->address);
     p->at_us = now_us;
     p->calls[p->call_count++] = n;
-    struct report_call probe = {.id = ++f->next_call,
-                                .address = r->endpoint->address,
-                                .timeout_ms = PROBE_TIMEOUT_MS};
-    map_put(&f->probes, probe.id, p);
-    f->io.probe_endpoint(f->io.ctx, &probe);
+    start_probe(f, p);
 }
 
-void
-forward_endpoint_probed(struct forward *f, int64_t now_us, uint64_t call,
-                        bool refused)
+/* Reports the calls that broke as the endpoint crashed. */
+static void
+report_crash(struct forward *f, int64_t now_us, struct crash_probe *p)
 {
-    struct crash_probe *p = map_remove(&f->probes, call);
-    if (!p) {
-        return;
-    }
-    LOG_EVENT(LOG_INFO, refused ? "endpoint_crashed" : "endpoint_not_crashed",
-              LOG_STR("endpoint", p->name), LOG_INT("calls", p->call_count),
-              LOG_INT("ms", (now_us - p->at_us) / MS));
     struct endpoint *e = map_get(&f->endpoints, p->endpoint);
-    if (refused && e) {
+    if (e) {
         endpoint_record_failure(e, now_us, true);
     }
-    for (int i = 0; refused && i < p->call_count; i++) {
+    for (int i = 0; i < p->call_count; i++) {
         p->calls[i].age_us = now_us - p->at_us;
         if (take_notice(f, now_us)) {
             handle_crashed_call(f, now_us, &p->calls[i], "own");
         }
     }
+}
+
+void
+forward_endpoint_probed(struct forward *f, int64_t now_us, uint64_t call,
+                        enum probe_result result)
+{
+    struct crash_probe *p = map_get(&f->probes, call);
+    if (!p) {
+        return;
+    }
+    if (result == PROBE_BROKEN && p->tries < PROBE_MAX_TRIES) {
+        p->again_us = now_us + PROBE_AGAIN_US;
+        f->probe_due_us = MIN(f->probe_due_us, p->again_us);
+        return;
+    }
+    map_remove(&f->probes, call);
+    bool crashed = result == PROBE_REFUSED;
+    LOG_EVENT(LOG_INFO, crashed ? "endpoint_crashed" : "endpoint_not_crashed",
+              LOG_STR("endpoint", p->name), LOG_INT("calls", p->call_count),
+              LOG_INT("ms", (now_us - p->at_us) / MS),
+              LOG_INT("probes", p->tries));
+    if (crashed) {
+        report_crash(f, now_us, p);
+    }
     probe_free(p);
 }
 
+static void
+repeat_probes(struct forward *f, int64_t now_us)
+{
+    GArray *due = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    size_t at = 0;
+    const struct crash_probe *p;
+    f->probe_due_us = INT64_MAX;
+    while ((p = map_next(&f->probes, &at))) {
+        if (p->again_us && p->again_us <= now_us) {
+            g_array_append_val(due, p->call);
+        }
+        else if (p->again_us) {
+            f->probe_due_us = MIN(f->probe_due_us, p->again_us);
+        }
+    }
+    for (guint i = 0; i < due->len; i++) {
+        start_probe(f,
+                    map_remove(&f->probes, g_array_index(due, uint64_t, i)));
+    }
+    g_array_free(due, TRUE);
+}
+
 void
 crashes_response_started(struct forward *f, int64_t now_us,
                          const struct request *r)
@@ -348,6 +408,9 @@
 void
 crashes_run(struct forward *f, int64_t now_us)
 {
+    if (now_us >= f->probe_due_us) {
+        repeat_probes(f, now_us);
+    }
     if (now_us < f->sync_due_us) {
         return;
     }
@@ -363,5 +426,5 @@
 int64_t
 crashes_next_wakeup_us(const struct forward *f)
 {
-    return f->sync_due_us;
+    return MIN(f->sync_due_us, f->probe_due_us);
 }
--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -74,10 +74,9 @@
 void forward_memory_reported(struct forward *f, int64_t now_us, uint64_t call,
                              int64_t free_bytes);
 
-/** Handles the end of a call that was started with io->probe_endpoint.
- * @param refused the endpoint refuses connections, as after a crash */
+/** Handles the end of a call that was started with io->probe_endpoint. */
 void forward_endpoint_probed(struct forward *f, int64_t now_us, uint64_t call,
-                             bool refused);
+                             enum probe_result result);
 
 /** Handles a message from another node. */
 void forward_handle_stage_msg(struct forward *f, int64_t now_us, uint64_t from,
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -211,6 +211,7 @@
     GHashTable *strikes;  /* req_strike_key -> struct strike */
     struct blame *blame;
     struct map probes;        /* call -> struct crash_probe */
+    int64_t probe_due_us;     /* next repeated probe; INT64_MAX: none */
     int64_t sync_due_us;      /* next repetition of the blocks; INT64_MAX: none
                                */
     int64_t notices_since_us; /* start of the second of notices_accepted */
--- a/src/forward/types.h
+++ b/src/forward/types.h
@@ -128,6 +128,13 @@
     CALL_END_MALFORMED, /**< sent, and the response is malformed */
 };
 
+/** What a probe found out about an endpoint. */
+enum probe_result {
+    PROBE_ALIVE,   /**< it responded, or did not answer in time */
+    PROBE_REFUSED, /**< it refuses connections */
+    PROBE_BROKEN,  /**< it accepted a connection and closed it */
+};
+
 /** Callbacks for side effects. They are called from within the core's
  * functions. */
 struct forward_io {
--- a/tests/test_forward_crashes.c
+++ b/tests/test_forward_crashes.c
@@ -175,6 +175,23 @@
     }
 }
 
+/* Guards against a crash that is not seen because the endpoint still accepts a
+ * connection as it ends. */
+static void
+test_slow_exit(void)
+{
+    struct fleet f;
+    const struct load l = {40, 75, 0, 25, 5};
+    fleet_init(&f, 5, 24, 37);
+    forward_world_set_exit_time(f.w, 30 * MS);
+    run_load(&f, &l, 2 * SECOND);
+    forward_world_set_deadly_part(f.w, DEADLY_PART, DOWN_US);
+    run_load(&f, &l, 14 * SECOND);
+    g_assert_cmpint(forward_world_crash_count(f.w), <=, CRASHES_KNOWN);
+    g_assert_cmpint(late_sends(&f), <=, LATE_SENDS_MAX);
+    forward_world_free(f.w);
+}
+
 /* Sends requests with the deadly part until it is blocked. */
 static void
 crash_until_blocked(struct fleet *f, const struct load *l)
@@ -321,6 +338,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/forward-crashes/part", test_part);
+    g_test_add_func("/forward-crashes/slow-exit", test_slow_exit);
     g_test_add_func("/forward-crashes/started-later", test_started_later);
     g_test_add_func("/forward-crashes/told-at-start", test_told_at_start);
     g_test_add_func("/forward-crashes/resets", test_resets);
