Simulate endpoints that fall silent, and engines whose inputs are gone

A simulated endpoint may do nothing for a time and then go on where it was: connections stay open, and what arrives meanwhile is read afterwards. An engine rejects a call with 409 if a stage result that it has to read no longer exists. Arrivals at endpoints are kept, so a test can compare repeats with the shared limit in every window.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -75,8 +75,8 @@
     }
 }
 
-static uint64_t
-call_key(int node, uint64_t call)
+uint64_t
+forward_world_call_key(int node, uint64_t call)
 {
     return (uint64_t)(node + 1) << 48 ^ call;
 }
@@ -124,6 +124,13 @@
     char id[24];
     snprintf(id, sizeof(id), "r%llu", (unsigned long long)call->request);
     check_inputs(w, str_from_cstr(id), call->input_count, call->inputs);
+    if (call->input_count > 0) {
+        job->inputs = g_ptr_array_new_with_free_func(g_free);
+    }
+    for (int i = 0; i < call->input_count; i++) {
+        g_ptr_array_add(job->inputs,
+                        g_strndup(call->inputs[i].ptr, call->inputs[i].len));
+    }
     forward_world_receive_call(
         w, forward_world_find_endpoint(w, call->address), job);
 }
@@ -309,7 +316,7 @@
 {
     struct sim_node *n = ctx;
     uint64_t *key = g_new(uint64_t, 1);
-    *key = call_key(n->index, call);
+    *key = forward_world_call_key(n->index, call);
     g_hash_table_add(n->world->cancelled, key);
 }
 
@@ -417,6 +424,7 @@
                           .timeout_us = from->timeout_us,
                           .target_us = from->target_us,
                           .caller_disconnect_us = from->caller_disconnect_us,
+                          .max_event_gap_us = from->max_event_gap_us,
                           .priority = from->priority,
                           .max_attempts = from->max_attempts,
                           .target_count = 1,
@@ -480,8 +488,8 @@
     n->start_count++;
     struct forward_options opts = {.node = str_from_cstr(n->name),
                                    .zone = STR_LIT("a"),
-                                   .repeats = {0.2, 100, 10000 * MS},
-                                   .max_store_age_us = 4000 * MS,
+                                   .repeats = w->repeats,
+                                   .max_store_age_us = MAX_STORE_AGE_US,
                                    .seed = w->seed + (uint64_t)n->index +
                                            1000 * (uint64_t)n->start_count};
     const struct forward_io io = {n,
@@ -514,6 +522,7 @@
     rng_seed(&w->rng, seed);
     w->result_owners =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    w->repeats = (struct repeat_limit){0.2, 100, 10000 * MS};
     w->now_us = 1000 * MS;
     w->services = services;
     w->routes = routes;
@@ -525,12 +534,14 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     w->deadly_arrivals_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
     w->crashes_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    w->arrivals = g_array_new(FALSE, FALSE, sizeof(struct sim_arrival));
     w->endpoint_count = endpoint_count;
     w->sim_endpoints =
         mem_calloc((size_t)endpoint_count, sizeof(struct sim_endpoint));
     for (int i = 0; i < endpoint_count; i++) {
         w->sim_endpoints[i].spec = &endpoints[i];
         g_queue_init(&w->sim_endpoints[i].waiting);
+        g_queue_init(&w->sim_endpoints[i].unread);
         w->sim_endpoints[i].results =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     }
@@ -550,6 +561,15 @@
     return w;
 }
 
+static void
+sim_queue_clear(GQueue *calls)
+{
+    struct sim_call *job;
+    while ((job = g_queue_pop_head(calls))) {
+        forward_world_free_call(job);
+    }
+}
+
 void
 forward_world_free(struct forward_world *w)
 {
@@ -557,7 +577,8 @@
         forward_free(w->nodes[i].core);
     }
     for (int i = 0; i < w->endpoint_count; i++) {
-        g_queue_clear_full(&w->sim_endpoints[i].waiting, free);
+        sim_queue_clear(&w->sim_endpoints[i].waiting);
+        sim_queue_clear(&w->sim_endpoints[i].unread);
         g_hash_table_destroy(w->sim_endpoints[i].results);
     }
     for (guint i = 0; i < w->events->len; i++) {
@@ -573,6 +594,7 @@
     g_ptr_array_free(w->requests, TRUE);
     g_array_free(w->deadly_arrivals_us, TRUE);
     g_array_free(w->crashes_us, TRUE);
+    g_array_free(w->arrivals, TRUE);
     g_hash_table_destroy(w->cancelled);
     g_hash_table_destroy(w->result_owners);
     free(w->connected);
@@ -581,6 +603,18 @@
     free(w);
 }
 
+void
+forward_world_set_repeat_limit(struct forward_world *w,
+                               const struct repeat_limit *limit)
+{
+    w->repeats = *limit;
+    for (int i = 0; i < w->node_count; i++) {
+        const struct forward_options opts = {
+            .repeats = *limit, .max_store_age_us = MAX_STORE_AGE_US};
+        forward_set_options(w->nodes[i].core, &opts);
+    }
+}
+
 void
 forward_world_set_cut(struct forward_world *w, int node, bool cut)
 {
@@ -640,6 +674,14 @@
     return w->reconnect_count;
 }
 
+/* Returns whether an event concerns an endpoint and no node. */
+static bool
+is_endpoint_event(enum sim_event_kind kind)
+{
+    return kind == SIM_SLOT_FREE || kind == SIM_CRASH || kind == SIM_RESTART ||
+           kind == SIM_RESUME;
+}
+
 void
 forward_world_restart_node(struct forward_world *w, int node)
 {
@@ -657,8 +699,7 @@
     n->cut = false;
     for (guint i = 0; i < w->events->len; i++) {
         struct sim_event *ev = g_ptr_array_index(w->events, i);
-        if (ev->node == node && ev->kind != SIM_SLOT_FREE &&
-            ev->kind != SIM_CRASH && ev->kind != SIM_RESTART) {
+        if (ev->node == node && !is_endpoint_event(ev->kind)) {
             ev->kind = SIM_DROPPED;
         }
     }
@@ -763,7 +804,7 @@
 dispatch_event(struct forward_world *w, struct sim_event *ev)
 {
     struct sim_node *n = &w->nodes[ev->node];
-    uint64_t key = call_key(ev->node, ev->call);
+    uint64_t key = forward_world_call_key(ev->node, ev->call);
     if (ev->kind == SIM_SLOT_FREE) {
         struct sim_endpoint *s = &w->sim_endpoints[ev->endpoint];
         s->running--;
@@ -783,6 +824,10 @@
         w->sim_endpoints[ev->endpoint].spec->dead = false;
         return;
     }
+    if (ev->kind == SIM_RESUME) {
+        forward_world_resume_endpoint(w, &w->sim_endpoints[ev->endpoint]);
+        return;
+    }
     if (ev->kind != SIM_MESSAGE && g_hash_table_contains(w->cancelled, &key)) {
         return;
     }
@@ -817,6 +862,7 @@
     case SIM_SLOT_FREE:
     case SIM_CRASH:
     case SIM_RESTART:
+    case SIM_RESUME:
     case SIM_DROPPED:
         break;
     }
@@ -841,8 +887,7 @@
 defer_if_paused(struct forward_world *w, struct sim_event *ev)
 {
     int64_t until_us = w->nodes[ev->node].paused_until_us;
-    if (ev->kind == SIM_SLOT_FREE || ev->kind == SIM_CRASH ||
-        ev->kind == SIM_RESTART || w->now_us > until_us) {
+    if (is_endpoint_event(ev->kind) || w->now_us > until_us) {
         return false;
     }
     reschedule(w, ev, until_us + STEP_US);
--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -33,6 +33,7 @@
     int empty_next_streams; /**< next streams that end whole without an event,
                                as when the endpoint closes the connection */
     int events; /**< in a streamed answer; 0: the answer is not streamed */
+    int64_t event_gap_us;   /**< between events; 0: 10 ms */
     int break_after_event;  /**< the next stream breaks after this event; 0:
                                none */
     int64_t retry_after_us; /**< rejects calls, and asks for this pause in each
@@ -86,6 +87,8 @@
     int64_t target_us;
     int64_t caller_disconnect_us; /**< callers disconnect from a stream after
                           this time without an event; 0: never */
+    int64_t max_event_gap_us; /**< longest pause between events that callers
+                                 accept as on time */
     int stage_count;
     const char *stage_service[4];
     uint32_t stage_after[4];
@@ -163,6 +166,24 @@
  * @p down_us. */
 void forward_world_crash_endpoint(struct forward_world *w, int endpoint,
                                   int64_t down_us);
+/** Sets the limit on repeated sends that the nodes share. */
+void forward_world_set_repeat_limit(struct forward_world *w,
+                                    const struct repeat_limit *limit);
+/** An endpoint does nothing for @p duration_us and then goes on where it was:
+ * its connections stay open, and what arrives meanwhile is read afterwards. */
+void forward_world_pause_endpoint(struct forward_world *w, int endpoint,
+                                  int64_t duration_us);
+/** Number of calls beyond the first of their request that reached a service's
+ * endpoints from @p from_us to before @p to_us, also those that an endpoint
+ * rejected. */
+int forward_world_repeats(const struct forward_world *w, const char *service,
+                          int64_t from_us, int64_t to_us);
+/** Greatest excess of these repeats over the limit in any window. The requests
+ * are counted in the window, in the one before it or in the one half a window
+ * before it, whichever has most. @return 0 or less if the limit held */
+int forward_world_repeat_excess(const struct forward_world *w,
+                                const char *service,
+                                const struct repeat_limit *limit);
 /** Breaks all calls at an endpoint, which stays up. */
 void forward_world_reset_connections(struct forward_world *w, int endpoint);
 /** Number of endpoints that the deadly part has crashed. */
--- a/bench/forward_world_endpoint.c
+++ b/bench/forward_world_endpoint.c
@@ -107,7 +107,7 @@
         else {
             snprintf(b->text, sizeof(b->text), "answer");
         }
-        at += 10 * MS;
+        at += e->event_gap_us > 0 ? e->event_gap_us : 10 * MS;
         if (e->break_after_event > 0 && i == e->break_after_event) {
             e->break_after_event = 0;
             schedule_answer(w, s, job, at, SIM_CALL_END)->end =
@@ -183,11 +183,57 @@
     }
 }
 
+void
+forward_world_free_call(struct sim_call *job)
+{
+    if (job->inputs) {
+        g_ptr_array_free(job->inputs, TRUE);
+    }
+    free(job);
+}
+
+/* Returns whether all results that a call reads are still stored. */
+static bool
+has_inputs(const struct forward_world *w, const struct sim_call *job)
+{
+    for (guint i = 0; job->inputs && i < job->inputs->len; i++) {
+        bool found = false;
+        for (int k = 0; k < w->endpoint_count && !found; k++) {
+            found = g_hash_table_contains(w->sim_endpoints[k].results,
+                                          job->inputs->pdata[i]);
+        }
+        if (!found) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+reject_call(struct forward_world *w, const struct sim_endpoint *s, int node,
+            uint64_t call, bool pieces, int status)
+{
+    struct sim_event *ev =
+        forward_world_schedule(w, w->now_us + 2 * ONE_WAY_US,
+                               pieces ? SIM_PIECES_END : SIM_CALL_HEAD, node);
+    ev->call = call;
+    ev->status = status;
+    ev->meta.not_executed = true;
+    ev->meta.retry_after_us = s->spec->retry_after_us;
+    ev->end = CALL_END_COMPLETE;
+}
+
 void
 forward_world_start_calls(struct forward_world *w, struct sim_endpoint *s)
 {
-    while (s->running < s->spec->slots && !g_queue_is_empty(&s->waiting)) {
+    while (s->running < s->spec->slots && !g_queue_is_empty(&s->waiting) &&
+           w->now_us >= s->paused_until_us) {
         struct sim_call *job = g_queue_pop_head(&s->waiting);
+        if (!has_inputs(w, job)) {
+            reject_call(w, s, job->node, job->call, false, 409);
+            forward_world_free_call(job);
+            continue;
+        }
         const struct fw_service *info = forward_world_find_service(w, s);
         double length = (double)s->spec->work_us;
         if (job->pieces) {
@@ -214,24 +260,10 @@
                 answer_request(w, s, job, done);
             }
         }
-        free(job);
+        forward_world_free_call(job);
     }
 }
 
-static void
-reject_call(struct forward_world *w, const struct sim_endpoint *s, int node,
-            uint64_t call, bool pieces)
-{
-    struct sim_event *ev =
-        forward_world_schedule(w, w->now_us + 2 * ONE_WAY_US,
-                               pieces ? SIM_PIECES_END : SIM_CALL_HEAD, node);
-    ev->call = call;
-    ev->status = 503;
-    ev->meta.not_executed = true;
-    ev->meta.retry_after_us = s->spec->retry_after_us;
-    ev->end = CALL_END_COMPLETE;
-}
-
 void
 forward_world_fail_unsent(struct forward_world *w, int node, uint64_t call,
                           bool pieces)
@@ -250,12 +282,20 @@
     struct fw_endpoint *e = s->spec;
     if (e->dead) {
         forward_world_fail_unsent(w, job->node, job->call, job->pieces);
-        free(job);
+        forward_world_free_call(job);
+        return;
+    }
+    if (w->now_us < s->paused_until_us) {
+        g_queue_push_tail(&s->unread, job);
         return;
     }
     e->calls++;
     e->pieces += job->pieces ? job->count : 0;
     e->last_arrival_us = w->now_us;
+    if (!job->pieces) {
+        struct sim_arrival a = {w->now_us, job->request, e->service};
+        g_array_append_val(w->arrivals, a);
+    }
     if (!job->pieces &&
         has_deadly_part(w, forward_world_find_request(w, job->request))) {
         g_array_append_val(w->deadly_arrivals_us, w->now_us);
@@ -264,8 +304,8 @@
         (int)g_queue_get_length(&s->waiting) + s->running >=
             e->slots + e->queue) {
         e->rejected++;
-        reject_call(w, s, job->node, job->call, job->pieces);
-        free(job);
+        reject_call(w, s, job->node, job->call, job->pieces, 503);
+        forward_world_free_call(job);
         return;
     }
     g_queue_push_tail(&s->waiting, job);
@@ -317,7 +357,7 @@
     while ((job = g_queue_pop_head(&s->waiting))) {
         struct broken_call b = {job->node, job->call, job->pieces};
         g_array_append_val(broken, b);
-        free(job);
+        forward_world_free_call(job);
     }
     for (guint i = 0; i < broken->len; i++) {
         const struct broken_call *b =
--- a/bench/forward_world_state.h
+++ b/bench/forward_world_state.h
@@ -16,6 +16,7 @@
 /* One-way latency between nodes, and between nodes and endpoints. */
 #define ONE_WAY_US 500
 #define STEP_US 500
+#define MAX_STORE_AGE_US (4000 * MS)
 #define CREDENTIAL "key-of-team"
 
 enum sim_event_kind {
@@ -29,6 +30,7 @@
     SIM_SLOT_FREE,
     SIM_CRASH,
     SIM_RESTART,
+    SIM_RESUME,  /* a silent endpoint goes on */
     SIM_DROPPED, /* dropped because its node has restarted */
 };
 
@@ -68,7 +70,7 @@
         bool fits; /* its result found free memory */
     } items[128];
     int64_t resume_after;
-    bool cancelled;
+    GPtrArray *inputs; /* handles of the results that it reads; NULL: none */
 };
 
 struct held_result {
@@ -80,6 +82,8 @@
     struct fw_endpoint *spec;
     bool removed; /* not in the published view */
     int64_t crashed_us;
+    int64_t paused_until_us; /* silent before this time */
+    GQueue unread;           /* struct sim_call that arrived meanwhile */
     GQueue waiting;
     int running;
     GHashTable *results; /* handle -> struct held_result */
@@ -125,6 +129,7 @@
     GPtrArray *events;         /* struct sim_event, a binary heap by time */
     GHashTable *cancelled;     /* keys by call_key() */
     GHashTable *result_owners; /* handle -> id of the request */
+    struct repeat_limit repeats;
     uint64_t seed;
     uint64_t seq;
     uint64_t handle_count;
@@ -137,6 +142,14 @@
     int64_t exit_us;
     GArray *deadly_arrivals_us; /* int64_t */
     GArray *crashes_us;         /* int64_t */
+    GArray *arrivals;           /* struct sim_arrival */
+};
+
+/* A call of a request that reached an endpoint. */
+struct sim_arrival {
+    int64_t at_us;
+    uint64_t request;
+    const char *service;
 };
 
 /** Adds an event to the queue. @return owned by the queue */
@@ -155,6 +168,13 @@
  * endpoint from here on */
 void forward_world_receive_call(struct forward_world *w,
                                 struct sim_endpoint *s, struct sim_call *job);
+/** Identifies a call of a node, as in forward_world.cancelled. */
+uint64_t forward_world_call_key(int node, uint64_t call);
+void forward_world_free_call(struct sim_call *job);
+/** A silent endpoint goes on: it reads the calls that have arrived and runs
+ * those that were not cancelled. */
+void forward_world_resume_endpoint(struct forward_world *w,
+                                   struct sim_endpoint *s);
 /** Starts the waiting calls that an endpoint has free slots for. */
 void forward_world_start_calls(struct forward_world *w,
                                struct sim_endpoint *s);
