Log why a request is not sent again; count silent calls and lost results

A broken call did not say whether and why its repeat was denied, and no counter told repeats after silence or after a 409 from others, so the logs could not distinguish the hypotheses of the incident: a call cancelled before a repeat is granted, and sends that take nothing from the shared limit. repeat_denied gives the reason and the state of the limit at the node; cf_forward_silent_total and cf_forward_results_gone_total count the rest.

--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -385,19 +385,37 @@
     s->until_us = now_us + STRIKE_EXPIRY_US;
 }
 
+/* Logs why a request is not sent again. @return false */
+static bool
+deny_repeat(struct forward *f, int64_t now_us, struct request *r,
+            const char *why)
+{
+    struct repeat_budget *b = &r->service->budget;
+    LOG_EVENT(LOG_INFO, "repeat_denied", LOG_STR("request", r->in.request_id),
+              LOG_CSTR("why", why), LOG_INT("sends", r->sends),
+              LOG_INT("used", window_sum(&b->repeats, now_us)),
+              LOG_INT("requests", window_sum(&b->requests, now_us)),
+              LOG_INT("nodes", forward_node_count(f)),
+              LOG_INT("left_ms", (r->deadline_us - now_us) / MS));
+    return false;
+}
+
 bool
 req_take_repeat(struct forward *f, int64_t now_us, struct request *r)
 {
-    if (!req_is_repeatable(r) || r->sends >= r->route->max_attempts) {
+    if (!req_is_repeatable(r)) {
         return false;
     }
+    if (r->sends >= r->route->max_attempts) {
+        return deny_repeat(f, now_us, r, "no attempt is left");
+    }
     if (now_us + SEND_MIN_US > r->deadline_us) {
-        return false;
+        return deny_repeat(f, now_us, r, "no time is left");
     }
     if (!repeat_budget_take(&r->service->budget, &f->opts.repeats,
                             forward_node_count(f), now_us)) {
         f->counters.repeats_denied++;
-        return false;
+        return deny_repeat(f, now_us, r, "the shared limit is reached");
     }
     f->counters.repeats++;
     return true;
--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -110,6 +110,7 @@
         return;
     }
     if (status == 409) {
+        f->counters.results_gone++;
         LOG_EVENT(LOG_INFO, "results_gone",
                   LOG_STR("request", r->in.request_id),
                   LOG_STR("endpoint", e->id),
@@ -442,6 +443,7 @@
         timers_add(&f->timers, now_us + limit, TIMER_SILENCE, call);
         return;
     }
+    f->counters.silent++;
     endpoint_record_failure(r->endpoint, now_us, false);
     f->io.cancel_call(f->io.ctx, call);
     handle_broken_call(f, now_us, r, "the endpoint is silent");
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -34,6 +34,8 @@
     X(unsent, "sends that found no connection")                               \
     X(not_executed, "sends that an endpoint rejected")                        \
     X(broken, "sends without a whole answer")                                 \
+    X(silent, "sends given up since their endpoint was silent")               \
+    X(results_gone, "sends rejected since results of stages were gone")       \
     X(too_long, "answers longer than a node holds")                           \
     X(crossed, "answers of other requests")                                   \
     X(resumed, "streams that went on at another endpoint")                    \
