Give up a silent call only for a repeat that may be sent

Callers saw their connection closed in the middle of an answer, or a 502 for a request that may be repeated, although the endpoint was sound and would have gone on some 50 ms later. When a call had been silent for its limit, it was cancelled first, and only then the shared limit was asked for a repeat; where that was denied the request ended.

Now the repeat is taken first. Where it is denied, no other endpoint accepts work or the prompt is blocked, the call stays open and is looked at again every 500 ms; the caller's deadline ends it at the latest.

The logs of the cut ones say repeat_denied why="the shared limit is reached".

--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -29,27 +29,41 @@
 /* Time limit before the first event, since a stream may wait behind other
  * prompts. */
 #define FIRST_SILENCE_US (2500 * MS)
+/* Time until the next look at a call that is silent but cannot be repeated. */
+#define SILENCE_RETRY_US (500 * MS)
+
+/* Returns the time without any sign of the current call's endpoint after which
+ * a repeat is worth a send. */
+static int64_t
+silence_limit_us(const struct request *r)
+{
+    if (!req_is_stream(r)) {
+        return MAX(SILENCE_FACTOR * (int64_t)r->endpoint->latency_us,
+                   SILENCE_MIN_US);
+    }
+    if (r->state == REQ_RESPONDING) {
+        return MAX(STREAM_SILENCE_US,
+                   SILENT_PAUSES * r->route->max_event_gap_us);
+    }
+    return FIRST_SILENCE_US;
+}
 
 void
 response_watch_silence(struct forward *f, int64_t now_us,
                        const struct request *r)
 {
     if (req_is_repeatable(r)) {
-        int64_t silence =
-            req_is_stream(r)
-                ? FIRST_SILENCE_US
-                : SILENCE_FACTOR * (int64_t)r->endpoint->latency_us;
-        silence = silence > SILENCE_MIN_US ? silence : SILENCE_MIN_US;
-        timers_add(&f->timers, now_us + silence, TIMER_SILENCE, r->call);
+        timers_add(&f->timers, now_us + silence_limit_us(r), TIMER_SILENCE,
+                   r->call);
     }
 }
 
-/* Handles a call that ended without a usable response. */
+/* Removes a call that has no usable response. */
 static void
-handle_broken_call(struct forward *f, int64_t now_us, struct request *r,
+detach_broken_call(struct forward *f, int64_t now_us, struct request *r,
                    const char *why)
 {
-    struct endpoint *e = r->endpoint;
+    const struct endpoint *e = r->endpoint;
     char parts[REQ_PARTS_TEXT_BYTES];
     LOG_EVENT(LOG_INFO, "call_broken", LOG_STR("request", r->in.request_id),
               LOG_STR("endpoint", e->id), LOG_CSTR("why", why),
@@ -65,11 +79,25 @@
     r->trial = false;
     req_detach_call(f, r);
     buf_clear(&r->response);
+}
+
+static void
+send_repeat(struct forward *f, int64_t now_us, struct request *r)
+{
+    if (r->response_started) {
+        f->counters.resumed++;
+    }
+    req_send_or_wait(f, now_us, r);
+}
+
+/* Handles a call that ended without a usable response. */
+static void
+handle_broken_call(struct forward *f, int64_t now_us, struct request *r,
+                   const char *why)
+{
+    detach_broken_call(f, now_us, r, why);
     if (req_take_repeat(f, now_us, r)) {
-        if (r->response_started) {
-            f->counters.resumed++;
-        }
-        req_send_or_wait(f, now_us, r);
+        send_repeat(f, now_us, r);
         return;
     }
     req_refuse(f, now_us, r, ERRKIND_OUTCOME_UNKNOWN, why, 0);
@@ -294,9 +322,8 @@
     if (is_success_status(r->status)) {
         crashes_response_started(f, now_us, r);
     }
-    if (req_is_stream(r) && req_is_repeatable(r)) {
-        timers_add(&f->timers, now_us + STREAM_SILENCE_US, TIMER_SILENCE,
-                   r->call);
+    if (req_is_stream(r)) {
+        response_watch_silence(f, now_us, r);
     }
 }
 
@@ -407,46 +434,47 @@
     finish_request(f, now_us, r);
 }
 
+/* Returns whether the request could be sent to another endpoint now. */
+static bool
+has_other_endpoint(const struct request *r, int64_t now_us)
+{
+    struct place_query query = {.nodes = 1, .tried_count = r->tried_count};
+    for (int i = 0; i < r->tried_count; i++) {
+        query.tried[i] = r->tried[i];
+    }
+    return place_next_available_us(r->service->endpoints, &query, now_us) <=
+           now_us;
+}
+
 void
 response_handle_silence(struct forward *f, int64_t now_us, uint64_t call)
 {
     struct request *r = map_get(&f->calls, call);
-    if (!r) {
-        return;
-    }
-    bool stream = req_is_stream(r);
-    int64_t limit = r->state == REQ_RESPONDING
-                        ? MAX(STREAM_SILENCE_US,
-                              SILENT_PAUSES * r->route->max_event_gap_us)
-                    : stream ? FIRST_SILENCE_US
-                             : SILENCE_MIN_US;
-    int64_t due = r->last_activity_us + limit;
-    if (r->call_paused) {
-        due = now_us + limit;
-    }
-    if (now_us < due) {
-        timers_add(&f->timers, due, TIMER_SILENCE, call);
+    if (!r || (!req_is_stream(r) && r->state == REQ_RESPONDING)) {
         return;
     }
-    if (!stream && r->state == REQ_RESPONDING) {
+    int64_t limit_us = silence_limit_us(r);
+    int64_t due_us =
+        (r->call_paused ? now_us : r->last_activity_us) + limit_us;
+    if (now_us < due_us) {
+        timers_add(&f->timers, due_us, TIMER_SILENCE, call);
         return;
     }
     if (r->sends >= r->route->max_attempts) {
         return;
     }
-    struct place_query query = {.nodes = 1, .tried_count = r->tried_count};
-    for (int i = 0; i < r->tried_count; i++) {
-        query.tried[i] = r->tried[i];
-    }
-    if (place_next_available_us(r->service->endpoints, &query, now_us) >
-        now_us) {
-        timers_add(&f->timers, now_us + limit, TIMER_SILENCE, call);
+    /* The endpoint may be sound and go on, so its answer is given up only for
+     * a repeat that can be sent. */
+    if (!has_other_endpoint(r, now_us) || crashes_is_blocked(f, r) ||
+        !req_take_repeat(f, now_us, r)) {
+        timers_add(&f->timers, now_us + SILENCE_RETRY_US, TIMER_SILENCE, call);
         return;
     }
     f->counters.silent++;
     endpoint_record_failure(r->endpoint, now_us, false);
     f->io.cancel_call(f->io.ctx, call);
-    handle_broken_call(f, now_us, r, "the endpoint is silent");
+    detach_broken_call(f, now_us, r, "the endpoint is silent");
+    send_repeat(f, now_us, r);
 }
 
 void
