Keep stage results until the engine has been heard after the call

On routes with stages, requests that were sent to an engine in the moment of its silence were answered 409, their stages ran again, and they were sent again: 104 of 600 even with silences of 0.8 s. Results were released 100 ms after the final call, on the assumption that the engine has fetched them by then. An engine that is silent has not.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -452,10 +452,7 @@
         }
         break;
     case TIMER_FETCH_TIMEOUT:
-        r = map_get(&f->calls, t->id);
-        if (r) {
-            pieces_release(f, now_us, r);
-        }
+        response_handle_fetch_timeout(f, now_us, t->id);
         break;
     case TIMER_SILENCE:
         response_handle_silence(f, now_us, t->id);
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -22,10 +22,6 @@
  * the response to travel back. */
 #define RESPONSE_TRAVEL_US (5 * MS)
 #define MAX_INPUTS 512
-/* An endpoint fetches the stage results before it prefills the prompt. They
- * are released after this time, since other requests wait for their memory.
- * All but one in a thousand calls had fetched them by then. */
-#define FETCH_RESULTS_US (100 * MS)
 #define CONNECT_US (3 * MS)
 #define FIRST_TOKEN_US (25 * MS)
 #define STRIKE_EXPIRY_US (120 * SECOND)
@@ -278,11 +274,10 @@
     LOG_EVENT(LOG_DEBUG, "sent", LOG_STR("request", r->in.request_id),
               LOG_STR("endpoint", e->id), LOG_INT("send", r->sends));
     f->io.send_call(f->io.ctx, &call);
+    response_watch_silence(f, now_us, r);
     if (call.input_count > 0) {
-        timers_add(&f->timers, now_us + FETCH_RESULTS_US, TIMER_FETCH_TIMEOUT,
-                   r->call);
+        response_watch_fetch(f, now_us, r);
     }
-    response_watch_silence(f, now_us, r);
 }
 
 void
--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -29,6 +29,13 @@
 /* Time limit before the first event, since a stream may wait behind other
  * prompts. */
 #define FIRST_SILENCE_US (2500 * MS)
+/* An engine fetches the stage results before it prefills the prompt. They are
+ * released when it has sent something, on any of its connections, this long
+ * after the call: other requests wait for their memory, and all but one in a
+ * thousand calls had fetched them by then. An engine that is silent has not.
+ */
+#define FETCH_RESULTS_US (100 * MS)
+#define FETCH_CHECK_US (50 * MS)
 /* Time until the next look at a call that is silent but cannot be repeated. */
 #define SILENCE_RETRY_US (500 * MS)
 
@@ -58,6 +65,14 @@
     }
 }
 
+void
+response_watch_fetch(struct forward *f, int64_t now_us,
+                     const struct request *r)
+{
+    timers_add(&f->timers, now_us + FETCH_RESULTS_US, TIMER_FETCH_TIMEOUT,
+               r->call);
+}
+
 /* Removes a call that has no usable response. */
 static void
 detach_broken_call(struct forward *f, int64_t now_us, struct request *r,
@@ -171,7 +186,7 @@
         return;
     }
     struct endpoint *e = r->endpoint;
-    r->last_activity_us = now_us;
+    r->last_activity_us = e->heard_us = now_us;
     if (meta->running >= 0) {
         e->reported_running = meta->running;
         e->reported_waiting = meta->waiting;
@@ -343,6 +358,7 @@
     if (!r || !r->head_accepted) {
         return;
     }
+    r->endpoint->heard_us = now_us;
     buf_append_str(&r->response, bytes);
     if (is_relayed_stream(r) && !relay_events(f, r)) {
         if (exceeds_buffer_limit(f, r)) {
@@ -476,6 +492,21 @@
     send_repeat(f, now_us, r);
 }
 
+void
+response_handle_fetch_timeout(struct forward *f, int64_t now_us, uint64_t call)
+{
+    struct request *r = map_get(&f->calls, call);
+    if (!r || r->results_released) {
+        return;
+    }
+    if (r->endpoint->heard_us < r->sent_us + FETCH_RESULTS_US) {
+        timers_add(&f->timers, now_us + FETCH_CHECK_US, TIMER_FETCH_TIMEOUT,
+                   call);
+        return;
+    }
+    pieces_release(f, now_us, r);
+}
+
 void
 response_handle_deadline(struct forward *f, int64_t now_us, struct request *r)
 {
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -272,6 +272,14 @@
 /** Starts the limit on the time without a response of the current call. */
 void response_watch_silence(struct forward *f, int64_t now_us,
                             const struct request *r);
+/** Starts to watch whether the endpoint of the current call has fetched the
+ * results of the stages. */
+void response_watch_fetch(struct forward *f, int64_t now_us,
+                          const struct request *r);
+/** Releases the results that a call reads once its endpoint has fetched them.
+ */
+void response_handle_fetch_timeout(struct forward *f, int64_t now_us,
+                                   uint64_t call);
 void response_handle_silence(struct forward *f, int64_t now_us, uint64_t call);
 void response_handle_deadline(struct forward *f, int64_t now_us,
                               struct request *r);
