Give up a silent stream later than sound endpoints are silent

A stream without an event for 1.2 s was sent to another endpoint. Sound endpoints may be silent for a second or two, all calls of one reach the limit at the same moment, and each repeat has its prompt read again by an engine beside. The limit is now 2.5 s, or half of the time after which the caller disconnects if that is shorter, and 1.2 s at least.

The price: a stream at an endpoint that never comes back is resumed up to 1.3 s later.

--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -9,9 +9,12 @@
  * is cancelled and sent to another endpoint. */
 #define SILENCE_FACTOR 6
 #define SILENCE_MIN_US (250 * MS)
-/* A resumable stream is resumed at another endpoint after this time without an
- * event. Callers disconnect after two seconds or more. */
-#define STREAM_SILENCE_US (1200 * MS)
+/* Sound endpoints may be silent for a second or two and go on, so a resumable
+ * stream is resumed at another one after STREAM_SILENCE_US without an event:
+ * sooner if its caller would disconnect then, but not before
+ * STREAM_SILENCE_MIN_US. */
+#define STREAM_SILENCE_US (2500 * MS)
+#define STREAM_SILENCE_MIN_US (1200 * MS)
 /* Limits on responses, which are buffered until they are complete, and on
  * incomplete events. The largest ones of real endpoints have a few kilobytes;
  * a node has 260 MB and more. */
@@ -23,12 +26,9 @@
 #define BUFFERED_CHECK_BYTES (512u << 10)
 /* Reading of a stream is paused when its caller's backlog exceeds this. */
 #define CALLER_BACKLOG_BYTES (256u << 10)
-/* A stream is silent if no event comes for this many of the longest pauses
- * that its route allows, and for STREAM_SILENCE_US. */
+/* The limit is at least this many of the longest pauses that a route allows.
+ */
 #define SILENT_PAUSES 2
-/* Time limit before the first event, since a stream may wait behind other
- * prompts. */
-#define FIRST_SILENCE_US (2500 * MS)
 /* An engine fetches the stage results before it prefills the prompt. They are
  * released when it has sent something, on any of its connections, this long
  * after the call: other requests wait for their memory, and all but one in a
@@ -48,11 +48,15 @@
         return MAX(SILENCE_FACTOR * (int64_t)r->endpoint->latency_us,
                    SILENCE_MIN_US);
     }
+    int64_t limit_us = STREAM_SILENCE_US;
     if (r->state == REQ_RESPONDING) {
-        return MAX(STREAM_SILENCE_US,
-                   SILENT_PAUSES * r->route->max_event_gap_us);
+        if (r->route->caller_disconnect_us > 0) {
+            limit_us = CLAMP(r->route->caller_disconnect_us / 2,
+                             STREAM_SILENCE_MIN_US, STREAM_SILENCE_US);
+        }
+        limit_us = MAX(limit_us, SILENT_PAUSES * r->route->max_event_gap_us);
     }
-    return FIRST_SILENCE_US;
+    return limit_us;
 }
 
 void
