Keep stage results longer only while an engine may be silent

They are released after 100 ms again, unless nothing has come from the engine since the call and an engine of the service with streams to send has sent nothing either. Then the call is looked at again every 50 ms.

--- a/src/forward/endpoints.h
+++ b/src/forward/endpoints.h
@@ -35,6 +35,7 @@
     int64_t cold_next_send_us;  /**< earliest next send while cold */
     int in_flight;              /**< requests sent and not yet ended */
     int calls_in_flight;        /**< stage calls in flight */
+    int streams;      /**< requests in flight whose first event has come */
     int64_t heard_us; /**< when a part of a response to a request last came */
     double failure_rate; /**< moving average of the share of failed calls */
     int64_t last_failure_us;
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -60,6 +60,9 @@
     }
     map_remove(&f->calls, r->call);
     r->call = 0;
+    if (r->state == REQ_RESPONDING && req_is_stream(r)) {
+        r->endpoint->streams--;
+    }
     r->endpoint->in_flight--;
     r->endpoint->prefill_tokens -= r->prefill_tokens;
     r->prefill_tokens = 0;
--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -30,10 +30,9 @@
  */
 #define SILENT_PAUSES 2
 /* An engine fetches the stage results before it prefills the prompt. They are
- * released when it has sent something, on any of its connections, this long
- * after the call: other requests wait for their memory, and all but one in a
- * thousand calls had fetched them by then. An engine that is silent has not.
- */
+ * released after this time, since other requests wait for their memory. All
+ * but one in a thousand calls had fetched them by then, but not those at an
+ * engine that is silent: this is checked again every FETCH_CHECK_US. */
 #define FETCH_RESULTS_US (100 * MS)
 #define FETCH_CHECK_US (50 * MS)
 /* Time until the next look at a call that is silent but cannot be repeated. */
@@ -341,6 +340,7 @@
         crashes_response_started(f, now_us, r);
     }
     if (req_is_stream(r)) {
+        r->endpoint->streams++;
         response_watch_silence(f, now_us, r);
     }
 }
@@ -496,6 +496,25 @@
     send_repeat(f, now_us, r);
 }
 
+/* Returns whether the endpoint of a call may have been silent since the call
+ * was sent: nothing came from it, and an endpoint of the service that has
+ * streams to send sent nothing either. */
+static bool
+may_be_silent(const struct request *r)
+{
+    const GPtrArray *endpoints = r->service->endpoints;
+    if (r->endpoint->heard_us > r->sent_us) {
+        return false;
+    }
+    for (guint i = 0; i < endpoints->len; i++) {
+        const struct endpoint *e = g_ptr_array_index(endpoints, i);
+        if (e->streams > 0 && e->heard_us <= r->sent_us) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 response_handle_fetch_timeout(struct forward *f, int64_t now_us, uint64_t call)
 {
@@ -503,7 +522,7 @@
     if (!r || r->results_released) {
         return;
     }
-    if (r->endpoint->heard_us < r->sent_us + FETCH_RESULTS_US) {
+    if (may_be_silent(r)) {
         timers_add(&f->timers, now_us + FETCH_CHECK_US, TIMER_FETCH_TIMEOUT,
                    call);
         return;
