Use a smaller share of the repeat limit right after a restart

A process that had started again had its whole share of the shared limit on repeats, although the process before it may have used that share a moment ago: the shares of all nodes, twice or more in one window, add up to more than the limit ("arrivals beyond the first of their request").

For one window after a restart a node now uses only what an earlier process is sure to have left, a quarter of its share instead of three quarters.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -489,6 +489,8 @@
     struct forward_options opts = {.node = str_from_cstr(n->name),
                                    .zone = STR_LIT("a"),
                                    .repeats = w->repeats,
+                                   .predecessor_until_us =
+                                       n->start_count > 1 ? w->now_us : 0,
                                    .max_store_age_us = MAX_STORE_AGE_US,
                                    .seed = w->seed + (uint64_t)n->index +
                                            1000 * (uint64_t)n->start_count};
--- a/src/daemon/gateway_main.c
+++ b/src/daemon/gateway_main.c
@@ -204,7 +204,8 @@
         int sig = 0;
         LOG_EVENT(LOG_INFO, "started", LOG_STR("address", g->settings.listen),
                   LOG_STR("zone", g->settings.zone),
-                  LOG_STR("store", g->settings.store));
+                  LOG_STR("store", g->settings.store),
+                  LOG_INT("first_start", g->settings.first_start));
         while (sigwait(&signals, &sig) == 0 && sig == SIGHUP) {
             atomic_store(&g->shared.reload, 1);
             bridge_wake(g->wake);
--- a/src/daemon/gateway_traffic.c
+++ b/src/daemon/gateway_traffic.c
@@ -656,6 +656,7 @@
                                  .request = on_request,
                                  .gone = on_gone};
     struct forward_options opts = gateway_forward_options(set, shared->seed);
+    opts.predecessor_until_us = set->first_start ? 0 : gateway_now_us();
     const struct forward_io io = {t,
                                   io_send,
                                   io_send_pieces,
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -105,7 +105,8 @@
         s = mem_calloc(1, sizeof(*s));
         s->hash = hash;
         s->endpoints = g_ptr_array_new();
-        repeat_budget_init(&s->budget, &f->opts.repeats);
+        repeat_budget_init(&s->budget, &f->opts.repeats,
+                           f->opts.predecessor_until_us);
         s->groups = 1;
         s->info.name = str_dup(info->name);
         map_put(&f->services, hash, s);
--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -16,6 +16,9 @@
     struct str node; /**< name of this node */
     struct str zone; /**< zone of this node */
     struct repeat_limit repeats;
+    /** An earlier process of this node may have sent repeats until then; 0:
+     * there was none. */
+    int64_t predecessor_until_us;
     /** Time since the last contact with the store after which team credentials
      * are no longer accepted. */
     int64_t max_store_age_us;
--- a/src/forward/window.c
+++ b/src/forward/window.c
@@ -48,8 +48,11 @@
 }
 
 void
-repeat_budget_init(struct repeat_budget *b, const struct repeat_limit *r)
+repeat_budget_init(struct repeat_budget *b, const struct repeat_limit *r,
+                   int64_t predecessor_until_us)
 {
+    b->full_share_from_us =
+        predecessor_until_us ? predecessor_until_us + r->window_us : 0;
     window_init(&b->requests, r->window_us);
     window_init(&b->repeats, r->window_us);
 }
@@ -64,8 +67,11 @@
 repeat_budget_take(struct repeat_budget *b, const struct repeat_limit *r,
                    int nodes, int64_t now_us)
 {
-    double share = USED_SHARE * (r->ratio * window_sum(&b->requests, now_us) +
-                                 (double)r->slack / nodes);
+    /* After a restart, the share that an earlier process is sure to have left.
+     */
+    double used = now_us < b->full_share_from_us ? 1 - USED_SHARE : USED_SHARE;
+    double share = used * (r->ratio * window_sum(&b->requests, now_us) +
+                           (double)r->slack / nodes);
     if (window_sum(&b->repeats, now_us) + 1 > share) {
         return false;
     }
--- a/src/forward/window.h
+++ b/src/forward/window.h
@@ -34,11 +34,16 @@
 
 /** Requests and repeated sends of one service at this node. */
 struct repeat_budget {
+    int64_t full_share_from_us; /**< until then, repeats of an earlier process
+                                   of this node may count as well */
     struct window requests;
     struct window repeats;
 };
 
-void repeat_budget_init(struct repeat_budget *b, const struct repeat_limit *r);
+/** @param predecessor_until_us an earlier process of this node may have sent
+ * repeats until then; 0: there was none */
+void repeat_budget_init(struct repeat_budget *b, const struct repeat_limit *r,
+                        int64_t predecessor_until_us);
 void repeat_budget_request(struct repeat_budget *b, int64_t now_us);
 
 /** Takes one repeated send from this node's share.
--- a/src/settings/gateway_settings.c
+++ b/src/settings/gateway_settings.c
@@ -9,6 +9,7 @@
     {"node", "name", FIELD_TEXT, OFFSET(name), 1, 63, 0, NULL},
     {"node", "zone", FIELD_TEXT, OFFSET(zone), 1, 63, 0, NULL},
     {"node", "seed", FIELD_SEED, OFFSET(seed), 0, INT64_MAX, 0, NULL},
+    {"node", "first_start", FIELD_BOOL, OFFSET(first_start), 0, 1, 0, NULL},
     {"callers", "address", FIELD_TEXT, OFFSET(listen), 1, 63, 0, NULL},
     {"callers", "max_connections", FIELD_INT, OFFSET(max_connections), 1,
      100000, 4096, NULL},
--- a/tests/platform/rig_platform.c
+++ b/tests/platform/rig_platform.c
@@ -122,22 +122,24 @@
     char name[16];
     snprintf(name, sizeof(name), "node-%d", i);
     snprintf(path, sizeof(path), "%s/%s.toml", r->dir, name);
+    bool first_start = !p->port;
     /* Keep the ports: callers read them while a node restarts. */
-    if (!p->port) {
+    if (first_start) {
         p->port = rig_find_free_port();
         r->ready_port[i] = rig_find_free_port();
         r->link_port[i] = rig_find_free_port();
     }
-    char *text =
-        g_strdup_printf("[node]\nname = \"%s\"\nzone = \"a\"\n"
-                        "[callers]\naddress = \"127.0.0.1:%d\"\n"
-                        "[ready]\naddress = \"127.0.0.1:%d\"\n"
-                        "[link]\naddress = \"127.0.0.1:%d\"\n"
-                        "[store]\naddress = \"127.0.0.1:%d\"\n"
-                        "[stop]\nlimit_s = 4\nbalancer_ms = 300\n"
-                        "[bounds]\nrepeat_slack = %d\n",
-                        name, p->port, r->ready_port[i], r->link_port[i],
-                        r->store_port, r->repeat_slack);
+    char *text = g_strdup_printf("[node]\nname = \"%s\"\nzone = \"a\"\n"
+                                 "first_start = %s\n"
+                                 "[callers]\naddress = \"127.0.0.1:%d\"\n"
+                                 "[ready]\naddress = \"127.0.0.1:%d\"\n"
+                                 "[link]\naddress = \"127.0.0.1:%d\"\n"
+                                 "[store]\naddress = \"127.0.0.1:%d\"\n"
+                                 "[stop]\nlimit_s = 4\nbalancer_ms = 300\n"
+                                 "[bounds]\nrepeat_slack = %d\n",
+                                 name, first_start ? "true" : "false", p->port,
+                                 r->ready_port[i], r->link_port[i],
+                                 r->store_port, r->repeat_slack);
     g_file_set_contents(path, text, -1, NULL);
     g_free(text);
     const char *args[] = {path, NULL};
