--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -38,6 +38,8 @@
                                none */
     int64_t retry_after_us; /**< rejects calls, and asks for this pause in each
                                rejection; 0: accepts them */
+    bool other_instance;    /**< another endpoint has its address and rejects
+                               all calls */
     bool leaving;           /**< says so in its responses; still in the view */
     int64_t started_ms;
     int64_t result_memory_bytes; /**< memory for results; 0: unlimited */
--- a/bench/forward_world_endpoint.c
+++ b/bench/forward_world_endpoint.c
@@ -219,6 +219,7 @@
     ev->call = call;
     ev->status = status;
     ev->meta.not_executed = true;
+    ev->meta.other_instance = s->spec->other_instance;
     ev->meta.retry_after_us = s->spec->retry_after_us;
     ev->end = CALL_END_COMPLETE;
 }
@@ -300,6 +301,12 @@
         has_deadly_part(w, forward_world_find_request(w, job->request))) {
         g_array_append_val(w->deadly_arrivals_us, w->now_us);
     }
+    if (e->other_instance) {
+        e->rejected++;
+        reject_call(w, s, job->node, job->call, job->pieces, 421);
+        forward_world_free_call(job);
+        return;
+    }
     if (e->retry_after_us > 0 ||
         (int)g_queue_get_length(&s->waiting) + s->running >=
             e->slots + e->queue) {
--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -150,7 +150,7 @@
     f->io.cancel_call(f->io.ctx, r->call);
     if (meta->other_instance) {
         endpoint_record_failure(e, now_us, true);
-        handle_call_not_run(f, now_us, r, false,
+        handle_call_not_run(f, now_us, r, true,
                             "another endpoint has the address");
         return;
     }
--- a/tests/test_forward_silence.c
+++ b/tests/test_forward_silence.c
@@ -274,6 +274,43 @@
     check_rows(restarts, G_N_ELEMENTS(restarts));
 }
 
+/* The addresses of all endpoints but one pass to others in turn, so that many
+ * calls are rejected, each by an endpoint that received it. */
+static void
+test_other_instances(void)
+{
+    static const char *const hosts[] = {"stream", "action"};
+    for (size_t i = 0; i < G_N_ELEMENTS(hosts); i++) {
+        struct fleet f;
+        struct fw_request_spec spec = {.host = hosts[i],
+                                       .caller_timeout_us = 12 * SECOND,
+                                       .prompt_tokens = 2000};
+        const char *service = service_of(hosts[i]);
+        fleet_init(&f);
+        for (int n = 0; n < 600; n++) {
+            for (int k = 0; n % 10 == 0 && k < ENDPOINTS; k++) {
+                f.endpoints[k].other_instance = rng_below(&f.rng, 4) > 0;
+            }
+            spec.content = (uint64_t)n * 0x9e3779b97f4a7c15ULL + 1;
+            forward_world_send_request(f.w, (int)rng_below(&f.rng, NODES),
+                                       &spec);
+            forward_world_run_until(f.w, forward_world_now_us(f.w) + 20 * MS);
+        }
+        forward_world_run_until(f.w, forward_world_now_us(f.w) + 14 * SECOND);
+        int excess = forward_world_repeat_excess(f.w, service, &limit);
+        g_test_message("%s: %d repeats, %d above the limit", hosts[i],
+                       forward_world_repeats(f.w, service, 0, INT64_MAX),
+                       MAX(excess, 0));
+        g_assert_cmpint(excess, <=, 0);
+        for (int k = 0; k < forward_world_request_count(f.w); k++) {
+            const struct fw_request *r = forward_world_request(f.w, k);
+            g_assert_true(r->end == FW_ANSWERED || r->end == FW_REFUSED);
+            g_assert_true(r->end == FW_ANSWERED || r->runs == 0);
+        }
+        forward_world_free(f.w);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -282,5 +319,6 @@
     g_test_add_func("/forward-silence/staged", test_staged);
     g_test_add_func("/forward-silence/plain", test_plain);
     g_test_add_func("/forward-silence/restarts", test_restarts);
+    g_test_add_func("/forward-silence/other-instances", test_other_instances);
     return g_test_run();
 }
