Run the stages again before a silent call is given up

On routes with stages a silent call was given up first, and then its stages ran again, since their results had been released. Where the stages could not be done in time the caller's connection was closed in the middle of the answer, although the engine would have gone on.

The stages now run beside the silent call. The call is given up when they are done, if it is still silent and the limit allows the repeat; if the engine is heard or a stage fails before, the results are released and the call stays.

--- a/src/forward/pieces.c
+++ b/src/forward/pieces.c
@@ -329,12 +329,18 @@
     return true;
 }
 
+static bool
+is_running_stages(const struct request *r)
+{
+    return r->state == REQ_RUNNING_STAGES || r->preparing;
+}
+
 void
 pieces_request_postponed(struct forward *f, int64_t now_us, struct request *r)
 {
     for (int i = 0; i < r->route->stage_count; i++) {
         const struct stage *st = &r->stages[i];
-        if (r->state != REQ_RUNNING_STAGES || !st->postponed_until_us ||
+        if (!is_running_stages(r) || !st->postponed_until_us ||
             now_us < st->postponed_until_us || stage_done(r, i)) {
             continue;
         }
@@ -422,14 +428,16 @@
     }
 }
 
-bool
-pieces_restart(struct forward *f, int64_t now_us, struct request *r)
+/* Resets the stages, so that all pieces can be requested again. @return false
+ * if the limit of restarts is reached */
+static bool
+reset_stages(struct forward *f, int64_t now_us, struct request *r)
 {
     pieces_release(f, now_us, r);
-    r->results_released = false;
     if (r->stage_restarts++ >= MAX_STAGE_RESTARTS) {
         return false;
     }
+    r->results_released = false;
     LOG_EVENT(LOG_INFO, "stages_again", LOG_STR("request", r->in.request_id),
               LOG_INT("restart", r->stage_restarts));
     for (int i = 0; i < r->route->stage_count; i++) {
@@ -439,11 +447,37 @@
             st->pieces[p].ready = false;
         }
     }
+    return true;
+}
+
+bool
+pieces_restart(struct forward *f, int64_t now_us, struct request *r)
+{
+    if (!reset_stages(f, now_us, r)) {
+        return false;
+    }
     r->state = REQ_RUNNING_STAGES;
     pieces_request_ready(f, now_us, r);
     return true;
 }
 
+bool
+pieces_prepare(struct forward *f, int64_t now_us, struct request *r)
+{
+    r->preparing = reset_stages(f, now_us, r);
+    if (r->preparing) {
+        pieces_request_ready(f, now_us, r);
+    }
+    return r->preparing;
+}
+
+void
+pieces_stop_preparing(struct forward *f, int64_t now_us, struct request *r)
+{
+    r->preparing = false;
+    pieces_release(f, now_us, r);
+}
+
 bool
 pieces_were_released(const struct request *r)
 {
@@ -486,9 +520,14 @@
         return;
     }
     drop_unneeded_stages(f, now_us, r);
-    if (pieces_request_ready(f, now_us, r)) {
-        req_send_or_wait(f, now_us, r);
+    if (!pieces_request_ready(f, now_us, r)) {
+        return;
     }
+    if (r->preparing) {
+        response_repeat_prepared(f, now_us, r);
+        return;
+    }
+    req_send_or_wait(f, now_us, r);
 }
 
 static void
@@ -504,8 +543,11 @@
     }
     /* A previous owner may still report a piece that another one has
      * completed, even after the request was sent. */
-    if (r->state != REQ_RUNNING_STAGES ||
-        r->stages[stage].pieces[res->piece].ready) {
+    if (!is_running_stages(r) || r->stages[stage].pieces[res->piece].ready) {
+        return;
+    }
+    if (r->preparing && res->outcome != PIECE_DONE) {
+        pieces_stop_preparing(f, now_us, r);
         return;
     }
     switch (res->outcome) {
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -293,6 +293,12 @@
         .nodes = forward_node_count(f),
         .tried_count = r->tried_count};
     int64_t by_us = req_caller_leaves_us(r);
+    if (r->preparing) {
+        /* Its stages are running again already. */
+        r->preparing = false;
+        r->state = REQ_RUNNING_STAGES;
+        return;
+    }
     if (now_us + SEND_MIN_US > by_us) {
         req_refuse(f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
                    "no time is left", 0);
--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -174,6 +174,16 @@
                         "the endpoint rejected the request");
 }
 
+/* The endpoint of the current call has sent something. */
+static void
+record_sign_of_life(struct forward *f, int64_t now_us, struct request *r)
+{
+    endpoint_record_heard(r->endpoint, now_us);
+    if (r->preparing) {
+        pieces_stop_preparing(f, now_us, r);
+    }
+}
+
 static bool
 is_success_status(int status)
 {
@@ -190,7 +200,7 @@
     }
     struct endpoint *e = r->endpoint;
     r->last_activity_us = now_us;
-    endpoint_record_heard(e, now_us);
+    record_sign_of_life(f, now_us, r);
     if (meta->running >= 0) {
         e->reported_running = meta->running;
         e->reported_waiting = meta->waiting;
@@ -363,7 +373,7 @@
     if (!r || !r->head_accepted) {
         return;
     }
-    endpoint_record_heard(r->endpoint, now_us);
+    record_sign_of_life(f, now_us, r);
     buf_append_str(&r->response, bytes);
     if (is_relayed_stream(r) && !relay_events(f, r)) {
         if (exceeds_buffer_limit(f, r)) {
@@ -468,6 +478,16 @@
            now_us;
 }
 
+static void
+give_up_silent_call(struct forward *f, int64_t now_us, struct request *r)
+{
+    f->counters.silent++;
+    endpoint_record_silence(r->endpoint, now_us);
+    f->io.cancel_call(f->io.ctx, r->call);
+    detach_broken_call(f, now_us, r, "the endpoint is silent");
+    send_repeat(f, now_us, r);
+}
+
 void
 response_handle_silence(struct forward *f, int64_t now_us, uint64_t call)
 {
@@ -485,18 +505,35 @@
     if (r->sends >= r->route->max_attempts) {
         return;
     }
+    timers_add(&f->timers, now_us + SILENCE_RETRY_US, TIMER_SILENCE, call);
     /* The endpoint may be sound and go on, so its answer is given up only for
      * a repeat that can be sent. */
+    if (!has_other_endpoint(r, now_us) || crashes_is_blocked(f, r) ||
+        r->preparing) {
+        return;
+    }
+    if (pieces_were_released(r)) {
+        if (repeat_budget_allows(&r->service->budget, &f->opts.repeats,
+                                 forward_node_count(f), now_us)) {
+            pieces_prepare(f, now_us, r);
+        }
+        return;
+    }
+    if (req_take_repeat(f, now_us, r)) {
+        give_up_silent_call(f, now_us, r);
+    }
+}
+
+void
+response_repeat_prepared(struct forward *f, int64_t now_us, struct request *r)
+{
+    r->preparing = false;
     if (!has_other_endpoint(r, now_us) || crashes_is_blocked(f, r) ||
         !req_take_repeat(f, now_us, r)) {
-        timers_add(&f->timers, now_us + SILENCE_RETRY_US, TIMER_SILENCE, call);
+        pieces_release(f, now_us, r);
         return;
     }
-    f->counters.silent++;
-    endpoint_record_silence(r->endpoint, now_us);
-    f->io.cancel_call(f->io.ctx, call);
-    detach_broken_call(f, now_us, r, "the endpoint is silent");
-    send_repeat(f, now_us, r);
+    give_up_silent_call(f, now_us, r);
 }
 
 /* Returns whether the endpoint of a call may have been silent since the call
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -114,6 +114,8 @@
     int64_t last_activity_us; /* last response head, complete event or, for a
                                  plain response, byte from the endpoint */
     bool results_released;    /* stage results were released */
+    bool preparing;           /* the stages run again beside the silent call,
+                                 for a repeat */
     bool trial;               /* sent although its prompt parts are blocked */
 };
 
@@ -281,6 +283,9 @@
 void response_handle_fetch_timeout(struct forward *f, int64_t now_us,
                                    uint64_t call);
 void response_handle_silence(struct forward *f, int64_t now_us, uint64_t call);
+/** Gives a silent call up for a repeat whose stages have run. */
+void response_repeat_prepared(struct forward *f, int64_t now_us,
+                              struct request *r);
 void response_handle_deadline(struct forward *f, int64_t now_us,
                               struct request *r);
 
@@ -297,6 +302,13 @@
 void pieces_release(struct forward *f, int64_t now_us, struct request *r);
 /** Restarts all stages. @return false if the limit of restarts is reached */
 bool pieces_restart(struct forward *f, int64_t now_us, struct request *r);
+/** Runs all stages again beside the current call, which is silent. When they
+ * are done, response_repeat_prepared is called; if they fail, nothing happens.
+ * @return false if the limit of restarts is reached */
+bool pieces_prepare(struct forward *f, int64_t now_us, struct request *r);
+/** Ends that, and releases the results. */
+void pieces_stop_preparing(struct forward *f, int64_t now_us,
+                           struct request *r);
 /** Returns whether the results were released although the final call needs
  * them again. */
 bool pieces_were_released(const struct request *r);
--- a/src/forward/window.c
+++ b/src/forward/window.c
@@ -64,15 +64,22 @@
 }
 
 bool
-repeat_budget_take(struct repeat_budget *b, const struct repeat_limit *r,
-                   int nodes, int64_t now_us)
+repeat_budget_allows(struct repeat_budget *b, const struct repeat_limit *r,
+                     int nodes, int64_t now_us)
 {
     /* After a restart, the share that an earlier process is sure to have left.
      */
     double used = now_us < b->full_share_from_us ? 1 - USED_SHARE : USED_SHARE;
     double share = used * (r->ratio * window_sum(&b->requests, now_us) +
                            (double)r->slack / nodes);
-    if (window_sum(&b->repeats, now_us) + 1 > share) {
+    return window_sum(&b->repeats, now_us) + 1 <= share;
+}
+
+bool
+repeat_budget_take(struct repeat_budget *b, const struct repeat_limit *r,
+                   int nodes, int64_t now_us)
+{
+    if (!repeat_budget_allows(b, r, nodes, now_us)) {
         return false;
     }
     window_add(&b->repeats, now_us, 1);
--- a/src/forward/window.h
+++ b/src/forward/window.h
@@ -46,6 +46,10 @@
                         int64_t predecessor_until_us);
 void repeat_budget_request(struct repeat_budget *b, int64_t now_us);
 
+/** Returns whether this node's share has one more repeated send left. */
+bool repeat_budget_allows(struct repeat_budget *b,
+                          const struct repeat_limit *r, int nodes,
+                          int64_t now_us);
 /** Takes one repeated send from this node's share.
  * @param nodes number of nodes that share the limit
  * @return false if the share is used up */
--- a/tests/test_forward_silence.c
+++ b/tests/test_forward_silence.c
@@ -103,42 +103,58 @@
     int64_t silent_us; /* 0: their connections break instead */
     int64_t period_us;
     int64_t restart_us; /* interval between restarts of all nodes; 0: none */
+    bool overload; /* the stages have more to do than they can, so requests
+                      may be refused */
 };
 
 static const struct silence streams[] = {
-    {"one engine for 0.8 s", "stream", 20, 1, 800 * MS, 4 * SECOND, 0},
-    {"all engines for 0.8 s", "stream", 20, 18, 800 * MS, 4 * SECOND, 0},
-    {"one engine for 1.3 s", "stream", 20, 1, 1300 * MS, 4 * SECOND, 0},
-    {"all engines for 1.3 s", "stream", 20, 18, 1300 * MS, 4 * SECOND, 0},
-    {"all engines for 1.8 s", "stream", 20, 18, 1800 * MS, 4 * SECOND, 0},
-    {"all engines for 3.2 s", "stream", 20, 18, 3200 * MS, 6 * SECOND, 0},
+    {"one engine for 0.8 s", "stream", 20, 1, 800 * MS, 4 * SECOND, 0, false},
+    {"all engines for 0.8 s", "stream", 20, 18, 800 * MS, 4 * SECOND, 0,
+     false},
+    {"one engine for 1.3 s", "stream", 20, 1, 1300 * MS, 4 * SECOND, 0, false},
+    {"all engines for 1.3 s", "stream", 20, 18, 1300 * MS, 4 * SECOND, 0,
+     false},
+    {"all engines for 1.8 s", "stream", 20, 18, 1800 * MS, 4 * SECOND, 0,
+     false},
+    {"all engines for 3.2 s", "stream", 20, 18, 3200 * MS, 6 * SECOND, 0,
+     false},
     {"half of the engines for 3.2 s", "stream", 40, 9, 3200 * MS, 6 * SECOND,
-     0},
-    {"half of the engines, often", "stream", 40, 9, 1300 * MS, 2 * SECOND, 0},
+     0, false},
+    {"half of the engines, often", "stream", 40, 9, 1300 * MS, 2 * SECOND, 0,
+     false},
 };
 
 static const struct silence staged[] = {
-    {"one engine for 1.3 s", "staged", 20, 1, 1300 * MS, 4 * SECOND, 0},
-    {"all engines for 0.8 s", "staged", 20, 18, 800 * MS, 4 * SECOND, 0},
-    {"all engines for 1.3 s", "staged", 20, 18, 1300 * MS, 4 * SECOND, 0},
-    {"all engines for 1.8 s", "staged", 20, 18, 1800 * MS, 4 * SECOND, 0},
-    {"all engines for 3.2 s", "staged", 20, 18, 3200 * MS, 6 * SECOND, 0},
+    {"one engine for 1.3 s", "staged", 20, 1, 1300 * MS, 4 * SECOND, 0, false},
+    {"all engines for 0.8 s", "staged", 20, 18, 800 * MS, 4 * SECOND, 0,
+     false},
+    {"all engines for 1.3 s", "staged", 20, 18, 1300 * MS, 4 * SECOND, 0,
+     false},
+    {"all engines for 1.8 s", "staged", 20, 18, 1800 * MS, 4 * SECOND, 0,
+     false},
+    {"all engines for 3.2 s", "staged", 20, 18, 3200 * MS, 6 * SECOND, 0,
+     false},
     {"half of the engines for 3.2 s", "staged", 40, 9, 3200 * MS, 6 * SECOND,
-     0},
-    {"half of the engines, often", "staged", 20, 9, 1300 * MS, 2 * SECOND, 0},
+     0, false},
+    {"half of the engines for 3.2 s, overload", "staged", 80, 9, 3200 * MS,
+     6 * SECOND, 0, true},
+    {"half of the engines, often", "staged", 20, 9, 1300 * MS, 2 * SECOND, 0,
+     false},
 };
 
 static const struct silence plain[] = {
-    {"actions, all for 1.3 s", "action", 12, 4, 1300 * MS, 4 * SECOND, 0},
-    {"checks, all for 1.3 s", "check", 12, 4, 1300 * MS, 4 * SECOND, 0},
-    {"checks, all for 1.8 s", "check", 30, 4, 1800 * MS, 4 * SECOND, 0},
-    {"checks, one for 1.8 s", "check", 12, 1, 1800 * MS, 4 * SECOND, 0},
+    {"actions, all for 1.3 s", "action", 12, 4, 1300 * MS, 4 * SECOND, 0,
+     false},
+    {"checks, all for 1.3 s", "check", 12, 4, 1300 * MS, 4 * SECOND, 0, false},
+    {"checks, all for 1.8 s", "check", 30, 4, 1800 * MS, 4 * SECOND, 0, false},
+    {"checks, one for 1.8 s", "check", 12, 1, 1800 * MS, 4 * SECOND, 0, false},
 };
 
 static const struct silence restarts[] = {
-    {"no restart", "stream", 20, 18, 0, 1 * SECOND, 0},
-    {"nodes restart", "stream", 20, 18, 0, 1 * SECOND, 9 * SECOND},
-    {"nodes restart often", "stream", 20, 18, 0, 1 * SECOND, 4 * SECOND},
+    {"no restart", "stream", 20, 18, 0, 1 * SECOND, 0, false},
+    {"nodes restart", "stream", 20, 18, 0, 1 * SECOND, 9 * SECOND, false},
+    {"nodes restart often", "stream", 20, 18, 0, 1 * SECOND, 4 * SECOND,
+     false},
 };
 
 static void
@@ -233,7 +249,10 @@
         ends[forward_world_request(f.w, k)->end]++;
     }
     int excess = forward_world_repeat_excess(f.w, service, &limit);
-    bool ok = excess <= 0 && (!row->silent_us || ends[FW_ANSWERED] == count);
+    bool ok =
+        excess <= 0 &&
+        (!row->silent_us ||
+         ends[FW_ANSWERED] + (row->overload ? ends[FW_REFUSED] : 0) == count);
     g_test_message("%s: %d requests, %d answered, %d refused, %d failed, "
                    "%d cut, %d repeats, %d above the limit, %d given up for "
                    "silence, %d without results%s",
