Test endpoints of a stage that fall silent

No answer is cut and no engine gets repeats above the limit while one or all endpoints of a stage are silent for 1.3 or 1.8 s.

--- a/tests/test_forward_silence.c
+++ b/tests/test_forward_silence.c
@@ -98,62 +98,77 @@
 struct silence {
     const char *title;
     const char *host;
+    const char *silent; /* service of the silent endpoints; NULL: the route's
+                           own */
     int requests_per_s;
     int endpoints;     /* of the route's service that fall silent together */
     int64_t silent_us; /* 0: their connections break instead */
     int64_t period_us;
     int64_t restart_us; /* interval between restarts of all nodes; 0: none */
     bool overload; /* the stages have more to do than they can, so requests
-                      may be refused */
+ may be refused */
 };
 
 static const struct silence streams[] = {
-    {"one engine for 0.8 s", "stream", 20, 1, 800 * MS, 4 * SECOND, 0, false},
-    {"all engines for 0.8 s", "stream", 20, 18, 800 * MS, 4 * SECOND, 0,
+    {"one engine for 0.8 s", "stream", NULL, 20, 1, 800 * MS, 4 * SECOND, 0,
      false},
-    {"one engine for 1.3 s", "stream", 20, 1, 1300 * MS, 4 * SECOND, 0, false},
-    {"all engines for 1.3 s", "stream", 20, 18, 1300 * MS, 4 * SECOND, 0,
+    {"all engines for 0.8 s", "stream", NULL, 20, 18, 800 * MS, 4 * SECOND, 0,
      false},
-    {"all engines for 1.8 s", "stream", 20, 18, 1800 * MS, 4 * SECOND, 0,
+    {"one engine for 1.3 s", "stream", NULL, 20, 1, 1300 * MS, 4 * SECOND, 0,
      false},
-    {"all engines for 3.2 s", "stream", 20, 18, 3200 * MS, 6 * SECOND, 0,
+    {"all engines for 1.3 s", "stream", NULL, 20, 18, 1300 * MS, 4 * SECOND, 0,
      false},
-    {"half of the engines for 3.2 s", "stream", 40, 9, 3200 * MS, 6 * SECOND,
-     0, false},
-    {"half of the engines, often", "stream", 40, 9, 1300 * MS, 2 * SECOND, 0,
+    {"all engines for 1.8 s", "stream", NULL, 20, 18, 1800 * MS, 4 * SECOND, 0,
      false},
+    {"all engines for 3.2 s", "stream", NULL, 20, 18, 3200 * MS, 6 * SECOND, 0,
+     false},
+    {"half of the engines for 3.2 s", "stream", NULL, 40, 9, 3200 * MS,
+     6 * SECOND, 0, false},
+    {"half of the engines, often", "stream", NULL, 40, 9, 1300 * MS,
+     2 * SECOND, 0, false},
 };
 
 static const struct silence staged[] = {
-    {"one engine for 1.3 s", "staged", 20, 1, 1300 * MS, 4 * SECOND, 0, false},
-    {"all engines for 0.8 s", "staged", 20, 18, 800 * MS, 4 * SECOND, 0,
+    {"one engine for 1.3 s", "staged", NULL, 20, 1, 1300 * MS, 4 * SECOND, 0,
      false},
-    {"all engines for 1.3 s", "staged", 20, 18, 1300 * MS, 4 * SECOND, 0,
+    {"all engines for 0.8 s", "staged", NULL, 20, 18, 800 * MS, 4 * SECOND, 0,
      false},
-    {"all engines for 1.8 s", "staged", 20, 18, 1800 * MS, 4 * SECOND, 0,
+    {"all engines for 1.3 s", "staged", NULL, 20, 18, 1300 * MS, 4 * SECOND, 0,
      false},
-    {"all engines for 3.2 s", "staged", 20, 18, 3200 * MS, 6 * SECOND, 0,
+    {"all engines for 1.8 s", "staged", NULL, 20, 18, 1800 * MS, 4 * SECOND, 0,
      false},
-    {"half of the engines for 3.2 s", "staged", 40, 9, 3200 * MS, 6 * SECOND,
-     0, false},
-    {"half of the engines for 3.2 s, overload", "staged", 80, 9, 3200 * MS,
-     6 * SECOND, 0, true},
-    {"half of the engines, often", "staged", 20, 9, 1300 * MS, 2 * SECOND, 0,
+    {"all engines for 3.2 s", "staged", NULL, 20, 18, 3200 * MS, 6 * SECOND, 0,
      false},
+    {"half of the engines for 3.2 s", "staged", NULL, 40, 9, 3200 * MS,
+     6 * SECOND, 0, false},
+    {"half of the engines for 3.2 s, overload", "staged", NULL, 80, 9,
+     3200 * MS, 6 * SECOND, 0, true},
+    {"one stage endpoint for 1.3 s", "staged", "ledger", 20, 1, 1300 * MS,
+     4 * SECOND, 0, false},
+    {"all stage endpoints for 1.3 s", "staged", "ledger", 20, 4, 1300 * MS,
+     4 * SECOND, 0, true},
+    {"all stage endpoints for 1.8 s", "staged", "ledger", 20, 4, 1800 * MS,
+     4 * SECOND, 0, true},
+    {"half of the engines, often", "staged", NULL, 20, 9, 1300 * MS,
+     2 * SECOND, 0, false},
 };
 
 static const struct silence plain[] = {
-    {"actions, all for 1.3 s", "action", 12, 4, 1300 * MS, 4 * SECOND, 0,
+    {"actions, all for 1.3 s", "action", NULL, 12, 4, 1300 * MS, 4 * SECOND, 0,
+     false},
+    {"checks, all for 1.3 s", "check", NULL, 12, 4, 1300 * MS, 4 * SECOND, 0,
+     false},
+    {"checks, all for 1.8 s", "check", NULL, 30, 4, 1800 * MS, 4 * SECOND, 0,
+     false},
+    {"checks, one for 1.8 s", "check", NULL, 12, 1, 1800 * MS, 4 * SECOND, 0,
      false},
-    {"checks, all for 1.3 s", "check", 12, 4, 1300 * MS, 4 * SECOND, 0, false},
-    {"checks, all for 1.8 s", "check", 30, 4, 1800 * MS, 4 * SECOND, 0, false},
-    {"checks, one for 1.8 s", "check", 12, 1, 1800 * MS, 4 * SECOND, 0, false},
 };
 
 static const struct silence restarts[] = {
-    {"no restart", "stream", 20, 18, 0, 1 * SECOND, 0, false},
-    {"nodes restart", "stream", 20, 18, 0, 1 * SECOND, 9 * SECOND, false},
-    {"nodes restart often", "stream", 20, 18, 0, 1 * SECOND, 4 * SECOND,
+    {"no restart", "stream", NULL, 20, 18, 0, 1 * SECOND, 0, false},
+    {"nodes restart", "stream", NULL, 20, 18, 0, 1 * SECOND, 9 * SECOND,
+     false},
+    {"nodes restart often", "stream", NULL, 20, 18, 0, 1 * SECOND, 4 * SECOND,
      false},
 };
 
@@ -243,7 +258,7 @@
     const char *service = service_of(row->host);
     int ends[FW_ABORTED + 1] = {0};
     fleet_init(&f);
-    run_load(&f, row, service);
+    run_load(&f, row, row->silent ? row->silent : service);
     int count = forward_world_request_count(f.w);
     for (int k = 0; k < count; k++) {
         ends[forward_world_request(f.w, k)->end]++;
