--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -13,13 +13,13 @@
 
 /** All strings are owned. Tables and keys of the file are in brackets. */
 struct gateway_settings {
-    struct str name;      /**< [node] name */
-    struct str zone;      /**< [node] zone */
-    uint64_t seed;        /**< [node] seed; 0: taken from the system */
-    bool first_start; /**< [node] first_start: the whole system starts for the
-                         first time, so no earlier process of this node has
-                         used its share of limits */
-    struct str listen;    /**< [callers] address, "IP:PORT" */
+    struct str name;   /**< [node] name */
+    struct str zone;   /**< [node] zone */
+    uint64_t seed;     /**< [node] seed; 0: taken from the system */
+    bool first_start;  /**< [node] first_start: the whole system starts for the
+                          first time, so no earlier process of this node has
+                          used its share of limits */
+    struct str listen; /**< [callers] address, "IP:PORT" */
     int max_connections;  /**< [callers] max_connections */
     int max_header_bytes; /**< [callers] max_header_bytes */
     struct str ready;     /**< [ready] address, "IP:PORT" */
