--- a/tests/platform/rig_platform.c
+++ b/tests/platform/rig_platform.c
@@ -65,14 +65,15 @@
     char *text = g_strdup_printf(
         "{\"version\":%d,\"routes\":["
         "{\"name\":\"action\",\"host\":\"action\",\"prefix\":\"/\",\"kind\":"
-        "\"non_idempotent\",\"timeoutMs\":2000,\"targetLatencyMs\":100,"
+        "\"non_idempotent\",\"timeoutMs\":%d,\"targetLatencyMs\":100,"
         "\"service\":\"desk\",\"maxAttempts\":1},"
         "{\"name\":\"check\",\"host\":\"check\",\"prefix\":\"/\",\"kind\":"
-        "\"idempotent\",\"timeoutMs\":2000,\"targetLatencyMs\":100,"
+        "\"idempotent\",\"timeoutMs\":%d,\"targetLatencyMs\":100,"
         "\"service\":\"desk\",\"maxAttempts\":2},"
         "{\"name\":\"stream\",\"host\":\"stream\",\"prefix\":\"/\",\"kind\":"
         "\"streaming\",\"resumable\":true,\"timeoutMs\":5000,"
-        "\"targetLatencyMs\":1000,\"service\":\"pool\",\"maxAttempts\":2,"
+        "\"gapAimMs\":400,\"targetLatencyMs\":1000,\"service\":\"pool\","
+        "\"maxAttempts\":2,"
         "\"stages\":[{\"service\":\"ledger\",\"after\":[],\"bytes\":8000},"
         "{\"service\":\"ledger\",\"after\":[0],\"bytes\":60000}]}],"
         "\"services\":[{\"name\":\"desk\"},{\"name\":\"pool\",\"engine\":{"
@@ -81,7 +82,7 @@
         "\"roomMb\":36,\"handleS\":4}}],\"limits\":{\"headerBytes\":16384,"
         "\"bodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":"
         "15000},\"tenants\":[{\"name\":\"team\",\"apiKeys\":[%s]}]}",
-        ++r->version, keys);
+        ++r->version, r->plain_timeout_ms, r->plain_timeout_ms, keys);
     put(r, "op/config", text);
     g_free(text);
 }
@@ -165,6 +166,7 @@
 {
     memset(r, 0, sizeof(*r));
     r->repeat_slack = 10;
+    r->plain_timeout_ms = 2000;
     g_mutex_init(&r->lock);
     r->actions = g_ptr_array_new_with_free_func(g_free);
     snprintf(r->dir, sizeof(r->dir), "/tmp/cf-platform-XXXXXX");
--- a/tests/platform/rig_platform.h
+++ b/tests/platform/rig_platform.h
@@ -37,7 +37,9 @@
     int link_port[PR_NODES];
     int store_port; /**< that nodes use; may be the port of a proxy */
     int version;
-    int repeat_slack; /**< setting of the nodes; set before they start */
+    int repeat_slack;     /**< setting of the nodes; set before they start */
+    int plain_timeout_ms; /**< of the routes of the plain service, for
+                               configurations written later */
     GMutex lock;
     GPtrArray *actions; /**< struct rig_action, all action requests */
 };
