--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -175,6 +175,8 @@
  * its connections stay open, and what arrives meanwhile is read afterwards. */
 void forward_world_pause_endpoint(struct forward_world *w, int endpoint,
                                   int64_t duration_us);
+/** An endpoint loses all stage results that it holds. */
+void forward_world_lose_results(struct forward_world *w, int endpoint);
 /** Number of calls beyond the first of their request that reached a service's
  * endpoints from @p from_us to before @p to_us, also those that an endpoint
  * rejected. */
--- a/bench/forward_world_pause.c
+++ b/bench/forward_world_pause.c
@@ -77,6 +77,15 @@
     forward_world_start_calls(w, s);
 }
 
+void
+forward_world_lose_results(struct forward_world *w, int endpoint)
+{
+    struct sim_endpoint *s = &w->sim_endpoints[endpoint];
+    g_hash_table_remove_all(s->results);
+    s->used_bytes = 0;
+    s->spec->held = 0;
+}
+
 /* Marks the arrivals at a service that are not the first of their request. */
 static GArray *
 find_repeats(const struct forward_world *w, const char *service)
