Count a repeat when it is sent, not when it is granted

A repeat was counted in the shared limit when it was granted. Where the stages had to run again first, it was sent a second or more later, so that repeats granted in two windows arrived in one. A granted repeat now counts from the time of its send, and is given back if its request ends before.

--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -103,6 +103,10 @@
     int64_t now_us = r->last_activity_us;
     req_cancel_call(f, r);
     remove_waiting(r);
+    if (r->repeat_taken_us) {
+        repeat_budget_give_back(&r->service->budget, now_us,
+                                r->repeat_taken_us);
+    }
     pieces_release(f, now_us, r);
     map_remove(&f->requests, r->id);
     for (int i = 0; i < r->route->stage_count; i++) {
@@ -239,6 +243,10 @@
     r->head_accepted = false;
     r->call_paused = false;
     r->sends++;
+    if (r->repeat_taken_us) {
+        repeat_budget_move(&r->service->budget, now_us, r->repeat_taken_us);
+        r->repeat_taken_us = 0;
+    }
     if (r->tried_count < PLACE_MAX_TRIED) {
         r->tried[r->tried_count++] = e->hash;
     }
@@ -413,6 +421,7 @@
         return deny_repeat(f, now_us, r, "the shared limit is reached");
     }
     f->counters.repeats++;
+    r->repeat_taken_us = now_us;
     return true;
 }
 
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -92,7 +92,9 @@
     struct endpoint *planned_engine; /* engine of the final call */
     struct stage stages[ROUTING_MAX_STAGES];
     int stage_restarts;
-    int sends; /* sends that reached an endpoint */
+    int sends;               /* sends that reached an endpoint */
+    int64_t repeat_taken_us; /* when a send that is not made yet was taken from
+                                the shared limit; 0: none */
     int unsent;
     bool may_have_run;
     uint64_t call; /* 0: none */
--- a/src/forward/window.c
+++ b/src/forward/window.c
@@ -40,6 +40,17 @@
     w->total += n;
 }
 
+void
+window_remove(struct window *w, int64_t now_us, int64_t added_us, int n)
+{
+    int64_t slot = added_us / w->slot_us;
+    window_advance(w, now_us);
+    if (w->newest - slot < WINDOW_SLOTS) {
+        w->counts[slot % WINDOW_SLOTS] -= n;
+        w->total -= n;
+    }
+}
+
 int
 window_sum(struct window *w, int64_t now_us)
 {
@@ -85,3 +96,17 @@
     window_add(&b->repeats, now_us, 1);
     return true;
 }
+
+void
+repeat_budget_give_back(struct repeat_budget *b, int64_t now_us,
+                        int64_t taken_us)
+{
+    window_remove(&b->repeats, now_us, taken_us, 1);
+}
+
+void
+repeat_budget_move(struct repeat_budget *b, int64_t now_us, int64_t taken_us)
+{
+    window_remove(&b->repeats, now_us, taken_us, 1);
+    window_add(&b->repeats, now_us, 1);
+}
--- a/src/forward/window.h
+++ b/src/forward/window.h
@@ -21,6 +21,8 @@
 
 void window_init(struct window *w, int64_t length_us);
 void window_add(struct window *w, int64_t now_us, int n);
+/** Removes what was added at @p added_us, unless it has left the window. */
+void window_remove(struct window *w, int64_t now_us, int64_t added_us, int n);
 /** Returns the sum over the window that ends now; the oldest slot counts in
  * full. */
 int window_sum(struct window *w, int64_t now_us);
@@ -55,5 +57,12 @@
  * @return false if the share is used up */
 bool repeat_budget_take(struct repeat_budget *b, const struct repeat_limit *r,
                         int nodes, int64_t now_us);
+/** Gives back a repeated send that was taken and is not made. */
+void repeat_budget_give_back(struct repeat_budget *b, int64_t now_us,
+                             int64_t taken_us);
+/** Counts a repeated send from now on, since it is made later than it was
+ * taken. */
+void repeat_budget_move(struct repeat_budget *b, int64_t now_us,
+                        int64_t taken_us);
 
 #endif
