Do not use up restarts for stages that run beside a silent call

Stages that ran again beside a silent call and were not needed, because the engine went on, counted as restarts. After two of them a connection that broke ended the request with a cut answer, although the limit granted the repeat. Only stages that lead to a send count now.

A byte that is no whole event no longer ends such a run either, as it is no progress of the stream, and a 409 meanwhile waits for the run instead of starting it once more.

test_forward_repeats /forward-repeats/break-after-silences, a connection that breaks after 0 to 3 silences: cut after 2 before, answered with one repeat in all rows now.

--- a/src/forward/pieces.c
+++ b/src/forward/pieces.c
@@ -475,6 +475,7 @@
 pieces_stop_preparing(struct forward *f, int64_t now_us, struct request *r)
 {
     r->preparing = false;
+    r->stage_restarts--;
     pieces_release(f, now_us, r);
 }
 
--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -141,6 +141,18 @@
     req_refuse(f, now_us, r, ERRKIND_NO_ENDPOINT, why, 200);
 }
 
+/* Runs the stages of a request without a call again, unless they are running
+ * again already. @return false if the limit of restarts is reached */
+static bool
+rerun_stages(struct forward *f, int64_t now_us, struct request *r)
+{
+    if (r->preparing) {
+        req_send_or_wait(f, now_us, r);
+        return true;
+    }
+    return pieces_restart(f, now_us, r);
+}
+
 static void
 handle_not_executed(struct forward *f, int64_t now_us, struct request *r,
                     int status, const struct response_meta *meta)
@@ -163,7 +175,7 @@
                   LOG_INT("ms", (now_us - r->sent_us) / MS));
         req_detach_call(f, r);
         r->sends--;
-        if (!req_take_resend(f, now_us, r) || !pieces_restart(f, now_us, r)) {
+        if (!req_take_resend(f, now_us, r) || !rerun_stages(f, now_us, r)) {
             req_refuse(f, now_us, r, ERRKIND_NO_ENDPOINT,
                        "results of stages were lost", 200);
         }
@@ -174,11 +186,11 @@
                         "the endpoint rejected the request");
 }
 
-/* The endpoint of the current call has sent something. */
+/* Records progress of the current call's response. */
 static void
-record_sign_of_life(struct forward *f, int64_t now_us, struct request *r)
+record_progress(struct forward *f, int64_t now_us, struct request *r)
 {
-    endpoint_record_heard(r->endpoint, now_us);
+    r->last_activity_us = now_us;
     if (r->preparing) {
         pieces_stop_preparing(f, now_us, r);
     }
@@ -199,8 +211,7 @@
         return;
     }
     struct endpoint *e = r->endpoint;
-    r->last_activity_us = now_us;
-    record_sign_of_life(f, now_us, r);
+    endpoint_record_heard(e, now_us);
     if (meta->running >= 0) {
         e->reported_running = meta->running;
         e->reported_waiting = meta->waiting;
@@ -215,6 +226,7 @@
         handle_not_executed(f, now_us, r, status, meta);
         return;
     }
+    record_progress(f, now_us, r);
     const char *why = NULL;
     if (!meta->same_request) {
         f->counters.crossed++;
@@ -373,7 +385,7 @@
     if (!r || !r->head_accepted) {
         return;
     }
-    record_sign_of_life(f, now_us, r);
+    endpoint_record_heard(r->endpoint, now_us);
     buf_append_str(&r->response, bytes);
     if (is_relayed_stream(r) && !relay_events(f, r)) {
         if (exceeds_buffer_limit(f, r)) {
@@ -381,7 +393,7 @@
         }
         return;
     }
-    r->last_activity_us = now_us;
+    record_progress(f, now_us, r);
     if (r->state == REQ_SENT) {
         handle_response_start(f, now_us, r);
     }
@@ -527,12 +539,12 @@
 void
 response_repeat_prepared(struct forward *f, int64_t now_us, struct request *r)
 {
-    r->preparing = false;
     if (!has_other_endpoint(r, now_us) || crashes_is_blocked(f, r) ||
         !req_take_repeat(f, now_us, r)) {
-        pieces_release(f, now_us, r);
+        pieces_stop_preparing(f, now_us, r);
         return;
     }
+    r->preparing = false;
     give_up_silent_call(f, now_us, r);
 }
 
