Check the caller's own time limit before a repeat is granted

A repeat was granted up to the deadline, but is sent only until the caller leaves, which is sooner before the response has started. A silent call of such a request was given up and failed with 502; now it stays.

test_forward_repeats /forward-repeats/too-late (the caller leaves after 2 s, the engine is silent for 2.6 s): failed before, answered now.

--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -434,7 +434,7 @@
     if (r->sends >= r->route->max_attempts) {
         return deny_repeat(f, now_us, r, "no attempt is left");
     }
-    if (now_us + SEND_MIN_US > r->deadline_us) {
+    if (now_us + SEND_MIN_US > req_caller_leaves_us(r)) {
         return deny_repeat(f, now_us, r, "no time is left");
     }
     return req_take_resend(f, now_us, r);
