Do not request a postponed stage before its inputs are ready

After a restart of the stages, the timer of a stage that had been postponed before could request it while the stages that it reads were running again, with inputs that do not exist.

--- a/src/forward/pieces.c
+++ b/src/forward/pieces.c
@@ -341,7 +341,8 @@
     for (int i = 0; i < r->route->stage_count; i++) {
         const struct stage *st = &r->stages[i];
         if (!is_running_stages(r) || !st->postponed_until_us ||
-            now_us < st->postponed_until_us || stage_done(r, i)) {
+            now_us < st->postponed_until_us || stage_done(r, i) ||
+            !inputs_ready(r, i)) {
             continue;
         }
         while (request_pieces(f, now_us, r, i)) {
