Keep one silence timer for a call

The first event of a stream started a second timer beside the one of the send. Both looked at a silent call again and again, so each denied repeat was logged and counted twice. Found in a review; cf_forward_repeats_denied_total and the repeat_denied lines were too high.

--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -58,13 +58,19 @@
     return limit_us;
 }
 
+/* Replaces the timer of an earlier check. */
+static void
+check_silence_at(struct forward *f, int64_t at_us, struct request *r)
+{
+    r->silence_check_us = at_us;
+    timers_add(&f->timers, at_us, TIMER_SILENCE, r->call);
+}
+
 void
-response_watch_silence(struct forward *f, int64_t now_us,
-                       const struct request *r)
+response_watch_silence(struct forward *f, int64_t now_us, struct request *r)
 {
     if (req_is_repeatable(r)) {
-        timers_add(&f->timers, now_us + silence_limit_us(r), TIMER_SILENCE,
-                   r->call);
+        check_silence_at(f, now_us + silence_limit_us(r), r);
     }
 }
 
@@ -504,20 +510,21 @@
 response_handle_silence(struct forward *f, int64_t now_us, uint64_t call)
 {
     struct request *r = map_get(&f->calls, call);
-    if (!r || (!req_is_stream(r) && r->state == REQ_RESPONDING)) {
+    if (!r || now_us < r->silence_check_us ||
+        (!req_is_stream(r) && r->state == REQ_RESPONDING)) {
         return;
     }
     int64_t limit_us = silence_limit_us(r);
     int64_t due_us =
         (r->call_paused ? now_us : r->last_activity_us) + limit_us;
     if (now_us < due_us) {
-        timers_add(&f->timers, due_us, TIMER_SILENCE, call);
+        check_silence_at(f, due_us, r);
         return;
     }
     if (r->sends >= r->route->max_attempts) {
         return;
     }
-    timers_add(&f->timers, now_us + SILENCE_RETRY_US, TIMER_SILENCE, call);
+    check_silence_at(f, now_us + SILENCE_RETRY_US, r);
     /* The endpoint may be sound and go on, so its answer is given up only for
      * a repeat that can be sent. */
     if (!has_other_endpoint(r, now_us) || crashes_is_blocked(f, r) ||
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -115,6 +115,7 @@
     int64_t last_event_id; /* last complete one sent; -1: none */
     int64_t last_activity_us; /* last response head, complete event or, for a
                                  plain response, byte from the endpoint */
+    int64_t silence_check_us; /* next look at whether the call is silent */
     bool results_released;    /* stage results were released */
     bool preparing;           /* the stages run again beside the silent call,
                                  for a repeat */
@@ -275,7 +276,7 @@
 /* response.c */
 /** Starts the limit on the time without a response of the current call. */
 void response_watch_silence(struct forward *f, int64_t now_us,
-                            const struct request *r);
+                            struct request *r);
 /** Starts to watch whether the endpoint of the current call has fetched the
  * results of the stages. */
 void response_watch_fetch(struct forward *f, int64_t now_us,
