Do not take an engine for silent whose stream is paused

A stream that is not read because its caller is slow counted as one that the engine does not send, so the engine was avoided and left out of repeats.

--- a/src/forward/endpoints.h
+++ b/src/forward/endpoints.h
@@ -35,7 +35,8 @@
     int64_t cold_next_send_us;  /**< earliest next send while cold */
     int in_flight;              /**< requests sent and not yet ended */
     int calls_in_flight;        /**< stage calls in flight */
-    int streams;      /**< requests in flight whose first event has come */
+    int streams; /**< requests in flight whose first event has come and that
+                    are being read */
     int64_t heard_us; /**< when a part of a response to a request last came */
     int64_t silent_until_us; /**< a call was given up since the endpoint was
                                 silent; counts until then, or until it is
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -60,7 +60,7 @@
     }
     map_remove(&f->calls, r->call);
     r->call = 0;
-    if (r->state == REQ_RESPONDING && req_is_stream(r)) {
+    if (r->state == REQ_RESPONDING && req_is_stream(r) && !r->call_paused) {
         r->endpoint->streams--;
     }
     r->endpoint->in_flight--;
--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -313,6 +313,7 @@
                                      str_from_bytes(r->response.ptr, whole));
     if (backlog > CALLER_BACKLOG_BYTES && !r->call_paused) {
         r->call_paused = true;
+        r->endpoint->streams--;
         f->io.pause_call(f->io.ctx, r->call, r->id);
     }
     r->last_event_id = id;
@@ -328,9 +329,11 @@
 forward_caller_caught_up(struct forward *f, int64_t now_us, uint64_t call)
 {
     struct request *r = map_get(&f->calls, call);
-    if (r) {
+    if (r && r->call_paused) {
         r->call_paused = false;
         r->last_activity_us = now_us;
+        r->endpoint->streams++;
+        endpoint_record_heard(r->endpoint, now_us);
     }
 }
 
