Do not take a stage endpoint whose call timed out for a crashed one

A stage call that timed out, after 0.6 s for a quick stage, counted like a refused connection: the endpoint was ejected at once and taken for cold, and after four such calls the request was refused, although the endpoint was silent and went on. A time-out is a failure of its own now (CALL_END_TIMED_OUT), ejects like other failures after several, and uses up no send of the piece; the request's own time limits it.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -154,12 +154,10 @@
     }
     struct sim_endpoint *s = forward_world_find_endpoint(w, call->address);
     int64_t limit = w->now_us + call->timeout_ms * MS;
-    if (s->spec->silent) {
-        struct sim_event *ev =
-            forward_world_schedule(w, limit, SIM_PIECES_END, n->index);
-        ev->call = call->id;
-        ev->end = CALL_END_BROKEN;
-    }
+    struct sim_event *ev =
+        forward_world_schedule(w, limit, SIM_PIECES_END, n->index);
+    ev->call = call->id;
+    ev->end = CALL_END_TIMED_OUT;
     forward_world_receive_call(w, s, job);
 }
 
--- a/src/daemon/gateway_traffic.c
+++ b/src/daemon/gateway_traffic.c
@@ -391,8 +391,9 @@
         return CALL_END_UNSENT;
     case RELAY_INVALID_RESPONSE:
         return CALL_END_MALFORMED;
-    case RELAY_INCOMPLETE:
     case RELAY_TIMEOUT:
+        return CALL_END_TIMED_OUT;
+    case RELAY_INCOMPLETE:
         break;
     }
     return CALL_END_BROKEN;
--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -459,6 +459,7 @@
                             "no connection to the endpoint");
         return;
     case CALL_END_BROKEN:
+    case CALL_END_TIMED_OUT:
         endpoint_record_failure(e, now_us, false);
         if (now_us < r->deadline_us &&
             (!r->head_accepted || req_is_stream(r))) {
--- a/src/forward/stage_ends.c
+++ b/src/forward/stage_ends.c
@@ -100,9 +100,11 @@
         pe->last_rejection_us = now_us;
     }
     else {
-        endpoint_record_failure(pe->endpoint, now_us,
-                                end != CALL_END_COMPLETE ||
-                                    meta->other_instance);
+        /* An endpoint whose call timed out may be silent and go on. */
+        endpoint_record_failure(
+            pe->endpoint, now_us,
+            (end != CALL_END_COMPLETE && end != CALL_END_TIMED_OUT) ||
+                meta->other_instance);
     }
     for (int i = 0; i < c->count; i++) {
         struct job *j = stage_pool_find_job(p, c->items[i].node,
@@ -113,7 +115,7 @@
         struct piece *piece = &j->pieces[c->items[i].piece];
         piece->calls--;
         pe->used_bytes -= j->result_bytes;
-        if (rejected || end == CALL_END_UNSENT) {
+        if (rejected || end == CALL_END_UNSENT || end == CALL_END_TIMED_OUT) {
             piece->send_count--;
         }
         retry_piece(p, now_us, j, piece, PIECE_ERROR);
--- a/src/forward/types.h
+++ b/src/forward/types.h
@@ -125,6 +125,8 @@
     CALL_END_COMPLETE,  /**< the complete response was received */
     CALL_END_UNSENT,    /**< nothing was sent */
     CALL_END_BROKEN,    /**< sent, but no complete response was received */
+    CALL_END_TIMED_OUT, /**< as CALL_END_BROKEN, since the call's time is over
+                         */
     CALL_END_MALFORMED, /**< sent, and the response is malformed */
 };
 
