Move the registration of a node out of feed.c

The registration with its lease moves into feed_register.c unchanged; feed_next_wakeup_us asks it for its next call. No change of behaviour.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -56,8 +56,6 @@
  * interval while its calls fail and those for the operator's records do not.
  */
 #define NODES_PROBE_INTERVAL_US (2 * SECOND)
-/* A slow store takes some hundred ms per response. */
-#define CALL_SLACK_MS 1500
 #define LIST_TIMEOUT_MS 2000
 /* Records that expired during an outage are written again within two seconds
  * of the store's return. Until then removed records stay in effect. */
@@ -65,11 +63,6 @@
 /* Records expire after three missed heartbeats of a second or more each, so an
  * outage shorter than this removes no record of a live endpoint. */
 #define MIN_OUTAGE_US (2000 * MS)
-/* The registration of a dead node ends after this time. A registration
- * survives the loss of two renewals. */
-#define LEASE_TTL_MS 10000
-#define LEASE_RENEW_INTERVAL_US (3300 * MS)
-#define LEASE_RETRY_INTERVAL_US (500 * MS)
 /* Limits that nodes share shrink at once when a node joins, but grow only when
  * a node has been missing for this long: it may still send requests. */
 #define NODE_MISSING_US (10 * SECOND)
@@ -467,116 +460,12 @@
     return true;
 }
 
-/* The registration of this node */
-
-static void
-handle_lease_result(struct feed *f, int64_t now_us, const struct kv_result *r)
-{
-    f->lease_op_id = 0;
-    f->next_lease_call_us = now_us + LEASE_RENEW_INTERVAL_US;
-    if (r->outcome == KV_LEASE_EXPIRED) {
-        LOG_EVENT(LOG_WARN, "registration_lapsed", LOG_INT("lease", f->lease));
-        f->lease_state = f->leaving ? LEASE_ENDED : LEASE_NONE;
-        f->next_lease_call_us = now_us;
-        return;
-    }
-    if (r->outcome != KV_OK) {
-        if (f->lease_state == LEASE_REQUESTED) {
-            f->lease_state = LEASE_NONE;
-        }
-        f->next_lease_call_us = now_us + LEASE_RETRY_INTERVAL_US;
-        return;
-    }
-    switch (f->lease_state) {
-    case LEASE_REQUESTED:
-        f->lease = r->lease;
-        f->lease_state = LEASE_GRANTED;
-        f->next_lease_call_us = now_us;
-        break;
-    case LEASE_GRANTED:
-        f->lease_state = LEASE_REGISTERED;
-        break;
-    case LEASE_REGISTERED:
-        if (f->leaving) {
-            f->lease_state = LEASE_ENDED;
-        }
-        break;
-    case LEASE_NONE:
-    case LEASE_ENDED:
-        break;
-    }
-}
-
-static bool
-all_listed(const struct feed *f)
-{
-    bool listed = true;
-    for (int i = 0; i < FEED_RANGE_COUNT; i++) {
-        listed &= f->range_watches[i].listed_once;
-    }
-    return listed;
-}
-
-static bool
-next_lease_op(struct feed *f, int64_t now_us, struct kv_op *out)
-{
-    if (f->lease_op_id || now_us < f->next_lease_call_us) {
-        return false;
-    }
-    switch (f->lease_state) {
-    case LEASE_NONE:
-        if (f->leaving) {
-            f->lease_state = LEASE_ENDED;
-            return false;
-        }
-        out->kind = KV_LEASE_GRANT;
-        out->ttl_ms = LEASE_TTL_MS;
-        f->lease_state = LEASE_REQUESTED;
-        break;
-    case LEASE_GRANTED:
-        /* Other nodes send queries to a registered node, so this node must
-         * know the cluster view first. */
-        if (!all_listed(f)) {
-            return false;
-        }
-        out->kind = KV_PUT;
-        out->key = buf_str(&f->node_key);
-        out->value = f->registered;
-        out->lease = f->lease;
-        break;
-    case LEASE_REGISTERED:
-        out->kind = f->leaving ? KV_LEASE_REVOKE : KV_LEASE_RENEW;
-        out->lease = f->lease;
-        break;
-    case LEASE_REQUESTED:
-    case LEASE_ENDED:
-        return false;
-    }
-    out->timeout_ms = CALL_SLACK_MS;
-    f->lease_op_id = out->id = ++f->next_id;
-    return true;
-}
-
-void
-feed_start_deregistration(struct feed *f, int64_t now_us)
-{
-    f->leaving = true;
-    f->next_lease_call_us = now_us;
-}
-
-bool
-feed_is_deregistered(const struct feed *f)
-{
-    return f->lease_state == LEASE_ENDED ||
-           (f->leaving && f->lease_state == LEASE_NONE);
-}
-
 bool
 feed_next_op(struct feed *f, int64_t now_us, struct kv_op *out)
 {
     *out = (struct kv_op){0};
     feed_answer_expired_queries(f, now_us);
-    if (next_lease_op(f, now_us, out)) {
+    if (feed_next_lease_op(f, now_us, out)) {
         return true;
     }
     for (int i = 0; i < FEED_RANGE_COUNT; i++) {
@@ -604,7 +493,7 @@
 feed_handle_result(struct feed *f, int64_t now_us, const struct kv_result *r)
 {
     if (r->id == f->lease_op_id) {
-        handle_lease_result(f, now_us, r);
+        feed_handle_lease_result(f, now_us, r);
         return;
     }
     for (int i = 0; i < FEED_RANGE_COUNT; i++) {
@@ -637,11 +526,8 @@
         }
         at = due < at ? due : at;
     }
-    if (!f->lease_op_id && f->lease_state != LEASE_ENDED &&
-        (f->lease_state != LEASE_GRANTED || all_listed(f)) &&
-        f->next_lease_call_us < at) {
-        at = f->next_lease_call_us;
-    }
+    int64_t lease_call_us = feed_lease_call_due_us(f);
+    at = lease_call_us < at ? lease_call_us : at;
     if (f->removed_hold_end_us && f->removed_hold_end_us < at) {
         at = f->removed_hold_end_us;
     }
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -1,6 +1,7 @@
 /**
  * @file feed_state.h
- * State of the feed, private to feed.c, feed_records.c and feed_share.c.
+ * State of the feed, private to feed.c, feed_records.c, feed_register.c and
+ * feed_share.c.
  */
 #ifndef CONTROL_FEED_STATE_H
 #define CONTROL_FEED_STATE_H
@@ -20,6 +21,8 @@
  * directly, which is simpler and costs the store little. */
 #define MAX_DIRECT_NODES 8
 #define MIN_WATCHERS 3
+/* A slow store takes some hundred ms per response. */
+#define CALL_SLACK_MS 1500
 
 enum lease_state {
     LEASE_NONE,
@@ -153,6 +156,17 @@
 /** Frees a struct endpoint_entry. */
 void feed_record_free(gpointer p);
 
+/* feed_register.c: the registration of this node */
+/** Handles the result of the operation lease_op_id. */
+void feed_handle_lease_result(struct feed *f, int64_t now_us,
+                              const struct kv_result *r);
+/** The next operation of the registration. @return false if there is none now
+ */
+bool feed_next_lease_op(struct feed *f, int64_t now_us, struct kv_op *out);
+/** When feed_next_lease_op may return an operation; INT64_MAX: after a result
+ */
+int64_t feed_lease_call_due_us(const struct feed *f);
+
 /* feed_share.c */
 /** Caches a change for queries of other nodes. */
 void feed_cache_change(struct range_watch *rw, const struct kv_item *item);
