Log the era of the store and configurations that are dropped for their revision

The store names its era in the header Store-Era of all responses; the adapter reads it into kv_result, errors included, and the feed logs a new era (store_era) and the era of each list. A configuration that is dropped because its revision is not above the known one is logged with both revisions (configuration_revision_ignored), unless a list repeats the known version.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -240,7 +240,7 @@
         rw->next_call_us = now_us + AFTER_LIST_INTERVAL_US;
     }
     LOG_EVENT(LOG_INFO, "store_listed", LOG_STR("prefix", rw->prefix),
-              LOG_INT("revision", rw->revision),
+              LOG_INT("revision", rw->revision), LOG_INT("era", f->era),
               LOG_INT("endpoints", g_hash_table_size(f->records)),
               LOG_INT("nodes", g_hash_table_size(f->nodes)));
 }
@@ -489,9 +489,21 @@
                   : rw->call_sent_us;
 }
 
+static void
+note_era(struct feed *f, const struct kv_result *r)
+{
+    if (r->era > f->era) {
+        LOG_EVENT(LOG_WARN, "store_era", LOG_INT("era", r->era),
+                  LOG_INT("before", f->era), LOG_INT("revision", r->revision),
+                  LOG_INT("http_status", r->http_status));
+        f->era = r->era;
+    }
+}
+
 void
 feed_handle_result(struct feed *f, int64_t now_us, const struct kv_result *r)
 {
+    note_era(f, r);
     if (r->id == f->lease_op_id) {
         feed_handle_lease_result(f, now_us, r);
         return;
--- a/src/control/feed_records.c
+++ b/src/control/feed_records.c
@@ -22,15 +22,24 @@
 set_routing(struct feed *f, const struct kv_item *item)
 {
     struct routing *r = NULL;
-    if (item->revision <= f->routing_revision) {
-        return;
-    }
     if (f->codec->routing(item->value, &r) != ST_OK) {
         LOG_EVENT(LOG_ERROR, "configuration_unreadable",
                   LOG_INT("revision", item->revision),
                   LOG_CSTR("error", err_last()));
         return;
     }
+    if (item->revision <= f->routing_revision) {
+        /* A list repeats the known configuration. */
+        if (!f->routing || routing_version(r) != routing_version(f->routing)) {
+            LOG_EVENT(LOG_WARN, "configuration_revision_ignored",
+                      LOG_INT("version", routing_version(r)),
+                      LOG_INT("revision", item->revision),
+                      LOG_INT("known", f->routing_revision),
+                      LOG_INT("era", f->era));
+        }
+        routing_unref(r);
+        return;
+    }
     f->routing_revision = item->revision;
     if (f->routing && routing_version(r) < routing_version(f->routing)) {
         LOG_EVENT(LOG_WARN, "configuration_older_ignored",
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -116,6 +116,7 @@
                               records to expire */
     GHashTable *suspected_until; /* hash of node -> int64_t, time in us */
     GQueue due_replies;          /* struct due_reply */
+    int64_t era;                 /* newest era of the store; 0: unknown */
     int64_t removed_hold_end_us; /* removed records stay in effect until then;
                                     0: they are dropped at once */
     uint64_t next_id;
--- a/src/store/kv.h
+++ b/src/store/kv.h
@@ -61,7 +61,8 @@
 struct kv_result {
     uint64_t id;
     enum kv_outcome outcome;
-    int http_status;  /**< 0: no response */
+    int http_status; /**< 0: no response */
+    int64_t era; /**< of the store that responded, see feed.h; 0: unknown */
     int64_t revision; /**< current revision of the store; PUT: of the write */
     int64_t lease;
     int64_t ttl_ms;
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -239,6 +239,28 @@
     }
 }
 
+/* Guards against a restored store that is taken for the same one, because its
+ * era was not found or was misread. */
+static void
+test_store_era(void)
+{
+    static const struct {
+        const char *headers;
+        int64_t era;
+    } rows[] = {{"Store-Era: 3\n", 3},
+                {"Content-Type: application/json\nstore-era: 12\n", 12},
+                {"Store-Era: 0\n", 0},
+                {"Store-Era: -4\n", 0},
+                {"Store-Era: 3x\n", 0},
+                {"Store-Era: 99999999999999999999\n", 0},
+                {"Content-Length: 3\n", 0}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct http_header headers[MAX_HEADERS];
+        int n = parse_headers(rows[i].headers, headers);
+        g_assert_cmpint(platform_read_store_era(headers, n), ==, rows[i].era);
+    }
+}
+
 static void
 test_pieces(void)
 {
@@ -411,6 +433,7 @@
     g_test_add_func("/platform/read-answer", test_read_answer);
     g_test_add_func("/platform/framed", test_framed);
     g_test_add_func("/platform/retry-after", test_retry_after);
+    g_test_add_func("/platform/store-era", test_store_era);
     g_test_add_func("/platform/room", test_room);
     g_test_add_func("/platform/pieces", test_pieces);
     g_test_add_func("/platform/routing", test_routing);
