--- a/tests/platform/fake_platform.c
+++ b/tests/platform/fake_platform.c
@@ -1,7 +1,10 @@
 /* Stand-in for the platform's store: items with revisions, long-polling
  * watches and leases. PUT /control/item?key=K stores a body as the operator
  * would, DELETE removes the item. POST /control {"mode":"ok|busy|silent"}
- * makes the store reject calls (busy) or not respond (silent). */
+ * makes the store reject calls (busy) or not respond (silent).
+ * POST /control {"copy":true} copies the data, and {"restore":true} returns to
+ * that copy: what was written since is lost, leases too, revisions are given
+ * out again and the era in the header of all responses rises by one. */
 #include <glib.h>
 #include <inttypes.h>
 #include <stdio.h>
@@ -48,7 +51,13 @@
     int64_t next_lease;
     enum { OK, BUSY, SILENT } mode;
     int64_t calls;
-} st = {.revision = 1};
+    int64_t era;
+    struct {
+        GHashTable *items;
+        int64_t revision;
+        int64_t next_lease;
+    } copy;
+} st = {.revision = 1, .era = 1};
 
 static void
 item_free(gpointer p)
@@ -59,6 +68,15 @@
     g_free(i);
 }
 
+static void
+reply(struct fh_req *r, int status, json_t *body)
+{
+    char *era = g_strdup_printf("%" PRId64, st.era);
+    fh_add_header(r, "Store-Era", era);
+    fh_reply_json(r, status, body);
+    g_free(era);
+}
+
 static json_t *
 events_after(const char *prefix, int64_t after)
 {
@@ -89,9 +107,9 @@
         struct fh_req *r = w->req;
         w->req = NULL;
         r->user = NULL;
-        fh_reply_json(r, 200,
-                      json_pack("{s:o,s:I}", "events", events, "currentRev",
-                                (json_int_t)st.revision));
+        reply(r, 200,
+              json_pack("{s:o,s:I}", "events", events, "currentRev",
+                        (json_int_t)st.revision));
     }
     if (w->timer) {
         fh_cancel_timer(st.h, w->timer);
@@ -196,6 +214,12 @@
     w->prefix = g_strdup(prefix ? prefix : "");
     w->after = after ? g_ascii_strtoll(after, NULL, 10) : 0;
     g_ptr_array_add(st.watchers, w);
+    if (w->after > st.revision) {
+        w->req = NULL;
+        complete_watch(w);
+        reply(r, 410, json_object());
+        return;
+    }
     json_t *events = events_after(w->prefix, w->after);
     bool has_events = json_array_size(events) > 0;
     json_decref(events);
@@ -227,9 +251,9 @@
                                             (json_int_t)i->revision));
         }
     }
-    fh_reply_json(r, 200,
-                  json_pack("{s:o,s:b,s:I}", "items", list, "morePages", 0,
-                            "currentRev", (json_int_t)st.revision));
+    reply(r, 200,
+          json_pack("{s:o,s:b,s:I}", "items", list, "morePages", 0,
+                    "currentRev", (json_int_t)st.revision));
 }
 
 static void
@@ -240,9 +264,9 @@
     l->ttl_ms = json_integer_value(json_object_get(body, "ttlMs"));
     l->timer = fh_add_timer(st.h, l->ttl_ms * 1000, expire_lease, l);
     g_hash_table_insert(st.leases, &l->id, l);
-    fh_reply_json(r, 200,
-                  json_pack("{s:I,s:I}", "lease", (json_int_t)l->id, "ttlMs",
-                            (json_int_t)l->ttl_ms));
+    reply(r, 200,
+          json_pack("{s:I,s:I}", "lease", (json_int_t)l->id, "ttlMs",
+                    (json_int_t)l->ttl_ms));
 }
 
 static struct lease *
@@ -258,12 +282,12 @@
 {
     struct lease *l = find_lease(r);
     if (!l) {
-        fh_reply_json(r, 404, json_object());
+        reply(r, 404, json_object());
         return;
     }
     fh_cancel_timer(st.h, l->timer);
     l->timer = fh_add_timer(st.h, l->ttl_ms * 1000, expire_lease, l);
-    fh_reply_json(r, 200, json_pack("{s:I}", "ttlMs", (json_int_t)l->ttl_ms));
+    reply(r, 200, json_pack("{s:I}", "ttlMs", (json_int_t)l->ttl_ms));
 }
 
 static void
@@ -275,14 +299,85 @@
     {
         int64_t lease = json_integer_value(json_object_get(w, "lease"));
         if (lease && !g_hash_table_lookup(st.leases, &lease)) {
-            fh_reply_json(r, 404, json_object());
+            reply(r, 404, json_object());
             return;
         }
         put(json_string_value(json_object_get(w, "key")),
             json_string_value(json_object_get(w, "value")), lease);
     }
-    fh_reply_json(r, 200,
-                  json_pack("{s:I}", "revision", (json_int_t)st.revision));
+    reply(r, 200, json_pack("{s:I}", "revision", (json_int_t)st.revision));
+}
+
+static GHashTable *
+copy_items(GHashTable *items)
+{
+    GHashTable *to =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, item_free);
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, items);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct item *i = g_memdup2(v, sizeof(*i));
+        i->key = g_strdup(i->key);
+        i->value = g_strdup(i->value);
+        g_hash_table_insert(to, i->key, i);
+    }
+    return to;
+}
+
+static void
+copy_data(void)
+{
+    if (st.copy.items) {
+        g_hash_table_destroy(st.copy.items);
+    }
+    st.copy.items = copy_items(st.items);
+    st.copy.revision = st.revision;
+    st.copy.next_lease = st.next_lease;
+}
+
+static void
+drop_leases_after(int64_t last)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, st.leases);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct lease *l = v;
+        if (l->id > last) {
+            fh_cancel_timer(st.h, l->timer);
+            g_hash_table_iter_remove(&it);
+        }
+    }
+}
+
+static void
+restore_data(void)
+{
+    if (!st.copy.items) {
+        return;
+    }
+    st.era++;
+    g_hash_table_destroy(st.items);
+    st.items = copy_items(st.copy.items);
+    st.revision = st.copy.revision;
+    while (st.changes->len > 0 && ((const struct change *)g_ptr_array_index(
+                                       st.changes, st.changes->len - 1))
+                                          ->revision > st.revision) {
+        g_ptr_array_set_size(st.changes, (gint)st.changes->len - 1);
+    }
+    drop_leases_after(st.copy.next_lease);
+    st.next_lease = st.copy.next_lease;
+    while (st.watchers->len > 0) {
+        struct watcher *w = g_ptr_array_index(st.watchers, 0);
+        struct fh_req *r = w->req;
+        w->req = NULL;
+        complete_watch(w);
+        if (r) {
+            r->user = NULL;
+            fh_drop_connection(r);
+        }
+    }
 }
 
 static void
@@ -301,12 +396,18 @@
     else if (str_eq_cstr(r->method, "POST")) {
         json_t *o = json_loadb(r->body.ptr, r->body.len, 0, NULL);
         const char *mode = json_string_value(json_object_get(o, "mode"));
+        if (json_is_true(json_object_get(o, "copy"))) {
+            copy_data();
+        }
+        if (json_is_true(json_object_get(o, "restore"))) {
+            restore_data();
+        }
         st.mode = g_strcmp0(mode, "busy") == 0     ? BUSY
                   : g_strcmp0(mode, "silent") == 0 ? SILENT
                                                    : OK;
         json_decref(o);
     }
-    fh_reply_json(r, 200, json_pack("{s:I}", "calls", (json_int_t)st.calls));
+    reply(r, 200, json_pack("{s:I}", "calls", (json_int_t)st.calls));
 }
 
 static void
@@ -322,7 +423,7 @@
         return;
     }
     if (st.mode == BUSY) {
-        fh_reply_json(r, 503, json_object());
+        reply(r, 503, json_object());
         return;
     }
     json_t *body =
@@ -347,10 +448,10 @@
         if (l) {
             end_lease(l);
         }
-        fh_reply_json(r, l ? 200 : 404, json_object());
+        reply(r, l ? 200 : 404, json_object());
     }
     else {
-        fh_reply_json(r, 404, json_object());
+        reply(r, 404, json_object());
     }
     json_decref(body);
 }
--- /dev/null
+++ b/tests/platform/test_gateway_store.c
@@ -0,0 +1,149 @@
+/* Runs processes of the forwarding daemon while the store comes back from an
+ * older copy. Guards against configurations that are never in force, removed
+ * credentials that work again and servers that receive requests after they
+ * started draining. */
+#include <glib.h>
+#include <signal.h>
+
+#include "tests/platform/rig_platform.h"
+#include "tests/proc.h"
+
+#define KEY_2 "Camphorfall-Key: key-2\r\n"
+#define KEY_3 "Camphorfall-Key: key-3\r\n"
+#define KEY_4 "Camphorfall-Key: key-4\r\n"
+#define POLL_US 25000
+
+static int
+ask(struct platform_rig *r, int node, const char *headers)
+{
+    struct buf out = {0};
+    int status = platform_rig_send_request(r, node, "check", headers, &out);
+    buf_free(&out);
+    return status;
+}
+
+/* Waits until all nodes respond with this status.
+ * @return false if one does not within @p limit_ms */
+static bool
+wait_for_all(struct platform_rig *r, const char *headers, int status,
+             int limit_ms)
+{
+    int64_t end = g_get_monotonic_time() + limit_ms * G_TIME_SPAN_MILLISECOND;
+    for (int n = 0; n < PR_NODES; n++) {
+        while (ask(r, n, headers) != status) {
+            if (g_get_monotonic_time() > end) {
+                return false;
+            }
+            g_usleep(POLL_US);
+        }
+    }
+    return true;
+}
+
+static void
+set_store(struct platform_rig *r, const char *json)
+{
+    platform_rig_post_control(r, r->store.port, json);
+}
+
+/* After the copy was made, key-3 is added and key-2 is removed. */
+static void
+open_with_lost_changes(struct platform_rig *r)
+{
+    platform_rig_open(r);
+    set_store(r, "{\"copy\":true}");
+    platform_rig_set_credentials(r, "\"key-1\",\"key-2\",\"key-3\"");
+    platform_rig_set_credentials(r, "\"key-1\",\"key-3\"");
+    g_assert_true(wait_for_all(r, KEY_3, 200, 2000));
+    g_assert_true(wait_for_all(r, KEY_2, 401, 2000));
+}
+
+static void
+restore_store(struct platform_rig *r)
+{
+    set_store(r, "{\"mode\":\"silent\"}");
+    g_usleep(500000);
+    set_store(r, "{\"restore\":true,\"mode\":\"ok\"}");
+}
+
+static void
+test_configuration(void)
+{
+    struct platform_rig r;
+    open_with_lost_changes(&r);
+    restore_store(&r);
+    r.version--;
+    platform_rig_set_credentials(&r, "\"key-1\",\"key-3\"");
+    g_usleep(3000000);
+    platform_rig_set_credentials(&r, "\"key-1\",\"key-3\",\"key-4\"");
+    g_assert_true(wait_for_all(&r, KEY_4, 200, 2000));
+    g_assert_true(wait_for_all(&r, KEY_2, 401, 0));
+    platform_rig_close(&r);
+}
+
+/* The operator writes the newest configuration again a second after the
+ * store's return. */
+static void
+test_revocation(void)
+{
+    struct platform_rig r;
+    open_with_lost_changes(&r);
+    proc_signal_and_wait(r.nodes[0].pid, SIGKILL);
+    restore_store(&r);
+    platform_rig_start_node(&r, 0);
+    int64_t written = g_get_monotonic_time() + G_TIME_SPAN_SECOND;
+    while (g_get_monotonic_time() < written) {
+        for (int n = 0; n < PR_NODES; n++) {
+            g_assert_cmpint(ask(&r, n, KEY_2), !=, 200);
+        }
+        g_usleep(POLL_US);
+    }
+    r.version--;
+    platform_rig_set_credentials(&r, "\"key-1\",\"key-3\"");
+    platform_rig_wait_readiness(&r, 0, 200);
+    g_assert_true(wait_for_all(&r, KEY_2, 401, 2000));
+    g_assert_true(wait_for_all(&r, KEY_3, 200, 2000));
+    platform_rig_close(&r);
+}
+
+/* The other server of the service rejects all requests, so they go to the
+ * draining one if a node takes it for ready. */
+static void
+test_draining(void)
+{
+    struct platform_rig r;
+    platform_rig_open(&r);
+    set_store(&r, "{\"copy\":true}");
+    platform_rig_set_server_state(&r, 0, "draining");
+    g_usleep(1000000);
+    restore_store(&r);
+    platform_rig_post_control(&r, r.servers[1].port, "{\"shed\":1000000}");
+    long before = platform_rig_server_stat(&r, 0, "arrivals");
+    int64_t written = g_get_monotonic_time() + 1500 * G_TIME_SPAN_MILLISECOND;
+    while (g_get_monotonic_time() < written) {
+        for (int n = 0; n < PR_NODES; n++) {
+            g_assert_cmpint(ask(&r, n, PR_KEY), ==, 503);
+        }
+        g_usleep(POLL_US);
+    }
+    platform_rig_set_server_state(&r, 0, "draining");
+    for (int i = 0; i < 2 * PR_NODES; i++) {
+        g_assert_cmpint(ask(&r, i % PR_NODES, PR_KEY), ==, 503);
+    }
+    g_assert_cmpint(platform_rig_server_stat(&r, 0, "arrivals"), ==, before);
+    platform_rig_post_control(&r, r.servers[1].port, "{\"shed\":0}");
+    for (int n = 0; n < PR_NODES; n++) {
+        g_assert_cmpint(ask(&r, n, PR_KEY), ==, 200);
+    }
+    platform_rig_close(&r);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/gateway-store/configuration", test_configuration);
+    g_test_add_func("/gateway-store/revocation", test_revocation);
+    g_test_add_func("/gateway-store/draining", test_draining);
+    return g_test_run();
+}
--- a/tests/test_feed_fleet.c
+++ b/tests/test_feed_fleet.c
@@ -37,6 +37,7 @@
     struct kv_op op;
     enum kv_outcome outcome;
     int64_t revision; /* of the store when the result was created */
+    int64_t era;      /* of the store when the result was created */
     int64_t after;    /* the result has the changes after this revision */
     bool list;
     struct feed_query ask;
@@ -55,6 +56,7 @@
     uint64_t hash;
     int process_number;
     bool cut_off; /* cut off from the store */
+    bool lease_lost;
     int64_t calls;
     struct cluster_view *cluster_view; /* the newest; NULL: none yet */
     int64_t version;
@@ -70,6 +72,7 @@
     GPtrArray *open_watches; /* struct event of watches that the store holds */
     GPtrArray *changes;      /* struct change */
     int64_t revision;
+    int64_t era;
     int64_t calls;
     int64_t renewals;
     bool record_contact_ages; /* whether max_contact_age_us is updated */
@@ -97,6 +100,7 @@
     e.at_us = f->now + ONE_WAY_DELAY_US;
     e.outcome = outcome;
     e.revision = f->revision;
+    e.era = f->era;
     e.after = call->op.kind == KV_WATCH ? call->op.revision : 0;
     e.list = call->op.kind == KV_LIST;
     schedule_event(f, &e);
@@ -123,6 +127,11 @@
 {
     for (guint i = 0; i < f->open_watches->len;) {
         struct event *w = g_ptr_array_index(f->open_watches, i);
+        if (w->op.revision > f->revision) {
+            schedule_result(f, w, KV_COMPACTED);
+            g_ptr_array_remove_index_fast(f->open_watches, i);
+            continue;
+        }
         bool changed = has_changes_after(f, &w->op);
         if (!changed && f->now < w->at_us + w->op.wait_ms * MS) {
             i++;
@@ -159,6 +168,12 @@
         answer_due_watches(f);
         return;
     }
+    n->lease_lost = n->lease_lost && e->op.kind != KV_LEASE_GRANT;
+    if (n->lease_lost &&
+        (e->op.kind == KV_PUT || e->op.kind == KV_LEASE_RENEW)) {
+        schedule_result(f, e, KV_LEASE_EXPIRED);
+        return;
+    }
     if (e->op.kind == KV_PUT) {
         char *key = g_strdup_printf("n/%s", n->name);
         char *value = g_strdup_printf("tcp://x key%d", n->process_number);
@@ -190,6 +205,7 @@
     struct kv_result r = {.id = e->op.id,
                           .outcome =
                               n->cut_off ? KV_OUTCOME_UNKNOWN : e->outcome,
+                          .era = n->cut_off ? 0 : e->era,
                           .revision = e->revision,
                           .lease = 1,
                           .item_count = (int)items->len,
@@ -350,6 +366,7 @@
     struct fleet *f = g_new0(struct fleet, 1);
     f->count = count;
     f->now = 100 * SECOND;
+    f->era = 1;
     f->events = g_ptr_array_new_with_free_func(g_free);
     f->open_watches = g_ptr_array_new_with_free_func(g_free);
     f->changes = g_ptr_array_new();
@@ -533,6 +550,86 @@
     fleet_free(f);
 }
 
+/* Registrations that were written after the copy was made are lost with their
+ * leases. */
+static void
+restore_store(struct fleet *f, int64_t copy_revision)
+{
+    for (guint i = f->changes->len; i-- > 0;) {
+        struct change *c = g_ptr_array_index(f->changes, i);
+        if (c->revision <= copy_revision) {
+            break;
+        }
+        for (int k = 0; k < f->count; k++) {
+            if (g_str_has_prefix(c->key, "n/") &&
+                strcmp(c->key + 2, f->nodes[k].name) == 0) {
+                f->nodes[k].lease_lost = true;
+            }
+        }
+        g_free(c->key);
+        g_free(c->value);
+        g_free(c);
+        g_ptr_array_remove_index(f->changes, i);
+    }
+    f->revision = copy_revision;
+    f->era++;
+    while (f->open_watches->len > 0) {
+        schedule_result(f, g_ptr_array_index(f->open_watches, 0),
+                        KV_OUTCOME_UNKNOWN);
+        g_ptr_array_remove_index_fast(f->open_watches, 0);
+    }
+}
+
+/* Guards against nodes that mix revisions of two eras in queries to watchers,
+ * when the store comes back from an older copy: each node must know each
+ * change in time, whatever node has noticed the restore first. */
+static void
+test_restored(void)
+{
+    for (int cut_off = 0; cut_off < 2; cut_off++) {
+        struct fleet *f = fleet_new(60);
+        f->record_contact_ages = false;
+        int64_t copy = f->revision;
+        /* These nodes restart after the copy was made, so their registrations
+         * are lost. */
+        for (int i = 0; i < 20; i++) {
+            stop_node(f, i);
+            start_node(f, i);
+        }
+        for (int k = 2; k < 6; k++) {
+            char version[16];
+            g_snprintf(version, sizeof(version), "%d", k);
+            put_change(f, "o/config", version);
+            run_until(f, f->now + SECOND);
+        }
+        /* Some nodes learn of the restore from others only. */
+        for (int i = 30; cut_off && i < 40; i++) {
+            f->nodes[i].cut_off = true;
+        }
+        restore_store(f, copy);
+        put_change(f, "o/config", "5");
+        for (int k = 6; k < 12; k++) {
+            char version[16];
+            run_until(f, f->now + (k % 3) * 300 * MS);
+            int64_t at = f->now;
+            g_snprintf(version, sizeof(version), "%d", k);
+            put_change(f, "o/config", version);
+            run_until(f, f->now + 2500 * MS);
+            for (int i = 0; i < 10; i++) {
+                f->nodes[30 + i].cut_off = false;
+            }
+            if (k > 6 || !cut_off) {
+                check_fleet(f, k, at);
+            }
+        }
+        for (int i = 0; i < f->count; i++) {
+            g_assert_cmpint(f->nodes[i].cluster_view->alive_count, ==,
+                            f->count);
+        }
+        fleet_free(f);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -541,5 +638,6 @@
     g_test_add_func("/feed-fleet/restarts", test_restarts);
     g_test_add_func("/feed-fleet/watchers-lost", test_watchers_lost);
     g_test_add_func("/feed-fleet/restart-of-all", test_restart_of_all);
+    g_test_add_func("/feed-fleet/restored", test_restored);
     return g_test_run();
 }
