Never compare revisions of two eras of the store

Cause: after the store has come back from an older copy it gives revisions out again. set_routing compared the revision of the next configuration with the last one of the era before and dropped it; a watch went on from a revision that means something else now, unless the store answered 410; and each key range decided by itself whether to start again.

The feed now keeps the newest era. The first response of a newer one, an error as well, forgets all revisions, cached changes and pages at once, for all key ranges, and lists each of them; calls that were sent before are ignored, and so are late responses of an older era.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -245,10 +245,12 @@
               LOG_INT("nodes", g_hash_table_size(f->nodes)));
 }
 
-static void
-restart_list(struct range_watch *rw, int64_t now_us)
+void
+feed_restart_range(struct range_watch *rw, int64_t now_us)
 {
     rw->watching = false;
+    rw->busy = false;
+    rw->call_id = 0;
     g_free(rw->list_after_key);
     rw->list_after_key = NULL;
     rw->next_call_us = now_us;
@@ -263,13 +265,14 @@
         LOG_EVENT(LOG_INFO, "store_history_gone",
                   LOG_STR("prefix", rw->prefix),
                   LOG_INT("revision", rw->revision));
-        restart_list(rw, now_us);
+        feed_restart_range(rw, now_us);
         return;
     }
     if (r->outcome != KV_OK) {
         handle_call_failure(f, now_us, rw, r);
         return;
     }
+    f->answered = true;
     handle_call_success(f, now_us, rw, contact_us);
     if (!rw->watching) {
         handle_list_page(f, now_us, rw, r);
@@ -285,7 +288,7 @@
         LOG_EVENT(LOG_WARN, "store_revision_back",
                   LOG_INT("revision", r->revision),
                   LOG_INT("known", rw->revision));
-        restart_list(rw, now_us);
+        feed_restart_range(rw, now_us);
         return;
     }
     rw->revision = r->revision;
@@ -489,21 +492,14 @@
                   : rw->call_sent_us;
 }
 
-static void
-note_era(struct feed *f, const struct kv_result *r)
-{
-    if (r->era > f->era) {
-        LOG_EVENT(LOG_WARN, "store_era", LOG_INT("era", r->era),
-                  LOG_INT("before", f->era), LOG_INT("revision", r->revision),
-                  LOG_INT("http_status", r->http_status));
-        f->era = r->era;
-    }
-}
-
 void
 feed_handle_result(struct feed *f, int64_t now_us, const struct kv_result *r)
 {
-    note_era(f, r);
+    const struct kv_result ignored = {.id = r->id,
+                                      .outcome = KV_OUTCOME_UNKNOWN};
+    if (!feed_accept_era(f, now_us, r)) {
+        r = &ignored;
+    }
     if (r->id == f->lease_op_id) {
         feed_handle_lease_result(f, now_us, r);
         return;
--- a/src/control/feed.h
+++ b/src/control/feed.h
@@ -5,6 +5,10 @@
  * Registers this node under a lease. A state machine without I/O; times are
  * microseconds of a clock that also counts while the machine is suspended.
  *
+ * Era: the store may come back from an older copy of its data, and then gives
+ * revisions out again. Its era rises by one each time, so revisions of
+ * different eras are never compared.
+ *
  * Contact: the store has answered a call for the operator's records that was
  * sent at feed_contact_us, so this node knows all writes that were
  * acknowledged to the operator before that time.
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -1,7 +1,7 @@
 /**
  * @file feed_state.h
- * State of the feed, private to feed.c, feed_records.c, feed_register.c and
- * feed_share.c.
+ * State of the feed, private to feed.c, feed_era.c, feed_records.c,
+ * feed_register.c and feed_share.c.
  */
 #ifndef CONTROL_FEED_STATE_H
 #define CONTROL_FEED_STATE_H
@@ -117,6 +117,7 @@
     GHashTable *suspected_until; /* hash of node -> int64_t, time in us */
     GQueue due_replies;          /* struct due_reply */
     int64_t era;                 /* newest era of the store; 0: unknown */
+    bool answered;               /* the store has answered a list or a watch */
     int64_t removed_hold_end_us; /* removed records stay in effect until then;
                                     0: they are dropped at once */
     uint64_t next_id;
@@ -142,6 +143,17 @@
     struct buf node_key; /* under which this node registers */
 };
 
+/* feed.c */
+/** Lists a key range again. The result of a call in progress is ignored. */
+void feed_restart_range(struct range_watch *rw, int64_t now_us);
+
+/* feed_era.c: the store comes back from an older copy */
+/** Takes the era from a result.
+ * @return false if the result must be ignored, because the data of this node
+ * is of another era */
+bool feed_accept_era(struct feed *f, int64_t now_us,
+                     const struct kv_result *r);
+
 /* feed_records.c */
 /** Applies one item of the store. */
 void feed_apply_item(struct feed *f, int64_t now_us,
