Do not mix eras of the store in queries between nodes

Nodes of a large fleet ask a watcher for the changes after a revision. The query did not say which era the revision is of: a watcher that had listed the store again held the query of a node that had not, or answered it with changes of the new era, after which that node went on from a revision of the old one and missed what the store wrote at the same revisions.

The id of a query carries the era in its upper bits, which builds before this one return unchanged, and the reply to such a query names the era of the watcher in one more field. A revision of another era is answered, or taken, as unknown: the node calls the store. Whoever hears of a newer era calls the store at once, once an era, and learns the era from its response. When the era changes, waiting queries and replies that are ready become unknown. A query or reply of a build without eras is used as before until the store has come back once; after that only where the revision cannot be of an older era.

/feed-era/shared-watch failed before (a query of era 1 was held by a watcher of era 2) and passes.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -333,6 +333,12 @@
             continue;
         }
         uint64_t node = rw->via_node;
+        if (!feed_is_peer_era(f, now_us, answer->era)) {
+            rw->bypass_watcher = true;
+            rw->busy = false;
+            rw->next_call_us = now_us;
+            return;
+        }
         if (!answer->known) {
             /* Only the store has the changes that this node has missed. */
             if (answer->age_us == FEED_AGE_UNKNOWN ||
@@ -459,7 +465,7 @@
     }
     rw->busy = true;
     rw->call_sent_us = now_us;
-    rw->call_id = out->id = ++f->next_id;
+    rw->call_id = out->id = feed_query_id(f->era, ++f->next_id);
     return true;
 }
 
--- a/src/control/feed_era.c
+++ b/src/control/feed_era.c
@@ -1,6 +1,9 @@
 #include "base/log.h"
 #include "control/feed_state.h"
 
+/* The era of a store that has never come back from an older copy. */
+#define FIRST_ERA 1
+
 /* What this node knows stays in effect until the lists of the new era are
  * complete. */
 static void
@@ -13,8 +16,37 @@
         feed_restart_range(rw, now_us);
         rw->revision = 0;
         feed_trim_cached_changes(rw, 0);
-        feed_reject_queries(f, now_us, rw);
     }
+    feed_drop_queries(f, now_us);
+}
+
+/* The response of the store shows whether it has a newer era. */
+static void
+call_store(struct feed *f, int64_t now_us)
+{
+    struct range_watch *rw = &f->range_watches[FEED_RANGE_OPERATOR];
+    if (rw->watching) {
+        rw->busy = false;
+        rw->call_id = 0;
+        rw->bypass_watcher = true;
+        rw->next_call_us = now_us;
+    }
+}
+
+bool
+feed_is_peer_era(struct feed *f, int64_t now_us, int64_t era)
+{
+    int64_t known = f->era & FEED_ERA_MASK;
+    era &= FEED_ERA_MASK;
+    if (era > known && era > f->heard_era && known > 0) {
+        LOG_EVENT(LOG_INFO, "store_era_heard", LOG_INT("era", era),
+                  LOG_INT("known", known));
+        f->heard_era = era;
+        call_store(f, now_us);
+    }
+    /* A node of a build without eras cannot be trusted once the store has come
+     * back from an older copy. */
+    return era == known || (known <= FIRST_ERA && era == 0) || known == 0;
 }
 
 bool
--- a/src/control/feed_share.c
+++ b/src/control/feed_share.c
@@ -176,6 +176,35 @@
     return at;
 }
 
+void
+feed_drop_queries(struct feed *f, int64_t now_us)
+{
+    for (GList *l = f->due_replies.head; l; l = l->next) {
+        ((struct due_reply *)l->data)->known = false;
+    }
+    for (int k = 0; k < FEED_RANGE_COUNT; k++) {
+        struct range_watch *rw = &f->range_watches[k];
+        for (guint i = 0; i < rw->peer_queries->len; i++) {
+            queue_reply(f, now_us, rw,
+                        &g_array_index(rw->peer_queries, struct peer_query, i),
+                        false);
+        }
+        g_array_set_size(rw->peer_queries, 0);
+    }
+}
+
+/* Whether the cached changes continue from the revision in a query. A node of
+ * a build without eras may still have a revision of an older era; if it is
+ * above those of this one, only the store has the changes. */
+static bool
+is_comparable(struct feed *f, int64_t now_us, const struct range_watch *rw,
+              const struct feed_query *ask)
+{
+    int64_t era = feed_query_era(ask->correlation_id);
+    return feed_is_peer_era(f, now_us, era) ||
+           (era == 0 && ask->revision <= rw->revision);
+}
+
 void
 feed_handle_peer_query(struct feed *f, int64_t now_us, uint64_t node,
                        const struct feed_query *ask)
@@ -186,6 +215,10 @@
         return;
     }
     struct range_watch *rw = &f->range_watches[ask->track];
+    if (!is_comparable(f, now_us, rw, ask)) {
+        queue_reply(f, now_us, rw, &a, false);
+        return;
+    }
     bool disconnected = rw->failing || !rw->watching;
     if ((disconnected && !a.hold_until_contact) ||
         rw->peer_queries->len >= MAX_PEER_QUERIES ||
@@ -215,6 +248,7 @@
     out->known = a->known && a->revision >= rw->cached_after;
     out->age_us = a->age_us;
     out->revision = rw->revision;
+    out->era = feed_query_era(a->id) ? f->era : 0;
     for (const GList *l = rw->cached.head; l && out->known; l = l->next) {
         const struct cached_change *r = l->data;
         if (r->revision <= a->revision) {
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -117,6 +117,7 @@
     GHashTable *suspected_until; /* hash of node -> int64_t, time in us */
     GQueue due_replies;          /* struct due_reply */
     int64_t era;                 /* newest era of the store; 0: unknown */
+    int64_t heard_era;           /* newest era that other nodes have named */
     bool answered;               /* the store has answered a list or a watch */
     int64_t removed_hold_end_us; /* removed records stay in effect until then;
                                     0: they are dropped at once */
@@ -154,6 +155,11 @@
 bool feed_accept_era(struct feed *f, int64_t now_us,
                      const struct kv_result *r);
 
+/** Whether a revision of another node can be compared with the revisions of
+ * this node. If the other node knows a newer era, this node calls the store at
+ * once. @param era of that revision, 0: unknown */
+bool feed_is_peer_era(struct feed *f, int64_t now_us, int64_t era);
+
 /* feed_records.c */
 /** Applies one item of the store. */
 void feed_apply_item(struct feed *f, int64_t now_us,
@@ -192,6 +198,8 @@
  * concern. */
 void feed_answer_queries(struct feed *f, int64_t now_us,
                          struct range_watch *rw);
+/** Answers all queries of the previous era as unknown. */
+void feed_drop_queries(struct feed *f, int64_t now_us);
 /** Answers queries that have waited for the maximum time. */
 void feed_answer_expired_queries(struct feed *f, int64_t now_us);
 /** When the next reply is due; INT64_MAX if none is. */
--- a/tests/test_feed_era.c
+++ b/tests/test_feed_era.c
@@ -14,6 +14,10 @@
 #define MAX_ITEMS 64
 /* Items in one page of a list. */
 #define PAGE_ITEMS 2
+/* Of node-0 to node-29, this one watches the store for others, see
+ * control/feed_share.c, and the other one does not. */
+#define WATCHER "node-15"
+#define ASKER "node-1"
 
 struct item {
     char *key;
@@ -53,6 +57,10 @@
     bool rejects; /* responds with status 503 */
     struct call calls[MAX_CALLS];
     int call_count;
+    struct kv_op query; /* newest of the operator's range to another node */
+    bool query_open;
+    int store_polls; /* watches of the operator's range without waiting */
+    char *node;
     int64_t foreign_lease; /* of another node; 0: none */
 };
 
@@ -254,6 +262,23 @@
     return respond_lease(w, c);
 }
 
+static void
+submit(struct world *w, const struct kv_op *op)
+{
+    bool is_operator = str_starts_with(op->prefix, STR_LIT("o/"));
+    if (op->via_node) {
+        w->query = is_operator ? *op : w->query;
+        w->query_open = w->query_open || is_operator;
+        return;
+    }
+    g_assert_cmpint(w->call_count, <, MAX_CALLS);
+    char *after = op->after_key.len
+                      ? g_strndup(op->after_key.ptr, op->after_key.len)
+                      : NULL;
+    w->calls[w->call_count++] = (struct call){*op, after, w->now};
+    w->store_polls += is_operator && op->kind == KV_WATCH && op->wait_ms <= 1;
+}
+
 /* Calls that start now are answered in the next step, a millisecond later. */
 static void
 step(struct world *w)
@@ -270,11 +295,7 @@
         w->calls[i] = w->calls[--w->call_count];
     }
     while (feed_next_op(w->feed, w->now, &op)) {
-        g_assert_cmpint(w->call_count, <, MAX_CALLS);
-        char *after = op.after_key.len
-                          ? g_strndup(op.after_key.ptr, op.after_key.len)
-                          : NULL;
-        w->calls[w->call_count++] = (struct call){op, after, w->now};
+        submit(w, &op);
     }
     struct cluster_view *v = feed_take_site(w->feed, w->now);
     if (v) {
@@ -292,7 +313,8 @@
     while (w->call_count > 0) {
         g_free(w->calls[--w->call_count].after_key);
     }
-    w->feed = feed_new(&feed_text_codec, STR_LIT("node-0"),
+    w->query_open = false;
+    w->feed = feed_new(&feed_text_codec, str_from_cstr(w->node),
                        STR_LIT("tcp://x key"), 5);
 }
 
@@ -349,6 +371,68 @@
     }
 }
 
+/* Node 42 queries the operator's range: "query ERA REVISION". */
+static void
+receive_query(struct world *w, const char *era, const char *revision)
+{
+    struct feed_query q = {feed_query_id(atoi(era), 7), FEED_RANGE_OPERATOR,
+                           atoi(revision), false};
+    feed_handle_peer_query(w->feed, w->now, 42, &q);
+}
+
+/* Checks the next reply: "reply known|unknown ERA". */
+static void
+check_reply(struct world *w, const char *known, const char *era)
+{
+    uint64_t node;
+    struct feed_reply r;
+    g_assert_true(feed_next_peer_reply(w->feed, &node, &r));
+    g_assert_cmpint(r.known, ==, strcmp(known, "known") == 0);
+    g_assert_cmpint(r.era, ==, atoi(era));
+}
+
+/* The watcher replies with a configuration: "answer ERA VERSION". */
+static void
+receive_reply(struct world *w, const char *era, const char *version)
+{
+    struct feed_reply r = {.correlation_id = w->query.id,
+                           .known = true,
+                           .era = atoi(era),
+                           .revision = w->query.revision + 5,
+                           .item_count = 1};
+    r.items[0] =
+        (struct feed_relay_item){STR_LIT("o/config"), str_from_cstr(version),
+                                 w->query.revision + 5, false};
+    g_assert_true(w->query_open);
+    w->query_open = false;
+    feed_handle_peer_reply(w->feed, w->now, &r);
+}
+
+/* Steps that concern other nodes. @return false if this is none */
+static bool
+run_peer_step(struct world *w, const char *const *words)
+{
+    if (strcmp(words[0], "query") == 0) {
+        receive_query(w, words[1], words[2]);
+    }
+    else if (strcmp(words[0], "reply") == 0) {
+        check_reply(w, words[1], words[2]);
+    }
+    else if (strcmp(words[0], "answer") == 0) {
+        receive_reply(w, words[1], words[2]);
+    }
+    else if (strcmp(words[0], "no-poll") == 0) {
+        w->store_polls = 0;
+    }
+    else if (strcmp(words[0], "polled") == 0) {
+        g_assert_cmpint(w->store_polls, >, 0);
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
 /* Runs one step: "NAME ARGUMENT [TEXT]". */
 static void
 run_step(struct world *w, const char *text)
@@ -356,7 +440,10 @@
     char **words = g_strsplit(text, " ", 3);
     const char *what = words[0];
     const char *argument = words[1];
-    if (strcmp(what, "put") == 0) {
+    if (run_peer_step(w, (const char *const *)words)) {
+        /* done */
+    }
+    else if (strcmp(what, "put") == 0) {
         put(w, argument, words[2], 0);
     }
     else if (strcmp(what, "delete") == 0) {
@@ -411,13 +498,19 @@
  * one and two. Without the step "copy", the copy was made before the node
  * started. */
 static void
-run_row(const struct row *row)
+run_row(const struct row *row, const char *node, int nodes)
 {
     struct world w = {.now = 100 * SECOND, .era = 1, .sends_era = true};
+    w.node = g_strdup(node);
     data_copy(&(struct data){0}, &w.data);
     put(&w, "o/config", "3", 0);
     put(&w, "e/one", "pool ready 0 1", 0);
     put(&w, "e/two", "pool ready 0 1", 0);
+    for (int i = 1; i < nodes; i++) {
+        char *key = g_strdup_printf("n/node-%d", i);
+        put(&w, key, "tcp://x key", 0);
+        g_free(key);
+    }
     data_copy(&w.data, &w.copy);
     start_node(&w);
     g_test_message("%s", row->name);
@@ -436,13 +529,14 @@
     cluster_view_unref(w.view);
     data_clear(&w.data);
     data_clear(&w.copy);
+    g_free(w.node);
 }
 
 static void
 run_rows(const struct row *rows, size_t count)
 {
     for (size_t i = 0; i < count; i++) {
-        run_row(&rows[i]);
+        run_row(&rows[i], "node-0", 1);
     }
 }
 
@@ -505,11 +599,57 @@
     run_rows(rows, G_N_ELEMENTS(rows));
 }
 
+/* Guards against a revision of one era in a query or reply that is compared
+ * with one of another, and against nodes that wait for a watcher although a
+ * query has named a newer era. Of 30 nodes, three watch the store for others.
+ * The store is at revision 32 after the start. */
+static void
+test_shared_watch(void)
+{
+    static const struct row watcher[] = {
+        {"a query with a revision of the previous era",
+         "put o/config 4; run 1000; away; run 500; restored; run 1500; "
+         "query 1 33; reply unknown 2; query 2 32; run 1100; reply known 2"},
+        {"a query waits while the era changes",
+         "put o/config 4; run 1000; query 1 34; away; restored; run 1000; "
+         "reply unknown 2"},
+        {"a reply is ready while the era changes",
+         "query 1 32; put o/config 4; run 300; away; run 500; restored; "
+         "run 1500; reply unknown 2"},
+        {"a query names an era that this node has not seen",
+         "run 1000; no-poll; query 2 33; reply unknown 1; run 10; polled"},
+        {"a node of a build without eras has a revision of the previous era",
+         "put o/config 4; run 1000; away; run 500; restored; run 1500; "
+         "query 0 50; reply unknown 0; query 0 32; run 1100; "
+         "reply known 0"},
+    };
+    static const struct row asker[] = {
+        {"a watcher of the same era", "answer 1 4; run 10; version 4"},
+        {"a watcher of a newer era",
+         "put o/config 5; no-poll; answer 2 4; run 10; polled; version 5"},
+        {"a watcher of an older era",
+         "away; restored; answer 2 4; run 50; put o/config 5; no-poll; "
+         "answer 1 4; run 10; polled; version 5"},
+        {"a watcher of a build without eras after a restore",
+         "away; restored; answer 2 4; run 50; put o/config 5; no-poll; "
+         "answer 0 4; run 10; polled; version 5"},
+        {"a watcher of a build without eras before any restore",
+         "answer 0 4; run 10; version 4"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(watcher); i++) {
+        run_row(&watcher[i], WATCHER, 30);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(asker); i++) {
+        run_row(&asker[i], ASKER, 30);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/feed-era/revisions", test_revisions);
     g_test_add_func("/feed-era/registration", test_registration);
+    g_test_add_func("/feed-era/shared-watch", test_shared_watch);
     return g_test_run();
 }
