Keep zones out of service when an older copy of the store lacks them

A zone that the operator had taken out after the copy was made was in use again from the first list of the new era until the operator had written it again, and a zone that it had taken back was out, and cold afterwards.

Lists of the operator's records that arrive within 2.2 s of the new era, the time that the platform's pages give to writers, neither put a zone back into service nor take one out. Changes that the watch reports were written in the new era and count at once. After that time the range is listed again, and that list counts in full. If the store fails meanwhile, the time starts again with its next response, because nobody could write.

/feed-era/operator-records failed before ('unused one' 1.5 s after the restore) and passes. The watcher's row of /feed-era/shared-watch asks from revision 33, that of the second list, instead of 32.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -183,6 +183,7 @@
         f->outage_end_us = now_us;
     }
     if (rw->failing) {
+        feed_extend_copy(f, now_us, rw->range);
         LOG_EVENT(LOG_INFO, "store_back", LOG_STR("prefix", rw->prefix),
                   LOG_INT("contact_age_ms", contact_age_ms(rw, now_us)));
     }
@@ -474,6 +475,7 @@
 {
     *out = (struct kv_op){0};
     feed_answer_expired_queries(f, now_us);
+    feed_end_copies(f, now_us);
     if (feed_next_lease_op(f, now_us, out)) {
         return true;
     }
@@ -540,8 +542,8 @@
         }
         at = due < at ? due : at;
     }
-    int64_t lease_call_us = feed_lease_call_due_us(f);
-    at = lease_call_us < at ? lease_call_us : at;
+    at = MIN(at, feed_lease_call_due_us(f));
+    at = MIN(at, feed_copies_due_us(f));
     if (f->removed_hold_end_us && f->removed_hold_end_us < at) {
         at = f->removed_hold_end_us;
     }
--- a/src/control/feed_era.c
+++ b/src/control/feed_era.c
@@ -4,6 +4,58 @@
 /* The era of a store that has never come back from an older copy. */
 #define FIRST_ERA 1
 
+/* Writers write again what the copy lacks within this time after the store's
+ * return: the operator at once, endpoints and nodes with their next
+ * heartbeat or renewal. An endpoint that is gone does not, and its record in
+ * the copy expires after three heartbeats of 1.2 s. */
+static const int64_t copy_us[FEED_RANGE_COUNT] = {2200 * MS, 5 * SECOND,
+                                                  5 * SECOND};
+
+bool
+feed_is_copy_list(const struct feed *f, int64_t now_us, enum feed_range range)
+{
+    const struct range_watch *rw = &f->range_watches[range];
+    return !rw->watching && rw->listed_once && now_us < f->copy_end_us[range];
+}
+
+void
+feed_extend_copy(struct feed *f, int64_t now_us, enum feed_range range)
+{
+    if (f->copy_end_us[range]) {
+        f->copy_end_us[range] = now_us + copy_us[range];
+    }
+}
+
+/* While the store does not answer, nobody can write either. */
+static bool
+is_copy_due(const struct feed *f, int i)
+{
+    return f->copy_end_us[i] && !f->range_watches[i].failing;
+}
+
+void
+feed_end_copies(struct feed *f, int64_t now_us)
+{
+    for (int i = 0; i < FEED_RANGE_COUNT; i++) {
+        if (is_copy_due(f, i) && now_us >= f->copy_end_us[i]) {
+            f->copy_end_us[i] = 0;
+            feed_restart_range(&f->range_watches[i], now_us);
+        }
+    }
+}
+
+int64_t
+feed_copies_due_us(const struct feed *f)
+{
+    int64_t at = INT64_MAX;
+    for (int i = 0; i < FEED_RANGE_COUNT; i++) {
+        if (is_copy_due(f, i)) {
+            at = MIN(at, f->copy_end_us[i]);
+        }
+    }
+    return at;
+}
+
 /* What this node knows stays in effect until the lists of the new era are
  * complete. */
 static void
@@ -14,6 +66,7 @@
     for (int i = 0; i < FEED_RANGE_COUNT; i++) {
         struct range_watch *rw = &f->range_watches[i];
         feed_restart_range(rw, now_us);
+        f->copy_end_us[i] = now_us + copy_us[i];
         rw->revision = 0;
         feed_trim_cached_changes(rw, 0);
     }
--- a/src/control/feed_records.c
+++ b/src/control/feed_records.c
@@ -221,6 +221,13 @@
         if (item->deleted) {
             remove_name(f, now_us, f->evacuated_zones, "zone_in", key);
         }
+        else if (feed_is_copy_list(f, now_us, FEED_RANGE_OPERATOR) &&
+                 !g_hash_table_contains(f->evacuated_zones, key)) {
+            /* This node knows that the zone was taken back. */
+            LOG_EVENT(LOG_WARN, "zone_out_of_copy_ignored",
+                      LOG_STR("name", name),
+                      LOG_INT("revision", item->revision));
+        }
         else {
             add_name(f, f->evacuated_zones, "zone_out", name);
         }
@@ -326,6 +333,10 @@
 {
     switch (range) {
     case FEED_RANGE_OPERATOR:
+        /* An older copy does not have the newest zones. */
+        if (feed_is_copy_list(f, now_us, range)) {
+            break;
+        }
         remove_unseen_names(f, now_us, f->evacuated_zones, "zone_in");
         break;
     case FEED_RANGE_NODES:
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -117,6 +117,9 @@
     GHashTable *suspected_until; /* hash of node -> int64_t, time in us */
     GQueue due_replies;          /* struct due_reply */
     int64_t era;                 /* newest era of the store; 0: unknown */
+    /* Until then, lists may lack what was written before the store came back
+     * from an older copy; 0: they do not. */
+    int64_t copy_end_us[FEED_RANGE_COUNT];
     int64_t heard_era;           /* newest era that other nodes have named */
     bool answered;               /* the store has answered a list or a watch */
     int64_t removed_hold_end_us; /* removed records stay in effect until then;
@@ -155,6 +158,15 @@
 bool feed_accept_era(struct feed *f, int64_t now_us,
                      const struct kv_result *r);
 
+/** Whether the list in progress may be older than what this node knows. */
+bool feed_is_copy_list(const struct feed *f, int64_t now_us,
+                       enum feed_range range);
+/** The store answers again after an outage, so its writers need time again. */
+void feed_extend_copy(struct feed *f, int64_t now_us, enum feed_range range);
+/** Lists the key ranges again that may have been an older copy. */
+void feed_end_copies(struct feed *f, int64_t now_us);
+/** When feed_end_copies is due; INT64_MAX if no key range is an older copy. */
+int64_t feed_copies_due_us(const struct feed *f);
 /** Whether a revision of another node can be compared with the revisions of
  * this node. If the other node knows a newer era, this node calls the store at
  * once. @param era of that revision, 0: unknown */
--- a/tests/test_feed_era.c
+++ b/tests/test_feed_era.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/hash.h"
 #include "tests/feed_text.h"
 
 #define MS 1000LL
@@ -335,6 +336,19 @@
     return (w->now - feed_contact_us(w->feed)) / MS;
 }
 
+/* Checks the public key of node-1. */
+static void
+check_node_key(struct world *w, const char *key)
+{
+    for (int i = 0; i < w->view->alive_count; i++) {
+        if (w->view->alive[i].hash == hash64(STR_LIT("node-1"))) {
+            g_assert_true(str_eq_cstr(w->view->alive[i].key, key));
+            return;
+        }
+    }
+    g_error("node-1 is not registered");
+}
+
 static void
 check(struct world *w, const char *what, const char *argument)
 {
@@ -363,8 +377,14 @@
     else if (strcmp(what, "nodes") == 0) {
         g_assert_cmpint(w->view->alive_count, ==, atoi(argument));
     }
-    else if (strcmp(what, "key") == 0) {
-        g_assert_true(str_eq_cstr(w->view->alive[0].key, argument));
+    else if (strcmp(what, "node-key") == 0) {
+        check_node_key(w, argument);
+    }
+    else if (strcmp(what, "started-at") == 0) {
+        /* Of the endpoint one. */
+        const struct cluster_endpoint *e = find_endpoint(w, "one");
+        g_assert_nonnull(e);
+        g_assert_cmpint(e->started_ms, ==, atoi(argument));
     }
     else {
         g_error("unknown step %s", what);
@@ -609,7 +629,7 @@
     static const struct row watcher[] = {
         {"a query with a revision of the previous era",
          "put o/config 4; run 1000; away; run 500; restored; run 1500; "
-         "query 1 33; reply unknown 2; query 2 32; run 1100; reply known 2"},
+         "query 1 33; reply unknown 2; query 2 33; run 1100; reply known 2"},
         {"a query waits while the era changes",
          "put o/config 4; run 1000; query 1 34; away; restored; run 1000; "
          "reply unknown 2"},
@@ -620,7 +640,7 @@
          "run 1000; no-poll; query 2 33; reply unknown 1; run 10; polled"},
         {"a node of a build without eras has a revision of the previous era",
          "put o/config 4; run 1000; away; run 500; restored; run 1500; "
-         "query 0 50; reply unknown 0; query 0 32; run 1100; "
+         "query 0 50; reply unknown 0; query 0 33; run 1100; "
          "reply known 0"},
     };
     static const struct row asker[] = {
@@ -644,6 +664,115 @@
     }
 }
 
+/* Guards against an older copy that takes effect over what a node knows: what
+ * the operator and the servers have written is written again soon. */
+static void
+test_operator_records(void)
+{
+    static const struct row rows[] = {
+        {"an older configuration",
+         "copy; put o/config 4; run 500; away; run 2000; restored; run 1500; "
+         "version 4; put o/config 4; run 3000; version 4"},
+        {"a zone that was taken out since",
+         "copy; put o/zone/a {}; run 500; unused one; away; run 2000; "
+         "restored; run 1500; unused one; put o/zone/a {}; run 6000; "
+         "unused one"},
+        {"a zone that was taken out since and is not written again",
+         "copy; put o/zone/a {}; run 500; away; run 2000; restored; "
+         "run 4000; used one"},
+        {"a zone that was taken back since",
+         "put o/zone/a {}; run 500; copy; delete o/zone/a; run 500; "
+         "used one; away; run 2000; restored; run 600; used one; run 500; "
+         "used one; delete o/zone/a; run 6000; used one"},
+        {"a zone that is taken out after the restore",
+         "copy; put o/config 4; run 500; away; run 2000; restored; run 800; "
+         "put o/zone/a {}; run 200; unused one; run 6000; unused one"},
+        {"a zone that is taken back after the restore",
+         "copy; put o/zone/a {}; run 500; away; run 2000; restored; "
+         "put o/zone/a {}; run 800; delete o/zone/a; run 200; used one"},
+        {"a zone that is in the copy and stays out",
+         "put o/zone/a {}; run 500; copy; put o/config 4; run 500; away; "
+         "run 2000; restored; run 1000; unused one; run 6000; unused one"},
+        {"two restores, the second from an older copy",
+         "put o/zone/a {}; run 500; unused one; away; run 2000; restored; "
+         "run 600; unused one; away; run 500; restored; run 1200; "
+         "unused one; put o/zone/a {}; run 6000; unused one"},
+    };
+    run_rows(rows, G_N_ELEMENTS(rows));
+}
+
+static void
+test_endpoints(void)
+{
+    static const struct row rows[] = {
+        {"an endpoint that started draining since",
+         "copy; put e/one pool draining 0 1; run 800; unused one; away; "
+         "run 2000; restored; run 1500; unused one; "
+         "put e/one pool draining 0 1; run 8000; unused one"},
+        {"an endpoint that was removed since and is gone",
+         "copy; delete e/one; run 800; unused one; away; run 2000; "
+         "restored; run 3700; unused one; delete e/one; run 8000; "
+         "unused one; used two"},
+        {"an endpoint that was draining and then removed",
+         "copy; put e/one pool draining 0 1; run 800; delete e/one; run 800; "
+         "away; run 2000; restored; run 3700; unused one; delete e/one; "
+         "run 8000; unused one"},
+        {"an endpoint that was removed since but lives",
+         "copy; delete e/one; run 800; away; run 2000; restored; run 8000; "
+         "used one"},
+        {"an endpoint that is written again after it was removed",
+         "copy; delete e/one; run 800; away; run 2000; restored; run 1000; "
+         "unused one; put e/one pool ready 0 1; run 500; used one"},
+        {"an endpoint that registered since",
+         "copy; put e/three pool ready 0 5; run 800; used three; away; "
+         "run 2000; restored; run 1000; used three; "
+         "put e/three pool ready 0 5; run 8000; used three"},
+        {"an endpoint that registered since and is gone",
+         "copy; put e/three pool ready 0 5; run 800; away; run 2000; "
+         "restored; run 4000; unused three"},
+        {"an endpoint that restarted since",
+         "copy; put e/one pool ready 0 9; run 800; started-at 9; away; "
+         "run 2000; restored; run 1000; started-at 9; "
+         "put e/one pool ready 0 9; run 8000; started-at 9"},
+        {"an endpoint that restarted since and was removed",
+         "copy; put e/one pool ready 0 9; run 800; delete e/one; run 800; "
+         "away; run 2000; restored; run 3700; unused one; delete e/one; "
+         "run 8000; unused one"},
+        {"an endpoint that restarts after the restore",
+         "copy; put o/config 4; run 500; away; run 2000; restored; run 800; "
+         "put e/one pool ready 0 77; run 500; started-at 77"},
+        {"two restores, the second from an older copy",
+         "put e/one pool draining 0 1; run 800; unused one; away; run 2000; "
+         "restored; run 600; unused one; put e/one pool draining 0 1; "
+         "run 800; away; run 500; restored; run 3700; unused one"},
+    };
+    run_rows(rows, G_N_ELEMENTS(rows));
+}
+
+static void
+test_nodes(void)
+{
+    static const struct row rows[] = {
+        {"a node that registered since",
+         "copy; put n/node-1 tcp://x new; run 300; nodes 2; away; run 2000; "
+         "restored; run 2000; nodes 2; put n/node-1 tcp://x new; run 8000; "
+         "nodes 2"},
+        {"a node that registered since and is gone",
+         "copy; put n/node-1 tcp://x new; run 300; away; run 2000; "
+         "restored; run 8000; nodes 1"},
+        {"a node that restarted since",
+         "put n/node-1 tcp://x old; run 300; copy; "
+         "put n/node-1 tcp://x new; run 300; node-key new; away; run 2000; "
+         "restored; run 1000; node-key new; put n/node-1 tcp://x new; "
+         "run 8000; node-key new"},
+        {"a node that restarts after the restore",
+         "put n/node-1 tcp://x old; run 300; copy; away; run 2000; "
+         "restored; run 1000; put n/node-1 tcp://x new; run 200; "
+         "node-key new; run 8000; node-key new"},
+    };
+    run_rows(rows, G_N_ELEMENTS(rows));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -651,5 +780,8 @@
     g_test_add_func("/feed-era/revisions", test_revisions);
     g_test_add_func("/feed-era/registration", test_registration);
     g_test_add_func("/feed-era/shared-watch", test_shared_watch);
+    g_test_add_func("/feed-era/operator-records", test_operator_records);
+    g_test_add_func("/feed-era/endpoints", test_endpoints);
+    g_test_add_func("/feed-era/nodes", test_nodes);
     return g_test_run();
 }
