Do not use endpoints again that an older copy of the store has as ready

An endpoint that was draining or removed when the copy was made is ready in the copy, and one that has restarted has its previous start there. Nodes used them from the first list of the new era, until the server had written its state again, or, where it was gone, until its record expired.

Lists of endpoints that arrive within 5 s of the new era do not change the state of an endpoint back: the same start that was draining or was removed within the last minute stays unused, and an older start is ignored. A record that the watch reports was written in the new era and counts at once. After 5 s, three heartbeats and some, the records of servers that are gone have expired and the range is listed again; that list counts in full, so a live server is unused for that time at most. Records that are missing in the copy stay in use for 2.2 s, as after any outage. The remaining cold time of a record that a list repeats is not counted again from the time of the list.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -57,9 +57,6 @@
  */
 #define NODES_PROBE_INTERVAL_US (2 * SECOND)
 #define LIST_TIMEOUT_MS 2000
-/* Records that expired during an outage are written again within two seconds
- * of the store's return. Until then removed records stay in effect. */
-#define REMOVED_HOLD_US (2200 * MS)
 /* Records expire after three missed heartbeats of a second or more each, so an
  * outage shorter than this removes no record of a live endpoint. */
 #define MIN_OUTAGE_US (2000 * MS)
@@ -78,6 +75,8 @@
     rng_seed(&f->rng, seed);
     f->records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                        feed_record_free);
+    f->departed =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     f->evacuated_zones =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     f->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -112,6 +111,7 @@
     }
     routing_unref(f->routing);
     g_hash_table_destroy(f->records);
+    g_hash_table_destroy(f->departed);
     g_hash_table_destroy(f->evacuated_zones);
     g_hash_table_destroy(f->nodes);
     g_hash_table_destroy(f->registrations);
@@ -189,7 +189,8 @@
     }
     if (rw->range == FEED_RANGE_ENDPOINTS && rw->failing && f->outage_end_us &&
         now_us - f->outage_end_us < REMOVED_HOLD_US) {
-        f->removed_hold_end_us = f->outage_end_us + REMOVED_HOLD_US;
+        f->removed_hold_end_us =
+            MAX(f->removed_hold_end_us, f->outage_end_us + REMOVED_HOLD_US);
     }
     rw->failing = false;
     rw->contact_us = MAX(rw->contact_us, contact_us);
--- a/src/control/feed_era.c
+++ b/src/control/feed_era.c
@@ -8,7 +8,7 @@
  * return: the operator at once, endpoints and nodes with their next
  * heartbeat or renewal. An endpoint that is gone does not, and its record in
  * the copy expires after three heartbeats of 1.2 s. */
-static const int64_t copy_us[FEED_RANGE_COUNT] = {2200 * MS, 5 * SECOND,
+static const int64_t copy_us[FEED_RANGE_COUNT] = {REMOVED_HOLD_US, 5 * SECOND,
                                                   5 * SECOND};
 
 bool
@@ -62,6 +62,8 @@
 start_era(struct feed *f, int64_t now_us)
 {
     f->routing_revision = 0;
+    f->removed_hold_end_us =
+        MAX(f->removed_hold_end_us, now_us + REMOVED_HOLD_US);
     feed_restart_registration(f, now_us);
     for (int i = 0; i < FEED_RANGE_COUNT; i++) {
         struct range_watch *rw = &f->range_watches[i];
--- a/src/control/feed_records.c
+++ b/src/control/feed_records.c
@@ -7,6 +7,8 @@
 
 /* Cold times in records are rounded and some milliseconds old. */
 #define COLD_TIME_MARGIN_US (300 * MS)
+/* The store may come back from a copy that is some seconds old. */
+#define MAX_COPY_AGE_US (60 * SECOND)
 
 void
 feed_record_free(gpointer p)
@@ -63,6 +65,70 @@
     return i < 0 ? 0 : routing_service(f->routing, i)->cold_us;
 }
 
+/* Removed endpoints are remembered for as long as an older copy of the store
+ * may list them. */
+static void
+remember_departed(struct feed *f, int64_t now_us, const char *id,
+                  const struct endpoint_entry *r)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, f->departed);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct departed_endpoint *old = v;
+        if (now_us - old->removed_us > MAX_COPY_AGE_US) {
+            g_hash_table_iter_remove(&it);
+        }
+    }
+    struct departed_endpoint *d = g_new(struct departed_endpoint, 1);
+    *d = (struct departed_endpoint){r->info.started_ms, now_us};
+    g_hash_table_replace(f->departed, g_strdup(id), d);
+}
+
+/* Whether a record of an older copy describes an endpoint as it was before it
+ * started draining, was removed or restarted.
+ * @param old the known record; NULL: none */
+static bool
+is_outdated(const struct feed *f, int64_t now_us, const char *id,
+            const struct endpoint_entry *old,
+            const struct endpoint_record *info)
+{
+    if (!feed_is_copy_list(f, now_us, FEED_RANGE_ENDPOINTS)) {
+        return false;
+    }
+    const struct departed_endpoint *d = g_hash_table_lookup(f->departed, id);
+    if (d && info->started_ms <= d->started_ms) {
+        return true;
+    }
+    return old && (info->started_ms < old->info.started_ms ||
+                   (info->started_ms == old->info.started_ms &&
+                    old->info.draining && !info->draining));
+}
+
+/* The time until which an endpoint is cold; 0: it is warm.
+ * @param old the known record; NULL: none */
+static int64_t
+cold_until_us(const struct feed *f, int64_t now_us,
+              const struct endpoint_entry *old,
+              const struct endpoint_record *info)
+{
+    bool restarted = !old || old->info.started_ms != info->started_ms;
+    /* The remaining time in an older copy was right when it was written. */
+    if (!restarted && feed_is_copy_list(f, now_us, FEED_RANGE_ENDPOINTS)) {
+        return old->cold_until_us;
+    }
+    if (info->cold_us > 0) {
+        return now_us + info->cold_us + COLD_TIME_MARGIN_US;
+    }
+    if (restarted && f->range_watches[FEED_RANGE_ENDPOINTS].listed_once) {
+        return now_us + service_cold_us(f, info->service) +
+               COLD_TIME_MARGIN_US;
+    }
+    return old && !restarted && old->cold_until_us > now_us
+               ? old->cold_until_us
+               : 0;
+}
+
 static void
 set_endpoint(struct feed *f, int64_t now_us, struct str id,
              const struct kv_item *item)
@@ -78,22 +144,32 @@
         }
         return;
     }
+    if (is_outdated(f, now_us, key, old, &info)) {
+        LOG_EVENT(LOG_INFO, "endpoint_of_copy_ignored",
+                  LOG_STR("endpoint", id), LOG_STR("address", info.address),
+                  LOG_INT("revision", item->revision));
+        if (old && old->info.started_ms == info.started_ms) {
+            old->seen_in_list = true;
+        }
+        endpoint_record_free(&info);
+        return;
+    }
+    if (old && old->era == f->era && old->revision == item->revision &&
+        !old->removed_us) {
+        /* A list repeats the record; its cold time is running already. */
+        old->seen_in_list = true;
+        endpoint_record_free(&info);
+        return;
+    }
     info.id = str_dup(id);
     struct endpoint_entry *r = mem_calloc(1, sizeof(*r));
     r->info = info;
+    r->era = f->era;
+    r->revision = item->revision;
     r->seen_in_list = true;
+    r->cold_until_us = cold_until_us(f, now_us, old, &info);
     bool restarted = f->range_watches[FEED_RANGE_ENDPOINTS].listed_once &&
                      (!old || old->info.started_ms != info.started_ms);
-    if (info.cold_us > 0) {
-        r->cold_until_us = now_us + info.cold_us + COLD_TIME_MARGIN_US;
-    }
-    else if (old && !restarted && old->cold_until_us > now_us) {
-        r->cold_until_us = old->cold_until_us;
-    }
-    if (restarted && !(info.cold_us > 0)) {
-        r->cold_until_us =
-            now_us + service_cold_us(f, info.service) + COLD_TIME_MARGIN_US;
-    }
     bool in_first_list = !f->range_watches[FEED_RANGE_ENDPOINTS].listed_once;
     if (!in_first_list && (!old || old->info.draining != info.draining ||
                            restarted || old->removed_us)) {
@@ -104,6 +180,7 @@
                   LOG_INT("cold_ms", info.cold_us / MS),
                   LOG_INT("revision", item->revision));
     }
+    g_hash_table_remove(f->departed, key);
     g_hash_table_replace(f->records, g_strdup(key), r);
     f->site_changed = true;
 }
@@ -122,6 +199,7 @@
         r->removed_us = now_us;
     }
     else {
+        remember_departed(f, now_us, key, r);
         g_hash_table_remove(f->records, key);
     }
     f->site_changed = true;
@@ -365,6 +443,7 @@
         if (((struct endpoint_entry *)v)->removed_us) {
             LOG_EVENT(LOG_INFO, "endpoint_not_back",
                       LOG_CSTR("endpoint", (const char *)k));
+            remember_departed(f, now_us, k, v);
             g_hash_table_iter_remove(&it);
             f->site_changed = true;
         }
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -21,6 +21,9 @@
  * directly, which is simpler and costs the store little. */
 #define MAX_DIRECT_NODES 8
 #define MIN_WATCHERS 3
+/* Records that expired during an outage are written again within two seconds
+ * of the store's return. Until then removed records stay in effect. */
+#define REMOVED_HOLD_US (2200 * MS)
 /* A slow store takes some hundred ms per response. */
 #define CALL_SLACK_MS 1500
 
@@ -34,11 +37,19 @@
 
 struct endpoint_entry {
     struct endpoint_record info;
+    int64_t era; /* of the revision */
+    int64_t revision;
     int64_t cold_until_us;
     int64_t removed_us; /* when its key was removed; 0: the key exists */
     bool seen_in_list;  /* in a page of the list in progress */
 };
 
+/* A start of an endpoint that has been removed. */
+struct departed_endpoint {
+    int64_t started_ms;
+    int64_t removed_us;
+};
+
 /* A query of another node that waits for changes. */
 struct peer_query {
     uint64_t node;
@@ -129,6 +140,7 @@
     struct routing *routing;
     int64_t routing_revision;
     GHashTable *records;         /* id -> struct endpoint_entry */
+    GHashTable *departed;        /* id -> struct departed_endpoint */
     GHashTable *evacuated_zones; /* zone -> 1: unseen, 2: seen in the list */
     GHashTable *nodes;           /* name -> 1: unseen, 2: seen in the list */
     GHashTable *registrations;   /* name of node -> what it registered */
