Keep nodes that an older copy of the store lacks

Nodes that registered after the copy was made were taken for gone until they had registered again: owners of stages changed, and with shared watches other watchers were chosen, on each node at another time. The number of nodes that share limits did not drop, since it falls only after ten seconds.

The list of nodes of the first 5 s of an era removes none; by then each living node has registered again, at the latest with the renewal of its lease, and the list is read once more. The public key in the list is taken even if it is that of a previous process: a node that restarts while the store returns has registered before others list it, while one that had restarted earlier registers again within a second.

/feed-era/nodes failed before ('nodes 2' 2 s after the restore) and passes.

--- a/src/control/feed_records.c
+++ b/src/control/feed_records.c
@@ -405,20 +405,21 @@
     g_list_free(ids);
 }
 
-/* Removes the entries that a complete list did not contain. */
+/* Removes the entries that a complete list did not contain. An older copy of
+ * the store does not contain the newest zones and nodes. */
 void
 feed_remove_unseen(struct feed *f, int64_t now_us, enum feed_range range)
 {
     switch (range) {
     case FEED_RANGE_OPERATOR:
-        /* An older copy does not have the newest zones. */
-        if (feed_is_copy_list(f, now_us, range)) {
-            break;
+        if (!feed_is_copy_list(f, now_us, range)) {
+            remove_unseen_names(f, now_us, f->evacuated_zones, "zone_in");
         }
-        remove_unseen_names(f, now_us, f->evacuated_zones, "zone_in");
         break;
     case FEED_RANGE_NODES:
-        remove_unseen_names(f, now_us, f->nodes, "node_gone");
+        if (!feed_is_copy_list(f, now_us, range)) {
+            remove_unseen_names(f, now_us, f->nodes, "node_gone");
+        }
         break;
     case FEED_RANGE_ENDPOINTS:
         remove_unseen_endpoints(f, now_us);
