Hold the contact of a node that cannot know what an older copy lacks

A node that started after the store had come back listed the copy, counted the answer as contact and accepted callers with a key that had been taken away, until the operator had written the configuration again; so did a node that had been cut off when the key was taken away. strictRevocation binds all machines, in touch or not. Another such node refused routes that the copy lacks with 404.

In an era above the first, a node whose last contact is older than 4 s, or that has none, counts a contact only from the time at which the operator has had time to write again (2.2 s), or from a configuration that the watch reports, which was written in the new era. Until then it is not ready, or goes on with the contact that it had. A running node with recent contact knows the newest configuration and is not held.

/feed-era/contact (contact 1.5 s after a start) and /gateway-store/revocation (status 200 with the removed key) failed before and pass.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -172,11 +172,8 @@
     return last;
 }
 
-/* @param contact_us this node knows all writes acknowledged before this time
- */
 static void
-handle_call_success(struct feed *f, int64_t now_us, struct range_watch *rw,
-                    int64_t contact_us)
+handle_call_success(struct feed *f, int64_t now_us, struct range_watch *rw)
 {
     int64_t last = latest_response_us(f);
     if (rw->failing && last && now_us - last > MIN_OUTAGE_US) {
@@ -193,7 +190,6 @@
             MAX(f->removed_hold_end_us, f->outage_end_us + REMOVED_HOLD_US);
     }
     rw->failing = false;
-    rw->contact_us = MAX(rw->contact_us, contact_us);
     rw->last_response_us = now_us;
     rw->next_call_us = now_us;
 }
@@ -258,6 +254,17 @@
     rw->next_call_us = now_us;
 }
 
+static void
+update_contact(const struct feed *f, struct range_watch *rw,
+               int64_t contact_us)
+{
+    if (contact_us >= f->contact_hold_end_us) {
+        rw->contact_us = MAX(rw->contact_us, contact_us);
+    }
+}
+
+/* @param contact_us this node knows all writes acknowledged before this time
+ */
 static void
 handle_call_result(struct feed *f, int64_t now_us, struct range_watch *rw,
                    const struct kv_result *r, int64_t contact_us)
@@ -275,8 +282,9 @@
         return;
     }
     f->answered = true;
-    handle_call_success(f, now_us, rw, contact_us);
+    handle_call_success(f, now_us, rw);
     if (!rw->watching) {
+        update_contact(f, rw, contact_us);
         handle_list_page(f, now_us, rw, r);
         return;
     }
@@ -286,6 +294,7 @@
             feed_cache_change(rw, &r->items[i]);
         }
     }
+    update_contact(f, rw, contact_us);
     if (r->revision < rw->revision) {
         LOG_EVENT(LOG_WARN, "store_revision_back",
                   LOG_INT("revision", r->revision),
--- a/src/control/feed.h
+++ b/src/control/feed.h
@@ -11,7 +11,9 @@
  *
  * Contact: the store has answered a call for the operator's records that was
  * sent at feed_contact_us, so this node knows all writes that were
- * acknowledged to the operator before that time.
+ * acknowledged to the operator before that time. A node that has no recent
+ * contact when it sees a store that came back from an older copy has contact
+ * only when the operator has had time to write again.
  */
 #ifndef CONTROL_FEED_H
 #define CONTROL_FEED_H
--- a/src/control/feed_era.c
+++ b/src/control/feed_era.c
@@ -3,6 +3,9 @@
 
 /* The era of a store that has never come back from an older copy. */
 #define FIRST_ERA 1
+/* Credentials are trusted for this time at least after the last contact where
+ * their removal must be in force within 5 s. */
+#define RECENT_CONTACT_US (4 * SECOND)
 
 /* Writers write again what the copy lacks within this time after the store's
  * return: the operator at once, endpoints and nodes with their next
@@ -24,6 +27,9 @@
     if (f->copy_end_us[range]) {
         f->copy_end_us[range] = now_us + copy_us[range];
     }
+    if (range == FEED_RANGE_OPERATOR && f->contact_hold_end_us) {
+        f->contact_hold_end_us = f->copy_end_us[range];
+    }
 }
 
 /* While the store does not answer, nobody can write either. */
@@ -33,6 +39,27 @@
     return f->copy_end_us[i] && !f->range_watches[i].failing;
 }
 
+/* The copy may lack the configuration that took credentials away. A node with
+ * recent contact knows it. For any other node, the contact counts when the
+ * operator has written the newest configuration, or has had time to. */
+static void
+hold_contact(struct feed *f, int64_t now_us)
+{
+    if (now_us - feed_contact_us(f) > RECENT_CONTACT_US) {
+        f->contact_hold_end_us = f->copy_end_us[FEED_RANGE_OPERATOR];
+        LOG_EVENT(LOG_INFO, "contact_held",
+                  LOG_INT("ms", (f->contact_hold_end_us - now_us) / MS));
+    }
+}
+
+void
+feed_note_configuration(struct feed *f)
+{
+    if (f->range_watches[FEED_RANGE_OPERATOR].watching) {
+        f->contact_hold_end_us = 0;
+    }
+}
+
 void
 feed_end_copies(struct feed *f, int64_t now_us)
 {
@@ -73,6 +100,7 @@
         feed_trim_cached_changes(rw, 0);
     }
     feed_drop_queries(f, now_us);
+    hold_contact(f, now_us);
 }
 
 /* The response of the store shows whether it has a newer era. */
@@ -121,6 +149,11 @@
               LOG_INT("before", before), LOG_INT("revision", r->revision),
               LOG_INT("http_status", r->http_status));
     if (!f->answered) {
+        if (r->era > FIRST_ERA) {
+            f->copy_end_us[FEED_RANGE_OPERATOR] =
+                now_us + copy_us[FEED_RANGE_OPERATOR];
+            hold_contact(f, now_us);
+        }
         return true;
     }
     start_era(f, now_us);
--- a/src/control/feed_records.c
+++ b/src/control/feed_records.c
@@ -284,6 +284,7 @@
     case FEED_KEY_CONFIGURATION:
         if (!item->deleted) {
             set_routing(f, item);
+            feed_note_configuration(f);
         }
         break;
     case FEED_KEY_ENDPOINT:
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -131,6 +131,9 @@
     /* Until then, lists may lack what was written before the store came back
      * from an older copy; 0: they do not. */
     int64_t copy_end_us[FEED_RANGE_COUNT];
+    /* Contacts before this time do not count: the operator may not have
+     * written again what an older copy lacks; 0: all count. */
+    int64_t contact_hold_end_us;
     int64_t heard_era;           /* newest era that other nodes have named */
     bool answered;               /* the store has answered a list or a watch */
     int64_t removed_hold_end_us; /* removed records stay in effect until then;
@@ -175,6 +178,8 @@
                        enum feed_range range);
 /** The store answers again after an outage, so its writers need time again. */
 void feed_extend_copy(struct feed *f, int64_t now_us, enum feed_range range);
+/** A configuration was written in this era, or is in a list. */
+void feed_note_configuration(struct feed *f);
 /** Lists the key ranges again that may have been an older copy. */
 void feed_end_copies(struct feed *f, int64_t now_us);
 /** When feed_end_copies is due; INT64_MAX if no key range is an older copy. */
--- a/tests/feed_script.c
+++ b/tests/feed_script.c
@@ -360,6 +360,9 @@
     else if (strcmp(what, "contact-above") == 0) {
         g_assert_cmpint(contact_age_ms(w), >, atoi(argument));
     }
+    else if (strcmp(what, "no-contact") == 0) {
+        g_assert_cmpint(feed_contact_us(w->feed), ==, 0);
+    }
     else if (strcmp(what, "registered") == 0) {
         g_assert_nonnull(find_item(w, argument));
     }
--- a/tests/test_feed_era.c
+++ b/tests/test_feed_era.c
@@ -234,6 +234,40 @@
     run_rows(rows, G_N_ELEMENTS(rows));
 }
 
+/* Guards against removed credentials that work again: a node that has no
+ * recent contact cannot know whether the copy has the newest configuration. */
+static void
+test_contact(void)
+{
+    static const struct feed_script rows[] = {
+        {"a store that was never restored",
+         "copy; start; run 20; contact-below 100"},
+        {"a node starts, and the operator writes again late",
+         "copy; put o/config 4; run 500; away; run 500; restored; start; "
+         "run 1500; no-contact; put o/config 4; run 100; contact-below 1200; "
+         "version 4"},
+        {"a node starts, and the operator has written again already",
+         "copy; put o/config 4; run 500; away; run 500; restored; "
+         "put o/config 4; start; run 2000; no-contact; run 400; "
+         "contact-below 300; version 4"},
+        {"the store fails again before the operator can write",
+         "copy; put o/config 4; run 500; away; run 500; restored; start; "
+         "run 500; away; run 3000; back; run 1500; no-contact; "
+         "put o/config 4; run 100; contact-below 2000; version 4"},
+        {"a running node has recent contact",
+         "copy; put o/config 4; run 500; away; run 2000; restored; run 700; "
+         "contact-below 800; version 4"},
+        {"a running node was cut off when the configuration was written",
+         "copy; away; run 4500; put o/config 4; run 1000; restored; "
+         "run 1500; contact-above 5000; put o/config 4; run 100; "
+         "contact-below 1200; version 4"},
+        {"a running node was cut off and nothing is written again",
+         "copy; away; run 5500; restored; run 1500; contact-above 5000; "
+         "run 1600; contact-below 1200"},
+    };
+    run_rows(rows, G_N_ELEMENTS(rows));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -244,5 +278,6 @@
     g_test_add_func("/feed-era/operator-records", test_operator_records);
     g_test_add_func("/feed-era/endpoints", test_endpoints);
     g_test_add_func("/feed-era/nodes", test_nodes);
+    g_test_add_func("/feed-era/contact", test_contact);
     return g_test_run();
 }
