Handle revisions that fall as a new era of the store

A store whose responses name no era, because a proxy drops the header or the store does not send it, was noticed only where a watch got a revision below the known one, and then for that key range alone: after a 410 the list brought a lower revision without consequence, and the next configuration was dropped as before.

A list or watch with a revision below the known one of its range now starts a new era with the same number: all ranges are listed again and older records are treated as those of a copy. A store that has given out all known revisions again before the first call, and names no era, is not noticed; no revision shows it.

/feed-era/without-era failed before (configuration 5 instead of 6) and passes.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -283,6 +283,9 @@
     }
     f->answered = true;
     handle_call_success(f, now_us, rw);
+    if (feed_has_gone_back(f, now_us, rw, r->revision)) {
+        return;
+    }
     if (!rw->watching) {
         update_contact(f, rw, contact_us);
         handle_list_page(f, now_us, rw, r);
@@ -295,13 +298,6 @@
         }
     }
     update_contact(f, rw, contact_us);
-    if (r->revision < rw->revision) {
-        LOG_EVENT(LOG_WARN, "store_revision_back",
-                  LOG_INT("revision", r->revision),
-                  LOG_INT("known", rw->revision));
-        feed_restart_range(rw, now_us);
-        return;
-    }
     rw->revision = r->revision;
     feed_answer_queries(f, now_us, rw);
     if (is_recently_listed(f, rw, now_us)) {
--- a/src/control/feed_era.c
+++ b/src/control/feed_era.c
@@ -159,3 +159,17 @@
     start_era(f, now_us);
     return false;
 }
+
+bool
+feed_has_gone_back(struct feed *f, int64_t now_us,
+                   const struct range_watch *rw, int64_t revision)
+{
+    if (revision >= rw->revision) {
+        return false;
+    }
+    LOG_EVENT(LOG_WARN, "store_revision_back", LOG_STR("prefix", rw->prefix),
+              LOG_INT("revision", revision), LOG_INT("known", rw->revision),
+              LOG_INT("era", f->era));
+    start_era(f, now_us);
+    return true;
+}
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -173,6 +173,11 @@
 bool feed_accept_era(struct feed *f, int64_t now_us,
                      const struct kv_result *r);
 
+/** Whether the revision of a list or a watch shows that the store has gone
+ * back without a new era, as its revisions never fall otherwise. If so, this
+ * is handled as a new era. */
+bool feed_has_gone_back(struct feed *f, int64_t now_us,
+                        const struct range_watch *rw, int64_t revision);
 /** Whether the list in progress may be older than what this node knows. */
 bool feed_is_copy_list(const struct feed *f, int64_t now_us,
                        enum feed_range range);
--- a/tests/feed_script.c
+++ b/tests/feed_script.c
@@ -484,6 +484,9 @@
     else if (strcmp(what, "without-era") == 0) {
         w->sends_era = false;
     }
+    else if (strcmp(what, "with-era") == 0) {
+        w->sends_era = true;
+    }
     else if (strcmp(what, "foreign-lease") == 0) {
         w->foreign_lease = ++w->data.leases;
     }
--- a/tests/test_feed_era.c
+++ b/tests/test_feed_era.c
@@ -268,6 +268,32 @@
     run_rows(rows, G_N_ELEMENTS(rows));
 }
 
+/* Guards against a store that goes back and whose responses name no era. It is
+ * noticed where the store does not have a known revision. */
+static void
+test_without_era(void)
+{
+    static const struct feed_script rows[] = {
+        {"the configuration is written again and another one follows",
+         "without-era; copy; put o/config 4; run 500; put o/config 5; "
+         "run 500; away; run 2000; restored; put o/config 5; run 800; "
+         "put o/config 6; run 200; version 6"},
+        {"the range that would go on misses a change",
+         "without-era; copy; put e/three pool ready 0 1; "
+         "put n/node-1 tcp://x key; put o/config 4; put o/config 5; "
+         "run 800; nodes 2; away; run 2000; restored; put o/config 5; "
+         "put n/node-2 tcp://x key; run 1000; nodes 3"},
+        {"records in the copy are not taken for the newest",
+         "without-era; copy; put o/zone/a {}; put o/config 4; run 500; "
+         "unused one; away; run 2000; restored; run 1000; unused one; "
+         "version 4"},
+        {"the header is missing for a while",
+         "without-era; run 3000; with-era; run 2000; version 3; used one; "
+         "registered n/node-0"},
+    };
+    run_rows(rows, G_N_ELEMENTS(rows));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -279,5 +305,6 @@
     g_test_add_func("/feed-era/endpoints", test_endpoints);
     g_test_add_func("/feed-era/nodes", test_nodes);
     g_test_add_func("/feed-era/contact", test_contact);
+    g_test_add_func("/feed-era/without-era", test_without_era);
     return g_test_run();
 }
