Register again when the key of this node is removed

A call that the store executes late, after it has come back from an older copy, can write the key of a node under a lease of the era before, which may be another node's. The key then ends with that lease, while the node renews its own and does not notice. Found by reading: calls without a response may be executed seconds later.

A node that sees its own key removed at a revision above that of its write registers again at once. The same shortens the time without registration after a lease has expired.

/feed-era/registration has a row for it, which failed before (n/node-0 missing 0.8 s after the removal) and passes.

--- a/src/control/feed_records.c
+++ b/src/control/feed_records.c
@@ -313,6 +313,9 @@
         break;
     case FEED_KEY_NODE:
         if (item->deleted) {
+            if (strcmp(key, f->node) == 0) {
+                feed_note_own_removal(f, now_us, item->revision);
+            }
             remove_name(f, now_us, f->nodes, "node_gone", key);
         }
         else {
--- a/src/control/feed_register.c
+++ b/src/control/feed_register.c
@@ -34,6 +34,7 @@
         break;
     case LEASE_GRANTED:
         f->lease_state = LEASE_REGISTERED;
+        f->registered_revision = r->revision;
         break;
     case LEASE_REGISTERED:
         if (f->leaving) {
@@ -58,6 +59,17 @@
     f->next_lease_call_us = now_us;
 }
 
+void
+feed_note_own_removal(struct feed *f, int64_t now_us, int64_t revision)
+{
+    if (f->lease_state == LEASE_REGISTERED && !f->leaving &&
+        revision > f->registered_revision) {
+        LOG_EVENT(LOG_WARN, "registration_removed", LOG_INT("lease", f->lease),
+                  LOG_INT("revision", revision));
+        feed_restart_registration(f, now_us);
+    }
+}
+
 static bool
 all_listed(const struct feed *f)
 {
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -158,6 +158,7 @@
     uint64_t lease_op_id; /* of the operation in progress; 0: none */
     int64_t lease;        /* the store's id of the lease */
     int64_t next_lease_call_us;
+    int64_t registered_revision; /* of the key that this node has written */
     bool leaving;
     struct buf node_key; /* under which this node registers */
 };
@@ -216,6 +217,8 @@
 /** Registers this node again, without the lease that it has: an older copy of
  * the store may have given the id of that lease to another node. */
 void feed_restart_registration(struct feed *f, int64_t now_us);
+/** Registers this node again if its key was removed at @p revision. */
+void feed_note_own_removal(struct feed *f, int64_t now_us, int64_t revision);
 /** The next operation of the registration. @return false if there is none now
  */
 bool feed_next_lease_op(struct feed *f, int64_t now_us, struct kv_op *out);
--- a/tests/feed_script.c
+++ b/tests/feed_script.c
@@ -224,7 +224,8 @@
         g_free(key);
         g_free(value);
     }
-    respond(w, c, exists ? KV_OK : KV_LEASE_EXPIRED, (struct kv_result){0});
+    respond(w, c, exists ? KV_OK : KV_LEASE_EXPIRED,
+            (struct kv_result){.revision = w->data.revision});
     return true;
 }
 
--- a/tests/test_feed_era.c
+++ b/tests/test_feed_era.c
@@ -67,6 +67,8 @@
         {"the lease was given to another node",
          "away; run 500; restored; foreign-lease; run 4000; "
          "registered n/node-0; leave; run 1000"},
+        {"a write of the previous era arrives late and ends with its lease",
+         "run 500; delete n/node-0; run 800; registered n/node-0"},
         {"the node is leaving",
          "away; leave; run 500; restored; foreign-lease; run 1000; "
          "unregistered"},
