Skip a watcher that does not see the new era of the store

A node that got a reply of an older era from a watcher called the store and asked the same watcher again at once, for as long as that watcher had no way to the store: a call to the store each round trip.

Such a reply now counts as one without the changes: a second one within two seconds skips the watcher.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -340,15 +340,10 @@
             continue;
         }
         uint64_t node = rw->via_node;
-        if (!feed_is_peer_era(f, now_us, answer->era)) {
-            rw->bypass_watcher = true;
-            rw->busy = false;
-            rw->next_call_us = now_us;
-            return;
-        }
-        if (!answer->known) {
+        bool same_era = feed_is_peer_era(f, now_us, answer->era);
+        if (!answer->known || !same_era) {
             /* Only the store has the changes that this node has missed. */
-            if (answer->age_us == FEED_AGE_UNKNOWN ||
+            if ((same_era && answer->age_us == FEED_AGE_UNKNOWN) ||
                 feed_is_reply_stale(answer) ||
                 now_us - rw->watcher_unknown_us < WATCHER_UNKNOWN_WINDOW_US) {
                 suspect_watcher(f, now_us, node, rw->failing);
--- a/tests/feed_script.c
+++ b/tests/feed_script.c
@@ -52,6 +52,7 @@
     int call_count;
     struct kv_op query; /* newest of the operator's range to another node */
     bool query_open;
+    int answer_era; /* watchers reply at once, from this era; 0: they do not */
     int store_polls; /* watches of the operator's range without waiting */
     char *node;
     int64_t foreign_lease; /* of another node; 0: none */
@@ -291,6 +292,14 @@
     while (feed_next_op(w->feed, w->now, &op)) {
         submit(w, &op);
     }
+    if (w->query_open && w->answer_era) {
+        struct feed_reply r = {.correlation_id = w->query.id,
+                               .known = true,
+                               .era = w->answer_era,
+                               .revision = w->query.revision};
+        w->query_open = false;
+        feed_handle_peer_reply(w->feed, w->now, &r);
+    }
     struct cluster_view *v = feed_take_site(w->feed, w->now);
     if (v) {
         cluster_view_unref(w->view);
@@ -440,6 +449,12 @@
     else if (strcmp(words[0], "no-poll") == 0) {
         w->store_polls = 0;
     }
+    else if (strcmp(words[0], "polls-below") == 0) {
+        g_assert_cmpint(w->store_polls, <, atoi(words[1]));
+    }
+    else if (strcmp(words[0], "answer-always") == 0) {
+        w->answer_era = atoi(words[1]);
+    }
     else if (strcmp(words[0], "polled") == 0) {
         g_assert_cmpint(w->store_polls, >, 0);
     }
--- a/tests/test_feed_era.c
+++ b/tests/test_feed_era.c
@@ -113,6 +113,9 @@
         {"a watcher of a build without eras after a restore",
          "away; restored; answer 2 4; run 50; put o/config 5; no-poll; "
          "answer 0 4; run 10; polled; version 5"},
+        {"a watcher that does not see the new era replies at once",
+         "away; restored; answer 2 4; run 50; no-poll; answer-always 1; "
+         "run 1000; polls-below 10"},
         {"a watcher of a build without eras before any restore",
          "answer 0 4; run 10; version 4"},
     };
