Let watchers confirm the contact of nodes that share their watches

A watcher that has recent contact has seen every configuration, and its reply now names the version that it knows, together with the era. A node whose own configuration is not older has missed nothing, so its contact counts from that reply on. Such a node asks a watcher once with wait_for_contact, which is answered at once, and no longer skips watchers that were silent because they had no contact either. Replies without a version (builds before this one), of a watcher whose contact is old, or with a newer version leave the hold as it is.

/feed-era/contact has five rows for it; the first failed before (contact 6.1 s old 1.1 s after the restore).

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -349,11 +349,15 @@
                 suspect_watcher(f, now_us, node, rw->failing);
             }
             rw->bypass_watcher = true;
+            f->contact_query_due = true;
             rw->watcher_unknown_us = now_us;
             rw->busy = false;
             rw->next_call_us = now_us;
             return;
         }
+        if (rw->range == FEED_RANGE_OPERATOR) {
+            feed_note_watcher(f, answer);
+        }
         struct kv_item items[FEED_RELAY_MAX_ITEMS];
         for (int k = 0; k < answer->item_count; k++) {
             const struct feed_relay_item *from = &answer->items[k];
@@ -453,8 +457,10 @@
         rw->via_node = rw->bypass_watcher || is_recently_listed(f, rw, now_us)
                            ? 0
                            : feed_choose_watcher(f, now_us);
-        out->wait_for_contact = rw->failing;
         out->via_node = rw->via_node;
+        out->wait_for_contact =
+            rw->failing || (rw->via_node && rw->range == FEED_RANGE_OPERATOR &&
+                            feed_take_contact_query(f));
         out->wait_ms = choose_wait_ms(f, rw, now_us);
         out->timeout_ms =
             rw->failing ? PROBE_TIMEOUT_MS : out->wait_ms + CALL_SLACK_MS;
--- a/src/control/feed_era.c
+++ b/src/control/feed_era.c
@@ -47,6 +47,9 @@
 {
     if (now_us - feed_contact_us(f) > RECENT_CONTACT_US) {
         f->contact_hold_end_us = f->copy_end_us[FEED_RANGE_OPERATOR];
+        f->contact_query_due = true;
+        /* Watchers are skipped because they had no contact either. */
+        g_hash_table_remove_all(f->suspected_until);
         LOG_EVENT(LOG_INFO, "contact_held",
                   LOG_INT("ms", (f->contact_hold_end_us - now_us) / MS));
     }
@@ -60,6 +63,29 @@
     }
 }
 
+/* The watcher has had contact all the time, so no configuration was written
+ * that neither it nor this node knows. */
+void
+feed_note_watcher(struct feed *f, const struct feed_reply *answer)
+{
+    if (f->contact_hold_end_us && f->routing && answer->version > 0 &&
+        answer->version <= routing_version(f->routing) &&
+        answer->age_us < RECENT_CONTACT_US) {
+        LOG_EVENT(LOG_INFO, "contact_confirmed",
+                  LOG_INT("version", answer->version),
+                  LOG_INT("age_ms", answer->age_us / MS));
+        f->contact_hold_end_us = 0;
+    }
+}
+
+bool
+feed_take_contact_query(struct feed *f)
+{
+    bool due = f->contact_hold_end_us && f->contact_query_due;
+    f->contact_query_due = false;
+    return due;
+}
+
 void
 feed_end_copies(struct feed *f, int64_t now_us)
 {
--- a/src/control/feed_share.c
+++ b/src/control/feed_share.c
@@ -249,6 +249,7 @@
     out->age_us = a->age_us;
     out->revision = rw->revision;
     out->era = feed_query_era(a->id) ? f->era : 0;
+    out->version = f->routing ? routing_version(f->routing) : 0;
     for (const GList *l = rw->cached.head; l && out->known; l = l->next) {
         const struct cached_change *r = l->data;
         if (r->revision <= a->revision) {
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -134,6 +134,7 @@
     /* Contacts before this time do not count: the operator may not have
      * written again what an older copy lacks; 0: all count. */
     int64_t contact_hold_end_us;
+    bool contact_query_due;      /* see feed_take_contact_query */
     int64_t heard_era;           /* newest era that other nodes have named */
     bool answered;               /* the store has answered a list or a watch */
     int64_t removed_hold_end_us; /* removed records stay in effect until then;
@@ -186,6 +187,11 @@
 void feed_extend_copy(struct feed *f, int64_t now_us, enum feed_range range);
 /** A configuration was written in this era, or is in a list. */
 void feed_note_configuration(struct feed *f);
+/** A watcher with recent contact has replied in this era. */
+void feed_note_watcher(struct feed *f, const struct feed_reply *answer);
+/** Whether the next query must be answered at once, because the watcher may
+ * show that the held contact counts. */
+bool feed_take_contact_query(struct feed *f);
 /** Lists the key ranges again that may have been an older copy. */
 void feed_end_copies(struct feed *f, int64_t now_us);
 /** When feed_end_copies is due; INT64_MAX if no key range is an older copy. */
--- a/src/model/feed_relay.h
+++ b/src/model/feed_relay.h
@@ -64,6 +64,8 @@
                            known */
     int64_t era;      /**< of the revisions; 0: the query's era is unknown, or
                            the replying node is of a build without eras */
+    int64_t version;  /**< of the configuration that the replying node knows;
+                           0: none. Sent with the era only. */
     int item_count;
     struct feed_relay_item items[FEED_RELAY_MAX_ITEMS];
 };
--- a/src/wire/msg.c
+++ b/src/wire/msg.c
@@ -374,10 +374,11 @@
         io_i64(io, &b->items[i].revision, INT64_MAX);
         io_bool(io, &b->items[i].deleted);
     }
-    /* Builds without eras reject this field. They send queries without an era,
-     * and get replies without one. */
+    /* Builds without eras reject these fields. They send queries without an
+     * era, and get replies without one. */
     if (io->mode == IO_READ ? io->fields > 0 : b->era > 0) {
         io_i64(io, &b->era, INT64_MAX);
+        io_i64(io, &b->version, INT64_MAX);
     }
 }
 
--- a/tests/feed_script.c
+++ b/tests/feed_script.c
@@ -52,6 +52,8 @@
     int call_count;
     struct kv_op query; /* newest of the operator's range to another node */
     bool query_open;
+    int answer_version; /* of the configuration that watchers know */
+    int64_t answer_age_us;
     int answer_era; /* watchers reply at once, from this era; 0: they do not */
     int store_polls; /* watches of the operator's range without waiting */
     char *node;
@@ -296,6 +298,8 @@
         struct feed_reply r = {.correlation_id = w->query.id,
                                .known = true,
                                .era = w->answer_era,
+                               .version = w->answer_version,
+                               .age_us = w->answer_age_us,
                                .revision = w->query.revision};
         w->query_open = false;
         feed_handle_peer_reply(w->feed, w->now, &r);
@@ -455,6 +459,12 @@
     else if (strcmp(words[0], "answer-always") == 0) {
         w->answer_era = atoi(words[1]);
     }
+    else if (strcmp(words[0], "answer-version") == 0) {
+        w->answer_version = atoi(words[1]);
+    }
+    else if (strcmp(words[0], "answer-age") == 0) {
+        w->answer_age_us = atoi(words[1]) * MS;
+    }
     else if (strcmp(words[0], "polled") == 0) {
         g_assert_cmpint(w->store_polls, >, 0);
     }
--- a/tests/test_feed_era.c
+++ b/tests/test_feed_era.c
@@ -270,7 +270,33 @@
          "copy; away; run 5500; restored; run 1500; contact-above 5000; "
          "run 1600; contact-below 1200"},
     };
+    /* These nodes query a watcher, which has had contact all the time and
+     * knows the configuration that is given. */
+    static const struct feed_script asker[] = {
+        {"a watcher knows no newer configuration",
+         "copy; put o/config 4; run 500; answer 1 4; away; run 5000; "
+         "restored; answer-version 4; answer-always 2; run 1100; "
+         "contact-below 1200; version 4"},
+        {"a watcher knows a newer configuration",
+         "copy; put o/config 4; run 500; answer 1 4; away; run 5000; "
+         "restored; answer-version 5; answer-always 2; run 1100; "
+         "contact-above 4750; put o/config 5; run 1500; contact-below 1200"},
+        {"a watcher of a build that does not name its configuration",
+         "copy; put o/config 4; run 500; answer 1 4; away; run 5000; "
+         "restored; answer-version 0; answer-always 2; run 1100; "
+         "contact-above 4750"},
+        {"a watcher has no recent contact either",
+         "copy; put o/config 4; run 500; answer 1 4; away; run 5000; "
+         "restored; answer-version 4; answer-age 5000; answer-always 2; "
+         "run 1100; contact-above 4750"},
+        {"a node starts, and a watcher knows a newer configuration",
+         "copy; put o/config 4; run 500; away; run 500; restored; start; "
+         "answer-version 4; answer-always 2; run 1500; no-contact"},
+    };
     run_rows(rows, G_N_ELEMENTS(rows));
+    for (size_t i = 0; i < G_N_ELEMENTS(asker); i++) {
+        feed_script_run(&asker[i], ASKER, 30);
+    }
 }
 
 /* Guards against a store that goes back and whose responses name no era. It is
