--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -56,20 +56,10 @@
  * interval while its calls fail and those for the operator's records do not.
  */
 #define NODES_PROBE_INTERVAL_US (2 * SECOND)
-/* A slow store takes some hundred ms per response. */
-#define CALL_SLACK_MS 1500
 #define LIST_TIMEOUT_MS 2000
-/* Records that expired during an outage are written again within two seconds
- * of the store's return. Until then removed records stay in effect. */
-#define REMOVED_HOLD_US (2200 * MS)
 /* Records expire after three missed heartbeats of a second or more each, so an
  * outage shorter than this removes no record of a live endpoint. */
 #define MIN_OUTAGE_US (2000 * MS)
-/* The registration of a dead node ends after this time. A registration
- * survives the loss of two renewals. */
-#define LEASE_TTL_MS 10000
-#define LEASE_RENEW_INTERVAL_US (3300 * MS)
-#define LEASE_RETRY_INTERVAL_US (500 * MS)
 /* Limits that nodes share shrink at once when a node joins, but grow only when
  * a node has been missing for this long: it may still send requests. */
 #define NODE_MISSING_US (10 * SECOND)
@@ -85,6 +75,8 @@
     rng_seed(&f->rng, seed);
     f->records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                        feed_record_free);
+    f->departed =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     f->evacuated_zones =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     f->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -119,6 +111,7 @@
     }
     routing_unref(f->routing);
     g_hash_table_destroy(f->records);
+    g_hash_table_destroy(f->departed);
     g_hash_table_destroy(f->evacuated_zones);
     g_hash_table_destroy(f->nodes);
     g_hash_table_destroy(f->registrations);
@@ -179,26 +172,24 @@
     return last;
 }
 
-/* @param contact_us this node knows all writes acknowledged before this time
- */
 static void
-handle_call_success(struct feed *f, int64_t now_us, struct range_watch *rw,
-                    int64_t contact_us)
+handle_call_success(struct feed *f, int64_t now_us, struct range_watch *rw)
 {
     int64_t last = latest_response_us(f);
     if (rw->failing && last && now_us - last > MIN_OUTAGE_US) {
         f->outage_end_us = now_us;
     }
     if (rw->failing) {
+        feed_extend_copy(f, now_us, rw->range);
         LOG_EVENT(LOG_INFO, "store_back", LOG_STR("prefix", rw->prefix),
                   LOG_INT("contact_age_ms", contact_age_ms(rw, now_us)));
     }
     if (rw->range == FEED_RANGE_ENDPOINTS && rw->failing && f->outage_end_us &&
         now_us - f->outage_end_us < REMOVED_HOLD_US) {
-        f->removed_hold_end_us = f->outage_end_us + REMOVED_HOLD_US;
+        f->removed_hold_end_us =
+            MAX(f->removed_hold_end_us, f->outage_end_us + REMOVED_HOLD_US);
     }
     rw->failing = false;
-    rw->contact_us = MAX(rw->contact_us, contact_us);
     rw->last_response_us = now_us;
     rw->next_call_us = now_us;
 }
@@ -247,20 +238,33 @@
         rw->next_call_us = now_us + AFTER_LIST_INTERVAL_US;
     }
     LOG_EVENT(LOG_INFO, "store_listed", LOG_STR("prefix", rw->prefix),
-              LOG_INT("revision", rw->revision),
+              LOG_INT("revision", rw->revision), LOG_INT("era", f->era),
               LOG_INT("endpoints", g_hash_table_size(f->records)),
               LOG_INT("nodes", g_hash_table_size(f->nodes)));
 }
 
-static void
-restart_list(struct range_watch *rw, int64_t now_us)
+void
+feed_restart_range(struct range_watch *rw, int64_t now_us)
 {
     rw->watching = false;
+    rw->busy = false;
+    rw->call_id = 0;
     g_free(rw->list_after_key);
     rw->list_after_key = NULL;
     rw->next_call_us = now_us;
 }
 
+static void
+update_contact(const struct feed *f, struct range_watch *rw,
+               int64_t contact_us)
+{
+    if (contact_us >= f->contact_hold_end_us) {
+        rw->contact_us = MAX(rw->contact_us, contact_us);
+    }
+}
+
+/* @param contact_us this node knows all writes acknowledged before this time
+ */
 static void
 handle_call_result(struct feed *f, int64_t now_us, struct range_watch *rw,
                    const struct kv_result *r, int64_t contact_us)
@@ -270,15 +274,20 @@
         LOG_EVENT(LOG_INFO, "store_history_gone",
                   LOG_STR("prefix", rw->prefix),
                   LOG_INT("revision", rw->revision));
-        restart_list(rw, now_us);
+        feed_restart_range(rw, now_us);
         return;
     }
     if (r->outcome != KV_OK) {
         handle_call_failure(f, now_us, rw, r);
         return;
     }
-    handle_call_success(f, now_us, rw, contact_us);
+    f->answered = true;
+    handle_call_success(f, now_us, rw);
+    if (feed_has_gone_back(f, now_us, rw, r->revision)) {
+        return;
+    }
     if (!rw->watching) {
+        update_contact(f, rw, contact_us);
         handle_list_page(f, now_us, rw, r);
         return;
     }
@@ -288,13 +297,7 @@
             feed_cache_change(rw, &r->items[i]);
         }
     }
-    if (r->revision < rw->revision) {
-        LOG_EVENT(LOG_WARN, "store_revision_back",
-                  LOG_INT("revision", r->revision),
-                  LOG_INT("known", rw->revision));
-        restart_list(rw, now_us);
-        return;
-    }
+    update_contact(f, rw, contact_us);
     rw->revision = r->revision;
     feed_answer_queries(f, now_us, rw);
     if (is_recently_listed(f, rw, now_us)) {
@@ -337,19 +340,24 @@
             continue;
         }
         uint64_t node = rw->via_node;
-        if (!answer->known) {
+        bool same_era = feed_is_peer_era(f, now_us, answer->era);
+        if (!answer->known || !same_era) {
             /* Only the store has the changes that this node has missed. */
-            if (answer->age_us == FEED_AGE_UNKNOWN ||
+            if ((same_era && answer->age_us == FEED_AGE_UNKNOWN) ||
                 feed_is_reply_stale(answer) ||
                 now_us - rw->watcher_unknown_us < WATCHER_UNKNOWN_WINDOW_US) {
                 suspect_watcher(f, now_us, node, rw->failing);
             }
             rw->bypass_watcher = true;
+            f->contact_query_due = true;
             rw->watcher_unknown_us = now_us;
             rw->busy = false;
             rw->next_call_us = now_us;
             return;
         }
+        if (rw->range == FEED_RANGE_OPERATOR) {
+            feed_note_watcher(f, answer);
+        }
         struct kv_item items[FEED_RELAY_MAX_ITEMS];
         for (int k = 0; k < answer->item_count; k++) {
             const struct feed_relay_item *from = &answer->items[k];
@@ -449,8 +457,10 @@
         rw->via_node = rw->bypass_watcher || is_recently_listed(f, rw, now_us)
                            ? 0
                            : feed_choose_watcher(f, now_us);
-        out->wait_for_contact = rw->failing;
         out->via_node = rw->via_node;
+        out->wait_for_contact =
+            rw->failing || (rw->via_node && rw->range == FEED_RANGE_OPERATOR &&
+                            feed_take_contact_query(f));
         out->wait_ms = choose_wait_ms(f, rw, now_us);
         out->timeout_ms =
             rw->failing ? PROBE_TIMEOUT_MS : out->wait_ms + CALL_SLACK_MS;
@@ -463,120 +473,17 @@
     }
     rw->busy = true;
     rw->call_sent_us = now_us;
-    rw->call_id = out->id = ++f->next_id;
+    rw->call_id = out->id = feed_query_id(f->era, ++f->next_id);
     return true;
 }
 
-/* The registration of this node */
-
-static void
-handle_lease_result(struct feed *f, int64_t now_us, const struct kv_result *r)
-{
-    f->lease_op_id = 0;
-    f->next_lease_call_us = now_us + LEASE_RENEW_INTERVAL_US;
-    if (r->outcome == KV_LEASE_EXPIRED) {
-        LOG_EVENT(LOG_WARN, "registration_lapsed", LOG_INT("lease", f->lease));
-        f->lease_state = f->leaving ? LEASE_ENDED : LEASE_NONE;
-        f->next_lease_call_us = now_us;
-        return;
-    }
-    if (r->outcome != KV_OK) {
-        if (f->lease_state == LEASE_REQUESTED) {
-            f->lease_state = LEASE_NONE;
-        }
-        f->next_lease_call_us = now_us + LEASE_RETRY_INTERVAL_US;
-        return;
-    }
-    switch (f->lease_state) {
-    case LEASE_REQUESTED:
-        f->lease = r->lease;
-        f->lease_state = LEASE_GRANTED;
-        f->next_lease_call_us = now_us;
-        break;
-    case LEASE_GRANTED:
-        f->lease_state = LEASE_REGISTERED;
-        break;
-    case LEASE_REGISTERED:
-        if (f->leaving) {
-            f->lease_state = LEASE_ENDED;
-        }
-        break;
-    case LEASE_NONE:
-    case LEASE_ENDED:
-        break;
-    }
-}
-
-static bool
-all_listed(const struct feed *f)
-{
-    bool listed = true;
-    for (int i = 0; i < FEED_RANGE_COUNT; i++) {
-        listed &= f->range_watches[i].listed_once;
-    }
-    return listed;
-}
-
-static bool
-next_lease_op(struct feed *f, int64_t now_us, struct kv_op *out)
-{
-    if (f->lease_op_id || now_us < f->next_lease_call_us) {
-        return false;
-    }
-    switch (f->lease_state) {
-    case LEASE_NONE:
-        if (f->leaving) {
-            f->lease_state = LEASE_ENDED;
-            return false;
-        }
-        out->kind = KV_LEASE_GRANT;
-        out->ttl_ms = LEASE_TTL_MS;
-        f->lease_state = LEASE_REQUESTED;
-        break;
-    case LEASE_GRANTED:
-        /* Other nodes send queries to a registered node, so this node must
-         * know the cluster view first. */
-        if (!all_listed(f)) {
-            return false;
-        }
-        out->kind = KV_PUT;
-        out->key = buf_str(&f->node_key);
-        out->value = f->registered;
-        out->lease = f->lease;
-        break;
-    case LEASE_REGISTERED:
-        out->kind = f->leaving ? KV_LEASE_REVOKE : KV_LEASE_RENEW;
-        out->lease = f->lease;
-        break;
-    case LEASE_REQUESTED:
-    case LEASE_ENDED:
-        return false;
-    }
-    out->timeout_ms = CALL_SLACK_MS;
-    f->lease_op_id = out->id = ++f->next_id;
-    return true;
-}
-
-void
-feed_start_deregistration(struct feed *f, int64_t now_us)
-{
-    f->leaving = true;
-    f->next_lease_call_us = now_us;
-}
-
-bool
-feed_is_deregistered(const struct feed *f)
-{
-    return f->lease_state == LEASE_ENDED ||
-           (f->leaving && f->lease_state == LEASE_NONE);
-}
-
 bool
 feed_next_op(struct feed *f, int64_t now_us, struct kv_op *out)
 {
     *out = (struct kv_op){0};
     feed_answer_expired_queries(f, now_us);
-    if (next_lease_op(f, now_us, out)) {
+    feed_end_copies(f, now_us);
+    if (feed_next_lease_op(f, now_us, out)) {
         return true;
     }
     for (int i = 0; i < FEED_RANGE_COUNT; i++) {
@@ -603,8 +510,13 @@
 void
 feed_handle_result(struct feed *f, int64_t now_us, const struct kv_result *r)
 {
+    const struct kv_result ignored = {.id = r->id,
+                                      .outcome = KV_OUTCOME_UNKNOWN};
+    if (!feed_accept_era(f, now_us, r)) {
+        r = &ignored;
+    }
     if (r->id == f->lease_op_id) {
-        handle_lease_result(f, now_us, r);
+        feed_handle_lease_result(f, now_us, r);
         return;
     }
     for (int i = 0; i < FEED_RANGE_COUNT; i++) {
@@ -637,11 +549,8 @@
         }
         at = due < at ? due : at;
     }
-    if (!f->lease_op_id && f->lease_state != LEASE_ENDED &&
-        (f->lease_state != LEASE_GRANTED || all_listed(f)) &&
-        f->next_lease_call_us < at) {
-        at = f->next_lease_call_us;
-    }
+    at = MIN(at, feed_lease_call_due_us(f));
+    at = MIN(at, feed_copies_due_us(f));
     if (f->removed_hold_end_us && f->removed_hold_end_us < at) {
         at = f->removed_hold_end_us;
     }
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -1,6 +1,7 @@
 /**
  * @file feed_state.h
- * State of the feed, private to feed.c, feed_records.c and feed_share.c.
+ * State of the feed, private to feed.c, feed_era.c, feed_records.c,
+ * feed_register.c and feed_share.c.
  */
 #ifndef CONTROL_FEED_STATE_H
 #define CONTROL_FEED_STATE_H
@@ -20,6 +21,11 @@
  * directly, which is simpler and costs the store little. */
 #define MAX_DIRECT_NODES 8
 #define MIN_WATCHERS 3
+/* Records that expired during an outage are written again within two seconds
+ * of the store's return. Until then removed records stay in effect. */
+#define REMOVED_HOLD_US (2200 * MS)
+/* A slow store takes some hundred ms per response. */
+#define CALL_SLACK_MS 1500
 
 enum lease_state {
     LEASE_NONE,
@@ -31,11 +37,19 @@
 
 struct endpoint_entry {
     struct endpoint_record info;
+    int64_t era; /* of the revision */
+    int64_t revision;
     int64_t cold_until_us;
     int64_t removed_us; /* when its key was removed; 0: the key exists */
     bool seen_in_list;  /* in a page of the list in progress */
 };
 
+/* A start of an endpoint that has been removed. */
+struct departed_endpoint {
+    int64_t started_ms;
+    int64_t removed_us;
+};
+
 /* A query of another node that waits for changes. */
 struct peer_query {
     uint64_t node;
@@ -113,6 +127,16 @@
                               records to expire */
     GHashTable *suspected_until; /* hash of node -> int64_t, time in us */
     GQueue due_replies;          /* struct due_reply */
+    int64_t era;                 /* newest era of the store; 0: unknown */
+    /* Until then, lists may lack what was written before the store came back
+     * from an older copy; 0: they do not. */
+    int64_t copy_end_us[FEED_RANGE_COUNT];
+    /* Contacts before this time do not count: the operator may not have
+     * written again what an older copy lacks; 0: all count. */
+    int64_t contact_hold_end_us;
+    bool contact_query_due;      /* see feed_take_contact_query */
+    int64_t heard_era;           /* newest era that other nodes have named */
+    bool answered;               /* the store has answered a list or a watch */
     int64_t removed_hold_end_us; /* removed records stay in effect until then;
                                     0: they are dropped at once */
     uint64_t next_id;
@@ -120,6 +144,7 @@
     struct routing *routing;
     int64_t routing_revision;
     GHashTable *records;         /* id -> struct endpoint_entry */
+    GHashTable *departed;        /* id -> struct departed_endpoint */
     GHashTable *evacuated_zones; /* zone -> 1: unseen, 2: seen in the list */
     GHashTable *nodes;           /* name -> 1: unseen, 2: seen in the list */
     GHashTable *registrations;   /* name of node -> what it registered */
@@ -134,10 +159,48 @@
     uint64_t lease_op_id; /* of the operation in progress; 0: none */
     int64_t lease;        /* the store's id of the lease */
     int64_t next_lease_call_us;
+    int64_t registered_revision; /* of the key that this node has written */
     bool leaving;
     struct buf node_key; /* under which this node registers */
 };
 
+/* feed.c */
+/** Lists a key range again. The result of a call in progress is ignored. */
+void feed_restart_range(struct range_watch *rw, int64_t now_us);
+
+/* feed_era.c: the store comes back from an older copy */
+/** Takes the era from a result.
+ * @return false if the result must be ignored, because the data of this node
+ * is of another era */
+bool feed_accept_era(struct feed *f, int64_t now_us,
+                     const struct kv_result *r);
+
+/** Whether the revision of a list or a watch shows that the store has gone
+ * back without a new era, as its revisions never fall otherwise. If so, this
+ * is handled as a new era. */
+bool feed_has_gone_back(struct feed *f, int64_t now_us,
+                        const struct range_watch *rw, int64_t revision);
+/** Whether the list in progress may be older than what this node knows. */
+bool feed_is_copy_list(const struct feed *f, int64_t now_us,
+                       enum feed_range range);
+/** The store answers again after an outage, so its writers need time again. */
+void feed_extend_copy(struct feed *f, int64_t now_us, enum feed_range range);
+/** A configuration was written in this era, or is in a list. */
+void feed_note_configuration(struct feed *f);
+/** A watcher with recent contact has replied in this era. */
+void feed_note_watcher(struct feed *f, const struct feed_reply *answer);
+/** Whether the next query must be answered at once, because the watcher may
+ * show that the held contact counts. */
+bool feed_take_contact_query(struct feed *f);
+/** Lists the key ranges again that may have been an older copy. */
+void feed_end_copies(struct feed *f, int64_t now_us);
+/** When feed_end_copies is due; INT64_MAX if no key range is an older copy. */
+int64_t feed_copies_due_us(const struct feed *f);
+/** Whether a revision of another node can be compared with the revisions of
+ * this node. If the other node knows a newer era, this node calls the store at
+ * once. @param era of that revision, 0: unknown */
+bool feed_is_peer_era(struct feed *f, int64_t now_us, int64_t era);
+
 /* feed_records.c */
 /** Applies one item of the store. */
 void feed_apply_item(struct feed *f, int64_t now_us,
@@ -153,6 +216,22 @@
 /** Frees a struct endpoint_entry. */
 void feed_record_free(gpointer p);
 
+/* feed_register.c: the registration of this node */
+/** Handles the result of the operation lease_op_id. */
+void feed_handle_lease_result(struct feed *f, int64_t now_us,
+                              const struct kv_result *r);
+/** Registers this node again, without the lease that it has: an older copy of
+ * the store may have given the id of that lease to another node. */
+void feed_restart_registration(struct feed *f, int64_t now_us);
+/** Registers this node again if its key was removed at @p revision. */
+void feed_note_own_removal(struct feed *f, int64_t now_us, int64_t revision);
+/** The next operation of the registration. @return false if there is none now
+ */
+bool feed_next_lease_op(struct feed *f, int64_t now_us, struct kv_op *out);
+/** When feed_next_lease_op may return an operation; INT64_MAX: after a result
+ */
+int64_t feed_lease_call_due_us(const struct feed *f);
+
 /* feed_share.c */
 /** Caches a change for queries of other nodes. */
 void feed_cache_change(struct range_watch *rw, const struct kv_item *item);
@@ -162,6 +241,8 @@
  * concern. */
 void feed_answer_queries(struct feed *f, int64_t now_us,
                          struct range_watch *rw);
+/** Answers all queries of the previous era as unknown. */
+void feed_drop_queries(struct feed *f, int64_t now_us);
 /** Answers queries that have waited for the maximum time. */
 void feed_answer_expired_queries(struct feed *f, int64_t now_us);
 /** When the next reply is due; INT64_MAX if none is. */
