Add checked conversions of numbers; check float casts in asan builds

Numbers of records, headers and reports were cast from double to integers or multiplied by 1000 at each place of use. A value such as 1e308 makes that undefined in C, and -fsanitize=undefined does not include the check for it (float-cast-overflow), so no test could fail.

number_from_real and number_from_text convert with a range and report a value outside of it. The asan build and the byte fuzzer now end on an undefined float conversion.

--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,9 @@
 PKGS := glib-2.0 gio-2.0 libmicrohttpd libcurl libzmq jansson msgpack libsodium \
 	libxxhash ck
 CF_release := -O2
-CF_asan := -O1 -fsanitize=address,undefined -fno-omit-frame-pointer \
-	-fno-sanitize-recover=undefined
+CF_asan := -O1 -fsanitize=address,undefined,float-cast-overflow \
+	-fno-omit-frame-pointer \
+	-fno-sanitize-recover=undefined,float-cast-overflow
 CF_tsan := -O1 -fsanitize=thread
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wvla -Wno-unused-result
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -2,11 +2,13 @@
  * quantiles, and error kinds with a duplicate name or without an HTTP error
  * status. */
 #include <glib.h>
+#include <math.h>
 
 #include "base/errkind.h"
 #include "base/hash.h"
 #include "base/hist.h"
 #include "base/log.h"
+#include "base/number.h"
 #include "base/str.h"
 #include "base/clean.h"
 
@@ -32,6 +34,57 @@
     }
 }
 
+/* Guards against conversions that C leaves undefined. */
+static void
+test_numbers(void)
+{
+    static const struct {
+        double value;
+        double scale;
+        int64_t min, max;
+        bool ok;
+        int64_t result;
+    } rows[] = {
+        {1.5, 1000, 0, INT64_MAX, true, 1500},
+        {-0.5, 1, 0, 10, true, 0},
+        {10, 1, 0, 10, true, 10},
+        {11, 1, 0, 10, false, 0},
+        {-1, 1, 0, 10, false, 0},
+        {-9223372036854775808.0, 1, INT64_MIN, INT64_MAX, true, INT64_MIN},
+        {9223372036854775807.0, 1, INT64_MIN, INT64_MAX, false, 0},
+        {1e308, 1, INT64_MIN, INT64_MAX, false, 0},
+        {1e308, 1000, INT64_MIN, INT64_MAX, false, 0},
+        {-1e308, 1000, INT64_MIN, INT64_MAX, false, 0},
+        {NAN, 1, INT64_MIN, INT64_MAX, false, 0},
+        {-INFINITY, 1, INT64_MIN, INT64_MAX, false, 0},
+    };
+    static const struct {
+        const char *text;
+        bool ok;
+    } texts[] = {{"1", true},      {"65535", true},
+                 {"0", false},     {"-1", false},
+                 {"65536", false}, {"4294967377", false},
+                 {"1e3", false},   {"", false},
+                 {"x", false},     {"99999999999999999999999", false}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        int64_t n = 0;
+        g_assert_cmpint(number_from_real(rows[i].value, rows[i].scale,
+                                         rows[i].min, rows[i].max, &n),
+                        ==, rows[i].ok);
+        g_assert_cmpint(n, ==, rows[i].result);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        int64_t n = -7;
+        g_assert_cmpint(
+            number_from_text(str_from_cstr(texts[i].text), 1, 65535, &n), ==,
+            texts[i].ok);
+        g_assert_cmpint(n == -7, !=, texts[i].ok);
+    }
+    g_assert_cmpint(number_clamp(INT64_MAX, 0, 9), ==, 9);
+    g_assert_cmpint(number_clamp(INT64_MIN, 0, 9), ==, 0);
+    g_assert_cmpint(number_clamp(5, 0, 9), ==, 5);
+}
+
 static void
 test_log_quoting(void)
 {
@@ -97,6 +150,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/base/integers", test_integers);
+    g_test_add_func("/base/numbers", test_numbers);
     g_test_add_func("/base/log-quoting", test_log_quoting);
     g_test_add_func("/base/error-table", test_error_table);
     g_test_add_func("/base/digest-parts", test_digest_parts);
--- a/tools/fuzz_bytes.sh
+++ b/tools/fuzz_bytes.sh
@@ -5,7 +5,8 @@
 mkdir -p build/fuzz
 clang++-14 -w -g -O1 -fsanitize=fuzzer-no-link,address -std=c++17 \
     $1 -c src/settings/toml.cc -o build/fuzz/toml.o
-clang-14 -w -g -O1 -fsanitize=fuzzer,address,undefined -std=gnu11 $1 \
+clang-14 -w -g -O1 -fsanitize=fuzzer,address,undefined,float-cast-overflow \
+    -fno-sanitize-recover=undefined,float-cast-overflow -std=gnu11 $1 \
     fuzz/fuzz_bytes.c tests/byte_targets.c src/base/*.c src/model/*.c \
     src/wire/msg.c src/wire/scalar.c src/control/claim_record.c \
     src/control/roster.c src/edge/sse.c src/settings/settings.c src/settings/fields.c \
