Move the address parser to src/base; require brackets around IPv6

The parser of "IP:PORT" belonged to the settings, so records and registrations, which need the same check, could not use it.

"::1:80" was accepted as address "::1" with port 80, though every other reader (curl, libzmq) takes it for an IPv6 address without a port, while "[::1]:80" passed the check and then could not be bound. Now brackets are required and removed from the address part. A port with a sign or leading zeros is refused as well.

--- a/src/daemon/gateway_control.c
+++ b/src/daemon/gateway_control.c
@@ -4,6 +4,7 @@
 #include <sys/prctl.h>
 #include <sys/stat.h>
 
+#include "base/address.h"
 #include "base/log.h"
 #include "control/feed.h"
 #include "daemon/gateway.h"
@@ -364,7 +365,7 @@
                                    .ctx = c,
                                    .request = request,
                                    .gone = on_probe_gone};
-    settings_split_address(address, &opts.address, &opts.port);
+    address_split(address, &opts.address, &opts.port);
     return http_in_new(c->loop, &opts, out);
 }
 
--- a/src/daemon/gateway_traffic.c
+++ b/src/daemon/gateway_traffic.c
@@ -4,6 +4,7 @@
 #include <sys/epoll.h>
 #include <sys/prctl.h>
 
+#include "base/address.h"
 #include "base/hash.h"
 #include "base/log.h"
 #include "daemon/gateway_traffic_state.h"
@@ -673,7 +674,7 @@
                                   io_refuse,
                                   io_probe};
     const struct relay_callbacks sink = {t, on_head, on_bytes, on_end};
-    settings_split_address(set->listen, &in.address, &in.port);
+    address_split(set->listen, &in.address, &in.port);
     t->shared = shared;
     t->from_control = from_control;
     t->to_control = to_control;
--- a/src/settings/fields.c
+++ b/src/settings/fields.c
@@ -1,6 +1,5 @@
 #include "settings/fields.h"
 
-#include <arpa/inet.h>
 #include <inttypes.h>
 #include <math.h>
 #include <stdarg.h>
@@ -215,23 +214,6 @@
     }
 }
 
-bool
-settings_is_ip(struct str s)
-{
-    unsigned char raw[16];
-    char tmp[64];
-    if (s.len > 2 && s.ptr[0] == '[' && s.ptr[s.len - 1] == ']') {
-        s = str_from_bytes(s.ptr + 1, s.len - 2);
-    }
-    if (s.len == 0 || s.len >= sizeof(tmp)) {
-        return false;
-    }
-    memcpy(tmp, s.ptr, s.len);
-    tmp[s.len] = 0;
-    return inet_pton(AF_INET, tmp, raw) == 1 ||
-           inet_pton(AF_INET6, tmp, raw) == 1;
-}
-
 void
 settings_check_log_level(struct settings_report *c, struct str level)
 {
@@ -281,27 +263,6 @@
     }
 }
 
-bool
-settings_split_address(struct str s, struct str *ip, int *port)
-{
-    size_t colon = s.len;
-    int64_t n;
-    while (colon > 0 && s.ptr[colon - 1] != ':') {
-        colon--;
-    }
-    if (colon == 0) {
-        return false;
-    }
-    *ip = str_from_bytes(s.ptr, colon - 1);
-    if (!settings_is_ip(*ip) ||
-        !str_to_i64(str_from_bytes(s.ptr + colon, s.len - colon), &n) ||
-        n < 1 || n > 65535) {
-        return false;
-    }
-    *port = (int)n;
-    return true;
-}
-
 enum status
 settings_read_file(const char *path, gchar **text, gsize *len,
                    struct buf *errors)
--- a/src/settings/fields.h
+++ b/src/settings/fields.h
@@ -66,11 +66,6 @@
 
 /** Returns a view of a JSON string. */
 struct str settings_json_text(const json_t *v);
-/** Returns true for an IP address as text, IPv6 with or without brackets. */
-bool settings_is_ip(struct str s);
-/** Splits "IP:PORT"; @p ip becomes a view of @p s.
- * @return false: not an IP address with a port from 1 to 65535 */
-bool settings_split_address(struct str s, struct str *ip, int *port);
 /** Reports an error if the log level is unknown. */
 void settings_check_log_level(struct settings_report *c, struct str level);
 
--- a/src/settings/gateway_settings.c
+++ b/src/settings/gateway_settings.c
@@ -1,5 +1,6 @@
 #include "settings/gateway_settings.h"
 
+#include "base/address.h"
 #include "base/clean.h"
 #include "settings/fields.h"
 
@@ -46,7 +47,7 @@
 {
     struct str ip;
     int port;
-    if (address.len > 0 && !settings_split_address(address, &ip, &port)) {
+    if (address.len > 0 && !address_split(address, &ip, &port)) {
         settings_report_error(c, key, "must be IP:PORT");
     }
 }
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <zmq.h>
 
+#include "base/address.h"
 #include "base/clean.h"
 #include "settings/fields.h"
 
@@ -52,18 +53,6 @@
 /* Keys with arrays as values, which read_peers and read_store_urls read. */
 static const char *const other_keys[] = {"link.peer", "store.urls", NULL};
 
-/* Splits "SCHEME://IP:PORT". */
-static bool
-split_url_address(struct str s, const char *scheme, struct str *ip, int *port)
-{
-    struct str prefix = str_from_cstr(scheme);
-    if (!str_starts_with(s, prefix)) {
-        return false;
-    }
-    return settings_split_address(
-        str_from_bytes(s.ptr + prefix.len, s.len - prefix.len), ip, port);
-}
-
 static bool
 is_wildcard_ip(struct str ip)
 {
@@ -158,8 +147,8 @@
         struct str url = settings_json_text(json_array_get(list, i));
         struct str ip;
         int port;
-        if (!split_url_address(url, "http://", &ip, &port) &&
-            !split_url_address(url, "https://", &ip, &port)) {
+        if (!address_split_url(url, "http://", &ip, &port) &&
+            !address_split_url(url, "https://", &ip, &port)) {
             char at[64];
             snprintf(at, sizeof(at), "store.urls[%zu]", i);
             settings_report_error(c, at,
@@ -172,7 +161,7 @@
 static void
 validate_http(struct settings_report *c, const struct settings *s)
 {
-    if (!settings_is_ip(s->listen_address)) {
+    if (!address_is_ip(s->listen_address)) {
         settings_report_error(c, "http.address", "must be an IP number");
     }
     bool tls = s->tls_cert.len || s->tls_key.len;
@@ -242,7 +231,7 @@
     }
     snprintf(at, sizeof(at), "link.peer[%d].address", i);
     if (p->address.len &&
-        !split_url_address(p->address, "tcp://", &ip, &port)) {
+        !address_split_url(p->address, "tcp://", &ip, &port)) {
         settings_report_error(c, at, "must be tcp://IP:PORT");
     }
     else if (p->address.len && str_eq(p->address, s->link_bound_address)) {
@@ -268,7 +257,7 @@
     struct str ip;
     int port;
     if (s->link_bound_address.len) {
-        if (!split_url_address(s->link_bound_address, "tcp://", &ip, &port)) {
+        if (!address_split_url(s->link_bound_address, "tcp://", &ip, &port)) {
             settings_report_error(c, "link.address", "must be tcp://IP:PORT");
         }
         else {
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <math.h>
 
+#include "base/address.h"
 #include "base/errkind.h"
 #include "base/hash.h"
 #include "base/hist.h"
@@ -85,6 +86,56 @@
     g_assert_cmpint(number_clamp(5, 0, 9), ==, 5);
 }
 
+/* Guards against an address that another reader understands differently. */
+static void
+test_addresses(void)
+{
+    static const struct {
+        const char *text;
+        bool ok;
+        int port;
+    } rows[] = {
+        {"1.2.3.4:1", true, 1},
+        {"1.2.3.4:65535", true, 65535},
+        {"[::1]:80", true, 80},
+        {"1.2.3.4:0", false, 0},
+        {"1.2.3.4:65536", false, 0},
+        {"1.2.3.4:-1", false, 0},
+        {"1.2.3.4:+1", false, 0},
+        {"1.2.3.4:080", false, 0},
+        {"1.2.3.4: 80", false, 0},
+        {"1.2.3.4:4294967377", false, 0},
+        {"1.2.3.4:", false, 0},
+        {"1.2.3.4", false, 0},
+        {"::1:80", false, 0},
+        {"[::1]", false, 0},
+        {"[1.2.3.4:80", false, 0},
+        {"256.2.3.4:80", false, 0},
+        {"1.2.3:80", false, 0},
+        {"host:80", false, 0},
+        {"u@1.2.3.4:80", false, 0},
+        {"1.2.3.4:80/x", false, 0},
+        {"tcp://1.2.3.4:80", false, 0},
+        {":80", false, 0},
+        {":", false, 0},
+        {"", false, 0},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        CLEANUP(buf_free) struct buf url = {0};
+        struct str ip = {0};
+        int port = 0;
+        g_test_message("%s", rows[i].text);
+        buf_printf(&url, "tcp://%s", rows[i].text);
+        g_assert_cmpint(address_split(str_from_cstr(rows[i].text), &ip, &port),
+                        ==, rows[i].ok);
+        g_assert_cmpint(port, ==, rows[i].port);
+        g_assert_cmpint(address_split_url(buf_str(&url), "tcp://", &ip, &port),
+                        ==, rows[i].ok);
+        g_assert_false(
+            address_split_url(buf_str(&url), "http://", &ip, &port));
+    }
+}
+
 static void
 test_log_quoting(void)
 {
@@ -151,6 +202,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/base/integers", test_integers);
     g_test_add_func("/base/numbers", test_numbers);
+    g_test_add_func("/base/addresses", test_addresses);
     g_test_add_func("/base/log-quoting", test_log_quoting);
     g_test_add_func("/base/error-table", test_error_table);
     g_test_add_func("/base/digest-parts", test_digest_parts);
