--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -457,6 +457,42 @@
     }
 }
 
+/* Guards against a record whose address has no usable port, or that curl would
+ * read differently: it must name no server. */
+static void
+test_endpoint_address(void)
+{
+    static const char *const addresses[] = {
+        "1.2.3.4:0",
+        "1.2.3.4:-1",
+        "1.2.3.4:65536",
+        "1.2.3.4:99999",
+        "1.2.3.4:4294967377",
+        "1.2.3.4:",
+        "1.2.3.4",
+        "1.2.3.4:8x",
+        "1.2.3.4:+8",
+        "1.2.3.4:8:9",
+        "1.2.3:8",
+        "256.2.3.4:8",
+        ":8",
+        "host:8",
+        "u@1.2.3.4:8",
+        "1.2.3.4:8/p",
+        "::1:8",
+        "1.2.3.4:080",
+    };
+    CLEANUP(buf_free) struct buf b = {0};
+    struct endpoint_record e = {0};
+    for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++) {
+        write_endpoint(&b, addresses[i], "\"slots\":8");
+        g_test_message("%s", b.ptr);
+        g_assert_cmpint(platform_codec.endpoint(buf_str(&b), &e), ==,
+                        ST_INVALID);
+        g_assert_null(e.address.ptr);
+    }
+}
+
 /* Guards against a value that is nested deeper than the stack: on its own, and
  * in a field that is not read. */
 static void
@@ -577,6 +613,7 @@
     g_test_add_func("/platform/routing", test_routing);
     g_test_add_func("/platform/endpoint", test_endpoint);
     g_test_add_func("/platform/odd-endpoint", test_odd_endpoint);
+    g_test_add_func("/platform/endpoint-address", test_endpoint_address);
     g_test_add_func("/platform/deep-record", test_deep_record);
     g_test_add_func("/platform/odd-routing", test_odd_routing);
     return g_test_run();
