Refuse requests whose numbers of pieces would end the process

The next node ends when the caller tries again.

Cause: the counts were cast from int64_t to int and used as the number of elements to allocate; a failed allocation aborts. Load reports of servers had the same casts.

A request with a malformed count, or with more than 1,024 pieces in a stage, now gets 400 with the reason, which is also logged. Tokens, loads and times above their range count as the largest value, so that a caller that sends a very large one is not treated as one that sends none.

--- a/src/daemon/gateway_traffic.c
+++ b/src/daemon/gateway_traffic.c
@@ -459,11 +459,11 @@
 {
     struct gateway_traffic *t = ctx;
     struct forward_request r;
-    if (!platform_read_request(in, &r)) {
-        LOG_EVENT(LOG_INFO, "refused", LOG_CSTR("why", "no request id"),
-                  LOG_INT("status", 400));
+    if (platform_read_request(in, &r) != ST_OK) {
+        LOG_EVENT(LOG_INFO, "refused", LOG_CSTR("why", err_last()),
+                  LOG_STR("request", r.request_id), LOG_INT("status", 400));
         http_in_send_error(t->in, in->id, ERRKIND_BAD_REQUEST,
-                           STR_LIT("the request has no id"), 0);
+                           str_from_cstr(err_last()), 0);
         return;
     }
     struct exchange *x = mem_calloc(1, sizeof(*x));
--- a/tests/platform/rig_platform.c
+++ b/tests/platform/rig_platform.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include "tests/proc.h"
@@ -25,8 +26,9 @@
     {"ledger-1", "ledger", "0"}, {"ledger-2", "ledger", "0"},
 };
 
-static void
-put(const struct platform_rig *r, const char *key, const char *text)
+void
+platform_rig_put(const struct platform_rig *r, const char *key,
+                 const char *text)
 {
     char *path = g_strdup_printf("/control/item?key=%s", key);
     struct buf out = {0};
@@ -47,7 +49,7 @@
         "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\","
         "\"slots\":8,\"state\":\"%s\",\"coldRemainingMs\":0,\"born\":%d}",
         server_specs[server].service, port, state ? state : "", server + 1);
-    put(r, key, state ? text : NULL);
+    platform_rig_put(r, key, state ? text : NULL);
     g_free(key);
     g_free(text);
 }
@@ -82,7 +84,7 @@
         "\"bodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":"
         "15000},\"tenants\":[{\"name\":\"team\",\"apiKeys\":[%s]}]}",
         ++r->version, keys);
-    put(r, "op/config", text);
+    platform_rig_put(r, "op/config", text);
     g_free(text);
 }
 
@@ -293,6 +295,23 @@
     return n;
 }
 
+int
+platform_rig_count_ended_nodes(const struct platform_rig *r)
+{
+    int ended = 0;
+    for (int i = 0; i < PR_NODES; i++) {
+        siginfo_t info = {0};
+        if (r->nodes[i].pid &&
+            waitid(P_PID, (id_t)r->nodes[i].pid, &info,
+                   WEXITED | WNOHANG | WNOWAIT) == 0 &&
+            info.si_pid != 0) {
+            g_test_message("node %d ended: status %d", i, info.si_status);
+            ended++;
+        }
+    }
+    return ended;
+}
+
 /* Decodes a body with chunked transfer encoding; leaves others unchanged.
  * @return false if the last chunk is missing */
 static bool
--- a/tests/platform/rig_platform.h
+++ b/tests/platform/rig_platform.h
@@ -52,6 +52,10 @@
 void platform_rig_start_node(struct platform_rig *r, int i);
 /** Waits until the readiness path of node @p i returns this status. */
 void platform_rig_wait_readiness(struct platform_rig *r, int i, int status);
+/** Writes an item of the store, as the operator or a server would; @p text
+ * NULL removes it. */
+void platform_rig_put(const struct platform_rig *r, const char *key,
+                      const char *text);
 /** Writes a configuration with these credentials (JSON strings). */
 void platform_rig_set_credentials(struct platform_rig *r, const char *keys);
 /** Writes the record of a server; @p state NULL removes it. */
@@ -72,6 +76,8 @@
 /** Posts a JSON object to /control of the process at @p port. */
 void platform_rig_post_control(const struct platform_rig *r, int port,
                                const char *json);
+/** Returns the number of nodes whose process has ended by itself. */
+int platform_rig_count_ended_nodes(const struct platform_rig *r);
 /** Sends a request to a node.
  * @return the status, 0 without a complete response */
 int platform_rig_send_request(struct platform_rig *r, int node,
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -62,7 +62,7 @@
     struct http_header headers[MAX_HEADERS];
     struct http_in_request in = make_request(headers);
     struct forward_request r;
-    g_assert_true(platform_read_request(&in, &r));
+    g_assert_cmpint(platform_read_request(&in, &r), ==, ST_OK);
     g_assert_true(str_eq_cstr(r.path, "/puxa400/2f"));
     g_assert_true(str_eq_cstr(r.host, "pule25.example"));
     g_assert_true(str_eq_cstr(r.request_id, "9c41d07be2a35f68"));
@@ -78,7 +78,62 @@
     g_assert_cmpint(r.piece_counts[1], ==, 0);
     g_assert_cmpint(r.piece_counts[2], ==, 16);
     in.header_count = 1;
-    g_assert_false(platform_read_request(&in, &r));
+    g_assert_cmpint(platform_read_request(&in, &r), ==, ST_INVALID);
+}
+
+/* Guards against callers' numbers that overflow when they are converted, or
+ * for which a node would allocate memory until the process ends. */
+static void
+test_odd_request_numbers(void)
+{
+    static const struct {
+        const char *headers;
+        int64_t timeout_us;
+        int pieces, prompt_tokens, part_tokens;
+        bool ok;
+    } rows[] = {
+        {"Camphorfall-Pieces: 1,0,1024\n", -1, 1, 0, 0, true},
+        {"Camphorfall-Pieces: 1025\n", -1, 0, 0, 0, false},
+        {"Camphorfall-Pieces: 2000000000\n", -1, 0, 0, 0, false},
+        {"Camphorfall-Pieces: 2147483648\n", -1, 0, 0, 0, false},
+        {"Camphorfall-Pieces: 4294967296\n", -1, 0, 0, 0, false},
+        {"Camphorfall-Pieces: 9223372036854775807\n", -1, 0, 0, 0, false},
+        {"Camphorfall-Pieces: 99999999999999999999999\n", -1, 0, 0, 0, false},
+        {"Camphorfall-Pieces: -1\n", -1, 0, 0, 0, false},
+        {"Camphorfall-Pieces: 1e3\n", -1, 0, 0, 0, false},
+        {"Camphorfall-Pieces: 1,,2\n", -1, 1, 0, 0, false},
+        {"Camphorfall-Pieces: \n", -1, 0, 0, 0, true},
+        {"Camphorfall-Deadline-Ms: 9223372036854775807\n", 31622400000000, 0,
+         0, 0, true},
+        {"Camphorfall-Deadline-Ms: 9223372036854776\n", 31622400000000, 0, 0,
+         0, true},
+        {"Camphorfall-Deadline-Ms: -5\n", -1, 0, 0, 0, true},
+        {"Camphorfall-Deadline-Ms: 99999999999999999999999\n", -1, 0, 0, 0,
+         true},
+        {"Camphorfall-Token-Usage: 2147483648,4294967297\n", -1, 0, 1000000000,
+         0, true},
+        {"Camphorfall-Token-Usage: 99999999999999999999999,7\n", -1, 0, 0, 0,
+         true},
+        {"Camphorfall-Prompt-Prefix: a:4294967295\n", -1, 0, 0, 1000000000,
+         true},
+        {"Camphorfall-Prompt-Prefix: a:-1\n", -1, 0, 0, 0, true},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct http_header headers[MAX_HEADERS];
+        struct http_in_request in = {.target = STR_LIT("/"),
+                                     .headers = headers};
+        struct forward_request r;
+        CLEANUP(buf_free) struct buf text = {0};
+        buf_printf(&text, "Camphorfall-Request-Id: 1\n%s", rows[i].headers);
+        g_test_message("%s", rows[i].headers);
+        in.header_count = parse_headers(text.ptr, headers);
+        g_assert_cmpint(platform_read_request(&in, &r) == ST_OK, ==,
+                        rows[i].ok);
+        g_assert_cmpint(r.caller_timeout_us, ==, rows[i].timeout_us);
+        g_assert_cmpint(r.piece_counts[0], ==, rows[i].pieces);
+        g_assert_cmpint(r.prompt_tokens, ==, rows[i].prompt_tokens);
+        g_assert_cmpint(r.parts[0].tokens, ==, rows[i].part_tokens);
+    }
 }
 
 static int
@@ -190,6 +245,32 @@
     }
 }
 
+/* Guards against a load report that becomes a small or negative number, and
+ * sums of its numbers that overflow. */
+static void
+test_load_report(void)
+{
+    static const struct {
+        const char *value;
+        int running, waiting;
+    } rows[] = {{"3,4", 3, 4},
+                {"3", 3, 0},
+                {"2147483647,2147483647", 1000000, 1000000},
+                {"4294967297,4294967296", 1000000, 1000000},
+                {"-1,-2", -1, 0},
+                {"1e3,x", -1, 0},
+                {"99999999999999999999999", -1, 0},
+                {"", -1, 0}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        const struct http_header h = {STR_LIT("Camphorfall-Server-Load"),
+                                      str_from_cstr(rows[i].value)};
+        struct response_meta m;
+        platform_read_response_headers(200, &h, 1, STR_LIT("r1"), &m);
+        g_assert_cmpint(m.running, ==, rows[i].running);
+        g_assert_cmpint(m.waiting, ==, rows[i].waiting);
+    }
+}
+
 /* Guards against a response that ends with its connection and is taken for one
  * whose end is marked. */
 static void
@@ -604,8 +685,10 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/platform/read-request", test_read_request);
+    g_test_add_func("/platform/odd-request-numbers", test_odd_request_numbers);
     g_test_add_func("/platform/write-request", test_write_request);
     g_test_add_func("/platform/read-answer", test_read_answer);
+    g_test_add_func("/platform/load-report", test_load_report);
     g_test_add_func("/platform/framed", test_framed);
     g_test_add_func("/platform/retry-after", test_retry_after);
     g_test_add_func("/platform/room", test_room);
