Ignore odd registrations of nodes

What callers would see: while another writer's entry stands under the key of a node, stage requests wait 1.5 s for a node that does not exist, again for each one, and are refused when no time is left ("the time is over"); the queries for the operator's records go to it as well (watcher_silent), so that changes arrive late; and the limits that nodes share are divided by one more.

Cause: every key under the prefix of the nodes counted as a node, whatever its value. Addresses were passed to libzmq as they were, also "inproc://x" and host names.

--- a/src/model/cluster_view.c
+++ b/src/model/cluster_view.c
@@ -3,8 +3,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/address.h"
 #include "base/hash.h"
 
+/* Length and characters of a public key (Z85, ZeroMQ RFC 32). */
+#define LINK_KEY_LEN 40
+#define LINK_KEY_CHARACTERS                                                   \
+    "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"          \
+    ".-:+=^!/*?&<>()[]{}@%$#"
+
 struct cluster_view *
 cluster_view_new(struct routing *routing, int node_count, int capacity,
                  int nodes)
@@ -62,18 +69,55 @@
     to->started_ms = e->started_ms;
 }
 
+/* Splits "ADDRESS KEY". */
+static bool
+split_registration(struct str registered, struct str *address, struct str *key)
+{
+    const char *space =
+        registered.len ? memchr(registered.ptr, ' ', registered.len) : NULL;
+    if (!space) {
+        return false;
+    }
+    size_t len = (size_t)(space - registered.ptr);
+    *address = str_from_bytes(registered.ptr, len);
+    *key = str_from_bytes(space + 1, registered.len - len - 1);
+    return true;
+}
+
+static bool
+is_link_key(struct str key)
+{
+    size_t i = 0;
+    while (i < key.len && memchr(LINK_KEY_CHARACTERS, key.ptr[i],
+                                 sizeof(LINK_KEY_CHARACTERS) - 1)) {
+        i++;
+    }
+    return i == key.len && key.len == LINK_KEY_LEN;
+}
+
+bool
+cluster_view_is_registration(struct str registered)
+{
+    struct str address;
+    struct str key;
+    struct str ip;
+    int port;
+    return split_registration(registered, &address, &key) &&
+           address_split_url(address, "tcp://", &ip, &port) &&
+           is_link_key(key);
+}
+
 void
 cluster_view_add_node(struct cluster_view *s, struct str name,
                       struct str registered)
 {
     struct cluster_node *n = &s->alive[s->alive_count++];
-    const char *space =
-        registered.len ? memchr(registered.ptr, ' ', registered.len) : NULL;
+    struct str address;
+    struct str key;
     n->hash = hash64(name);
-    if (space) {
-        size_t len = (size_t)(space - registered.ptr);
-        n->address = str_dup(str_from_bytes(registered.ptr, len));
-        n->key = str_dup(str_from_bytes(space + 1, registered.len - len - 1));
+    if (split_registration(registered, &address, &key)) {
+        n->address = str_dup(address);
+        n->key = str_dup(key);
     }
 }
 
--- a/src/model/cluster_view.h
+++ b/src/model/cluster_view.h
@@ -57,6 +57,8 @@
  * @p capacity endpoints and @p nodes nodes. */
 struct cluster_view *cluster_view_new(struct routing *routing, int node_count,
                                       int capacity, int nodes);
+/** Returns whether a value is "tcp://IP:PORT KEY" as a node registers it. */
+bool cluster_view_is_registration(struct str registered);
 /** Adds a node by its name and the value that it registered, "ADDRESS KEY". */
 void cluster_view_add_node(struct cluster_view *s, struct str name,
                            struct str registered);
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/clean.h"
+#include "model/cluster_view.h"
 #include "model/snapshot.h"
 
 #define HASH                                                                  \
@@ -121,6 +122,43 @@
     snapshot_unref(s);
 }
 
+/* Guards against a value of another writer that is taken for a node: its
+ * stages and queries would wait for a node that does not exist. */
+static void
+test_registration(void)
+{
+    static const char key[] = "rq:rM>}U?@Lns47E1%kR.o@n%FcmmsL/@{H8]yf7";
+    static const struct {
+        const char *address;
+        const char *key;
+        bool ok;
+    } rows[] = {
+        {"tcp://1.2.3.4:5 ", key, true},
+        {"tcp://[::1]:65535 ", key, true},
+        {"tcp://1.2.3.4:5", key, false},
+        {"tcp://1.2.3.4:0 ", key, false},
+        {"tcp://1.2.3.4:65536 ", key, false},
+        {"tcp://host:5 ", key, false},
+        {"inproc://x ", key, false},
+        {"ipc:///tmp/x ", key, false},
+        {"1.2.3.4:5 ", key, false},
+        {" ", key, false},
+        {"", "", false},
+        {"tcp://1.2.3.4:5 ", "", false},
+        {"tcp://1.2.3.4:5 ", "short", false},
+        {"tcp://1.2.3.4:5  ", key, false},
+        {"tcp://1.2.3.4:5 ", "rq:rM>}U?@Lns47E1%kR.o@n%FcmmsL/@{H8]yf\x7f",
+         false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        char *text = g_strconcat(rows[i].address, rows[i].key, NULL);
+        g_test_message("%s", text);
+        g_assert_cmpint(cluster_view_is_registration(str_from_cstr(text)), ==,
+                        rows[i].ok);
+        g_free(text);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -128,5 +166,6 @@
     g_test_add_func("/model/good", test_good);
     g_test_add_func("/model/faults", test_faults);
     g_test_add_func("/model/snapshot", test_snapshot);
+    g_test_add_func("/model/registration", test_registration);
     return g_test_run();
 }
