Limit calls for pieces to the results that are read

With a service whose "batch" is above 256, full calls fail although the server has answered them: platform_read_piece_results refuses more results than the array of finish_pieces_call holds, the call counts as malformed, and its pieces are sent again and fail again. A batch of millions would also allocate hundreds of megabytes for each call.

--- a/src/daemon/gateway_traffic.c
+++ b/src/daemon/gateway_traffic.c
@@ -18,7 +18,6 @@
 /* After this time without a connection another endpoint is tried. */
 #define CONNECT_TIMEOUT_MS 400
 #define RELEASE_TIMEOUT_MS 1000
-#define MAX_PIECE_RESULTS 256
 #define DEFAULT_HEADER_TIMEOUT_MS 5000
 #define DEFAULT_IDLE_TIMEOUT_MS 60000
 /* The answer to a pieces call holds a hundred results of some hundred
@@ -403,11 +402,11 @@
 finish_pieces_call(struct gateway_traffic *t, uint64_t id, struct out_call *c,
                    enum call_end end)
 {
-    struct piece_result results[MAX_PIECE_RESULTS];
+    struct piece_result results[STAGE_MAX_BATCH];
     int count = 0;
     if (end == CALL_END_COMPLETE && c->status == 200) {
         count = platform_read_piece_results(buf_str(&c->body), results,
-                                            MAX_PIECE_RESULTS);
+                                            STAGE_MAX_BATCH);
     }
     forward_pieces_call_ended(t->forward, gateway_now_us(), id, end, c->status,
                               &c->meta, count, results);
--- a/src/model/stage_work.h
+++ b/src/model/stage_work.h
@@ -18,6 +18,9 @@
 
 /** Maximum number of pieces in a request; larger stages need several. */
 #define STAGE_MAX_PIECES 64
+/** Maximum number of pieces in a call to an endpoint, whose response is read
+ * into memory of this size. */
+#define STAGE_MAX_BATCH 256
 /** Maximum number of results that each piece of a request needs. */
 #define STAGE_MAX_INPUTS 256
 
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -420,6 +420,20 @@
     "\"idleTimeoutMs\":15000},\"tenants\":[{\"name\":\"t1\","
     "\"apiKeys\":[\"k1\",\"k2\"],\"priority\":1}]}";
 
+/* Replaces the first occurrence of "KEY": and its value up to the next comma
+ * or brace. */
+static char *
+replace_value(const char *text, const char *key, const char *value)
+{
+    CLEANUP(buf_free) struct buf name = {0};
+    buf_printf(&name, "\"%s\":", key);
+    const char *at = strstr(text, name.ptr);
+    g_assert_nonnull(at);
+    at += name.len;
+    return g_strdup_printf("%.*s%s%s", (int)(at - text), text, value,
+                           at + strcspn(at, ",}"));
+}
+
 static void
 test_routing(void)
 {
@@ -448,6 +462,13 @@
     g_assert_cmpint(s->pieces.batch, ==, 8);
     g_assert_cmpint(s->pieces.item_us, ==, 16000);
     routing_unref(rt);
+    /* The results of a larger call would be refused. */
+    char *text = replace_value(config_text, "batch", "300");
+    g_assert_cmpint(platform_codec.routing(str_from_cstr(text), &rt), ==,
+                    ST_OK);
+    g_assert_cmpint(routing_service(rt, 1)->pieces.batch, ==, STAGE_MAX_BATCH);
+    routing_unref(rt);
+    g_free(text);
     g_assert_cmpint(platform_codec.routing(STR_LIT("{\"ver"), &rt), ==,
                     ST_INVALID);
 }
@@ -611,20 +632,6 @@
     }
 }
 
-/* Replaces the first occurrence of "KEY": and its value up to the next comma
- * or brace. */
-static char *
-replace_value(const char *text, const char *key, const char *value)
-{
-    CLEANUP(buf_free) struct buf name = {0};
-    buf_printf(&name, "\"%s\":", key);
-    const char *at = strstr(text, name.ptr);
-    g_assert_nonnull(at);
-    at += name.len;
-    return g_strdup_printf("%.*s%s%s", (int)(at - text), text, value,
-                           at + strcspn(at, ",}"));
-}
-
 /* Guards against a configuration whose numbers C cannot convert, or with which
  * later sums overflow or divide by zero: it must not come into force. */
 static void
