Refuse request ids and piece keys that calls cannot carry

What callers would see: a request whose id or "Camphorfall-Piece-Key" is not UTF-8 puts an item without "id" or "key" into a call that carries pieces of up to "batch" requests. A server that checks its input may refuse the call as a whole, and with it the pieces of the other requests. An id of more than 512 bytes makes the message to the owner of a stage malformed, so that the request waits until its time is over.

Cause: json_stringn refuses text that is not UTF-8, and the result was not checked; request ids were only checked for being present. Both texts are now limited to 200 bytes of printable ASCII; other requests get 400 with the reason.

--- a/tests/platform/test_gateway_odd.c
+++ b/tests/platform/test_gateway_odd.c
@@ -219,6 +219,30 @@
     platform_rig_close(&r);
 }
 
+/* Guards against pieces of sound requests that are refused together with a
+ * piece whose id or key the call cannot carry. */
+static void
+test_odd_texts(void)
+{
+    struct platform_rig r;
+    struct caller callers[PR_NODES];
+    GThread *threads[PR_NODES];
+    platform_rig_open(&r);
+    start_callers(&r, callers, threads);
+    for (int i = 0; i < 20 * PR_NODES; i++) {
+        g_assert_cmpint(ask(&r, i % PR_NODES, "stream",
+                            PR_KEY "Camphorfall-Pieces: 1,8\r\n"
+                                   "Camphorfall-Piece-Key: \xff\r\n"),
+                        ==, 400);
+        g_usleep(20000);
+    }
+    stop_callers(callers, threads);
+    for (int i = 0; i < PR_SERVERS; i++) {
+        g_assert_cmpint(platform_rig_server_stat(&r, i, "bad"), ==, 0);
+    }
+    platform_rig_close(&r);
+}
+
 /* Guards against a request whose numbers end the process that reads it. */
 static void
 test_odd_requests(void)
@@ -262,6 +286,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/gateway-odd/entries", test_odd_entries);
+    g_test_add_func("/gateway-odd/texts", test_odd_texts);
     g_test_add_func("/gateway-odd/requests", test_odd_requests);
     return g_test_run();
 }
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -136,6 +136,47 @@
     }
 }
 
+/* Guards against an id or a key that a JSON text cannot hold: it would spoil
+ * the call that carries pieces of other requests as well. */
+static void
+test_odd_request_texts(void)
+{
+    static const struct {
+        const char *headers;
+        enum status st;
+    } rows[] = {
+        {"Camphorfall-Request-Id: 9c41-d0_7:b, e2\n", ST_OK},
+        {"Camphorfall-Request-Id: \xff\n", ST_INVALID},
+        {"Camphorfall-Request-Id: a\xc3\n", ST_INVALID},
+        {"Camphorfall-Request-Id: a\x01\n", ST_INVALID},
+        {"Camphorfall-Request-Id: a\x7f\n", ST_INVALID},
+        {"Camphorfall-Request-Id: a\nCamphorfall-Piece-Key: k\n", ST_OK},
+        {"Camphorfall-Request-Id: a\nCamphorfall-Piece-Key: \n", ST_OK},
+        {"Camphorfall-Request-Id: a\nCamphorfall-Piece-Key: \x80\n",
+         ST_INVALID},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct http_header headers[MAX_HEADERS];
+        struct http_in_request in = {.target = STR_LIT("/"),
+                                     .headers = headers};
+        struct forward_request r;
+        in.header_count = parse_headers(rows[i].headers, headers);
+        g_test_message("%s", rows[i].headers);
+        g_assert_cmpint(platform_read_request(&in, &r), ==, rows[i].st);
+    }
+    for (int len = 200; len <= 201; len++) {
+        char *text = g_strnfill((gsize)len, 'a');
+        struct http_header h = {STR_LIT("Camphorfall-Request-Id"),
+                                str_from_cstr(text)};
+        struct http_in_request in = {
+            .target = STR_LIT("/"), .headers = &h, .header_count = 1};
+        struct forward_request r;
+        g_assert_cmpint(platform_read_request(&in, &r) == ST_OK, ==,
+                        len == 200);
+        g_free(text);
+    }
+}
+
 static int
 count_of(const struct http_header *list, int n, const char *name,
          struct str *value)
@@ -698,6 +739,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/platform/read-request", test_read_request);
     g_test_add_func("/platform/odd-request-numbers", test_odd_request_numbers);
+    g_test_add_func("/platform/odd-request-texts", test_odd_request_texts);
     g_test_add_func("/platform/write-request", test_write_request);
     g_test_add_func("/platform/read-answer", test_read_answer);
     g_test_add_func("/platform/load-report", test_load_report);
