Refuse messages of nodes with times or sizes that overflow sums

A message with a time of 2^63 - 1 us decodes, and the receiver adds it to its clock ("now_us + request->end_left_us") or multiplies a size by 25,000: signed overflow, after which a job is late at once or its cost negative. Links are authenticated, so the sender is another node with a fault or of another version.

Times of stage messages, acknowledgements, part notices, credit replies and strikes are now limited to 1,000 days and sizes to 100 TB; a message above that is malformed and counted as such. The limits of configurations and callers' headers keep senders below. Ages of contact keep their own maximum, which means unknown and is compared, never added.

/msg/large-numbers failed before at its first row.

--- a/src/wire/msg.c
+++ b/src/wire/msg.c
@@ -7,6 +7,10 @@
 #define NAME_MAX_BYTES 512
 #define CONTACTS_MAX_BYTES 4096
 #define ARRAY_HEADER_MAX_BYTES 3
+/* Limits of times and amounts, with which the receiver's sums and products
+ * stay in int64_t. Senders stay far below them. */
+#define DURATION_MAX_US (1000LL * 24 * 3600 * 1000000)
+#define AMOUNT_MAX 100000000000000LL
 
 /* State of one pass over the fields of a message. Encoding makes a counting
  * pass and a writing pass, decoding a reading pass; all use the same field
@@ -155,7 +159,7 @@
     case GOSSIP_SUSPECT:
         io_digest(io, &g->suspect.content);
         io_int(io, &g->suspect.strikes, INT32_MAX);
-        io_i64(io, &g->suspect.hold_us, INT64_MAX);
+        io_i64(io, &g->suspect.hold_us, DURATION_MAX_US);
         break;
     }
 }
@@ -225,7 +229,7 @@
     io_u64(io, &b->credit);
     io_str(io, &b->endpoint, NAME_MAX_BYTES);
     io_bool(io, &b->granted);
-    io_i64(io, &b->retry_us, INT64_MAX);
+    io_i64(io, &b->retry_us, DURATION_MAX_US);
     io_u64(io, &b->warm_seq);
     io_u64(io, &b->sent);
 }
@@ -281,13 +285,13 @@
     io_str(io, &b->request_id, NAME_MAX_BYTES);
     io_int(io, &b->stage, INT32_MAX);
     io_int(io, &b->priority, INT32_MAX);
-    io_i64(io, &b->target_left_us, INT64_MAX);
-    io_i64(io, &b->expiry_left_us, INT64_MAX);
-    io_i64(io, &b->end_left_us, INT64_MAX);
-    io_i64(io, &b->bytes, INT64_MAX);
+    io_i64(io, &b->target_left_us, DURATION_MAX_US);
+    io_i64(io, &b->expiry_left_us, DURATION_MAX_US);
+    io_i64(io, &b->end_left_us, DURATION_MAX_US);
+    io_i64(io, &b->bytes, AMOUNT_MAX);
     io_str(io, &b->zone, NAME_MAX_BYTES);
-    io_i64(io, &b->zone_bytes, INT64_MAX);
-    io_i64(io, &b->held_bytes, INT64_MAX);
+    io_i64(io, &b->zone_bytes, AMOUNT_MAX);
+    io_i64(io, &b->held_bytes, AMOUNT_MAX);
     io_bool(io, &b->keyed);
     io_str(io, &b->key, NAME_MAX_BYTES);
     io_int(io, &b->piece_count, STAGE_MAX_PIECES);
@@ -304,7 +308,7 @@
 io_stage_ack(struct io *io, struct stage_ack *b)
 {
     io_u64(io, &b->correlation_id);
-    io_i64(io, &b->wait_us, INT64_MAX);
+    io_i64(io, &b->wait_us, DURATION_MAX_US);
 }
 
 static void
@@ -315,7 +319,7 @@
     IO_ENUM(io, b->outcome, PIECE_OUTCOME_COUNT);
     io_str(io, &b->handle, NAME_MAX_BYTES);
     io_u64(io, &b->maker);
-    io_i64(io, &b->waited_us, INT64_MAX);
+    io_i64(io, &b->waited_us, DURATION_MAX_US);
 }
 
 static void
@@ -329,7 +333,7 @@
 io_prefill(struct io *io, struct prefill_notice *b)
 {
     io_u64(io, &b->endpoint);
-    io_i64(io, &b->tokens, INT64_MAX);
+    io_i64(io, &b->tokens, AMOUNT_MAX);
     io_int(io, &b->part_count, PREFILL_MAX_PARTS);
     for (int i = 0; !io->is_malformed && i < b->part_count; i++) {
         io_u64(io, &b->parts[i]);
@@ -341,7 +345,7 @@
 io_part_notice(struct io *io, struct part_notice *b)
 {
     IO_ENUM(io, b->kind, PART_NOTICE_KIND_COUNT);
-    io_i64(io, &b->age_us, INT64_MAX);
+    io_i64(io, &b->age_us, DURATION_MAX_US);
     io_u64(io, &b->endpoint);
     io_bool(io, &b->head_sent);
     io_int(io, &b->trials, INT32_MAX);
--- a/tests/test_msg.c
+++ b/tests/test_msg.c
@@ -184,6 +184,41 @@
     g_assert_cmpint(msg_decode(buf_str(&a), &m), ==, ST_INVALID);
 }
 
+/* Guards against times and sizes of another node with which the sums of the
+ * receiver overflow. */
+static void
+test_large_numbers(void)
+{
+    const struct msg large[] = {
+        {MSG_STAGE_ASK, 1, 2,
+         .stage_work_request = {.target_left_us = INT64_MAX}},
+        {MSG_STAGE_ASK, 1, 2,
+         .stage_work_request = {.expiry_left_us = INT64_MAX}},
+        {MSG_STAGE_ASK, 1, 2,
+         .stage_work_request = {.end_left_us = INT64_MAX}},
+        {MSG_STAGE_ASK, 1, 2, .stage_work_request = {.bytes = INT64_MAX}},
+        {MSG_STAGE_ASK, 1, 2, .stage_work_request = {.zone_bytes = INT64_MAX}},
+        {MSG_STAGE_ASK, 1, 2, .stage_work_request = {.held_bytes = INT64_MAX}},
+        {MSG_STAGE_ACK, 1, 2, .stage_ack = {1, INT64_MAX}},
+        {MSG_STAGE_RESULT, 1, 2, .stage_result = {.waited_us = INT64_MAX}},
+        {MSG_PREFILL, 1, 2, .prefill = {.tokens = INT64_MAX}},
+        {MSG_PARTS, 1, 2, .part_notice = {.age_us = INT64_MAX}},
+        {MSG_CREDIT_REPLY, 1, 2,
+         .credit_reply = {.endpoint = {"e", 1}, .retry_us = INT64_MAX}},
+        {MSG_PING, 1, 2,
+         .probe = {.gossip_count = 1,
+                   .gossip = {{GOSSIP_SUSPECT,
+                               .suspect = {.hold_us = INT64_MAX}}}}},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(large); i++) {
+        CLEANUP(buf_free) struct buf a = {0};
+        struct msg m;
+        msg_encode(&large[i], &a);
+        g_test_message("row %zu", i);
+        g_assert_cmpint(msg_decode(buf_str(&a), &m), ==, ST_INVALID);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -191,5 +226,6 @@
     g_test_add_func("/msg/round-trip", test_round_trip);
     g_test_add_func("/msg/damage", test_damage);
     g_test_add_func("/msg/refused", test_refused);
+    g_test_add_func("/msg/large-numbers", test_large_numbers);
     return g_test_run();
 }
