Log documents and entries of the store that camphorfalld ignores

What operators would see: an unreadable configuration, roster or VM list in the store is not followed and no log line says so (only a counter rises); an odd entry of the VM list is left out silently.

A refused document is now logged once for each revision (document_unreadable), a VM list with entries that name no endpoint as vms_ignored with the reasons.

The new case /daemon/odd-documents puts 14 odd documents (nested 200,000 deep, numbers out of range, bytes that are no text) and 17 odd entries before three processes.

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/clean.h"
+#include "base/log.h"
 #include "control/claims.h"
 #include "control/confedit.h"
 #include "control/credits.h"
@@ -201,7 +202,13 @@
         return;
     }
     if (list.revision) {
-        vmlist_parse(list.bytes, &vms, &errors);
+        /* Entries of the list that cannot be read name no endpoint. */
+        enum status st = vmlist_parse(list.bytes, &vms, &errors);
+        if (st != ST_OK || errors.len > 0) {
+            LOG_EVENT(LOG_WARN, "vms_ignored",
+                      LOG_INT("revision", list.revision),
+                      LOG_STR("errors", buf_str(&errors)));
+        }
     }
     claims_set_horizon(c->claims,
                        fleet->defaults[FLEET_CLAIM_HORIZON_MS] * 1000);
--- a/src/control/docs.c
+++ b/src/control/docs.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "base/clean.h"
+#include "base/log.h"
 #include "base/rng.h"
 #include "model/fleet.h"
 #include "model/vmlist.h"
@@ -32,6 +33,7 @@
     struct doc doc;
     bool known;
     int64_t invalid_revision; /* revision in the store that does not parse */
+    int64_t logged_revision;  /* the last one that was logged as unreadable */
     uint64_t get_op;          /* operation in flight, 0: none */
     int64_t get_sent_us;
     int64_t next_get_us;
@@ -131,16 +133,19 @@
     return n;
 }
 
+static const char *const doc_names[] = {"config", "roster", "vms"};
+
+/* @param errors the errors of the document, one a line; may stay empty */
 static bool
-parse_and_apply(struct docs *d, enum doc_kind kind, struct str bytes)
+parse_and_apply(struct docs *d, enum doc_kind kind, struct str bytes,
+                struct buf *errors)
 {
-    CLEANUP(buf_free) struct buf errors = {0};
     struct fleet *fleet = NULL;
     struct vmlist *vms = NULL;
     struct roster *roster = NULL;
     switch (kind) {
     case DOC_CONFIG:
-        if (fleet_parse(bytes, &fleet, &errors) != ST_OK) {
+        if (fleet_parse(bytes, &fleet, errors) != ST_OK) {
             return false;
         }
         fleet_free(fleet);
@@ -153,7 +158,7 @@
         d->roster = roster;
         return true;
     case DOC_VMS:
-        if (vmlist_parse(bytes, &vms, &errors) != ST_OK) {
+        if (vmlist_parse(bytes, &vms, errors) != ST_OK) {
             return false;
         }
         vmlist_free(vms);
@@ -175,8 +180,17 @@
         d->stale += revision < state->doc.revision;
         return false;
     }
-    if (!parse_and_apply(d, kind, bytes)) {
+    CLEANUP(buf_free) struct buf errors = {0};
+    if (!parse_and_apply(d, kind, bytes, &errors)) {
         d->rejected++;
+        if (revision != state->logged_revision) {
+            LOG_EVENT(LOG_WARN, "document_unreadable",
+                      LOG_CSTR("doc", doc_names[kind]),
+                      LOG_INT("revision", revision),
+                      LOG_CSTR("error", err_last()),
+                      LOG_STR("details", buf_str(&errors)));
+            state->logged_revision = revision;
+        }
         return false;
     }
     str_free(&state->doc.bytes);
@@ -571,10 +585,9 @@
 void
 docs_metrics(const struct docs *d, struct buf *out)
 {
-    static const char *const names[] = {"config", "roster", "vms"};
     for (int k = 0; k < DOC_COUNT; k++) {
         buf_printf(out, "camphorfall_doc_revision{doc=\"%s\"} %" PRId64 "\n",
-                   names[k], d->state[k].doc.revision);
+                   doc_names[k], d->state[k].doc.revision);
     }
     buf_printf(out,
                "camphorfall_docs_watcher %d\n"
--- a/tests/test_daemon.c
+++ b/tests/test_daemon.c
@@ -11,6 +11,9 @@
 #include "tests/peer.h"
 #include "tests/proc.h"
 
+/* Stands for arrays nested DEPTH deep in a document. */
+#define DEEP "[[[[deep"
+#define DEPTH 200000
 #define DAEMON "camphorfalld"
 #define SECRET "teak-4711"
 
@@ -344,6 +347,121 @@
     rig_close(&r);
 }
 
+/* Writes an odd document; DEEP stands for nested arrays. */
+static void
+put_odd(struct rig *r, const char *key, const char *value)
+{
+    const char *at = strstr(value, DEEP);
+    CLEANUP(buf_free) struct buf text = {0};
+    buf_append(&text, value, at ? (size_t)(at - value) : strlen(value));
+    for (int i = 0; at && i < DEPTH; i++) {
+        buf_append(&text, "[", 1);
+    }
+    for (int i = 0; at && i < DEPTH; i++) {
+        buf_append(&text, "]", 1);
+    }
+    buf_append_str(&text, str_from_cstr(at ? at + strlen(DEEP) : ""));
+    rig_put_key(r, key, buf_str(&text));
+}
+
+/* Sends requests to a node until one succeeds, or until one fails. */
+static void
+wait_for_answer(const struct rig *r, int node, bool success)
+{
+    struct background b = {r->nodes[node].port, 0};
+    gint64 end = g_get_monotonic_time() + 20 * G_USEC_PER_SEC;
+    while (g_get_monotonic_time() < end) {
+        ask(&b);
+        if ((b.status == 200) == success) {
+            return;
+        }
+        g_usleep(25000);
+    }
+    g_error("node %d answers %d", node, b.status);
+}
+
+#define ODD_VMS                                                               \
+    "{},7,null,[],{\"vm\":\"x\"},{\"vm\":7,\"zone\":\"okha\",\"state\":"      \
+    "\"live\"},"                                                              \
+    "{\"vm\":\"x\",\"zone\":\"okha\",\"state\":\"odd\"},"                     \
+    "{\"vm\":\"x\",\"zone\":\"okha\",\"state\":\"live\",\"endpoints\":["      \
+    "{\"id\":\"o1\",\"pool\":\"enc\",\"url\":\"http://127.0.0.1:99999\"},"    \
+    "{\"id\":\"o2\",\"pool\":\"enc\",\"url\":\"http://127.0.0.1:0\"},"        \
+    "{\"id\":\"o3\",\"pool\":\"enc\",\"url\":\"http://no-such-host:9\"},"     \
+    "{\"id\":\"o4\",\"pool\":\"enc\",\"url\":\"http://"                       \
+    "127.0.0.1:4294967377\"},"                                                \
+    "{\"id\":\"o5\",\"pool\":\"enc\",\"url\":\"x\"},{\"id\":7},[],{}]}"
+
+/* Guards against documents of another writer that end a process, replace the
+ * last good ones or keep later ones from being followed. */
+static void
+test_odd_documents(void)
+{
+    static const struct {
+        const char *key;
+        const char *value;
+    } rows[] = {
+        {"cf/config", DEEP},
+        {"cf/config", "{\"defaults\":{\"deadline_ms\":1e308}}"},
+        {"cf/config", "{\"defaults\":{\"deadline_ms\":9223372036854775808}}"},
+        {"cf/config", "{\"defaults\":{\"deadline_ms\":-1}}"},
+        {"cf/config", "{\"pools\":{\"enc\":" DEEP "}}"},
+        {"cf/config", ""},
+        {"cf/roster", DEEP},
+        {"cf/roster", "{\"members\":" DEEP "}"},
+        {"cf/roster", "{\"members\":[{\"id\":\"0000000000000001\",\"address\":"
+                      "\"tcp://no-such-host:99999\",\"region\":7}]}"},
+        {"platform/vms", DEEP},
+        {"platform/vms", "{\"vms\":1e400}"},
+        {"platform/vms", "{\"vms\":[" DEEP "]}"},
+        {"platform/vms", "{\"vms\":7}"},
+        {"platform/vms", "\xff"},
+    };
+    struct rig r;
+    CLEANUP(buf_free) struct buf vms = {0};
+    rig_open(&r, NULL);
+    for (int i = 0; i < 3; i++) {
+        rig_start_node(&r, i, "");
+    }
+    rig_configure(&r);
+    for (int i = 0; i < 3; i++) {
+        rig_wait_ready(&r, i, 200);
+        wait_for_answer(&r, i, true);
+    }
+    for (size_t k = 0; k < G_N_ELEMENTS(rows); k++) {
+        put_odd(&r, rows[k].key, rows[k].value);
+        g_usleep(100000);
+        for (int i = 0; i < 3; i++) {
+            struct background b = {r.nodes[i].port, 0};
+            ask(&b);
+            g_test_message("%s %s: %d", rows[k].key, rows[k].value, b.status);
+            g_assert_cmpint(b.status, ==, 200);
+        }
+    }
+    rig_put_key(&r, "platform/vms", STR_LIT("{\"vms\":[" ODD_VMS "]}"));
+    wait_for_answer(&r, 0, false);
+    buf_printf(&vms,
+               "{\"vms\":[" ODD_VMS ",{\"vm\":\"v1\",\"zone\":\"okha\","
+               "\"state\":\"live\",\"endpoints\":[{\"id\":\"enc-1\",\"pool\":"
+               "\"enc\",\"url\":\"http://127.0.0.1:%d\"}]}]}",
+               r.engine_port);
+    rig_put_key(&r, "platform/vms", buf_str(&vms));
+    for (int i = 0; i < 3; i++) {
+        wait_for_answer(&r, i, true);
+    }
+    for (int i = 0; i < 3; i++) {
+        CLEANUP_FREE char *log = NULL;
+        g_assert_true(g_file_get_contents(r.nodes[i].log, &log, NULL, NULL));
+        g_assert_nonnull(strstr(log, "event=vms_ignored"));
+        g_assert_nonnull(strstr(log, "event=document_unreadable doc=config"));
+        g_assert_nonnull(strstr(log, "event=document_unreadable doc=roster"));
+        g_assert_nonnull(strstr(log, "event=document_unreadable doc=vms"));
+        g_assert_cmpint(proc_signal_and_wait(r.nodes[i].pid, SIGTERM), ==, 0);
+        r.nodes[i].pid = 0;
+    }
+    rig_close(&r);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -359,6 +477,7 @@
     g_test_add_func("/daemon/operators", test_operators);
     g_test_add_func("/daemon/drain", test_drain);
     g_test_add_func("/daemon/nodes", test_nodes);
+    g_test_add_func("/daemon/odd-documents", test_odd_documents);
     int rc = g_test_run();
     rig_close(&rig);
     return rc;
