Do not connect links to addresses that are not tcp://IP:PORT

What operators would see: one member of a roster with a host name as its address makes libzmq resolve the name in its only I/O thread; while the resolver waits, no message of the node leaves or arrives. "inproc://x" or "ipc:///path" opens a socket of another kind.

Cause: link_send passed the address of a peer to zmq_connect as it was. Peers whose address is not numeric with a port are now logged once (peer_address_ignored) and get no connection, as peers without a key.

/link/odd-addresses failed before: a message to "tcp://localhost:9" is accepted. No address ended the process.

--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -9,7 +9,9 @@
 #include <unistd.h>
 #include <zmq.h>
 
+#include "base/address.h"
 #include "base/clean.h"
+#include "base/log.h"
 
 #define KEY_BYTES 32
 #define KEY_TEXT_LEN 40
@@ -47,6 +49,7 @@
 struct peer {
     char *address;
     char key[KEY_TEXT_LEN + 1];
+    bool valid;        /* the address is "tcp://IP:PORT" */
     bool fixed;        /* from the options */
     bool allowed;      /* listed in the last link_set_peers call */
     gint64 removed_us; /* when link_set_peers first omitted it; 0: allowed */
@@ -187,6 +190,13 @@
         peer = mem_calloc(1, sizeof(*peer));
         peer->address = address;
         peer->link = l;
+        struct str ip;
+        int port;
+        peer->valid = address_split_url(p->address, "tcp://", &ip, &port);
+        if (!peer->valid) {
+            LOG_EVENT(LOG_WARN, "peer_address_ignored",
+                      LOG_STR("address", p->address));
+        }
         memcpy(peer->key, key, sizeof(key));
         g_hash_table_insert(l->peers, peer->address, peer);
         return peer;
@@ -593,7 +603,8 @@
         p = add_peer(l, &open);
         p->allowed = true;
     }
-    if (!p || (l->curve && !p->key[0]) || (!p->socket && !open_socket(l, p))) {
+    if (!p || !p->valid || (l->curve && !p->key[0]) ||
+        (!p->socket && !open_socket(l, p))) {
         return NULL;
     }
     return p;
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -364,6 +364,42 @@
     link_free(n[0].link);
 }
 
+/* Guards against addresses of another writer that make libzmq resolve a host
+ * name, which blocks its thread and with it all connections, or open a socket
+ * of another kind. */
+static void
+test_odd_addresses(void)
+{
+    static const char *const rows[] = {
+        "tcp://localhost:9",
+        "tcp://127.0.0.1:0",
+        "tcp://127.0.0.1:99999",
+        "tcp://127.0.0.1:-1",
+        "tcp://127.0.0.1",
+        "tcp://*:9",
+        "tcp://127.0.0.1:9;x",
+        "inproc://x",
+        "ipc:///tmp/cf-odd",
+        "inproc://zeromq.zap.01",
+        "epgm://127.0.0.1;239.192.1.1:9",
+        "x",
+        "://",
+    };
+    for (int curve = 0; curve < 2; curve++) {
+        struct node n = {.connect_queue_ms = 400};
+        open_node(&n, "tcp://127.0.0.1:*", curve, NULL);
+        for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+            struct link_peer p = {str_from_cstr(rows[i]),
+                                  str_from_cstr(n.public_key)};
+            g_test_message("%s", rows[i]);
+            link_set_peers(n.link, &p, 1);
+            g_assert_false(send_ping(&n, rows[i], 1));
+            run(&n, 1);
+        }
+        link_free(n.link);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -379,5 +415,6 @@
     g_test_add_func("/link/restarted-and-dead-peer",
                     test_restarted_and_dead_peer);
     g_test_add_func("/link/garbage", test_garbage);
+    g_test_add_func("/link/odd-addresses", test_odd_addresses);
     return g_test_run();
 }
