Refuse token indexes and loads of engines that overflow

An engine's "token_index" overflows when the next index is computed, and counts as index 0, the first token. In "Endpoint-Load-Metrics",  requests in flight counted as 1, and negative numbers lowered the load, so that a loaded engine got more work.

Indexes above 10^9 or below 0 make an event invalid, as one that is no completion chunk. Loads are limited to [0, 10^6], where their sum fits.

/sse/tokens and /http-out/answers failed before: the event is accepted, "load=1/-9/0" instead of "load=1000000/0/0".

--- a/src/edge/http_out_answer.c
+++ b/src/edge/http_out_answer.c
@@ -3,8 +3,12 @@
 #include <string.h>
 #include <strings.h>
 
+#include "base/number.h"
 #include "edge/http_out_state.h"
 
+/* Reported numbers of requests above this one count as it. */
+#define MAX_LOAD 1000000
+
 static void
 mark_active(struct call *c)
 {
@@ -70,16 +74,21 @@
     return true;
 }
 
+static int
+read_load(const json_t *metrics, const char *key)
+{
+    return (int)number_clamp(json_integer_value(json_object_get(metrics, key)),
+                             0, MAX_LOAD);
+}
+
 static void
 parse_load_metrics(struct call *c, struct str v)
 {
     json_t *j = json_loadb(v.ptr, v.len, 0, NULL);
     if (json_is_object(j)) {
         c->report.has_load = true;
-        c->report.in_flight =
-            (int)json_integer_value(json_object_get(j, "in_flight"));
-        c->report.queued =
-            (int)json_integer_value(json_object_get(j, "queue"));
+        c->report.in_flight = read_load(j, "in_flight");
+        c->report.queued = read_load(j, "queue");
         c->report.cold = json_is_true(json_object_get(j, "cold"));
     }
     json_decref(j);
--- a/src/edge/sse.c
+++ b/src/edge/sse.c
@@ -80,6 +80,11 @@
     }
     json_t *text = json_object_get(choice, "text");
     json_t *index = json_object_get(j, "token_index");
+    int64_t n = json_is_integer(index) ? json_integer_value(index) : -1;
+    if (json_is_integer(index) && (n < 0 || n > SSE_MAX_TOKEN_INDEX)) {
+        json_decref(j);
+        return false;
+    }
     /* The last chunk has an empty text and no index; it carries no
      * token. */
     if (json_is_string(text) &&
@@ -88,9 +93,7 @@
         out->text = str_dup(
             str_from_bytes(json_string_value(text), json_string_length(text)));
     }
-    if (json_is_integer(index)) {
-        out->index = (int)json_integer_value(index);
-    }
+    out->index = (int)n;
     json_decref(j);
     return true;
 }
--- a/src/edge/sse.h
+++ b/src/edge/sse.h
@@ -22,6 +22,7 @@
 
 /** Longest accepted event in bytes. */
 #define SSE_MAX_EVENT_BYTES (1 << 20)
+#define SSE_MAX_TOKEN_INDEX 1000000000
 
 /** Called with the payload of each event. Returning false stops parsing. */
 typedef bool sse_event_fn(void *ctx, struct str data);
@@ -42,7 +43,8 @@
 };
 
 /** Parses a payload.
- * @return false if the payload is not a completion chunk */
+ * @return false if the payload is not a completion chunk, or its index is not
+ * in [0, SSE_MAX_TOKEN_INDEX] */
 bool sse_token(struct str data, struct sse_token *out);
 
 #endif
--- a/tests/test_http_out.c
+++ b/tests/test_http_out.c
@@ -147,6 +147,10 @@
          "Endpoint-Load-Metrics: {\"in_flight\":3,\"queue\":4,"
          "\"cold\":true}\r\n\r\n|close",
          false, "done 503  start=b7 load=3/4/1 leaving"},
+        {"accept|read|>" OK "Content-Length: 0\r\n"
+         "Endpoint-Load-Metrics: {\"in_flight\":4294967297,\"queue\":-9}"
+         "\r\n\r\n",
+         false, "done 200  load=1000000/0/0"},
         {"accept|read|>HTTP/1.1 302 Go\r\nX-Attempt: $A\r\n"
          "Location: http://127.0.0.1:1/\r\nContent-Length: 0\r\n\r\n",
          false, "done 302 "},
--- a/tests/test_sse.c
+++ b/tests/test_sse.c
@@ -75,6 +75,14 @@
         {"{\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}]}", true,
          NULL, -1},
         {"{\"choices\":[{\"finish_reason\":\"stop\"}]}", true, NULL, -1},
+        /* An index that no response reaches would overflow or wrap to that
+         * of another token. */
+        {"{\"choices\":[{\"text\":\"hi\"}],\"token_index\":4294967296}", false,
+         NULL, -1},
+        {"{\"choices\":[{\"text\":\"hi\"}],\"token_index\":2147483647}", false,
+         NULL, -1},
+        {"{\"choices\":[{\"text\":\"hi\"}],\"token_index\":-1}", false, NULL,
+         -1},
         {"{\"choices\":[]}", false, NULL, -1},
         {"{\"error\":\"x\"}", false, NULL, -1},
         {"{\"choices\":[{\"te", false, NULL, -1},
