Leave room for the next revision in numbers of the store

A watch starts at the revision after the last known one; for 2^63 - 1 the sum overflows. The number comes from the store alone, and no test shows a failure: this closes the last unchecked sum with a number from there.

--- a/src/store/store_client.c
+++ b/src/store/store_client.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "base/clean.h"
+#include "base/number.h"
 #include "store/budget.h"
 
 /* A value of 1 MB is 1.4 MB in base64. The response to a conflicting CAS
@@ -168,7 +169,8 @@
     return g_base64_encode((const unsigned char *)s.ptr, s.len);
 }
 
-/* The JSON gateway of etcd writes 64-bit numbers as strings. */
+/* The JSON gateway of etcd writes 64-bit numbers as strings. The result leaves
+ * room for the next revision. */
 static int64_t
 int_member(json_t *o, const char *key)
 {
@@ -177,7 +179,7 @@
     if (json_is_string(v)) {
         str_to_i64(str_from_cstr(json_string_value(v)), &n);
     }
-    return n;
+    return number_clamp(n, 0, INT64_MAX - 1);
 }
 
 static char *
