--- a/tests/byte_targets.c
+++ b/tests/byte_targets.c
@@ -1,14 +1,17 @@
 #include "tests/byte_targets.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/clean.h"
 #include "control/claim_record.h"
 #include "control/roster.h"
 #include "edge/sse.h"
+#include "model/cluster_view.h"
 #include "model/edit.h"
 #include "model/fleet.h"
 #include "model/vmlist.h"
+#include "platform/platform.h"
 #include "settings/settings.h"
 #include "wire/msg.h"
 
@@ -125,6 +128,62 @@
     sse_free(&s);
 }
 
+static void
+run_platform_endpoint(struct str in)
+{
+    struct endpoint_record e = {0};
+    if (platform_codec.endpoint(in, &e) == ST_OK) {
+        endpoint_record_free(&e);
+    }
+    cluster_view_is_registration(in);
+}
+
+static void
+run_platform_routing(struct str in)
+{
+    struct routing *r = NULL;
+    if (platform_codec.routing(in, &r) == ST_OK) {
+        routing_find_route(r, in, in);
+        routing_unref(r);
+    }
+}
+
+static void
+run_platform_reply(struct str in)
+{
+    struct piece_result results[4];
+    int n = platform_read_piece_results(in, results, 4);
+    if (n > 4 || platform_read_free_memory(in) < -1) {
+        abort();
+    }
+    platform_free_piece_results(results, n);
+}
+
+/* Reads lines "Name: value" as the headers of a request and of a response. */
+static void
+run_platform_headers(struct str in)
+{
+    struct http_header headers[PLATFORM_MAX_HEADERS];
+    struct http_in_request request = {.headers = headers};
+    struct forward_request r;
+    struct response_meta meta;
+    int n = 0;
+    while (in.len > 0 && n < PLATFORM_MAX_HEADERS) {
+        const char *end = memchr(in.ptr, '\n', in.len);
+        size_t len = end ? (size_t)(end - in.ptr) : in.len;
+        const char *colon = memchr(in.ptr, ':', len);
+        size_t name = colon ? (size_t)(colon - in.ptr) : len;
+        headers[n].name = str_from_bytes(in.ptr, name);
+        headers[n++].value = str_trim(str_from_bytes(
+            in.ptr + name + (colon != NULL), len - name - (colon != NULL)));
+        in = str_from_bytes(in.ptr + len + (end != NULL),
+                            in.len - len - (end != NULL));
+    }
+    request.header_count = n;
+    platform_read_request(&request, &r);
+    platform_read_response_headers(503, headers, n, r.request_id, &meta);
+}
+
 void
 byte_target_run(enum byte_target t, struct str in)
 {
@@ -154,6 +213,18 @@
     case BYTE_sse:
         run_sse(in);
         break;
+    case BYTE_platform_endpoint:
+        run_platform_endpoint(in);
+        break;
+    case BYTE_platform_routing:
+        run_platform_routing(in);
+        break;
+    case BYTE_platform_reply:
+        run_platform_reply(in);
+        break;
+    case BYTE_platform_headers:
+        run_platform_headers(in);
+        break;
     case BYTE_TARGET_COUNT:
         break;
     }
--- a/tests/byte_targets.h
+++ b/tests/byte_targets.h
@@ -18,7 +18,11 @@
     X(vmlist)                                                                 \
     X(roster)                                                                 \
     X(edit)                                                                   \
-    X(sse)
+    X(sse)                                                                    \
+    X(platform_endpoint)                                                      \
+    X(platform_routing)                                                       \
+    X(platform_reply)                                                         \
+    X(platform_headers)
 
 enum byte_target {
 #define X(name) BYTE_##name,
