--- a/src/control/docs.c
+++ b/src/control/docs.c
@@ -135,6 +135,12 @@
 
 static const char *const doc_names[] = {"config", "roster", "vms"};
 
+static const char *
+doc_name(enum doc_kind kind)
+{
+    return kind < DOC_COUNT ? doc_names[kind] : "unknown";
+}
+
 /* @param errors the errors of the document, one a line; may stay empty */
 static bool
 parse_and_apply(struct docs *d, enum doc_kind kind, struct str bytes,
@@ -185,7 +191,7 @@
         d->rejected++;
         if (revision != state->logged_revision) {
             LOG_EVENT(LOG_WARN, "document_unreadable",
-                      LOG_CSTR("doc", doc_names[kind]),
+                      LOG_CSTR("doc", doc_name(kind)),
                       LOG_INT("revision", revision),
                       LOG_CSTR("error", err_last()),
                       LOG_STR("details", buf_str(&errors)));
