Ignore server records without slots or a remaining cold time

PROTOCOL.md lists the fields that a server's entry has and says that an entry with fields missing names no server to use. Only the service, the address, the zone and the state were required, so that an entry of another writer with these four was used as a server without slots.

Two rows of /platform/endpoint said the opposite, with records that lack both fields: one expected such a record to be used.

--- a/tests/platform/test_gateway_odd.c
+++ b/tests/platform/test_gateway_odd.c
@@ -111,7 +111,8 @@
 
 #define SERVER(address, members)                                              \
     "{\"service\":\"desk\",\"address\":\"" address                            \
-    "\",\"zone\":\"a\",\"state\":\"ready\"" members "}"
+    "\",\"zone\":\"a\",\"slots\":8,\"state\":\"ready\",\"coldRemainingMs\":"  \
+    "0" members "}"
 
 static const struct {
     const char *key;
@@ -133,6 +134,8 @@
     {"servers/o-13", SERVER("127.0.0.1:-1", ",\"slots\":8")},
     {"servers/o-14", SERVER("no-such-host:9", ",\"slots\":8")},
     {"servers/o-15", "\xff\xfe\x01"},
+    {"servers/o-16", "{\"service\":\"desk\",\"address\":\"127.0.0.1:9\","
+                     "\"zone\":\"a\",\"state\":\"ready\"}"},
     {"servers/", SERVER("127.0.0.1:9", "")},
     {"op/config", DEEP},
     {"op/config", "{\"version\":1e308}"},
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -506,13 +506,19 @@
          "\"born\":123}",
          ST_OK, false},
         {"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
-         "\"state\":\"draining\"}",
+         "\"slots\":6,\"state\":\"draining\",\"coldRemainingMs\":0}",
          ST_OK, true},
         {"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
-         "\"state\":\"odd\"}",
+         "\"state\":\"draining\",\"coldRemainingMs\":0}",
+         ST_INVALID, false},
+        {"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+         "\"state\":\"draining\",\"slots\":6}",
+         ST_INVALID, false},
+        {"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+         "\"slots\":6,\"state\":\"odd\",\"coldRemainingMs\":0}",
          ST_INVALID, false},
         {"{\"service\":7,\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
-         "\"state\":\"ready\"}",
+         "\"slots\":6,\"state\":\"ready\",\"coldRemainingMs\":0}",
          ST_INVALID, false},
         {"\x01\x02", ST_INVALID, false},
     };
--- a/tests/platform/test_platform_odd.c
+++ b/tests/platform/test_platform_odd.c
@@ -9,13 +9,15 @@
 
 #define SOUND_CONFIGURATION "tests/corpus/platform_routing/sound.json"
 
+/* Writes a sound record with one more member; it replaces one of the same
+ * name. */
 static void
 write_endpoint(struct buf *out, const char *address, const char *member)
 {
     buf_clear(out);
     buf_printf(out,
                "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\","
-               "\"state\":\"ready\",%s}",
+               "\"slots\":8,\"state\":\"ready\",\"coldRemainingMs\":0,%s}",
                address, member);
 }
 
