Test odd claim records before several processes

Malformed records of claims, in the store of camphorfalld: no process ends, other requests are answered, and actions that need such a record get a refusal instead of no answer. This held before; the record is logged as claim_record_malformed.

--- a/tests/test_daemon.c
+++ b/tests/test_daemon.c
@@ -14,6 +14,7 @@
 /* Stands for arrays nested DEPTH deep in a document. */
 #define DEEP "[[[[deep"
 #define DEPTH 200000
+#define CLAIM_RECORDS 4
 #define DAEMON "camphorfalld"
 #define SECRET "teak-4711"
 
@@ -418,10 +419,11 @@
         {"platform/vms", "\xff"},
     };
     struct rig r;
+    bool claims_logged = false;
     CLEANUP(buf_free) struct buf vms = {0};
     rig_open(&r, NULL);
     for (int i = 0; i < 3; i++) {
-        rig_start_node(&r, i, "");
+        rig_start_node(&r, i, "[claims]\nbuckets = 4\n");
     }
     rig_configure(&r);
     for (int i = 0; i < 3; i++) {
@@ -438,6 +440,22 @@
             g_assert_cmpint(b.status, ==, 200);
         }
     }
+    for (int k = 0; k < CLAIM_RECORDS; k++) {
+        CLEANUP_FREE char *key = g_strdup_printf("cf/claims/%d", k);
+        put_odd(&r, key, k % 2 ? DEEP : "\x96\x01\xcf\xff\xff\xff\xff");
+    }
+    for (int i = 0; i < 3; i++) {
+        CLEANUP_FREE char *headers =
+            g_strdup_printf(RIG_TEAM_HEADER "Idempotency-Key: odd-%d\r\n", i);
+        /* Without its record a claim may be refused, but never lost. */
+        g_assert_cmpint(proc_http_request(
+                            r.nodes[i % 3].port, "POST", "/v1/pipelines/order",
+                            headers, STR_LIT("{\"action_id\":\"a\"}"), NULL),
+                        !=, 0);
+        struct background b = {r.nodes[i % 3].port, 0};
+        ask(&b);
+        g_assert_cmpint(b.status, ==, 200);
+    }
     rig_put_key(&r, "platform/vms", STR_LIT("{\"vms\":[" ODD_VMS "]}"));
     wait_for_answer(&r, 0, false);
     buf_printf(&vms,
@@ -452,6 +470,7 @@
     for (int i = 0; i < 3; i++) {
         CLEANUP_FREE char *log = NULL;
         g_assert_true(g_file_get_contents(r.nodes[i].log, &log, NULL, NULL));
+        claims_logged |= strstr(log, "event=claim_record_malformed") != NULL;
         g_assert_nonnull(strstr(log, "event=vms_ignored"));
         g_assert_nonnull(strstr(log, "event=document_unreadable doc=config"));
         g_assert_nonnull(strstr(log, "event=document_unreadable doc=roster"));
@@ -459,6 +478,7 @@
         g_assert_cmpint(proc_signal_and_wait(r.nodes[i].pid, SIGTERM), ==, 0);
         r.nodes[i].pid = 0;
     }
+    g_assert_true(claims_logged);
     rig_close(&r);
 }
 
