--- a/src/daemon/gateway_traffic.c
+++ b/src/daemon/gateway_traffic.c
@@ -4,6 +4,7 @@
 #include <sys/epoll.h>
 #include <sys/prctl.h>
 
+#include "base/address.h"
 #include "base/hash.h"
 #include "base/log.h"
 #include "daemon/gateway_traffic_state.h"
@@ -17,7 +18,6 @@
 /* After this time without a connection another endpoint is tried. */
 #define CONNECT_TIMEOUT_MS 400
 #define RELEASE_TIMEOUT_MS 1000
-#define MAX_PIECE_RESULTS 256
 #define DEFAULT_HEADER_TIMEOUT_MS 5000
 #define DEFAULT_IDLE_TIMEOUT_MS 60000
 /* The answer to a pieces call holds a hundred results of some hundred
@@ -403,11 +403,11 @@
 finish_pieces_call(struct gateway_traffic *t, uint64_t id, struct out_call *c,
                    enum call_end end)
 {
-    struct piece_result results[MAX_PIECE_RESULTS];
+    struct piece_result results[STAGE_MAX_BATCH];
     int count = 0;
     if (end == CALL_END_COMPLETE && c->status == 200) {
         count = platform_read_piece_results(buf_str(&c->body), results,
-                                            MAX_PIECE_RESULTS);
+                                            STAGE_MAX_BATCH);
     }
     forward_pieces_call_ended(t->forward, gateway_now_us(), id, end, c->status,
                               &c->meta, count, results);
@@ -459,11 +459,11 @@
 {
     struct gateway_traffic *t = ctx;
     struct forward_request r;
-    if (!platform_read_request(in, &r)) {
-        LOG_EVENT(LOG_INFO, "refused", LOG_CSTR("why", "no request id"),
-                  LOG_INT("status", 400));
+    if (platform_read_request(in, &r) != ST_OK) {
+        LOG_EVENT(LOG_INFO, "refused", LOG_CSTR("why", err_last()),
+                  LOG_STR("request", r.request_id), LOG_INT("status", 400));
         http_in_send_error(t->in, in->id, ERRKIND_BAD_REQUEST,
-                           STR_LIT("the request has no id"), 0);
+                           str_from_cstr(err_last()), 0);
         return;
     }
     struct exchange *x = mem_calloc(1, sizeof(*x));
@@ -675,7 +675,7 @@
                                   io_refuse,
                                   io_probe};
     const struct relay_callbacks sink = {t, on_head, on_bytes, on_end};
-    settings_split_address(set->listen, &in.address, &in.port);
+    address_split(set->listen, &in.address, &in.port);
     t->shared = shared;
     t->from_control = from_control;
     t->to_control = to_control;
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/clean.h"
 #include "platform/platform.h"
 
 #define MAX_HEADERS 24
@@ -61,7 +62,7 @@
     struct http_header headers[MAX_HEADERS];
     struct http_in_request in = make_request(headers);
     struct forward_request r;
-    g_assert_true(platform_read_request(&in, &r));
+    g_assert_cmpint(platform_read_request(&in, &r), ==, ST_OK);
     g_assert_true(str_eq_cstr(r.path, "/puxa400/2f"));
     g_assert_true(str_eq_cstr(r.host, "pule25.example"));
     g_assert_true(str_eq_cstr(r.request_id, "9c41d07be2a35f68"));
@@ -77,7 +78,103 @@
     g_assert_cmpint(r.piece_counts[1], ==, 0);
     g_assert_cmpint(r.piece_counts[2], ==, 16);
     in.header_count = 1;
-    g_assert_false(platform_read_request(&in, &r));
+    g_assert_cmpint(platform_read_request(&in, &r), ==, ST_INVALID);
+}
+
+/* Guards against callers' numbers that overflow when they are converted, or
+ * for which a node would allocate memory until the process ends. */
+static void
+test_odd_request_numbers(void)
+{
+    static const struct {
+        const char *headers;
+        int64_t timeout_us;
+        int pieces, prompt_tokens, part_tokens;
+        bool ok;
+    } rows[] = {
+        {"Camphorfall-Pieces: 1,0,1024\n", -1, 1, 0, 0, true},
+        {"Camphorfall-Pieces: 1025\n", -1, 0, 0, 0, false},
+        {"Camphorfall-Pieces: 2000000000\n", -1, 0, 0, 0, false},
+        {"Camphorfall-Pieces: 2147483648\n", -1, 0, 0, 0, false},
+        {"Camphorfall-Pieces: 4294967296\n", -1, 0, 0, 0, false},
+        {"Camphorfall-Pieces: 9223372036854775807\n", -1, 0, 0, 0, false},
+        {"Camphorfall-Pieces: 99999999999999999999999\n", -1, 0, 0, 0, false},
+        {"Camphorfall-Pieces: -1\n", -1, 0, 0, 0, false},
+        {"Camphorfall-Pieces: 1e3\n", -1, 0, 0, 0, false},
+        {"Camphorfall-Pieces: 1,,2\n", -1, 1, 0, 0, false},
+        {"Camphorfall-Pieces: \n", -1, 0, 0, 0, true},
+        {"Camphorfall-Deadline-Ms: 9223372036854775807\n", 31622400000000, 0,
+         0, 0, true},
+        {"Camphorfall-Deadline-Ms: 9223372036854776\n", 31622400000000, 0, 0,
+         0, true},
+        {"Camphorfall-Deadline-Ms: -5\n", -1, 0, 0, 0, true},
+        {"Camphorfall-Deadline-Ms: 99999999999999999999999\n", -1, 0, 0, 0,
+         true},
+        {"Camphorfall-Token-Usage: 2147483648,4294967297\n", -1, 0, 1000000000,
+         0, true},
+        {"Camphorfall-Token-Usage: 99999999999999999999999,7\n", -1, 0, 0, 0,
+         true},
+        {"Camphorfall-Prompt-Prefix: a:4294967295\n", -1, 0, 0, 1000000000,
+         true},
+        {"Camphorfall-Prompt-Prefix: a:-1\n", -1, 0, 0, 0, true},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct http_header headers[MAX_HEADERS];
+        struct http_in_request in = {.target = STR_LIT("/"),
+                                     .headers = headers};
+        struct forward_request r;
+        CLEANUP(buf_free) struct buf text = {0};
+        buf_printf(&text, "Camphorfall-Request-Id: 1\n%s", rows[i].headers);
+        g_test_message("%s", rows[i].headers);
+        in.header_count = parse_headers(text.ptr, headers);
+        g_assert_cmpint(platform_read_request(&in, &r) == ST_OK, ==,
+                        rows[i].ok);
+        g_assert_cmpint(r.caller_timeout_us, ==, rows[i].timeout_us);
+        g_assert_cmpint(r.piece_counts[0], ==, rows[i].pieces);
+        g_assert_cmpint(r.prompt_tokens, ==, rows[i].prompt_tokens);
+        g_assert_cmpint(r.parts[0].tokens, ==, rows[i].part_tokens);
+    }
+}
+
+/* Guards against an id or a key that a JSON text cannot hold: it would spoil
+ * the call that carries pieces of other requests as well. */
+static void
+test_odd_request_texts(void)
+{
+    static const struct {
+        const char *headers;
+        enum status st;
+    } rows[] = {
+        {"Camphorfall-Request-Id: 9c41-d0_7:b, e2\n", ST_OK},
+        {"Camphorfall-Request-Id: \xff\n", ST_INVALID},
+        {"Camphorfall-Request-Id: a\xc3\n", ST_INVALID},
+        {"Camphorfall-Request-Id: a\x01\n", ST_INVALID},
+        {"Camphorfall-Request-Id: a\x7f\n", ST_INVALID},
+        {"Camphorfall-Request-Id: a\nCamphorfall-Piece-Key: k\n", ST_OK},
+        {"Camphorfall-Request-Id: a\nCamphorfall-Piece-Key: \n", ST_OK},
+        {"Camphorfall-Request-Id: a\nCamphorfall-Piece-Key: \x80\n",
+         ST_INVALID},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct http_header headers[MAX_HEADERS];
+        struct http_in_request in = {.target = STR_LIT("/"),
+                                     .headers = headers};
+        struct forward_request r;
+        in.header_count = parse_headers(rows[i].headers, headers);
+        g_test_message("%s", rows[i].headers);
+        g_assert_cmpint(platform_read_request(&in, &r), ==, rows[i].st);
+    }
+    for (int len = 200; len <= 201; len++) {
+        char *text = g_strnfill((gsize)len, 'a');
+        struct http_header h = {STR_LIT("Camphorfall-Request-Id"),
+                                str_from_cstr(text)};
+        struct http_in_request in = {
+            .target = STR_LIT("/"), .headers = &h, .header_count = 1};
+        struct forward_request r;
+        g_assert_cmpint(platform_read_request(&in, &r) == ST_OK, ==,
+                        len == 200);
+        g_free(text);
+    }
 }
 
 static int
@@ -189,6 +286,32 @@
     }
 }
 
+/* Guards against a load report that becomes a small or negative number, and
+ * sums of its numbers that overflow. */
+static void
+test_load_report(void)
+{
+    static const struct {
+        const char *value;
+        int running, waiting;
+    } rows[] = {{"3,4", 3, 4},
+                {"3", 3, 0},
+                {"2147483647,2147483647", 1000000, 1000000},
+                {"4294967297,4294967296", 1000000, 1000000},
+                {"-1,-2", -1, 0},
+                {"1e3,x", -1, 0},
+                {"99999999999999999999999", -1, 0},
+                {"", -1, 0}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        const struct http_header h = {STR_LIT("Camphorfall-Server-Load"),
+                                      str_from_cstr(rows[i].value)};
+        struct response_meta m;
+        platform_read_response_headers(200, &h, 1, STR_LIT("r1"), &m);
+        g_assert_cmpint(m.running, ==, rows[i].running);
+        g_assert_cmpint(m.waiting, ==, rows[i].waiting);
+    }
+}
+
 /* Guards against a response that ends with its connection and is taken for one
  * whose end is marked. */
 static void
@@ -327,6 +450,11 @@
         {"{\"freeMb\":\"17\"}", -1},
         {"{\"queued\":1}", -1},
         {"{\"freeMb\":1", -1},
+        {"{\"freeMb\":1e308}", -1},
+        {"{\"freeMb\":-1e308}", -1},
+        {"{\"freeMb\":9223372036854775807}", -1},
+        {"{\"freeMb\":-1}", -1},
+        {"{\"freeMb\":1e400}", -1},
         {"", -1},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
@@ -400,13 +528,19 @@
          "\"born\":123}",
          ST_OK, false},
         {"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
-         "\"state\":\"draining\"}",
+         "\"slots\":6,\"state\":\"draining\",\"coldRemainingMs\":0}",
          ST_OK, true},
         {"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
-         "\"state\":\"odd\"}",
+         "\"state\":\"draining\",\"coldRemainingMs\":0}",
+         ST_INVALID, false},
+        {"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+         "\"state\":\"draining\",\"slots\":6}",
+         ST_INVALID, false},
+        {"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+         "\"slots\":6,\"state\":\"odd\",\"coldRemainingMs\":0}",
          ST_INVALID, false},
         {"{\"service\":7,\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
-         "\"state\":\"ready\"}",
+         "\"slots\":6,\"state\":\"ready\",\"coldRemainingMs\":0}",
          ST_INVALID, false},
         {"\x01\x02", ST_INVALID, false},
     };
@@ -429,8 +563,11 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/platform/read-request", test_read_request);
+    g_test_add_func("/platform/odd-request-numbers", test_odd_request_numbers);
+    g_test_add_func("/platform/odd-request-texts", test_odd_request_texts);
     g_test_add_func("/platform/write-request", test_write_request);
     g_test_add_func("/platform/read-answer", test_read_answer);
+    g_test_add_func("/platform/load-report", test_load_report);
     g_test_add_func("/platform/framed", test_framed);
     g_test_add_func("/platform/retry-after", test_retry_after);
     g_test_add_func("/platform/store-era", test_store_era);
