Count a held contact only from a configuration that is in force

A configuration that the watch reports ended the hold of the contact even if it was dropped because its version is older than the one in force, or could not be read. If the operator writes its history again, version by version, the first of them says nothing about credentials that a later one takes away.

Only a configuration that becomes the one in force ends the hold now.

--- a/src/control/feed_records.c
+++ b/src/control/feed_records.c
@@ -56,6 +56,7 @@
     routing_unref(f->routing);
     f->routing = r;
     f->site_changed = true;
+    feed_note_configuration(f);
 }
 
 static int64_t
@@ -284,7 +285,6 @@
     case FEED_KEY_CONFIGURATION:
         if (!item->deleted) {
             set_routing(f, item);
-            feed_note_configuration(f);
         }
         break;
     case FEED_KEY_ENDPOINT:
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -185,7 +185,7 @@
                        enum feed_range range);
 /** The store answers again after an outage, so its writers need time again. */
 void feed_extend_copy(struct feed *f, int64_t now_us, enum feed_range range);
-/** A configuration was written in this era, or is in a list. */
+/** A configuration is in force that a list or a watch has brought. */
 void feed_note_configuration(struct feed *f);
 /** A watcher with recent contact has replied in this era. */
 void feed_note_watcher(struct feed *f, const struct feed_reply *answer);
--- a/tests/test_feed_era.c
+++ b/tests/test_feed_era.c
@@ -266,6 +266,10 @@
          "copy; away; run 4500; put o/config 4; run 1000; restored; "
          "run 1500; contact-above 5000; put o/config 4; run 100; "
          "contact-below 1200; version 4"},
+        {"an older configuration is written first",
+         "put o/config 4; run 500; copy; away; run 5500; restored; run 500; "
+         "put o/config 3; run 300; contact-above 5000; put o/config 4; "
+         "run 100; contact-below 1200"},
         {"a running node was cut off and nothing is written again",
          "copy; away; run 5500; restored; run 1500; contact-above 5000; "
          "run 1600; contact-below 1200"},
