Keep endpoints that a copy lacks while the store fails once more

If the store failed again within seconds of its return from an older copy, endpoints that the copy lacks were dropped 2.2 s after the return, although they could not write their records again meanwhile. Found by reading.

Within the first 5 s of an era, held records are dropped only while the store answers, and the time starts again with its next answer. Outside of that time, records end as before. The hold of the contact is reset with the second list of the operator's records, so that a later reply is not logged as a confirmation.

The new row of /feed-era/endpoints failed before (used three) and passes.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -551,9 +551,7 @@
     }
     at = MIN(at, feed_lease_call_due_us(f));
     at = MIN(at, feed_copies_due_us(f));
-    if (f->removed_hold_end_us && f->removed_hold_end_us < at) {
-        at = f->removed_hold_end_us;
-    }
+    at = MIN(at, feed_removed_due_us(f));
     if (f->fewer_since_us && f->fewer_since_us + NODE_MISSING_US < at) {
         at = f->fewer_since_us + NODE_MISSING_US;
     }
--- a/src/control/feed_era.c
+++ b/src/control/feed_era.c
@@ -30,6 +30,10 @@
     if (range == FEED_RANGE_OPERATOR && f->contact_hold_end_us) {
         f->contact_hold_end_us = f->copy_end_us[range];
     }
+    if (range == FEED_RANGE_ENDPOINTS && f->copy_end_us[range]) {
+        f->removed_hold_end_us =
+            MAX(f->removed_hold_end_us, now_us + REMOVED_HOLD_US);
+    }
 }
 
 /* While the store does not answer, nobody can write either. */
@@ -92,6 +96,9 @@
     for (int i = 0; i < FEED_RANGE_COUNT; i++) {
         if (is_copy_due(f, i) && now_us >= f->copy_end_us[i]) {
             f->copy_end_us[i] = 0;
+            if (i == FEED_RANGE_OPERATOR) {
+                f->contact_hold_end_us = 0;
+            }
             feed_restart_range(&f->range_watches[i], now_us);
         }
     }
--- a/src/control/feed_records.c
+++ b/src/control/feed_records.c
@@ -433,13 +433,24 @@
     }
 }
 
+/* Records that an older copy lacks cannot be written again while the store
+ * does not answer. */
+int64_t
+feed_removed_due_us(const struct feed *f)
+{
+    bool waits = f->copy_end_us[FEED_RANGE_ENDPOINTS] &&
+                 f->range_watches[FEED_RANGE_ENDPOINTS].failing;
+    return f->removed_hold_end_us && !waits ? f->removed_hold_end_us
+                                            : INT64_MAX;
+}
+
 void
 feed_drop_unreturned(struct feed *f, int64_t now_us)
 {
     GHashTableIter it;
     gpointer k;
     gpointer v;
-    if (!f->removed_hold_end_us || now_us < f->removed_hold_end_us) {
+    if (now_us < feed_removed_due_us(f)) {
         return;
     }
     f->removed_hold_end_us = 0;
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -213,6 +213,9 @@
 /** Drops removed records that were not written again in time after an outage.
  */
 void feed_drop_unreturned(struct feed *f, int64_t now_us);
+/** When feed_drop_unreturned is due; INT64_MAX: no record is held, or the
+ * store does not answer. */
+int64_t feed_removed_due_us(const struct feed *f);
 /** Frees a struct endpoint_entry. */
 void feed_record_free(gpointer p);
 
--- a/tests/test_feed_era.c
+++ b/tests/test_feed_era.c
@@ -193,6 +193,10 @@
         {"an endpoint that registered since and is gone",
          "copy; put e/three pool ready 0 5; run 800; away; run 2000; "
          "restored; run 4000; unused three"},
+        {"the store fails again before the endpoints can write",
+         "copy; put e/three pool ready 0 5; run 800; away; run 1000; "
+         "restored; run 700; away; run 1700; back; run 1500; used three; "
+         "run 2500; unused three"},
         {"an endpoint that restarted since",
          "copy; put e/one pool ready 0 9; run 800; started-at 9; away; "
          "run 2000; restored; run 1000; started-at 9; "
