--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -185,7 +185,7 @@
                        enum feed_range range);
 /** The store answers again after an outage, so its writers need time again. */
 void feed_extend_copy(struct feed *f, int64_t now_us, enum feed_range range);
-/** A configuration was written in this era, or is in a list. */
+/** A configuration is in force that a list or a watch has brought. */
 void feed_note_configuration(struct feed *f);
 /** A watcher with recent contact has replied in this era. */
 void feed_note_watcher(struct feed *f, const struct feed_reply *answer);
@@ -213,6 +213,9 @@
 /** Drops removed records that were not written again in time after an outage.
  */
 void feed_drop_unreturned(struct feed *f, int64_t now_us);
+/** When feed_drop_unreturned is due; INT64_MAX: no record is held, or the
+ * store does not answer. */
+int64_t feed_removed_due_us(const struct feed *f);
 /** Frees a struct endpoint_entry. */
 void feed_record_free(gpointer p);
 
--- a/tests/test_feed_era.c
+++ b/tests/test_feed_era.c
@@ -193,6 +193,10 @@
         {"an endpoint that registered since and is gone",
          "copy; put e/three pool ready 0 5; run 800; away; run 2000; "
          "restored; run 4000; unused three"},
+        {"the store fails again before the endpoints can write",
+         "copy; put e/three pool ready 0 5; run 800; away; run 1000; "
+         "restored; run 700; away; run 1700; back; run 1500; used three; "
+         "run 2500; unused three"},
         {"an endpoint that restarted since",
          "copy; put e/one pool ready 0 9; run 800; started-at 9; away; "
          "run 2000; restored; run 1000; started-at 9; "
@@ -266,6 +270,10 @@
          "copy; away; run 4500; put o/config 4; run 1000; restored; "
          "run 1500; contact-above 5000; put o/config 4; run 100; "
          "contact-below 1200; version 4"},
+        {"an older configuration is written first",
+         "put o/config 4; run 500; copy; away; run 5500; restored; run 500; "
+         "put o/config 3; run 300; contact-above 5000; put o/config 4; "
+         "run 100; contact-below 1200"},
         {"a running node was cut off and nothing is written again",
          "copy; away; run 5500; restored; run 1500; contact-above 5000; "
          "run 1600; contact-below 1200"},
