End responses whose chunk framing never ends

What callers saw: while a server sent a chunk size line without end, each request to it lasted 1.9 s in /gateway/endless, the traffic thread was busy with its bytes all the while, and streams from other servers took up to 61 ms instead of 31 ms at load average 6 ("chunk header, 2 endless").

Cause: libcurl skips the extension of a chunk size without a limit and without a callback. Neither the limits on headers nor those on bodies count these bytes, and one call of libcurl reads up to 1.6 MB. Class: bytes from outside that no limit counts.

After each read the loop compares the bytes that libcurl has read from the connection with the header and body bytes of the transfer. A transfer that has read 128 KiB, and 16 bytes for each such byte, beyond them ends with CURLE_WEIRD_SERVER_REPLY, as other invalid responses do. Chunks of one byte have six bytes on the wire and stay far below. The check is in curl_loop, so it holds for calls of camphorfalld (http_out) as well.

Evidence, release builds: /http-out/endless-chunk-size failed before (the call lasted until its deadline) and passes.

--- a/src/edge/curl_loop.c
+++ b/src/edge/curl_loop.c
@@ -1,19 +1,35 @@
 #include "edge/curl_loop.h"
 
+#include <errno.h>
 #include <glib.h>
+#include <linux/tcp.h>
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/log.h"
 #include "base/str.h"
 
+/* Limit on the bytes of a response that are neither header nor body. libcurl
+ * skips the extension of a chunk size without a limit. The smallest chunk has
+ * five bytes of framing for one byte of body, and an incomplete header line,
+ * which libcurl limits to 100 KiB, is not counted as header yet. */
+#define FRAMING_MAX_BYTES (128 * 1024)
+#define READ_PER_USED_BYTE_MAX 16
+
 /* A socket of libcurl that is registered in the epoll loop. */
 struct socket_watch {
     struct curl_loop *owner;
     curl_socket_t fd;
     uint32_t events;
-    bool idle; /* no transfer uses the connection */
+    bool idle;           /* no transfer uses the connection */
+    CURL *easy;          /* the latest transfer */
+    int64_t read_before; /* read_bytes when it began */
+    int64_t used_before; /* used_bytes when it began */
     struct loop_source *source;
 };
 
@@ -49,12 +65,38 @@
     }
 }
 
+/* Bytes of headers and body that a transfer has got so far. */
+static int64_t
+used_bytes(CURL *easy)
+{
+    curl_off_t body = 0;
+    long headers = 0;
+    curl_easy_getinfo(easy, CURLINFO_SIZE_DOWNLOAD_T, &body);
+    curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &headers);
+    return body + headers;
+}
+
+/* Bytes that libcurl has read from a connection. */
+static int64_t
+read_bytes(curl_socket_t fd)
+{
+    struct tcp_info info = {0};
+    socklen_t len = sizeof(info);
+    int queued = 0;
+    if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0 ||
+        ioctl(fd, FIONREAD, &queued) != 0) {
+        LOG_EVENT(LOG_WARN, "socket_query_failed",
+                  LOG_CSTR("error", g_strerror(errno)));
+        return 0;
+    }
+    return (int64_t)info.tcpi_bytes_received - queued;
+}
+
 static int
 on_socket(CURL *easy, curl_socket_t fd, int what, void *ctx, void *unused)
 {
     struct curl_loop *c = ctx;
     struct socket_watch *w = watch_of(c, fd);
-    (void)easy;
     (void)unused;
     if (what == CURL_POLL_REMOVE) {
         if (w) {
@@ -74,6 +116,11 @@
     else if (w->events != events) {
         loop_modify(c->loop, w->source, events);
     }
+    if (w->idle || w->easy != easy) {
+        w->easy = easy;
+        w->read_before = read_bytes(fd);
+        w->used_before = used_bytes(easy);
+    }
     w->events = events;
     w->idle = false;
     return 0;
@@ -111,23 +158,49 @@
     }
 }
 
+/* Ends the transfer on a socket if most of what it receives is neither header
+ * nor body. */
+static void
+check_framing(struct curl_loop *c, curl_socket_t fd)
+{
+    const struct socket_watch *w = watch_of(c, fd);
+    if (!w || w->idle) {
+        return;
+    }
+    int64_t read = read_bytes(fd) - w->read_before;
+    if (read <= FRAMING_MAX_BYTES) {
+        return;
+    }
+    int64_t used = used_bytes(w->easy) - w->used_before;
+    if (read > FRAMING_MAX_BYTES + READ_PER_USED_BYTE_MAX * used) {
+        LOG_EVENT(LOG_WARN, "framing_too_long", LOG_INT("read", read),
+                  LOG_INT("used", used));
+        c->done(c->ctx, w->easy, CURLE_WEIRD_SERVER_REPLY);
+    }
+}
+
 static void
 on_socket_ready(void *ctx, uint32_t events)
 {
     struct socket_watch *w = ctx;
     struct curl_loop *c = w->owner;
+    curl_socket_t fd = w->fd;
     int running;
     if (w->idle) {
         /* The peer closed the connection or sent bytes that no transfer
          * waits for. libcurl detects this before it reuses the
          * connection. */
-        remove_watch(c, w->fd);
+        remove_watch(c, fd);
         return;
     }
     int mask = (events & EPOLLIN ? CURL_CSELECT_IN : 0) |
                (events & EPOLLOUT ? CURL_CSELECT_OUT : 0) |
                (events & (EPOLLERR | EPOLLHUP) ? CURL_CSELECT_ERR : 0);
-    curl_multi_socket_action(c->multi, w->fd, mask, &running);
+    /* The watch may be freed from here on. */
+    curl_multi_socket_action(c->multi, fd, mask, &running);
+    if (events & EPOLLIN) {
+        check_framing(c, fd);
+    }
     collect(c);
 }
 
--- a/src/edge/curl_loop.h
+++ b/src/edge/curl_loop.h
@@ -16,7 +16,9 @@
 
 /** @param max_idle_connections size of the connection cache
  *  @param done called with each finished transfer while its easy handle is
- *  still in the multi handle; the callback must remove the handle
+ *  still in the multi handle; the callback must remove the handle. A transfer
+ *  that receives too many bytes that are neither header nor body ends with
+ *  CURLE_WEIRD_SERVER_REPLY
  *  @param progress called after each round of I/O; may be NULL */
 struct curl_loop *curl_loop_new(struct loop *l, long max_idle_connections,
                                 void (*done)(void *ctx, CURL *easy,
--- a/tests/platform/test_gateway_limits.c
+++ b/tests/platform/test_gateway_limits.c
@@ -18,6 +18,12 @@
  * a stream of the stand-in takes by itself. */
 #define LATENCY_MAX_US 50000
 #define STREAM_US 30000
+/* Processor time that a connection may take from the others, and what a
+ * request to another service needs at most. */
+#define CONNECTION_CPU_MAX_US 20000
+#define REQUEST_CPU_MAX_US 1000
+#define REQUESTS 3
+#define ATTEMPTS 2
 
 #define SEALED                                                                \
     "Camphorfall-Request-Id: {id}\r\nCamphorfall-Response-Seal: x.{id}\r\n"
@@ -150,8 +156,9 @@
         .host = stream ? "check" : "stream",
         .headers = stream ? PR_KEY : PR_KEY "Camphorfall-Pieces: 0,0\r\n"};
     long before = peak_kb(r->nodes[0].pid);
+    int64_t cpu_before_us = proc_cpu_us(r->nodes[0].pid);
     GThread *t = g_thread_new("beside", run_background_load, &b);
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < REQUESTS; i++) {
         struct buf out = {0};
         int status = platform_rig_send_request(r, 0, host, headers, &out);
         const char *text = out.ptr ? out.ptr : "";
@@ -169,15 +176,20 @@
     b.stop = true;
     g_thread_join(t);
     long growth_kb = peak_kb(r->nodes[0].pid) - before;
+    int64_t cpu_us = proc_cpu_us(r->nodes[0].pid) - cpu_before_us;
     g_test_message("%s, %d endless: peak grew by %ld kB, maximum latency of "
-                   "others %ld us in %d requests",
+                   "others %ld us in %d requests, %ld ms of processor time",
                    test->name, endless_servers, growth_kb,
-                   (long)b.max_latency_us, b.request_count);
+                   (long)b.max_latency_us, b.request_count,
+                   (long)(cpu_us / 1000));
     g_assert_cmpint(b.failed, ==, 0);
     if (is_release_build()) {
         g_assert_cmpint(growth_kb, <, GROWTH_MAX_KB);
         g_assert_cmpint(b.max_latency_us, <,
                         LATENCY_MAX_US + (stream ? 0 : STREAM_US));
+        g_assert_cmpint(cpu_us, <,
+                        REQUESTS * ATTEMPTS * CONNECTION_CPU_MAX_US +
+                            b.request_count * REQUEST_CPU_MAX_US);
     }
     for (int i = 0; i < 2; i++) {
         platform_rig_set_server_state(r, first + i, NULL);
--- a/tests/test_http_out.c
+++ b/tests/test_http_out.c
@@ -5,10 +5,13 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/clean.h"
 #include "edge/http_out.h"
 #include "tests/peer.h"
 
 #define TIMEOUT_US 20000000
+#define MAX_RESPONSE_BYTES 65536
+#define SMALL_CHUNKS 60000
 
 struct event_record {
     struct buf text;
@@ -75,8 +78,9 @@
 rig_open(struct rig *r)
 {
     *r = (struct rig){.loop = loop_new()};
-    struct http_out_options opts = {
-        .ctx = &r->recorded, .event = on_event, .max_response_bytes = 4096};
+    struct http_out_options opts = {.ctx = &r->recorded,
+                                    .event = on_event,
+                                    .max_response_bytes = MAX_RESPONSE_BYTES};
     r->out = http_out_new(r->loop, &opts);
 }
 
@@ -276,6 +280,49 @@
     peer_join(p);
 }
 
+/* Guards against a response whose framing never ends, which keeps the thread
+ * busy until the deadline. */
+static void
+test_endless_chunk_size(void)
+{
+    CLEANUP_FREE char *extension = g_strnfill(1 << 20, 'x');
+    CLEANUP_FREE char *script =
+        g_strdup_printf("accept|read|>" OK "Transfer-Encoding: chunked\r\n\r\n"
+                        "2;%s|hold",
+                        extension);
+    struct rig r;
+    struct peer *p = peer_start(script);
+    rig_open(&r);
+    start(&r, peer_port(p), 1, false, false, TIMEOUT_US / 10);
+    wait_finished(&r, 1);
+    g_assert_cmpstr(r.recorded.text.ptr, ==, "truncated");
+    rig_close(&r);
+    peer_join(p);
+}
+
+/* Guards against a response in the smallest chunks being taken for one. */
+static void
+test_small_chunks(void)
+{
+    struct buf script = {0};
+    buf_printf(&script,
+               "accept|read|>" OK "Transfer-Encoding: chunked\r\n\r\n");
+    for (int i = 0; i < SMALL_CHUNKS; i++) {
+        buf_printf(&script, "1\r\nx\r\n");
+    }
+    buf_printf(&script, "0\r\n\r\n|hold");
+    struct rig r;
+    struct peer *p = peer_start(script.ptr);
+    rig_open(&r);
+    start(&r, peer_port(p), 1, false, false, TIMEOUT_US);
+    wait_finished(&r, 1);
+    g_assert_cmpuint(r.recorded.text.len, ==,
+                     strlen("done 200 ") + SMALL_CHUNKS);
+    rig_close(&r);
+    peer_join(p);
+    buf_free(&script);
+}
+
 static void
 test_probe(void)
 {
@@ -304,6 +351,8 @@
     g_test_add_func("/http-out/unsent", test_unsent);
     g_test_add_func("/http-out/reused-reset", test_reused_reset);
     g_test_add_func("/http-out/cancel-closes", test_cancel_closes);
+    g_test_add_func("/http-out/endless-chunk-size", test_endless_chunk_size);
+    g_test_add_func("/http-out/small-chunks", test_small_chunks);
     g_test_add_func("/http-out/probe", test_probe);
     return g_test_run();
 }
