Lock the response of the endless stand-in

test_gateway_limits, tsan: a data race in endless_server_set_response (endless.c:134), between a case that sets the next response and the acceptor thread that copies it for a connection that came late. Seen once since calls to the stand-in end sooner. The field is now copied under a lock; both cases pass with tsan.

--- a/tests/platform/endless.c
+++ b/tests/platform/endless.c
@@ -15,6 +15,7 @@
     int listener;
     int port;
     _Atomic bool stop;
+    GMutex lock; /* of response */
     struct endless_response response;
     GThread *acceptor;
     GPtrArray *threads; /* GThread */
@@ -105,7 +106,9 @@
         setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
         setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
         struct accepted *s = g_new0(struct accepted, 1);
+        g_mutex_lock(&e->lock);
         *s = (struct accepted){e, e->response, fd};
+        g_mutex_unlock(&e->lock);
         g_ptr_array_add(e->threads, g_thread_new("endless", serve, s));
     }
     return NULL;
@@ -118,6 +121,7 @@
     struct sockaddr_in at = {.sin_family = AF_INET,
                              .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
     socklen_t len = sizeof(at);
+    g_mutex_init(&e->lock);
     e->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     g_assert_cmpint(bind(e->listener, (void *)&at, sizeof(at)), ==, 0);
     g_assert_cmpint(listen(e->listener, 64), ==, 0);
@@ -131,7 +135,9 @@
 endless_server_set_response(struct endless_server *e,
                             const struct endless_response *response)
 {
+    g_mutex_lock(&e->lock);
     e->response = *response;
+    g_mutex_unlock(&e->lock);
     if (!e->acceptor) {
         e->acceptor = g_thread_new("accept", accept_all, e);
     }
@@ -154,5 +160,6 @@
     }
     close(e->listener);
     g_ptr_array_free(e->threads, TRUE);
+    g_mutex_clear(&e->lock);
     g_free(e);
 }
