Move calls to endpoints out of gateway_traffic.c

The calls to endpoints, with their callbacks from the relay, are now in gateway_calls.c; gateway_traffic.c keeps the callers, the messages of the control thread and the loop. No behaviour changes.

--- a/src/daemon/gateway_traffic_state.h
+++ b/src/daemon/gateway_traffic_state.h
@@ -1,8 +1,8 @@
 /**
  * @file gateway_traffic_state.h
  * State of the traffic thread, private to gateway_traffic.c, which serves
- * callers and calls endpoints, and gateway_link.c, which exchanges messages
- * with other nodes.
+ * callers, gateway_calls.c, which calls endpoints, and gateway_link.c, which
+ * exchanges messages with other nodes.
  */
 #ifndef DAEMON_GATEWAY_TRAFFIC_STATE_H
 #define DAEMON_GATEWAY_TRAFFIC_STATE_H
@@ -16,6 +16,15 @@
 #include "forward/forward.h"
 #include "wire/link.h"
 
+/** A caller's request and the head of the response. */
+struct exchange {
+    uint64_t id;
+    struct http_in_request request; /**< its strings are valid until the
+                                       response ends */
+    int status;
+    GArray *head; /**< struct http_header; strings are owned */
+};
+
 struct gateway_traffic {
     pthread_t thread;
     struct gateway_shared *shared;
@@ -42,6 +51,19 @@
     bool draining;
 };
 
+/** Returns the open exchange with this id, or NULL. */
+struct exchange *gateway_find_exchange(const struct gateway_traffic *t,
+                                       uint64_t id);
+
+/** Creates the client for calls to endpoints and sets the callbacks of the
+ * forwarding core that concern calls. */
+void gateway_calls_open(struct gateway_traffic *t, struct forward_io *io);
+/** Cancels all calls. */
+void gateway_calls_close(struct gateway_traffic *t);
+/** Runs pending work of calls; must be called once per loop iteration. */
+void gateway_calls_process_events(struct gateway_traffic *t,
+                                  int64_t loop_now_us);
+
 /** Binds the link to other nodes. Errors: those of link_new. */
 enum status gateway_link_open(struct gateway_traffic *t,
                               const struct gateway_settings *set);
