--- a/tests/platform/fake_server.c
+++ b/tests/platform/fake_server.c
@@ -23,6 +23,7 @@
     GHashTable *runs; /* request id -> count */
     int64_t delay_us;
     int64_t events; /* of a stream; 0: plain responses */
+    int64_t gap_us; /* between the events of a stream */
     int64_t next_handle;
     int64_t held;
     int64_t pieces;
@@ -37,7 +38,7 @@
     int64_t break_at;   /* the next stream stops after this event; -1: none */
     int64_t inputs;     /* requests that had inputs */
     bool protocol_error; /* a request violated the protocol */
-} sv = {.break_at = -1};
+} sv = {.break_at = -1, .gap_us = 5000};
 
 struct pending {
     struct fh_req *req;
@@ -88,7 +89,7 @@
              p->next, p->next);
     fh_stream_write(p->req, str_from_cstr(text));
     p->next++;
-    fh_add_timer(sv.h, 5000, next_event, p);
+    fh_add_timer(sv.h, sv.gap_us, next_event, p);
 }
 
 static void
@@ -213,11 +214,11 @@
 {
     if (str_eq_cstr(r->method, "POST")) {
         json_t *o = json_loadb(r->body.ptr, r->body.len, 0, NULL);
-        json_unpack(o, "{s?I,s?I,s?I,s?I,s?I,s?I,s?I}", "drop_after",
+        json_unpack(o, "{s?I,s?I,s?I,s?I,s?I,s?I,s?I,s?I}", "drop_after",
                     &sv.drop_after, "shed", &sv.shed, "break_at", &sv.break_at,
                     "delay_us", &sv.delay_us, "retry_after_s",
                     &sv.retry_after_s, "leaving", &sv.leaving, "crash_part",
-                    &sv.crash_part);
+                    &sv.crash_part, "gap_us", &sv.gap_us);
         json_decref(o);
     }
     const char *query_id = fh_query_argument(r, "id");
--- a/tests/platform/rig_platform.c
+++ b/tests/platform/rig_platform.c
@@ -74,7 +74,13 @@
         "\"streaming\",\"resumable\":true,\"timeoutMs\":5000,"
         "\"targetLatencyMs\":1000,\"service\":\"pool\",\"maxAttempts\":2,"
         "\"stages\":[{\"service\":\"ledger\",\"after\":[],\"bytes\":8000},"
-        "{\"service\":\"ledger\",\"after\":[0],\"bytes\":60000}]}],"
+        "{\"service\":\"ledger\",\"after\":[0],\"bytes\":60000}]},"
+        "{\"name\":\"order\",\"host\":\"order\",\"prefix\":\"/\",\"kind\":"
+        "\"non_idempotent\",\"timeoutMs\":6000,\"targetLatencyMs\":100,"
+        "\"service\":\"desk\",\"maxAttempts\":1},"
+        "{\"name\":\"draft\",\"host\":\"draft\",\"prefix\":\"/\",\"kind\":"
+        "\"streaming\",\"resumable\":false,\"timeoutMs\":6000,"
+        "\"targetLatencyMs\":1000,\"service\":\"pool\",\"maxAttempts\":1}],"
         "\"services\":[{\"name\":\"desk\"},{\"name\":\"pool\",\"engine\":{"
         "\"slots\":8,\"kvCapacity\":100000}},{\"name\":\"ledger\",\"pieces\":"
         "{\"slots\":1,\"queue\":2,\"batch\":8,\"callMs\":100.0,\"itemMs\":0.1,"
@@ -128,16 +134,16 @@
         r->ready_port[i] = rig_find_free_port();
         r->link_port[i] = rig_find_free_port();
     }
-    char *text =
-        g_strdup_printf("[node]\nname = \"%s\"\nzone = \"a\"\n"
-                        "[callers]\naddress = \"127.0.0.1:%d\"\n"
-                        "[ready]\naddress = \"127.0.0.1:%d\"\n"
-                        "[link]\naddress = \"127.0.0.1:%d\"\n"
-                        "[store]\naddress = \"127.0.0.1:%d\"\n"
-                        "[stop]\nlimit_s = 4\nbalancer_ms = 300\n"
-                        "[bounds]\nrepeat_slack = %d\n",
-                        name, p->port, r->ready_port[i], r->link_port[i],
-                        r->store_port, r->repeat_slack);
+    char *text = g_strdup_printf(
+        "[node]\nname = \"%s\"\nzone = \"a\"\n"
+        "[callers]\naddress = \"127.0.0.1:%d\"\n"
+        "[ready]\naddress = \"127.0.0.1:%d\"\n"
+        "[link]\naddress = \"127.0.0.1:%d\"\n"
+        "[store]\naddress = \"127.0.0.1:%d\"\n"
+        "[stop]\nlimit_s = %d\nbalancer_ms = %d\n"
+        "[bounds]\nrepeat_slack = %d\n",
+        name, p->port, r->ready_port[i], r->link_port[i], r->store_port,
+        r->stop_limit_s, r->stop_balancer_ms, r->repeat_slack);
     g_file_set_contents(path, text, -1, NULL);
     g_free(text);
     const char *args[] = {path, NULL};
@@ -165,6 +171,8 @@
 {
     memset(r, 0, sizeof(*r));
     r->repeat_slack = 10;
+    r->stop_limit_s = 4;
+    r->stop_balancer_ms = 300;
     g_mutex_init(&r->lock);
     r->actions = g_ptr_array_new_with_free_func(g_free);
     snprintf(r->dir, sizeof(r->dir), "/tmp/cf-platform-XXXXXX");
@@ -191,12 +199,18 @@
 }
 
 void
-platform_rig_open(struct platform_rig *r)
+platform_rig_register_servers(struct platform_rig *r)
 {
-    platform_rig_open_without_nodes(r);
     for (int i = 0; i < PR_SERVERS; i++) {
         platform_rig_set_server_state(r, i, "ready");
     }
+}
+
+void
+platform_rig_open(struct platform_rig *r)
+{
+    platform_rig_open_without_nodes(r);
+    platform_rig_register_servers(r);
     platform_rig_start_nodes(r);
 }
 
@@ -232,9 +246,8 @@
     g_mutex_clear(&r->lock);
 }
 
-/* @return how often a server has run a request */
 static int
-count_runs(const struct platform_rig *r, int server, const char *id)
+count_runs_at(const struct platform_rig *r, int server, const char *id)
 {
     char *path = g_strdup_printf("/control/ran?id=%s", id);
     struct buf out = {0};
@@ -247,13 +260,23 @@
     return n;
 }
 
+int
+platform_rig_count_runs(const struct platform_rig *r, const char *id)
+{
+    int n = 0;
+    for (int i = 0; i < PR_SERVERS; i++) {
+        n += r->servers[i].pid ? count_runs_at(r, i, id) : 0;
+    }
+    return n;
+}
+
 int
 platform_rig_count_violations(struct platform_rig *r)
 {
     int violations = 0;
     for (guint i = 0; i < r->actions->len; i++) {
         const struct rig_action *a = g_ptr_array_index(r->actions, i);
-        int runs = count_runs(r, 0, a->id) + count_runs(r, 1, a->id);
+        int runs = count_runs_at(r, 0, a->id) + count_runs_at(r, 1, a->id);
         if (runs > 1 || (runs > 0 && a->status == 503)) {
             g_test_message("action %s: status %d, ran %d times", a->id,
                            a->status, runs);
--- a/tests/platform/rig_platform.h
+++ b/tests/platform/rig_platform.h
@@ -37,7 +37,10 @@
     int link_port[PR_NODES];
     int store_port; /**< that nodes use; may be the port of a proxy */
     int version;
-    int repeat_slack; /**< setting of the nodes; set before they start */
+    /** Settings of the nodes; set before they start. */
+    int repeat_slack;
+    int stop_limit_s;
+    int stop_balancer_ms;
     GMutex lock;
     GPtrArray *actions; /**< struct rig_action, all action requests */
 };
@@ -45,7 +48,7 @@
 /** Starts all processes and waits until the nodes are ready. */
 void platform_rig_open(struct platform_rig *r);
 /** Starts the store and the servers, without the servers' records and without
- * nodes. */
+ * nodes. Sets the settings of the nodes to their defaults. */
 void platform_rig_open_without_nodes(struct platform_rig *r);
 void platform_rig_start_nodes(struct platform_rig *r);
 void platform_rig_close(struct platform_rig *r);
@@ -64,6 +67,10 @@
  * @return the number of actions that ran more than once, or ran although the
  * caller's status said that they had not */
 int platform_rig_count_violations(struct platform_rig *r);
+/** Asks the servers how often they have run a request. */
+int platform_rig_count_runs(const struct platform_rig *r, const char *id);
+/** Writes the records of all servers. */
+void platform_rig_register_servers(struct platform_rig *r);
 /** @return one number of a server's statistics */
 long platform_rig_server_stat(const struct platform_rig *r, int server,
                               const char *name);
--- a/tests/proc.c
+++ b/tests/proc.c
@@ -133,8 +133,9 @@
     g_error("no free port");
 }
 
-static bool
-parse_response(const struct buf *in, bool closed, int *status, size_t *body)
+bool
+proc_parse_response(const struct buf *in, bool closed, int *status,
+                    size_t *body)
 {
     const char *end = in->len ? strstr(in->ptr, "\r\n\r\n") : NULL;
     if (!end) {
@@ -175,7 +176,7 @@
         while ((n = read(fd, piece, sizeof(piece))) > 0) {
             buf_append(&in, piece, (size_t)n);
         }
-        if (!parse_response(&in, n == 0, &status, &at)) {
+        if (!proc_parse_response(&in, n == 0, &status, &at)) {
             status = 0;
         }
     }
--- a/tests/proc.h
+++ b/tests/proc.h
@@ -29,6 +29,13 @@
  * the key. Exits the program after 20 s. */
 long proc_wait_log_number(const char *log, const char *key);
 
+/** Finds the status and the body of a response.
+ * @param closed the connection has ended, which ends a body without framing
+ * @param body its offset in @p in
+ * @return whether the response is complete */
+bool proc_parse_response(const struct buf *in, bool closed, int *status,
+                         size_t *body);
+
 /** Sends one request on a new connection. @p headers are whole lines with
  * CR LF, or "". @p answer gets the response body; may be NULL.
  * @return HTTP status, 0 if there is no complete response */
