Answer the requests that are open at the end of a planned stop

Callers whose requests were still open at the end of the grace saw their connection close without an answer, also those whose requests had not been passed on or must not be repeated.

Cause: at the limit the process just ended. Half a second before it would be killed, shut_down left its loop and the traffic thread closed all sockets.

The stop now has a phase of its own before the exit in which each open request gets an answer: 503 if it was not passed on, 502 if it may have run; answers that have begun are broken off. The exit waits until the traffic thread has acted on the phase. When to accept, end requests and exit is decided in gateway_stop.c, without side effects. The margins shrink with the limit, and open requests are not ended in its first five sixths.

--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -11,17 +11,10 @@
 
 #include "base/err.h"
 #include "daemon/bridge.h"
+#include "daemon/gateway_stop.h"
 #include "settings/fields.h"
 #include "settings/gateway_settings.h"
 
-enum gateway_phase {
-    GATEWAY_RUNNING,
-    GATEWAY_NOT_READY, /**< readiness checks fail, new callers are still
-                            served */
-    GATEWAY_DRAINING,  /**< no new callers; connections close when idle */
-    GATEWAY_STOPPING,  /**< threads end */
-};
-
 /** State that the threads share besides the bridges. Times are microseconds
  * of gateway_now_us. */
 struct gateway_shared {
@@ -30,13 +23,15 @@
     uint64_t seed;
     char link_public[41]; /**< key pair of this process, Z85 */
     char link_secret[41];
-    _Atomic int phase;
+    _Atomic int phase;                /**< enum gateway_phase */
     _Atomic int reload;               /**< 1: read the settings again */
     _Atomic int64_t store_contact_us; /**< see feed_contact_us */
     _Atomic int accepts_requests;     /**< set by the traffic thread */
     /** Last iteration of the traffic thread's loop. */
     _Atomic int64_t last_turn_us;
     _Atomic int open_requests; /**< callers' requests that have not ended */
+    _Atomic int applied_phase; /**< phase that the traffic thread has acted on;
+                                    open_requests is not older */
     _Atomic int deregistered;  /**< the registration has ended */
 };
 
--- a/src/daemon/gateway_main.c
+++ b/src/daemon/gateway_main.c
@@ -17,11 +17,6 @@
 
 #define MS 1000LL
 #define RING_CAPACITY 256
-/* The process ends this long before the platform would kill it. */
-#define STOP_MARGIN_US (500 * MS)
-/* How long the node waits for the end of its registration; its last requests
- * finish meanwhile. */
-#define DEREGISTER_US (400 * MS)
 #define POLL_US (20 * MS)
 /* The removal of a credential must take effect within the operator's bound,
  * revoke_ms. Credentials are trusted while the last contact with the store is
@@ -156,28 +151,39 @@
 
 /* After SIGTERM or SIGINT: the load balancer sends callers to this node until
  * it has seen that the node is not ready. Then the process ends with its last
- * request, or at the time limit. */
+ * request. Requests that are open at the time limit are ended. */
 static void
 shut_down(struct gateway *g, const sigset_t *signals)
 {
+    struct gateway_shared *sh = &g->shared;
+    struct gateway_stop plan;
     int64_t start_us = gateway_now_us();
-    int64_t end_us =
-        start_us + g->settings.stop_limit_ms * MS - STOP_MARGIN_US;
-    int64_t balancer_end_us = start_us + g->settings.balancer_drain_ms * MS;
-    LOG_EVENT(LOG_INFO, "stopping", LOG_INT("open", g->shared.open_requests),
+    enum gateway_phase phase = GATEWAY_NOT_READY;
+    LOG_EVENT(LOG_INFO, "stopping", LOG_INT("open", sh->open_requests),
               LOG_INT("limit_ms", g->settings.stop_limit_ms));
-    set_phase(g, GATEWAY_NOT_READY);
-    while (gateway_now_us() < balancer_end_us) {
-        wait_signal(signals, POLL_US);
-    }
-    set_phase(g, GATEWAY_DRAINING);
-    int64_t deregister_end_us = gateway_now_us() + DEREGISTER_US;
-    while (gateway_now_us() < end_us &&
-           (atomic_load(&g->shared.open_requests) > 0 ||
-            (!atomic_load(&g->shared.deregistered) &&
-             gateway_now_us() < deregister_end_us))) {
+    gateway_stop_begin(&plan, start_us, g->settings.stop_limit_ms * MS,
+                       g->settings.balancer_drain_ms * MS);
+    set_phase(g, phase);
+    while (phase != GATEWAY_STOPPING) {
         wait_signal(signals, POLL_US);
-        set_phase(g, GATEWAY_DRAINING);
+        /* The phase is read before the number that goes with it. */
+        enum gateway_phase applied = atomic_load(&sh->applied_phase);
+        const struct gateway_stop_report report = {
+            applied, atomic_load(&sh->open_requests),
+            atomic_load(&sh->deregistered)};
+        enum gateway_phase next =
+            gateway_stop_advance(&plan, gateway_now_us(), &report);
+        if (next == GATEWAY_FINISHING && phase != next &&
+            report.open_requests > 0) {
+            LOG_EVENT(LOG_WARN, "stop_limit_reached",
+                      LOG_INT("open", report.open_requests));
+        }
+        /* While the node drains, the traffic thread closes the connections
+         * that have become idle. */
+        if (next != phase || next == GATEWAY_DRAINING) {
+            set_phase(g, next);
+        }
+        phase = next;
     }
     LOG_EVENT(LOG_INFO, "stopped",
               LOG_INT("ms", (gateway_now_us() - start_us) / MS),
--- a/src/daemon/gateway_traffic.c
+++ b/src/daemon/gateway_traffic.c
@@ -10,6 +10,7 @@
 #include "edge/http_in.h"
 #include "edge/relay.h"
 #include "forward/forward.h"
+#include "forward/stop.h"
 #include "platform/platform.h"
 #include "wire/link.h"
 
@@ -220,9 +221,8 @@
 }
 
 static void
-apply_phase(struct gateway_traffic *t)
+apply_phase(struct gateway_traffic *t, int phase)
 {
-    int phase = atomic_load(&t->shared->phase);
     if (phase != GATEWAY_RUNNING && !t->draining) {
         t->draining = true;
         http_in_start_draining(t->in);
@@ -231,6 +231,9 @@
         forward_drain(t->forward);
         http_in_close_idle(t->in);
     }
+    if (phase >= GATEWAY_FINISHING) {
+        forward_end_requests(t->forward, gateway_now_us());
+    }
 }
 
 static int64_t
@@ -246,7 +249,8 @@
     prctl(PR_SET_NAME, "traffic");
     while (atomic_load(&t->shared->phase) != GATEWAY_STOPPING) {
         int64_t now = gateway_now_us();
-        apply_phase(t);
+        int phase = atomic_load(&t->shared->phase);
+        apply_phase(t, phase);
         forward_set_store_contact(t->forward,
                                   atomic_load(&t->shared->store_contact_us));
         atomic_store(&t->shared->accepts_requests,
@@ -260,6 +264,7 @@
         }
         forward_run(t->forward, gateway_now_us());
         atomic_store(&t->shared->open_requests, http_in_open_requests(t->in));
+        atomic_store(&t->shared->applied_phase, phase);
         int64_t until =
             earliest(loop_now + MAX_TURN_US,
                      gateway_to_loop_time(forward_next_wakeup_us(t->forward)));
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -213,12 +213,6 @@
     f->opts.max_store_age_us = opts->max_store_age_us;
 }
 
-void
-forward_drain(struct forward *f)
-{
-    f->draining = true;
-}
-
 bool
 forward_accepts_teams(const struct forward *f, int64_t now_us)
 {
--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -37,8 +37,6 @@
 /** Changes the settings that may change at run time. */
 void forward_set_options(struct forward *f,
                          const struct forward_options *opts);
-/** Refuses new requests from now on, so that callers use other nodes. */
-void forward_drain(struct forward *f);
 /** Returns whether requests of teams are accepted. */
 bool forward_accepts_teams(const struct forward *f, int64_t now_us);
 
--- a/tests/platform/test_gateway_stop.c
+++ b/tests/platform/test_gateway_stop.c
@@ -402,9 +402,13 @@
     g_mutex_clear(&s.lock);
 }
 
-/* all: all nodes stop at once, with stages in progress at each of them.
+/* long: requests that last longer than the whole grace.
+ * all: all nodes stop at once, with stages in progress at each of them.
  * reload: SIGHUP and further SIGTERM while the node stops. */
 static const char *const table[] = {
+    "long limit_s=2 balancer_ms=600 delay_ms=4000 gap_ms=600 upload_ms=0 "
+    "warm_ms=300 nodes=1 hups=0 served=0 "
+    "callers=fresh:order*4,kept:order*4,fresh:draft*2,fresh:stream*2",
     "all limit_s=4 balancer_ms=300 delay_ms=200 gap_ms=100 upload_ms=0 "
     "warm_ms=1200 nodes=3 hups=0 served=60 "
     "callers=fresh:action*2,kept:check*3,fresh:draft*2,kept:stream*4",
