Refuse requests that cannot end before a planned stop does

Requests that a caller sent late in the grace were passed on and, at its end, cut or answered with 502, among them actions that must not be repeated.

Cause: until the balancer had taken the node out, each request was accepted as usual, whatever was left of the grace. A request that waited for stages, or was sent once more, was even passed on just before the exit.

From the SIGTERM on, a request is passed on only if its deadline, or the usual duration of its route's calls, lies before the end of the grace; otherwise it gets 503, which is true: it was not run. The usual duration is a mean and a deviation per route. The check is made on arrival, with the expected time of the stages, and again before each send.

--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -23,8 +23,9 @@
     uint64_t seed;
     char link_public[41]; /**< key pair of this process, Z85 */
     char link_secret[41];
-    _Atomic int phase;                /**< enum gateway_phase */
-    _Atomic int reload;               /**< 1: read the settings again */
+    _Atomic int phase;             /**< enum gateway_phase */
+    struct gateway_stop_plan stop; /**< set before the phase first changes */
+    _Atomic int reload;            /**< 1: read the settings again */
     _Atomic int64_t store_contact_us; /**< see feed_contact_us */
     _Atomic int accepts_requests;     /**< set by the traffic thread */
     /** Last iteration of the traffic thread's loop. */
--- a/src/daemon/gateway_main.c
+++ b/src/daemon/gateway_main.c
@@ -156,13 +156,14 @@
 shut_down(struct gateway *g, const sigset_t *signals)
 {
     struct gateway_shared *sh = &g->shared;
-    struct gateway_stop plan;
+    struct gateway_stop stop;
     int64_t start_us = gateway_now_us();
     enum gateway_phase phase = GATEWAY_NOT_READY;
     LOG_EVENT(LOG_INFO, "stopping", LOG_INT("open", sh->open_requests),
               LOG_INT("limit_ms", g->settings.stop_limit_ms));
-    gateway_stop_begin(&plan, start_us, g->settings.stop_limit_ms * MS,
+    gateway_stop_begin(&stop, start_us, g->settings.stop_limit_ms * MS,
                        g->settings.balancer_drain_ms * MS);
+    sh->stop = stop.plan;
     set_phase(g, phase);
     while (phase != GATEWAY_STOPPING) {
         wait_signal(signals, POLL_US);
@@ -172,7 +173,7 @@
             applied, atomic_load(&sh->open_requests),
             atomic_load(&sh->deregistered)};
         enum gateway_phase next =
-            gateway_stop_advance(&plan, gateway_now_us(), &report);
+            gateway_stop_advance(&stop, gateway_now_us(), &report);
         if (next == GATEWAY_FINISHING && phase != next &&
             report.open_requests > 0) {
             LOG_EVENT(LOG_WARN, "stop_limit_reached",
--- a/src/daemon/gateway_traffic.c
+++ b/src/daemon/gateway_traffic.c
@@ -225,10 +225,11 @@
 {
     if (phase != GATEWAY_RUNNING && !t->draining) {
         t->draining = true;
+        forward_begin_stop(t->forward, t->shared->stop.accept_until_us,
+                           t->shared->stop.finish_by_us);
         http_in_start_draining(t->in);
     }
     if (phase >= GATEWAY_DRAINING) {
-        forward_drain(t->forward);
         http_in_close_idle(t->in);
     }
     if (phase >= GATEWAY_FINISHING) {
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -37,6 +37,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     f->self = hash64(opts->node);
     f->requests_check_us = INT64_MAX;
+    f->accept_until_us = f->finish_by_us = INT64_MAX;
     f->contact_due_us = f->owners_due_us = INT64_MAX;
     f->nodes_version = UINT64_MAX;
     g_queue_init(&f->inbox);
@@ -83,6 +84,7 @@
     map_free(&f->pending_requests);
     map_free(&f->services);
     map_free(&f->endpoints);
+    stop_free(f);
     timers_free(&f->timers);
     g_hash_table_destroy(f->strikes);
     cluster_view_unref(f->cluster_view);
@@ -352,8 +354,8 @@
     const struct route *route;
     int team;
     f->counters.requests++;
-    if (f->draining) {
-        refuse_new(f, in, ERRKIND_NOT_READY, "the node is stopping",
+    if (now_us > f->accept_until_us) {
+        refuse_new(f, in, ERRKIND_NOT_READY, STOP_REFUSAL,
                    now_us - f->contact_us, RETRY_AFTER_MS);
         return;
     }
@@ -391,8 +393,12 @@
                    0);
         return;
     }
-    int64_t ready_us = now_us + pieces_expected_us(now_us, r) +
-                       pieces_final_call_us(now_us, r);
+    int64_t send_us = now_us + pieces_expected_us(now_us, r);
+    if (stop_refuses(f, r, send_us)) {
+        req_refuse(f, now_us, r, ERRKIND_NOT_READY, STOP_REFUSAL, 0);
+        return;
+    }
+    int64_t ready_us = send_us + pieces_final_call_us(now_us, r);
     if (ready_us > r->response_start_by_us) {
         req_refuse(f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
                    "the stages take longer than the caller waits",
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -300,6 +300,10 @@
                    "no time is left", 0);
         return;
     }
+    if (stop_refuses(f, r, now_us)) {
+        req_refuse(f, now_us, r, ERRKIND_NOT_READY, STOP_REFUSAL, 0);
+        return;
+    }
     if (crashes_is_blocked(f, r)) {
         f->counters.part_refusals++;
         req_refuse(f, now_us, r, ERRKIND_NO_ENDPOINT, CRASHES_REFUSAL,
--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -342,6 +342,7 @@
     }
     f->io.finish_response(f->io.ctx, r->id);
     f->counters.answers++;
+    stop_record_call(f, r, now_us);
     uint64_t key = req_strike_key(&r->in, r->route);
     g_hash_table_remove(f->strikes, &key);
     hist_add(&f->latency, now_us - r->arrived_us);
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -17,6 +17,7 @@
 #include "forward/forward.h"
 #include "forward/place.h"
 #include "forward/stage_pool.h"
+#include "forward/stop.h"
 
 #define MS 1000LL
 #define SECOND 1000000LL
@@ -206,11 +207,15 @@
     struct map services;       /* hash of name -> struct service_state */
     struct map endpoints;      /* hash of id -> struct endpoint */
     struct timers timers;
-    uint64_t next_call; /* last id of a call or stage request; starts at a
-                           random number */
-    bool draining;
-    bool dispatch_needed; /* pieces or waiting requests may be sendable */
-    GHashTable *strikes;  /* req_strike_key -> struct strike */
+    uint64_t next_call;      /* last id of a call or stage request; starts at a
+                                random number */
+    int64_t accept_until_us; /* later requests are refused; INT64_MAX: the node
+                                is not being stopped */
+    int64_t finish_by_us;    /* open requests are ended then; as above */
+    struct map durations;    /* hash of a route's name -> struct
+                                call_duration */
+    bool dispatch_needed;    /* pieces or waiting requests may be sendable */
+    GHashTable *strikes;     /* req_strike_key -> struct strike */
     struct blame *blame;
     struct map probes;        /* call -> struct crash_probe */
     int64_t probe_due_us;     /* next repeated probe; INT64_MAX: none */
--- a/tests/platform/test_gateway_stop.c
+++ b/tests/platform/test_gateway_stop.c
@@ -402,10 +402,14 @@
     g_mutex_clear(&s.lock);
 }
 
-/* long: requests that last longer than the whole grace.
+/* late: requests that arrive late in the grace and would last beyond it.
+ * long: requests that last longer than the whole grace.
  * all: all nodes stop at once, with stages in progress at each of them.
  * reload: SIGHUP and further SIGTERM while the node stops. */
 static const char *const table[] = {
+    "late limit_s=4 balancer_ms=2300 delay_ms=1900 gap_ms=350 upload_ms=0 "
+    "warm_ms=4300 nodes=1 hups=0 served=30 "
+    "callers=fresh:order*8,kept:check*4,fresh:draft*6,fresh:stream*4",
     "long limit_s=2 balancer_ms=600 delay_ms=4000 gap_ms=600 upload_ms=0 "
     "warm_ms=300 nodes=1 hups=0 served=0 "
     "callers=fresh:order*4,kept:order*4,fresh:draft*2,fresh:stream*2",
