Move the closing of callers' connections out of http_in.c

The functions that close connections, for a time limit or for a stop, are now in http_in_close.c. No behaviour changes.

--- a/src/edge/http_in.c
+++ b/src/edge/http_in.c
@@ -456,54 +456,12 @@
     ((struct http_in *)ctx)->run_needed = true;
 }
 
-/* Sends status 408. MHD cannot respond before a request is complete, so the
- * response is written directly to the socket; over TLS the connection is only
- * closed. */
-static void
-reject_slow_sender(struct http_in *in, struct conn *c)
-{
-    CLEANUP(buf_free) struct buf body = {0};
-    CLEANUP(buf_free) struct buf head = {0};
-    in->count.slow++;
-    if (in->opts.tls_cert.len > 0 || (in->opts.raw && !c->exchange)) {
-        return;
-    }
-    http_in_append_error(&body, ERRKIND_SLOW_SENDER, STR_LIT(""),
-                         c->exchange
-                             ? str_from_bytes(c->exchange->request_id, 32)
-                             : STR_LIT(""));
-    buf_printf(&head,
-               "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
-               "Content-Type: application/json\r\n"
-               "Content-Length: %zu\r\n\r\n%s",
-               body.len, body.ptr);
-    send(c->fd, head.ptr, head.len, MSG_NOSIGNAL | MSG_DONTWAIT);
-}
-
-/* Closes the connections that have exceeded the time limit of their state. */
-static void
-expire(struct http_in *in, int64_t now_us)
-{
-    for (int s = 0; s < CONN_STATES; s++) {
-        struct conn *c;
-        while ((c = TAILQ_FIRST(&in->conns_by_state[s])) &&
-               now_us - c->state_since_us > in->state_timeout_us[s]) {
-            if (s == CONN_RECEIVING) {
-                reject_slow_sender(in, c);
-            }
-            http_in_set_state(c, CONN_PROCESSING);
-            shutdown(c->fd, SHUT_RDWR);
-            in->run_needed = true;
-        }
-    }
-}
-
 void
 http_in_process_events(struct http_in *in, int64_t now_us)
 {
     MHD_UNSIGNED_LONG_LONG ms = 1;
     in->now_us = now_us;
-    expire(in, now_us);
+    http_in_expire(in);
     /* A time-out of zero means that MHD has already buffered input, such as a
      * pipelined request. */
     if (in->run_needed ||
@@ -565,17 +523,6 @@
     in->state_timeout_us[CONN_IDLE] = idle_timeout_ms * 1000LL;
 }
 
-void
-http_in_close_idle(struct http_in *in)
-{
-    struct conn *c;
-    while ((c = TAILQ_FIRST(&in->conns_by_state[CONN_IDLE]))) {
-        http_in_set_state(c, CONN_PROCESSING);
-        shutdown(c->fd, SHUT_RDWR);
-        in->run_needed = true;
-    }
-}
-
 void
 http_in_append_metrics(const struct http_in *in, struct buf *out)
 {
--- a/src/edge/http_in_state.h
+++ b/src/edge/http_in_state.h
@@ -1,6 +1,7 @@
 /**
  * @file http_in_state.h
- * State of the HTTP server, private to http_in.c and http_in_reply.c.
+ * State of the HTTP server, private to http_in.c, http_in_reply.c and
+ * http_in_close.c.
  */
 #ifndef EDGE_HTTP_IN_STATE_H
 #define EDGE_HTTP_IN_STATE_H
@@ -103,6 +104,8 @@
 void http_in_set_state(struct conn *c, enum conn_state to);
 /** Makes MHD continue with a request. */
 void http_in_resume(struct exchange *x);
+/** Closes the connections that have exceeded the time limit of their state. */
+void http_in_expire(struct http_in *in);
 /** Handles the disconnection of a caller and notifies the owner. */
 void http_in_handle_disconnect(struct exchange *x);
 /** Sets an error as the response of a request. */
