Refuse slow bodies during a planned stop with an answer

Callers that were still sending a body when the process ended saw their connection close without an answer. As long as callers with slow bodies kept coming, the node also did not end before the limit of the stop.

Cause: a request was only handled once its body was complete, but counted as open from its head on.

While the node drains, a request whose body takes longer than 200 ms is now refused with 503, and before the exit all of them are. The answer is written at once; the rest of the body is read and discarded until the caller closes, since closing with unread bytes would reset the connection and could lose the answer. The node no longer waits for such requests; it leaves their callers 100 ms to read the answer.

--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -30,7 +30,10 @@
     _Atomic int accepts_requests;     /**< set by the traffic thread */
     /** Last iteration of the traffic thread's loop. */
     _Atomic int64_t last_turn_us;
-    _Atomic int open_requests; /**< callers' requests that have not ended */
+    _Atomic int open_requests; /**< callers' requests that were received
+                                    completely and have not ended */
+    _Atomic int receiving;     /**< while the node drains: requests that are
+                                    not received completely */
     _Atomic int applied_phase; /**< phase that the traffic thread has acted on;
                                     open_requests is not older */
     _Atomic int deregistered;  /**< the registration has ended */
--- a/src/daemon/gateway_main.c
+++ b/src/daemon/gateway_main.c
@@ -171,7 +171,7 @@
         enum gateway_phase applied = atomic_load(&sh->applied_phase);
         const struct gateway_stop_report report = {
             applied, atomic_load(&sh->open_requests),
-            atomic_load(&sh->deregistered)};
+            atomic_load(&sh->receiving), atomic_load(&sh->deregistered)};
         enum gateway_phase next =
             gateway_stop_advance(&stop, gateway_now_us(), &report);
         if (next == GATEWAY_FINISHING && phase != next &&
--- a/src/daemon/gateway_stop.c
+++ b/src/daemon/gateway_stop.c
@@ -42,9 +42,14 @@
          (idle && (r->deregistered ||
                    now_us >= p->accept_until_us + DEREGISTER_US)))) {
         s->phase = GATEWAY_FINISHING;
+        s->flushed_us = now_us + (p->exit_by_us - p->finish_by_us);
         return s->phase;
     }
-    if (s->phase == GATEWAY_FINISHING && (now_us >= p->exit_by_us || idle)) {
+    /* Requests that are not received completely are refused in this phase;
+     * their callers are given some time to read that. */
+    if (s->phase == GATEWAY_FINISHING &&
+        (now_us >= p->exit_by_us ||
+         (idle && (r->receiving == 0 || now_us >= s->flushed_us)))) {
         s->phase = GATEWAY_STOPPING;
     }
     return s->phase;
--- a/src/daemon/gateway_stop.h
+++ b/src/daemon/gateway_stop.h
@@ -29,14 +29,17 @@
 struct gateway_stop_report {
     enum gateway_phase applied; /**< phase that the traffic thread has acted
                                      on */
-    int open_requests; /**< requests whose answer is not yet sent completely;
-                            as of that phase */
+    int open_requests; /**< received requests whose answer is not yet sent
+                            completely; as of that phase */
+    int receiving;     /**< requests that are not yet received completely; as
+                            above */
     bool deregistered; /**< the registration has ended */
 };
 
 struct gateway_stop {
     struct gateway_stop_plan plan;
     enum gateway_phase phase;
+    int64_t flushed_us; /**< end of the time to send the last answers */
 };
 
 /**
--- a/src/daemon/gateway_traffic.c
+++ b/src/daemon/gateway_traffic.c
@@ -19,6 +19,9 @@
 #define DEFAULT_IDLE_TIMEOUT_MS 60000
 /* The loop runs at least this often, so that a stalled thread is noticed. */
 #define MAX_TURN_US (200 * MS)
+/* While the node drains, requests whose body takes longer are refused before
+ * its end; most bodies arrive with their head. */
+#define SLOW_BODY_US (200 * MS)
 #define DEFAULT_MAX_BODY_BYTES (8 << 20)
 
 static void
@@ -231,12 +234,26 @@
     }
     if (phase >= GATEWAY_DRAINING) {
         http_in_close_idle(t->in);
+        http_in_refuse_receiving(t->in,
+                                 phase == GATEWAY_DRAINING ? SLOW_BODY_US : 0);
     }
     if (phase >= GATEWAY_FINISHING) {
         forward_end_requests(t->forward, gateway_now_us());
     }
 }
 
+static void
+report_open_requests(struct gateway_traffic *t, int phase)
+{
+    /* Counted only then, as it visits all connections without a request. */
+    int receiving =
+        phase >= GATEWAY_DRAINING ? http_in_receiving_requests(t->in) : 0;
+    atomic_store(&t->shared->receiving, receiving);
+    atomic_store(&t->shared->open_requests,
+                 http_in_open_requests(t->in) - receiving);
+    atomic_store(&t->shared->applied_phase, phase);
+}
+
 static int64_t
 earliest(int64_t a, int64_t b)
 {
@@ -264,8 +281,7 @@
             t->link_ready = link_process_events(t->link);
         }
         forward_run(t->forward, gateway_now_us());
-        atomic_store(&t->shared->open_requests, http_in_open_requests(t->in));
-        atomic_store(&t->shared->applied_phase, phase);
+        report_open_requests(t, phase);
         int64_t until =
             earliest(loop_now + MAX_TURN_US,
                      gateway_to_loop_time(forward_next_wakeup_us(t->forward)));
--- a/src/edge/http_in.h
+++ b/src/edge/http_in.h
@@ -113,6 +113,10 @@
  * that the caller cannot take the response as complete. */
 void http_in_abort(struct http_in *in, uint64_t id);
 
+/** Refuses the requests that have been received for longer than
+ * @p older_than_us and are not complete, with status 503. */
+void http_in_refuse_receiving(struct http_in *in, int64_t older_than_us);
+
 /** Closes the kept-alive connections that wait for their next request. */
 void http_in_close_idle(struct http_in *in);
 /** Replaces the time-outs of the options. */
@@ -130,8 +134,12 @@
  * if no event occurs; INT64_MAX: no time limit */
 int64_t http_in_next_wakeup_us(const struct http_in *in, int64_t now_us);
 
-/** @return number of received requests whose response is not yet complete */
+/** @return number of requests whose head has been received and whose response
+ * is not yet complete */
 int http_in_open_requests(const struct http_in *in);
+/** @return number of these that are not yet received completely, also those
+ * that are refused and read to their end */
+int http_in_receiving_requests(const struct http_in *in);
 
 void http_in_append_metrics(const struct http_in *in, struct buf *out);
 
--- a/src/edge/http_in_close.c
+++ b/src/edge/http_in_close.c
@@ -2,6 +2,7 @@
 #include <sys/socket.h>
 
 #include "base/clean.h"
+#include "base/log.h"
 #include "edge/http_in_state.h"
 
 static void
@@ -12,28 +13,95 @@
     c->in->run_needed = true;
 }
 
-/* Sends status 408. MHD cannot respond before a request is complete, so the
- * response is written directly to the socket; over TLS the connection is only
- * closed. */
-static void
-reject_slow_sender(struct http_in *in, struct conn *c)
+/* Sends an error to a caller whose request is still being received. MHD cannot
+ * respond before a request is complete, so the response is written directly to
+ * the socket. @return false over TLS, where that is not possible */
+static bool
+send_early_error(struct conn *c, enum errkind kind, const char *headers)
 {
     CLEANUP(buf_free) struct buf body = {0};
-    CLEANUP(buf_free) struct buf head = {0};
-    in->count.slow++;
-    if (in->opts.tls_cert.len > 0 || (in->opts.raw && !c->exchange)) {
-        return;
+    CLEANUP(buf_free) struct buf text = {0};
+    int status = errkind_info(kind)->http_status;
+    if (c->in->opts.tls_cert.len > 0) {
+        return false;
     }
-    http_in_append_error(&body, ERRKIND_SLOW_SENDER, STR_LIT(""),
+    http_in_append_error(&body, kind, STR_LIT(""),
                          c->exchange
                              ? str_from_bytes(c->exchange->request_id, 32)
                              : STR_LIT(""));
-    buf_printf(&head,
-               "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
-               "Content-Type: application/json\r\n"
+    buf_printf(&text,
+               "HTTP/1.1 %d %s\r\nConnection: close\r\n"
+               "Content-Type: application/json\r\n%s"
                "Content-Length: %zu\r\n\r\n%s",
+               status, MHD_get_reason_phrase_for((unsigned)status), headers,
                body.len, body.ptr);
-    send(c->fd, head.ptr, head.len, MSG_NOSIGNAL | MSG_DONTWAIT);
+    send(c->fd, text.ptr, text.len, MSG_NOSIGNAL | MSG_DONTWAIT);
+    return true;
+}
+
+static void
+reject_slow_sender(struct http_in *in, struct conn *c)
+{
+    in->count.slow++;
+    if (!in->opts.raw || (c->exchange && !c->exchange->answered)) {
+        send_early_error(c, ERRKIND_SLOW_SENDER, "");
+    }
+}
+
+static bool
+is_receiving(const struct conn *c)
+{
+    return c->exchange && !c->exchange->delivered;
+}
+
+/* The rest of the request is read and discarded until the caller has read the
+ * response and closes the connection. Closing it with unread bytes would reset
+ * it, and the caller could lose the response. */
+static void
+refuse_receiving(struct conn *c)
+{
+    struct exchange *x = c->exchange;
+    if (x->answered ||
+        !send_early_error(c, ERRKIND_NOT_READY, "Retry-After: 1\r\n")) {
+        return;
+    }
+    shutdown(c->fd, SHUT_WR);
+    x->error_kind = ERRKIND_NOT_READY;
+    x->answered = true;
+    x->aborted = true;
+    c->in->count.refusals++;
+    LOG_EVENT(LOG_INFO, "refused", LOG_CSTR("why", "the node is stopping"),
+              LOG_STR("target", c->target),
+              LOG_INT("status", errkind_info(ERRKIND_NOT_READY)->http_status),
+              LOG_INT("ms", (c->in->now_us - c->state_since_us) / 1000),
+              LOG_INT("bytes", x->body.len));
+}
+
+void
+http_in_refuse_receiving(struct http_in *in, int64_t older_than_us)
+{
+    struct conn *c;
+    TAILQ_FOREACH(c, &in->conns_by_state[CONN_RECEIVING], link)
+    {
+        if (in->now_us - c->state_since_us < older_than_us) {
+            return;
+        }
+        if (is_receiving(c)) {
+            refuse_receiving(c);
+        }
+    }
+}
+
+int
+http_in_receiving_requests(const struct http_in *in)
+{
+    const struct conn *c;
+    int count = 0;
+    TAILQ_FOREACH(c, &in->conns_by_state[CONN_RECEIVING], link)
+    {
+        count += is_receiving(c);
+    }
+    return count;
 }
 
 void
--- a/tests/platform/test_gateway_stop.c
+++ b/tests/platform/test_gateway_stop.c
@@ -404,6 +404,7 @@
 
 /* late: requests that arrive late in the grace and would last beyond it.
  * long: requests that last longer than the whole grace.
+ * uploads: bodies that are still being sent at each moment of the stop.
  * all: all nodes stop at once, with stages in progress at each of them.
  * reload: SIGHUP and further SIGTERM while the node stops. */
 static const char *const table[] = {
@@ -413,6 +414,9 @@
     "long limit_s=2 balancer_ms=600 delay_ms=4000 gap_ms=600 upload_ms=0 "
     "warm_ms=300 nodes=1 hups=0 served=0 "
     "callers=fresh:order*4,kept:order*4,fresh:draft*2,fresh:stream*2",
+    "uploads limit_s=3 balancer_ms=500 delay_ms=5 gap_ms=5 upload_ms=1500 "
+    "warm_ms=1000 nodes=1 hups=0 served=4 "
+    "callers=upload:order*12,upload:stream*4,kept:check*2",
     "all limit_s=4 balancer_ms=300 delay_ms=200 gap_ms=100 upload_ms=0 "
     "warm_ms=1200 nodes=3 hups=0 served=60 "
     "callers=fresh:action*2,kept:check*3,fresh:draft*2,kept:stream*4",
--- a/tests/test_http_in.c
+++ b/tests/test_http_in.c
@@ -210,6 +210,41 @@
 
 /* Guards against a memory leak: a response that the caller does not read must
  * be freed after a time-out. */
+/* Guards against bodies that are still being sent when the server stops: their
+ * callers must get an answer, and not lose it because unread bytes reset the
+ * connection. */
+static void
+test_refuse_receiving(void)
+{
+    CLEANUP(buf_free) struct buf in = {0};
+    struct rig g;
+    rig_open(&g, 0);
+    int fd = client_connect(http_in_port(g.in));
+    client_send(fd, STR_LIT(POST("/echo") "Content-Length: 9\r\n\r\nbody"));
+    while (http_in_receiving_requests(g.in) == 0) {
+        pump(&g);
+    }
+    http_in_refuse_receiving(g.in, 5000000);
+    for (int k = 0; k < 5; k++) {
+        pump(&g);
+    }
+    g_assert_true(client_read(fd, &in));
+    g_assert_cmpint(in.len, ==, 0);
+    g.clock_offset_us = 6000000;
+    pump(&g);
+    http_in_refuse_receiving(g.in, 5000000);
+    client_send(fd, STR_LIT("rest!"));
+    read_until_text(&g, fd, &in, NULL);
+    g_assert_nonnull(strstr(in.ptr, "HTTP/1.1 503"));
+    g_assert_nonnull(strstr(in.ptr, "\"ran\":\"not_run\""));
+    g_assert_nonnull(strstr(in.ptr, "Connection: close"));
+    g_assert_null(strstr(strstr(in.ptr, "HTTP/1.1") + 1, "HTTP/1.1"));
+    g_assert_cmpstr(g.log.ptr, ==, "");
+    g_assert_cmpint(http_in_open_requests(g.in), ==, 0);
+    close(fd);
+    rig_close(&g);
+}
+
 static void
 test_slow_reader(void)
 {
@@ -435,6 +470,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/http-in/requests", test_requests);
     g_test_add_func("/http-in/slow-sender", test_slow_sender);
+    g_test_add_func("/http-in/refuse-receiving", test_refuse_receiving);
     g_test_add_func("/http-in/slow-reader", test_slow_reader);
     g_test_add_func("/http-in/gone", test_gone);
     g_test_add_func("/http-in/later-and-pipelined", test_later_and_pipelined);
--- a/tests/test_stop_plan.c
+++ b/tests/test_stop_plan.c
@@ -2,6 +2,7 @@
  * before its time, or outlasts its limit. */
 #include <glib.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "daemon/gateway_stop.h"
@@ -12,7 +13,8 @@
                                      "finishing", "stopping"};
 
 /* Steps of stops: "limit MS balancer MS", then "at MS open N [registered]
- * PHASE"; the traffic thread has acted on the phase before. */
+ * PHASE"; the traffic thread has acted on the phase before. "open N+M": and M
+ * requests are being received. */
 static const char *const table[] = {
     /* An idle node ends once its registration has ended. */
     "limit 8000 balancer 2300",
@@ -40,6 +42,17 @@
     "at 7405 open 1 finishing",
     "at 7499 open 1 finishing",
     "at 7500 open 1 stopping",
+    /* Bodies that are still being sent neither hold up the stop nor are cut
+     * without time to answer them. */
+    "limit 8000 balancer 2300",
+    "at 2310 open 0+2 draining",
+    "at 2330 open 0+2 finishing",
+    "at 2350 open 0+2 finishing",
+    "at 2430 open 0+2 stopping",
+    "limit 8000 balancer 2300",
+    "at 2310 open 0+2 draining",
+    "at 2330 open 0+2 finishing",
+    "at 2350 open 0+0 stopping",
     /* Short limits. */
     "limit 2000 balancer 600",
     "at 600 open 1 draining",
@@ -63,18 +76,19 @@
         int balancer;
         int at;
         int open;
+        int receiving;
         char phase[16];
         if (sscanf(table[i], "limit %d balancer %d", &limit, &balancer) == 2) {
             gateway_stop_begin(&s, start, limit * MS, balancer * MS);
             continue;
         }
         bool registered = strstr(table[i], " registered ") != NULL;
-        g_assert_cmpint(sscanf(table[i],
-                               registered ? "at %d open %d registered %15s"
-                                          : "at %d open %d %15s",
-                               &at, &open, phase),
-                        ==, 3);
-        const struct gateway_stop_report r = {s.phase, open, !registered};
+        const char *more = strchr(table[i], '+');
+        receiving = more ? atoi(more + 1) : 0;
+        g_assert_cmpint(sscanf(table[i], "at %d open %d", &at, &open), ==, 2);
+        g_strlcpy(phase, strrchr(table[i], ' ') + 1, sizeof(phase));
+        const struct gateway_stop_report r = {s.phase, open, receiving,
+                                              !registered};
         enum gateway_phase next =
             gateway_stop_advance(&s, start + at * MS, &r);
         g_test_message("%s", table[i]);
@@ -89,7 +103,7 @@
 {
     struct gateway_stop s;
     gateway_stop_begin(&s, 0, 8000 * MS, 2300 * MS);
-    struct gateway_stop_report r = {GATEWAY_NOT_READY, 0, true};
+    struct gateway_stop_report r = {GATEWAY_NOT_READY, 0, 0, true};
     gateway_stop_advance(&s, 2300 * MS, &r);
     g_assert_cmpint(gateway_stop_advance(&s, 2400 * MS, &r), ==,
                     GATEWAY_DRAINING);
