Answer requests that arrive just as an idle connection is closed

A caller that sent its next request just before the node closed the kept connection, because of the idle limit or a planned stop, saw a reset. The request had arrived, and the node had even read the first part of a head that came in two segments.

Cause: a connection counted as idle until a whole head was read, and was closed without a look at unread bytes.

A connection with unread bytes is now left open, so that its request is read and answered, and one on which a request line has arrived counts as receiving, with that state's time limit.

--- a/src/edge/http_in.c
+++ b/src/edge/http_in.c
@@ -437,6 +437,9 @@
     (void)cls;
     str_free(&c->target);
     c->target = str_dup(str_from_cstr(uri));
+    if (c->state == CONN_IDLE) {
+        http_in_set_state(c, CONN_RECEIVING);
+    }
     return NULL;
 }
 
--- a/src/edge/http_in.h
+++ b/src/edge/http_in.h
@@ -117,7 +117,8 @@
  * @p older_than_us and are not complete, with status 503. */
 void http_in_refuse_receiving(struct http_in *in, int64_t older_than_us);
 
-/** Closes the kept-alive connections that wait for their next request. */
+/** Closes the kept-alive connections on which no next request has begun to
+ * arrive. */
 void http_in_close_idle(struct http_in *in);
 /** Replaces the time-outs of the options. */
 void http_in_set_timeouts(struct http_in *in, int receive_timeout_ms,
--- a/src/edge/http_in_close.c
+++ b/src/edge/http_in_close.c
@@ -5,6 +5,15 @@
 #include "base/log.h"
 #include "edge/http_in_state.h"
 
+/* Returns whether the caller has sent something that was not read yet. Such a
+ * connection is not idle: closing it would reset it and lose a request. */
+static bool
+has_unread_bytes(const struct conn *c)
+{
+    char byte;
+    return recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 static void
 close_connection(struct conn *c)
 {
@@ -111,6 +120,11 @@
         struct conn *c;
         while ((c = TAILQ_FIRST(&in->conns_by_state[s])) &&
                in->now_us - c->state_since_us > in->state_timeout_us[s]) {
+            if (s == CONN_IDLE && has_unread_bytes(c)) {
+                http_in_set_state(c, CONN_IDLE);
+                in->run_needed = true;
+                continue;
+            }
             if (s == CONN_RECEIVING) {
                 reject_slow_sender(in, c);
             }
@@ -123,7 +137,11 @@
 http_in_close_idle(struct http_in *in)
 {
     struct conn *c;
-    while ((c = TAILQ_FIRST(&in->conns_by_state[CONN_IDLE]))) {
-        close_connection(c);
+    struct conn *next;
+    for (c = TAILQ_FIRST(&in->conns_by_state[CONN_IDLE]); c; c = next) {
+        next = TAILQ_NEXT(c, link);
+        if (!has_unread_bytes(c)) {
+            close_connection(c);
+        }
     }
 }
--- a/tests/test_http_in.c
+++ b/tests/test_http_in.c
@@ -48,7 +48,7 @@
 }
 
 static void
-rig_open_tls(struct rig *g, int per_caller, bool tls)
+rig_open_with(struct rig *g, int per_caller, bool tls, bool raw)
 {
     *g = (struct rig){.loop = loop_new()};
     struct http_in_options opts = {
@@ -59,6 +59,7 @@
         .max_connections_per_caller = per_caller,
         .receive_timeout_ms = 10000,
         .max_header_bytes = 2048,
+        .raw = raw,
         .thread = 3,
         .ctx = g,
         .request = on_request,
@@ -69,6 +70,18 @@
     buf_printf(&g->log, "%s", "");
 }
 
+static void
+rig_open_tls(struct rig *g, int per_caller, bool tls)
+{
+    rig_open_with(g, per_caller, tls, false);
+}
+
+static void
+rig_open_raw(struct rig *g)
+{
+    rig_open_with(g, 0, false, true);
+}
+
 static void
 rig_open(struct rig *g, int per_caller)
 {
@@ -249,6 +262,54 @@
     rig_close(&g);
 }
 
+/* Guards against requests on kept connections that the server reads and does
+ * not answer, as it closes the connection at that moment. */
+static void
+test_close_idle(void)
+{
+    static const char request[] = "GET /echo HTTP/1.1\r\nHost: x\r\n\r\n";
+    enum { BY_TIME, BY_STOP, HALF_A_HEAD, CASES };
+    for (int i = 0; i < CASES; i++) {
+        CLEANUP(buf_free) struct buf in = {0};
+        struct rig g;
+        rig_open_raw(&g);
+        int fd = client_connect(http_in_port(g.in));
+        client_send(fd, str_from_cstr(request));
+        read_until_text(&g, fd, &in, "HTTP/1.1 200");
+        buf_clear(&in);
+        buf_clear(&g.log);
+        if (i == HALF_A_HEAD) {
+            client_send(fd, str_from_bytes(request, 25));
+            for (int k = 0; k < 5; k++) {
+                pump(&g);
+            }
+            http_in_close_idle(g.in);
+            client_send(fd, str_from_cstr(request + 25));
+        }
+        else {
+            client_send(fd, str_from_cstr(request));
+        }
+        if (i == BY_TIME) {
+            g.clock_offset_us = 61000000;
+        }
+        else {
+            http_in_close_idle(g.in);
+        }
+        http_in_process_events(g.in, loop_now_us() + g.clock_offset_us);
+        read_until_text(&g, fd, &in, "HTTP/1.1 200");
+        /* Without a request it is closed. */
+        if (i == BY_TIME) {
+            g.clock_offset_us = 122000000;
+        }
+        else {
+            http_in_close_idle(g.in);
+        }
+        read_until_text(&g, fd, &in, NULL);
+        close(fd);
+        rig_close(&g);
+    }
+}
+
 static void
 test_slow_reader(void)
 {
@@ -475,6 +536,7 @@
     g_test_add_func("/http-in/requests", test_requests);
     g_test_add_func("/http-in/slow-sender", test_slow_sender);
     g_test_add_func("/http-in/refuse-receiving", test_refuse_receiving);
+    g_test_add_func("/http-in/close-idle", test_close_idle);
     g_test_add_func("/http-in/slow-reader", test_slow_reader);
     g_test_add_func("/http-in/gone", test_gone);
     g_test_add_func("/http-in/later-and-pipelined", test_later_and_pipelined);
