Stop listening before the exit of a planned stop

Callers that connected just before a stopped node ended had their connection accepted and closed within some milliseconds without an answer. The node had read some of these requests and could not send the refusal any more. It matters when no other node is ready, as when all are stopped at once.

Cause: the listening socket was open until the process ended.

The last phase of a stop now begins with closing the listening socket: later callers are refused a connection, and the requests that were accepted before are answered in that phase.

--- a/src/daemon/gateway_traffic.c
+++ b/src/daemon/gateway_traffic.c
@@ -238,6 +238,7 @@
                                  phase == GATEWAY_DRAINING ? SLOW_BODY_US : 0);
     }
     if (phase >= GATEWAY_FINISHING) {
+        http_in_stop_listening(t->in);
         forward_end_requests(t->forward, gateway_now_us());
     }
 }
--- a/src/edge/http_in.c
+++ b/src/edge/http_in.c
@@ -614,6 +614,7 @@
     }
     int fd =
         MHD_get_daemon_info(in->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+    in->listening = true;
     in->source = loop_add(l, fd, EPOLLIN, on_daemon_ready, in);
     *out = in;
     return ST_OK;
--- a/src/edge/http_in.h
+++ b/src/edge/http_in.h
@@ -80,6 +80,9 @@
 /** Sets the largest accepted body; larger ones are rejected. */
 void http_in_set_max_body(struct http_in *in, size_t bytes);
 
+/** Refuses new connections from now on. */
+void http_in_stop_listening(struct http_in *in);
+
 /** Makes all later responses carry "Connection: close". */
 void http_in_start_draining(struct http_in *in);
 
--- a/src/edge/http_in_close.c
+++ b/src/edge/http_in_close.c
@@ -1,5 +1,6 @@
 /* Connections that the server closes by itself. */
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/clean.h"
 #include "base/log.h"
@@ -145,3 +146,18 @@
         }
     }
 }
+
+void
+http_in_stop_listening(struct http_in *in)
+{
+    if (!in->listening) {
+        return;
+    }
+    in->listening = false;
+    MHD_socket fd = MHD_quiesce_daemon(in->daemon);
+    if (fd == MHD_INVALID_SOCKET) {
+        LOG_EVENT(LOG_WARN, "still_listening", LOG_INT("port", in->opts.port));
+        return;
+    }
+    close(fd);
+}
--- a/src/edge/http_in_state.h
+++ b/src/edge/http_in_state.h
@@ -76,6 +76,7 @@
     struct loop_source *source;
     bool run_needed; /* MHD has work for which no descriptor becomes ready */
     bool draining;
+    bool listening;
     bool stopping;
     size_t max_body_bytes;
     struct conn_list conns_by_state[CONN_STATES]; /* oldest first */
--- a/tests/platform/test_gateway_stop.c
+++ b/tests/platform/test_gateway_stop.c
@@ -29,6 +29,8 @@
 /* Longest time from the end of a request that was read to the end of its
  * connection without an answer; the platform's default. */
 #define LOSS_SLACK_US (200 * MS)
+/* A node may close a connection that sends nothing for this long. */
+#define SEND_SLACK_US (10 * MS)
 #define PAUSE_MAX_US (20 * MS)
 #define UPLOAD_STEP_US (50 * MS)
 #define UPLOAD_STEP_BYTES 100
@@ -55,6 +57,8 @@
     int status;
     bool uploading;  /* the body was not sent completely */
     bool begun;      /* the answer had begun */
+    bool kept;       /* the connection had served a request before */
+    gint64 open_us;  /* the connection was opened */
     gint64 begin_us; /* the request was begun */
     gint64 sent_us;  /* its last byte was sent */
     gint64 end_us;
@@ -150,7 +154,7 @@
 
 /* @return whether the connection may be used again */
 static bool
-send_request(struct caller *c, int fd)
+send_request(struct caller *c, int fd, bool kept, gint64 open_us)
 {
     static _Atomic int next;
     bool chunked = c->kind == CALLER_UPLOAD;
@@ -158,6 +162,8 @@
     snprintf(r->id, sizeof(r->id), "%08x%08x", (unsigned)getpid(),
              (unsigned)atomic_fetch_add(&next, 1));
     r->host = c->host;
+    r->kept = kept;
+    r->open_us = open_us;
     r->begin_us = g_get_monotonic_time();
     char *text = g_strdup_printf(
         "POST /x HTTP/1.1\r\nHost: %s\r\nCamphorfall-Request-Id: %s\r\n" PR_KEY
@@ -183,14 +189,18 @@
 {
     struct caller *c = p;
     int fd = -1;
+    gint64 open_us = 0;
     g_usleep(rng_below(&c->rng, (uint64_t)c->s->stagger_us + 1));
     while (!atomic_load(&c->s->stop)) {
-        bool connected = fd >= 0;
-        fd = connected ? fd : connect_to(c->s->rig.nodes[c->node].port);
+        bool kept = fd >= 0;
+        if (!kept) {
+            fd = connect_to(c->s->rig.nodes[c->node].port);
+            open_us = g_get_monotonic_time();
+        }
         if (fd < 0) {
-            break; /* the process is gone */
+            break; /* the node accepts no more connections */
         }
-        bool usable = send_request(c, fd);
+        bool usable = send_request(c, fd, kept, open_us);
         if (c->kind != CALLER_KEPT || !usable) {
             close(fd);
             fd = -1;
@@ -299,8 +309,12 @@
         if (runs > 0) {
             return may_be_cut(s, r) ? NULL : "passed on and cut";
         }
-        return r->end_us - r->sent_us > LOSS_SLACK_US ? "read and cut late"
-                                                      : NULL;
+        /* A kept connection may be closed while a request is on its way. */
+        if (r->kept || r->begin_us - r->open_us > SEND_SLACK_US) {
+            return r->end_us - r->sent_us > LOSS_SLACK_US ? "read and cut late"
+                                                          : NULL;
+        }
+        return "a new connection was accepted and got no answer";
     }
     return "unknown outcome";
 }
