Refuse requests early that wait beyond a planned stop

Requests that were waiting for their stages when the node was stopped learned only at the end of the grace, 5 s and more after they had been read, that the node would not run them. Their callers had little time left to go elsewhere.

Cause: whether a request can still end was checked on its arrival and before each send, not while it waited.

While the node is being stopped, the requests that wait are now checked every 100 ms: one that would end too late even if its stages went on without any wait is refused as not run.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -487,6 +487,7 @@
         }
     }
     f->last_run_us = now_us;
+    stop_run(f, now_us);
     crashes_run(f, now_us);
     owners_run(f, now_us);
 }
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -212,6 +212,7 @@
     int64_t accept_until_us; /* later requests are refused; INT64_MAX: the node
                                 is not being stopped */
     int64_t finish_by_us;    /* open requests are ended then; as above */
+    int64_t stop_check_us;   /* next check of the requests that wait */
     struct map durations;    /* hash of a route's name -> struct
                                 call_duration */
     bool dispatch_needed;    /* pieces or waiting requests may be sendable */
--- a/src/forward/stop.c
+++ b/src/forward/stop.c
@@ -12,6 +12,8 @@
  * that may be repeated costs its caller a repeat if it does not. */
 #define DEVIATIONS 4
 #define DEVIATIONS_REPEATABLE 1
+/* Interval between checks of the requests that wait. */
+#define CHECK_US (100 * MS)
 /* A sound endpoint may fall silent for about a second. */
 #define SILENCE_US (1500 * MS)
 
@@ -77,20 +79,46 @@
     call_duration_add(d, now_us - r->sent_us);
 }
 
-void
-forward_end_requests(struct forward *f, int64_t now_us)
+/* Whether a request that waits for its stages or for an endpoint can no longer
+ * end in time, even if it has to wait for nothing else. */
+static bool
+waits_too_long(const struct forward *f, const struct request *r,
+               int64_t now_us)
+{
+    return !r->call && stop_refuses(f, r, now_us + pieces_remaining_us(r));
+}
+
+static void
+end_requests(struct forward *f, int64_t now_us, bool all)
 {
-    GPtrArray *open = g_ptr_array_new();
+    GPtrArray *ends = g_ptr_array_new();
     struct request *r;
     size_t at = 0;
     while ((r = map_next(&f->requests, &at))) {
-        g_ptr_array_add(open, r);
+        if (all || waits_too_long(f, r, now_us)) {
+            g_ptr_array_add(ends, r);
+        }
     }
-    for (guint i = 0; i < open->len; i++) {
-        req_refuse(f, now_us, g_ptr_array_index(open, i), ERRKIND_NOT_READY,
+    for (guint i = 0; i < ends->len; i++) {
+        req_refuse(f, now_us, g_ptr_array_index(ends, i), ERRKIND_NOT_READY,
                    STOP_REFUSAL, 0);
     }
-    g_ptr_array_free(open, TRUE);
+    g_ptr_array_free(ends, TRUE);
+}
+
+void
+forward_end_requests(struct forward *f, int64_t now_us)
+{
+    end_requests(f, now_us, true);
+}
+
+void
+stop_run(struct forward *f, int64_t now_us)
+{
+    if (f->finish_by_us != INT64_MAX && now_us >= f->stop_check_us) {
+        f->stop_check_us = now_us + CHECK_US;
+        end_requests(f, now_us, false);
+    }
 }
 
 void
--- a/src/forward/stop.h
+++ b/src/forward/stop.h
@@ -53,6 +53,9 @@
  * @p send_us could end. */
 bool stop_refuses(const struct forward *f, const struct request *r,
                   int64_t send_us);
+/** Refuses the waiting requests that can no longer end before the node stops.
+ */
+void stop_run(struct forward *f, int64_t now_us);
 /** Records the duration of the last call of a request that was answered. */
 void stop_record_call(struct forward *f, const struct request *r,
                       int64_t now_us);
--- a/tests/platform/fake_server.c
+++ b/tests/platform/fake_server.c
@@ -22,8 +22,9 @@
     const char *id;
     GHashTable *runs; /* request id -> count */
     int64_t delay_us;
-    int64_t events; /* of a stream; 0: plain responses */
-    int64_t gap_us; /* between the events of a stream */
+    int64_t events;         /* of a stream; 0: plain responses */
+    int64_t gap_us;         /* between the events of a stream */
+    int64_t stage_delay_us; /* of the results of stages */
     int64_t next_handle;
     int64_t held;
     int64_t pieces;
@@ -42,6 +43,7 @@
 
 struct pending {
     struct fh_req *req;
+    json_t *results; /* of a stage; owned */
     int64_t next;
     int64_t stop;
     uint64_t timer;
@@ -167,6 +169,20 @@
     fh_add_timer(sv.h, sv.delay_us, answer, p);
 }
 
+static void
+send_results(void *arg)
+{
+    struct pending *p = arg;
+    if (p->req) {
+        p->req->user = NULL;
+        fh_reply_json(p->req, 200, p->results);
+    }
+    else {
+        json_decref(p->results);
+    }
+    free(p);
+}
+
 static void
 stage_run(struct fh_req *r)
 {
@@ -188,7 +204,12 @@
         json_array_append_new(out, json_pack("{s:s}", "handle", handle));
     }
     json_decref(body);
-    fh_reply_json(r, 200, json_pack("{s:o}", "items", out));
+    struct pending *p = mem_calloc(1, sizeof(*p));
+    p->req = r;
+    p->results = json_pack("{s:o}", "items", out);
+    r->user = p;
+    r->on_end = on_caller_disconnected;
+    fh_add_timer(sv.h, sv.stage_delay_us, send_results, p);
 }
 
 static void
@@ -214,11 +235,12 @@
 {
     if (str_eq_cstr(r->method, "POST")) {
         json_t *o = json_loadb(r->body.ptr, r->body.len, 0, NULL);
-        json_unpack(o, "{s?I,s?I,s?I,s?I,s?I,s?I,s?I,s?I}", "drop_after",
+        json_unpack(o, "{s?I,s?I,s?I,s?I,s?I,s?I,s?I,s?I,s?I}", "drop_after",
                     &sv.drop_after, "shed", &sv.shed, "break_at", &sv.break_at,
                     "delay_us", &sv.delay_us, "retry_after_s",
                     &sv.retry_after_s, "leaving", &sv.leaving, "crash_part",
-                    &sv.crash_part, "gap_us", &sv.gap_us);
+                    &sv.crash_part, "gap_us", &sv.gap_us, "stage_delay_us",
+                    &sv.stage_delay_us);
         json_decref(o);
     }
     const char *query_id = fh_query_argument(r, "id");
--- a/tests/platform/test_gateway_stop.c
+++ b/tests/platform/test_gateway_stop.c
@@ -67,8 +67,10 @@
 struct scenario {
     struct platform_rig rig;
     gint64 upload_us;
-    gint64 stagger_us; /* the callers start within this time */
-    gint64 term_us;    /* time of the first SIGTERM */
+    gint64 stagger_us;    /* the callers start within this time */
+    gint64 term_us;       /* time of the first SIGTERM */
+    gint64 drain_us;      /* nothing more is accepted from then on */
+    gint64 last_sixth_us; /* start of the last sixth of the limit */
     _Atomic int stop;
     GMutex lock;
     GPtrArray *records;
@@ -220,6 +222,7 @@
     int balancer_ms;
     int delay_ms;  /* of the answers to actions and checks */
     int gap_ms;    /* between the six events of a stream */
+    int stage_ms;  /* of a stage, from the SIGTERM on */
     int upload_ms; /* of a slow body */
     int warm_ms;   /* from the start of the callers to the SIGTERM */
     int nodes;     /* nodes that are stopped */
@@ -299,6 +302,10 @@
         if (r->status == 503 && runs > 0) {
             return "refused as not run, but it ran";
         }
+        if (r->status == 503 && r->begin_us < s->drain_us &&
+            r->end_us > s->last_sixth_us) {
+            return "taken, and refused only at the limit";
+        }
         if (r->status == 502 && r->begin_us > s->term_us) {
             return "passed on, although it could not end in time";
         }
@@ -361,7 +368,15 @@
 static void
 stop_nodes(struct scenario *s, const struct row *row, struct rng *rng)
 {
+    for (int i = 4; i < PR_SERVERS; i++) {
+        char text[64];
+        snprintf(text, sizeof(text), "{\"stage_delay_us\":%d}",
+                 row->stage_ms * 1000);
+        platform_rig_post_control(&s->rig, s->rig.servers[i].port, text);
+    }
     s->term_us = g_get_monotonic_time();
+    s->drain_us = s->term_us + row->balancer_ms * MS;
+    s->last_sixth_us = s->term_us + row->limit_s * 1000 * MS * 5 / 6;
     signal_nodes(s, row, SIGTERM);
     for (int i = 0; i < row->hups; i++) {
         g_usleep(rng_below(rng, (uint64_t)row->balancer_ms * MS));
@@ -419,22 +434,31 @@
 /* late: requests that arrive late in the grace and would last beyond it.
  * long: requests that last longer than the whole grace.
  * uploads: bodies that are still being sent at each moment of the stop.
+ * stages: requests whose stages take longer than the grace.
  * all: all nodes stop at once, with stages in progress at each of them.
  * reload: SIGHUP and further SIGTERM while the node stops. */
 static const char *const table[] = {
-    "late limit_s=4 balancer_ms=2300 delay_ms=1900 gap_ms=350 upload_ms=0 "
+    "late limit_s=4 balancer_ms=2300 delay_ms=1900 gap_ms=350 stage_ms=0 "
+    "upload_ms=0 "
     "warm_ms=4300 nodes=1 hups=0 served=30 "
     "callers=fresh:order*8,kept:check*4,fresh:draft*6,fresh:stream*4",
-    "long limit_s=2 balancer_ms=600 delay_ms=4000 gap_ms=600 upload_ms=0 "
+    "long limit_s=2 balancer_ms=600 delay_ms=4000 gap_ms=600 stage_ms=0 "
+    "upload_ms=0 "
     "warm_ms=300 nodes=1 hups=0 served=0 "
     "callers=fresh:order*4,kept:order*4,fresh:draft*2,fresh:stream*2",
-    "uploads limit_s=3 balancer_ms=500 delay_ms=5 gap_ms=5 upload_ms=1500 "
+    "uploads limit_s=3 balancer_ms=500 delay_ms=5 gap_ms=5 stage_ms=0 "
+    "upload_ms=1500 "
     "warm_ms=1000 nodes=1 hups=0 served=4 "
     "callers=upload:order*12,upload:stream*4,kept:check*2",
-    "all limit_s=4 balancer_ms=300 delay_ms=200 gap_ms=100 upload_ms=0 "
+    "stages limit_s=4 balancer_ms=600 delay_ms=5 gap_ms=100 stage_ms=4000 "
+    "upload_ms=0 warm_ms=2000 nodes=1 hups=0 served=8 "
+    "callers=fresh:stream*8",
+    "all limit_s=4 balancer_ms=300 delay_ms=200 gap_ms=100 stage_ms=0 "
+    "upload_ms=0 "
     "warm_ms=1200 nodes=3 hups=0 served=60 "
     "callers=fresh:action*2,kept:check*3,fresh:draft*2,kept:stream*4",
-    "reload limit_s=3 balancer_ms=800 delay_ms=100 gap_ms=50 upload_ms=0 "
+    "reload limit_s=3 balancer_ms=800 delay_ms=100 gap_ms=50 stage_ms=0 "
+    "upload_ms=0 "
     "warm_ms=500 nodes=2 hups=6 served=30 "
     "callers=kept:action*4,fresh:check*4,kept:stream*3",
 };
@@ -450,6 +474,7 @@
                             row_int(text, "balancer_ms"),
                             row_int(text, "delay_ms"),
                             row_int(text, "gap_ms"),
+                            row_int(text, "stage_ms"),
                             row_int(text, "upload_ms"),
                             row_int(text, "warm_ms"),
                             row_int(text, "nodes"),
