--- a/tests/platform/test_gateway_stop.c
+++ b/tests/platform/test_gateway_stop.c
@@ -220,15 +220,16 @@
     const char *name;
     int limit_s;
     int balancer_ms;
-    int delay_ms;  /* of the answers to actions and checks */
-    int gap_ms;    /* between the six events of a stream */
-    int stage_ms;  /* of a stage, from the SIGTERM on */
-    int upload_ms; /* of a slow body */
-    int warm_ms;   /* from the start of the callers to the SIGTERM */
-    int nodes;     /* nodes that are stopped */
-    int hups;      /* number of SIGHUP and further SIGTERM during the stop */
-    int served;    /* at least so many answers from servers */
-    const char *callers; /* "KIND:HOST*COUNT,..." at each stopped node */
+    int delay_ms;   /* of the answers to actions and checks */
+    int gap_ms;     /* between the six events of a stream */
+    int stage_ms;   /* of a stage, from the SIGTERM on */
+    int upload_ms;  /* of a slow body */
+    int warm_ms;    /* from the start of the callers to the SIGTERM */
+    int nodes;      /* nodes that are stopped: the first ones */
+    int callers_at; /* nodes that have callers */
+    int hups;       /* number of SIGHUP and further SIGTERM during the stop */
+    int served;     /* at least so many answers from servers */
+    const char *callers; /* "KIND:HOST*COUNT,..." at each of these nodes */
 };
 
 static int
@@ -257,16 +258,19 @@
         int n;
         g_assert_cmpint(
             sscanf(words[w], "%15[a-z]:%15[a-z]*%d", kind, host, &n), ==, 3);
-        for (int i = 0; i < n * row->nodes; i++) {
+        for (int i = 0; i < n * row->callers_at; i++) {
             struct caller *c = &out[count++];
             g_assert_cmpint(count, <=, CALLERS_MAX);
-            *c = (struct caller){.s = s, .node = i % row->nodes};
-            while (strcmp(kinds[c->kind], kind) != 0) {
-                c->kind++;
+            *c = (struct caller){.s = s, .node = i % row->callers_at};
+            for (size_t k = 0; k < G_N_ELEMENTS(kinds); k++) {
+                c->kind = strcmp(kinds[k], kind) == 0 ? (enum caller_kind)k
+                                                      : c->kind;
             }
+            g_assert_cmpstr(kinds[c->kind], ==, kind);
             for (size_t h = 0; h < G_N_ELEMENTS(hosts); h++) {
                 c->host = strcmp(hosts[h], host) == 0 ? hosts[h] : c->host;
             }
+            g_assert_nonnull(c->host);
             rng_seed(&c->rng, seed + (uint64_t)count);
             c->thread = g_thread_new("caller", run_caller, c);
         }
@@ -422,6 +426,7 @@
     int count = start_callers(&s, row, callers, seed * CALLERS_MAX);
     g_usleep((gulong)row->warm_ms * 1000);
     stop_nodes(&s, row, &rng);
+    atomic_store(&s.stop, 1);
     for (int i = 0; i < count; i++) {
         g_thread_join(callers[i].thread);
     }
@@ -436,30 +441,30 @@
  * uploads: bodies that are still being sent at each moment of the stop.
  * stages: requests whose stages take longer than the grace.
  * all: all nodes stop at once, with stages in progress at each of them.
+ * others: callers at all nodes, of which one stops; it owns stage endpoints
+ * that the others use.
  * reload: SIGHUP and further SIGTERM while the node stops. */
 static const char *const table[] = {
     "late limit_s=4 balancer_ms=2300 delay_ms=1900 gap_ms=350 stage_ms=0 "
-    "upload_ms=0 "
-    "warm_ms=4300 nodes=1 hups=0 served=30 "
+    "upload_ms=0 warm_ms=4300 nodes=1 callers_at=1 hups=0 served=30 "
     "callers=fresh:order*8,kept:check*4,fresh:draft*6,fresh:stream*4",
     "long limit_s=2 balancer_ms=600 delay_ms=4000 gap_ms=600 stage_ms=0 "
-    "upload_ms=0 "
-    "warm_ms=300 nodes=1 hups=0 served=0 "
+    "upload_ms=0 warm_ms=300 nodes=1 callers_at=1 hups=0 served=0 "
     "callers=fresh:order*4,kept:order*4,fresh:draft*2,fresh:stream*2",
     "uploads limit_s=3 balancer_ms=500 delay_ms=5 gap_ms=5 stage_ms=0 "
-    "upload_ms=1500 "
-    "warm_ms=1000 nodes=1 hups=0 served=4 "
+    "upload_ms=1500 warm_ms=1000 nodes=1 callers_at=1 hups=0 served=4 "
     "callers=upload:order*12,upload:stream*4,kept:check*2",
-    "stages limit_s=4 balancer_ms=600 delay_ms=5 gap_ms=100 stage_ms=4000 "
-    "upload_ms=0 warm_ms=2000 nodes=1 hups=0 served=8 "
-    "callers=fresh:stream*8",
+    "stages limit_s=4 balancer_ms=600 delay_ms=5 gap_ms=100 "
+    "stage_ms=4000 upload_ms=0 warm_ms=2000 nodes=1 callers_at=1 hups=0 "
+    "served=8 callers=fresh:stream*8",
     "all limit_s=4 balancer_ms=300 delay_ms=200 gap_ms=100 stage_ms=0 "
-    "upload_ms=0 "
-    "warm_ms=1200 nodes=3 hups=0 served=60 "
+    "upload_ms=0 warm_ms=1200 nodes=3 callers_at=3 hups=0 served=60 "
     "callers=fresh:action*2,kept:check*3,fresh:draft*2,kept:stream*4",
+    "others limit_s=3 balancer_ms=300 delay_ms=50 gap_ms=50 stage_ms=0 "
+    "upload_ms=0 warm_ms=800 nodes=1 callers_at=3 hups=0 served=60 "
+    "callers=fresh:action*2,kept:check*2,fresh:draft*2,fresh:stream*4",
     "reload limit_s=3 balancer_ms=800 delay_ms=100 gap_ms=50 stage_ms=0 "
-    "upload_ms=0 "
-    "warm_ms=500 nodes=2 hups=6 served=30 "
+    "upload_ms=0 warm_ms=500 nodes=2 callers_at=2 hups=6 served=30 "
     "callers=kept:action*4,fresh:check*4,kept:stream*3",
 };
 
@@ -478,6 +483,7 @@
                             row_int(text, "upload_ms"),
                             row_int(text, "warm_ms"),
                             row_int(text, "nodes"),
+                            row_int(text, "callers_at"),
                             row_int(text, "hups"),
                             row_int(text, "served"),
                             strstr(text, " callers=") + strlen(" callers=")};
--- a/tests/test_forward_stop.c
+++ b/tests/test_forward_stop.c
@@ -2,6 +2,7 @@
  * cannot end in time, or refuses those that can. */
 #include <glib.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "forward/stop.h"
@@ -11,7 +12,8 @@
 
 /* "send MS deadline MS KIND [calls MS...] ANSWER": a request that is sent
  * and must end at these times after the SIGTERM; the route's calls before took
- * so long. Open requests are ended after 7,400 ms. */
+ * so long ("60x3": three of them 60 ms). Open requests are ended after 7,400
+ * ms. */
 static const char *const table[] = {
     /* It ends at its deadline in any case. */
     "send 2300 deadline 7400 once calls: yes",
@@ -35,8 +37,7 @@
     "send 2300 deadline 12000 repeatable calls: 500 2500 500 2500 500 yes",
     /* One slow call does not close the route for good. */
     "send 2300 deadline 12000 once calls: 4000 60 60 60 60 no",
-    "send 2300 deadline 12000 once calls: 4000 60 60 60 60 60 60 60 60 60 60 "
-    "60 60 60 60 60 60 60 60 60 yes",
+    "send 2300 deadline 12000 once calls: 4000 60x19 yes",
 };
 
 static void
@@ -54,7 +55,10 @@
             strstr(table[i], "calls: ") + strlen("calls: "), " ", -1);
         int last = (int)g_strv_length(words) - 1;
         for (int k = 0; k < last; k++) {
-            call_duration_add(&d, g_ascii_strtoll(words[k], NULL, 10) * MS);
+            const char *times = strchr(words[k], 'x');
+            for (int n = times ? atoi(times + 1) : 1; n > 0; n--) {
+                call_duration_add(&d, atoi(words[k]) * MS);
+            }
         }
         const struct stop_query q = {send * MS, deadline * MS,
                                      strcmp(kind, "repeatable") == 0, &d};
