Refuse requests during a stop if their route's duration is unknown

A stream that arrived 87 ms after the SIGTERM, at a node that had not yet completed a request of its route, was passed on and broken off at the limit.

Cause: a request that may be repeated was taken if nothing was known of its route, although it could last until its deadline, which was beyond the limit.

A node that has just started refuses such requests in its stop; their callers are at another node at once.

The row of /forward-stop/can-finish that had expected the old answer now expects the new one, which is stricter, and a second row covers a deadline that fits.

--- a/src/forward/stop.c
+++ b/src/forward/stop.c
@@ -39,7 +39,7 @@
         return true;
     }
     if (!d || d->count == 0) {
-        return q->repeatable && q->send_us < finish_by_us;
+        return false;
     }
     double usual =
         q->repeatable ? d->mean_us + DEVIATIONS_REPEATABLE * d->deviation_us
--- a/src/forward/stop.h
+++ b/src/forward/stop.h
@@ -29,7 +29,7 @@
     int64_t send_us;     /**< expected time of the send */
     int64_t deadline_us; /**< the request ends by then in any case */
     bool repeatable;     /**< the caller may send it again elsewhere */
-    /** Of its route; NULL: unknown. */
+    /** Of its route; NULL: none has ended yet. */
     const struct call_duration *duration;
 };
 
--- a/tests/test_forward_stop.c
+++ b/tests/test_forward_stop.c
@@ -20,8 +20,8 @@
     "send 2300 deadline 7400 once calls: 5000 5000 yes",
     /* Nothing is known of the route. */
     "send 0 deadline 7401 once calls: no",
-    "send 0 deadline 7401 repeatable calls: yes",
-    "send 7400 deadline 8000 repeatable calls: no",
+    "send 0 deadline 7401 repeatable calls: no",
+    "send 2300 deadline 7400 repeatable calls: yes",
     /* Short actions with a long deadline are taken, with time for a second of
      * silence and for outliers. */
     "send 2300 deadline 12000 once calls: 60 60 60 60 60 60 yes",
