--- a/src/edge/http_in.h
+++ b/src/edge/http_in.h
@@ -80,6 +80,9 @@
 /** Sets the largest accepted body; larger ones are rejected. */
 void http_in_set_max_body(struct http_in *in, size_t bytes);
 
+/** Refuses new connections from now on. */
+void http_in_stop_listening(struct http_in *in);
+
 /** Makes all later responses carry "Connection: close". */
 void http_in_start_draining(struct http_in *in);
 
@@ -113,7 +116,12 @@
  * that the caller cannot take the response as complete. */
 void http_in_abort(struct http_in *in, uint64_t id);
 
-/** Closes the kept-alive connections that wait for their next request. */
+/** Refuses the requests that have been received for longer than
+ * @p older_than_us and are not complete, with status 503. */
+void http_in_refuse_receiving(struct http_in *in, int64_t older_than_us);
+
+/** Closes the kept-alive connections on which no next request has begun to
+ * arrive. */
 void http_in_close_idle(struct http_in *in);
 /** Replaces the time-outs of the options. */
 void http_in_set_timeouts(struct http_in *in, int receive_timeout_ms,
@@ -130,8 +138,12 @@
  * if no event occurs; INT64_MAX: no time limit */
 int64_t http_in_next_wakeup_us(const struct http_in *in, int64_t now_us);
 
-/** @return number of received requests whose response is not yet complete */
+/** @return number of requests whose head has been received and whose response
+ * is not yet complete */
 int http_in_open_requests(const struct http_in *in);
+/** @return number of these that are not yet received completely, also those
+ * that are refused and read to their end */
+int http_in_receiving_requests(const struct http_in *in);
 
 void http_in_append_metrics(const struct http_in *in, struct buf *out);
 
--- a/tests/platform/fake_server.c
+++ b/tests/platform/fake_server.c
@@ -28,7 +28,8 @@
     int64_t delay_us;
     int64_t events; /* of a stream; 0: plain responses */
     int64_t event_gap_us;
-    int64_t tag_events; /* events carry the id of their request */
+    int64_t tag_events;     /* events carry the id of their request */
+    int64_t stage_delay_us; /* of the results of stages */
     int64_t next_handle;
     GHashTable *held;    /* numbers of the results that are kept */
     int64_t read_inputs; /* a missing input rejects the request */
@@ -60,6 +61,7 @@
 struct pending {
     struct fh_req *req;
     char id[32];
+    json_t *results; /* of a stage; owned */
     int64_t next;
     int64_t stop;
     uint64_t timer;
@@ -188,6 +190,20 @@
     fh_add_timer(sv.h, sv.delay_us, answer, p);
 }
 
+static void
+send_results(void *arg)
+{
+    struct pending *p = arg;
+    if (p->req) {
+        p->req->user = NULL;
+        fh_reply_json(p->req, 200, p->results);
+    }
+    else {
+        json_decref(p->results);
+    }
+    free(p);
+}
+
 static void
 stage_run(struct fh_req *r)
 {
@@ -209,7 +225,12 @@
         json_array_append_new(out, json_pack("{s:s}", "handle", handle));
     }
     json_decref(body);
-    fh_reply_json(r, 200, json_pack("{s:o}", "items", out));
+    struct pending *p = mem_calloc(1, sizeof(*p));
+    p->req = r;
+    p->results = json_pack("{s:o}", "items", out);
+    r->user = p;
+    r->on_end = on_caller_disconnected;
+    fh_add_timer(sv.h, sv.stage_delay_us, send_results, p);
 }
 
 static void
@@ -295,9 +316,10 @@
                 &sv.drop_after, "shed", &sv.shed, "break_at", &sv.break_at,
                 "delay_us", &sv.delay_us, "retry_after_s", &sv.retry_after_s,
                 "leaving", &sv.leaving, "crash_part", &sv.crash_part);
-    json_unpack(o, "{s?I,s?I,s?I,s?I}", "events", &sv.events, "event_gap_us",
-                &sv.event_gap_us, "tag_events", &sv.tag_events, "read_inputs",
-                &sv.read_inputs);
+    json_unpack(o, "{s?I,s?I,s?I,s?I,s?I}", "events", &sv.events,
+                "event_gap_us", &sv.event_gap_us, "tag_events", &sv.tag_events,
+                "read_inputs", &sv.read_inputs, "stage_delay_us",
+                &sv.stage_delay_us);
     if (json_object_get(o, "silent_us")) {
         /* The begin of the first silence, on the monotonic clock. */
         int64_t from_us = 0;
