Do not give up a silent call when the node stops before a repeat could end

During a planned stop a request is sent only if it can end before the node does. A silent call was given up before that was checked, so its caller's answer was cut although the engine went on.

--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -1,6 +1,7 @@
 #include "base/log.h"
 #include "forward/crashes.h"
 #include "forward/state.h"
+#include "forward/stop.h"
 
 /* Maximum number of sends of one request that reached no endpoint or were
  * rejected without being run. */
@@ -490,15 +491,17 @@
 /* Returns whether the request could be sent to another endpoint now that is
  * not silent itself. */
 static bool
-has_other_endpoint(const struct request *r, int64_t now_us)
+can_be_sent_elsewhere(const struct forward *f, const struct request *r,
+                      int64_t now_us)
 {
     struct place_query query = {
         .nodes = 1, .tried_count = r->tried_count, .skip_silent = true};
     for (int i = 0; i < r->tried_count; i++) {
         query.tried[i] = r->tried[i];
     }
-    return place_next_available_us(r->service->endpoints, &query, now_us) <=
-           now_us;
+    return !crashes_is_blocked(f, r) && !stop_refuses(f, r, now_us) &&
+           place_next_available_us(r->service->endpoints, &query, now_us) <=
+               now_us;
 }
 
 static void
@@ -532,8 +535,7 @@
     check_silence_at(f, now_us + SILENCE_RETRY_US, r);
     /* The endpoint may be sound and go on, so its answer is given up only for
      * a repeat that can be sent. */
-    if (!has_other_endpoint(r, now_us) || crashes_is_blocked(f, r) ||
-        r->preparing) {
+    if (r->preparing || !can_be_sent_elsewhere(f, r, now_us)) {
         return;
     }
     if (pieces_were_released(r)) {
@@ -551,7 +553,7 @@
 void
 response_repeat_prepared(struct forward *f, int64_t now_us, struct request *r)
 {
-    if (!has_other_endpoint(r, now_us) || crashes_is_blocked(f, r) ||
+    if (!can_be_sent_elsewhere(f, r, now_us) ||
         !req_take_repeat(f, now_us, r)) {
         pieces_stop_preparing(f, now_us, r);
         return;
--- a/tests/test_forward_repeats.c
+++ b/tests/test_forward_repeats.c
@@ -8,6 +8,7 @@
 
 #include "base/rng.h"
 #include "bench/forward_world.h"
+#include "forward/stop.h"
 
 #define MS 1000LL
 #define SECOND 1000000LL
@@ -243,6 +244,27 @@
     forward_world_free(f.w);
 }
 
+/* A silent call is not given up when the node stops before a repeat could
+ * end. */
+static void
+test_stop(void)
+{
+    struct fleet f;
+    struct fw_request_spec spec = {.host = "staged",
+                                   .caller_timeout_us = 12 * SECOND,
+                                   .prompt_tokens = 2000};
+    fleet_init(&f, 20, 50 * MS);
+    forward_world_send_request(f.w, 0, &spec);
+    forward_world_run_until(f.w, forward_world_now_us(f.w) + 400 * MS);
+    int64_t now_us = forward_world_now_us(f.w);
+    forward_begin_stop(forward_world_core(f.w, 0), now_us + 2 * SECOND,
+                       now_us + 7 * SECOND);
+    pause_used_engines(&f, 3200 * MS);
+    forward_world_run_until(f.w, now_us + 14 * SECOND);
+    g_assert_cmpint(forward_world_request(f.w, 0)->end, ==, FW_ANSWERED);
+    forward_world_free(f.w);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -251,5 +273,6 @@
     g_test_add_func("/forward-repeats/break-after-silences",
                     test_break_after_silences);
     g_test_add_func("/forward-repeats/too-late", test_too_late);
+    g_test_add_func("/forward-repeats/stop", test_stop);
     return g_test_run();
 }
