Silences longer than the limit over processes; requests that never end

An answer more than 0.5 s after its route's timeout is a violation now; before, a request that never ended passed.

--- a/tests/platform/test_gateway_silence.c
+++ b/tests/platform/test_gateway_silence.c
@@ -21,7 +21,14 @@
 #define SETTINGS                                                              \
     "{\"events\":%d,\"event_gap_us\":50000,\"delay_us\":100000,"              \
     "\"tag_events\":1,\"read_inputs\":%d,\"silent_us\":%" G_GINT64_FORMAT     \
-    ",\"silent_from_us\":%" G_GINT64_FORMAT ",\"silent_every_us\":2600000}"
+    ",\"silent_from_us\":%" G_GINT64_FORMAT                                   \
+    ",\"silent_every_us\":%" G_GINT64_FORMAT "}"
+#define SILENCE_PERIOD_US (2600 * MS)
+/* Pause between two silences at least. */
+#define SPEECH_MIN_US (800 * MS)
+/* A request has an answer this long after its route's timeout at the latest.
+ */
+#define LATE_MAX_US (500 * MS)
 #define FIRST_SILENCE_US (700 * MS)
 #define LOAD_US (3600 * MS)
 /* All requests of a case lie in one window of the limit, 10 s. */
@@ -83,6 +90,8 @@
     {"/gateway-silence/all-1300ms", 1300 * MS, ALL},
     {"/gateway-silence/one-1800ms", 1800 * MS, ONE},
     {"/gateway-silence/all-1800ms", 1800 * MS, ALL},
+    /* Longer than a stream waits before it goes on elsewhere. */
+    {"/gateway-silence/one-2900ms", 2900 * MS, ONE},
     {"/gateway-silence/stages-1300ms", 1300 * MS, WITH_STAGES},
 };
 
@@ -312,6 +321,9 @@
     if (q->route->once && q->runs > 1) {
         return "ran twice";
     }
+    if (q->took_us > q->route->timeout_us + LATE_MAX_US) {
+        return "had no answer in time";
+    }
     if (!q->complete) {
         /* A request that crosses the end of an idle connection. */
         bool crossed = q->bytes == 0 && q->arrivals == 0;
@@ -336,7 +348,8 @@
         bool engine = i == 2 || i == 3;
         char *text = g_strdup_printf(
             SETTINGS, engine ? EVENTS : 0, engine,
-            row->silent[i] ? (gint64)row->silent_us : 0, (gint64)from_us);
+            row->silent[i] ? (gint64)row->silent_us : 0, (gint64)from_us,
+            (gint64)MAX(SILENCE_PERIOD_US, row->silent_us + SPEECH_MIN_US));
         platform_rig_post_control(&l->rig, l->rig.servers[i].port, text);
         g_free(text);
     }
