Tests: keep the log of each start of a node; log why a request failed

/proof/drain failed once with 503 not_ready and could not be traced: the log of the node had been replaced at its restart, and the outcome had neither the node's message nor a time. A node's log is now numbered by its starts, and the error, its message and the time of a failed request are logged.

--- a/tests/proc.c
+++ b/tests/proc.c
@@ -291,7 +291,8 @@
     if (!n->link_port) {
         n->link_port = rig_find_free_port();
     }
-    snprintf(path, sizeof(path), "%s/n%d.log", r->dir, i);
+    /* A log of its own for each start, so that the earlier ones are kept. */
+    snprintf(path, sizeof(path), "%s/n%d-%d.log", r->dir, i, n->starts++);
     memcpy(n->log, path, sizeof(path));
     snprintf(path, sizeof(path), "%s/n%d.toml", r->dir, i);
     buf_printf(&text,
--- a/tests/proc.h
+++ b/tests/proc.h
@@ -55,7 +55,8 @@
         pid_t pid;        /**< 0: not running */
         _Atomic int port; /**< load threads read it while a node restarts */
         int link_port;
-        char log[96];
+        int starts;
+        char log[96];     /**< of the latest start */
         const char *zone; /**< NULL: "okha" */
     } nodes[RIG_NODES];
     struct rig_endpoint {
--- a/tests/rig_fleet.c
+++ b/tests/rig_fleet.c
@@ -226,6 +226,7 @@
 {
     struct outcome o = {.node = node};
     CLEANUP_FREE char *text = json_dumps(body, JSON_COMPACT);
+    gint64 begin_us = g_get_monotonic_time();
     snprintf(o.name, sizeof(o.name), "%s", name);
     o.status = proc_http_request(r->nodes[node].port, "POST", path, headers,
                                  str_from_cstr(text), answer);
@@ -235,6 +236,12 @@
     json_t *e = json_object_get(j, "error");
     copy(o.kind, sizeof(o.kind), json_object_get(e, "kind"));
     copy(o.ran, sizeof(o.ran), json_object_get(e, "ran"));
+    if (e) {
+        const char *why = json_string_value(json_object_get(e, "message"));
+        g_test_message("%s at node %d: %s after %d ms: %s", name, node, o.kind,
+                       (int)((g_get_monotonic_time() - begin_us) / 1000),
+                       why ? why : "");
+    }
     o.replayed = json_is_true(json_object_get(j, "replayed"));
     json_decref(j);
     return o;
