Usual words for endpoints from which nothing comes

Comments, names and help texts said that an endpoint is sound, heard or given up; they say healthy, received and abandoned now.

--- a/src/control/feed_era.c
+++ b/src/control/feed_era.c
@@ -154,10 +154,10 @@
 {
     int64_t known = f->era & FEED_ERA_MASK;
     era &= FEED_ERA_MASK;
-    if (era > known && era > f->heard_era && known > 0) {
-        LOG_EVENT(LOG_INFO, "store_era_heard", LOG_INT("era", era),
+    if (era > known && era > f->reported_era && known > 0) {
+        LOG_EVENT(LOG_INFO, "store_era_reported", LOG_INT("era", era),
                   LOG_INT("known", known));
-        f->heard_era = era;
+        f->reported_era = era;
         call_store(f, now_us);
     }
     /* A node of a build without eras cannot be trusted once the store has come
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -135,7 +135,7 @@
      * written again what an older copy lacks; 0: all count. */
     int64_t contact_hold_end_us;
     bool contact_query_due;      /* see feed_take_contact_query */
-    int64_t heard_era;           /* newest era that other nodes have named */
+    int64_t reported_era;        /* newest era that other nodes have named */
     bool answered;               /* the store has answered a list or a watch */
     int64_t removed_hold_end_us; /* removed records stay in effect until then;
                                     0: they are dropped at once */
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -21,7 +21,7 @@
 #define EJECT_MIN_US (500 * MS)
 #define EJECT_MAX_US (4 * SECOND)
 /* An endpoint is taken for silent for this time after a call to it was given
- * up for that, unless it is heard. */
+ * up for that, unless something is received. */
 #define SILENT_MEMORY_US (2 * SECOND)
 /* An engine that sends no event of any of its streams for this time is silent:
  * twice the longest pause that callers take for normal. */
@@ -129,9 +129,9 @@
 }
 
 void
-endpoint_record_heard(struct endpoint *e, int64_t now_us)
+endpoint_record_received(struct endpoint *e, int64_t now_us)
 {
-    e->heard_us = now_us;
+    e->received_us = now_us;
     e->silent_until_us = 0;
 }
 
@@ -146,7 +146,7 @@
 endpoint_is_silent(const struct endpoint *e, int64_t now_us)
 {
     return now_us < e->silent_until_us ||
-           (e->streams > 0 && now_us - e->heard_us >= SILENT_STREAMS_US);
+           (e->streams > 0 && now_us - e->received_us >= SILENT_STREAMS_US);
 }
 
 void
--- a/src/forward/endpoints.h
+++ b/src/forward/endpoints.h
@@ -37,10 +37,11 @@
     int calls_in_flight;        /**< stage calls in flight */
     int streams; /**< requests in flight whose first event has come and that
                     are being read */
-    int64_t heard_us; /**< when a part of a response to a request last came */
-    int64_t silent_until_us; /**< a call was given up since the endpoint was
-                                silent; counts until then, or until it is
-                                heard */
+    int64_t
+        received_us; /**< when a part of a response to a request last came */
+    int64_t silent_until_us; /**< a call was abandoned because the endpoint was
+                                silent; counts until then, or until something
+                                is received */
     double failure_rate; /**< moving average of the share of failed calls */
     int64_t last_failure_us;
     int consecutive_failures;
@@ -75,8 +76,8 @@
 double endpoint_failure_rate(const struct endpoint *e, int64_t now_us);
 
 /** Records that a part of a response to a request has come. */
-void endpoint_record_heard(struct endpoint *e, int64_t now_us);
-/** Records a call that was given up since nothing came. */
+void endpoint_record_received(struct endpoint *e, int64_t now_us);
+/** Records a call that was abandoned because nothing came. */
 void endpoint_record_silence(struct endpoint *e, int64_t now_us);
 /** Returns whether the endpoint seems to be silent now. It may be sound all
  * the same. */
--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -10,9 +10,9 @@
  * is cancelled and sent to another endpoint. */
 #define SILENCE_FACTOR 6
 #define SILENCE_MIN_US (250 * MS)
-/* Sound endpoints may be silent for a second or two and go on, so a resumable
- * stream is resumed at another one after STREAM_SILENCE_US without an event:
- * sooner if its caller would disconnect then, but not before
+/* Healthy endpoints may be silent for a second or two and go on, so a
+ * resumable stream is resumed at another one after STREAM_SILENCE_US without
+ * an event: sooner if its caller would disconnect then, but not before
  * STREAM_SILENCE_MIN_US. */
 #define STREAM_SILENCE_US (2500 * MS)
 #define STREAM_SILENCE_MIN_US (1200 * MS)
@@ -218,7 +218,7 @@
         return;
     }
     struct endpoint *e = r->endpoint;
-    endpoint_record_heard(e, now_us);
+    endpoint_record_received(e, now_us);
     if (meta->running >= 0) {
         e->reported_running = meta->running;
         e->reported_waiting = meta->waiting;
@@ -334,7 +334,7 @@
         r->call_paused = false;
         r->last_activity_us = now_us;
         r->endpoint->streams++;
-        endpoint_record_heard(r->endpoint, now_us);
+        endpoint_record_received(r->endpoint, now_us);
     }
 }
 
@@ -395,7 +395,7 @@
     if (!r || !r->head_accepted) {
         return;
     }
-    endpoint_record_heard(r->endpoint, now_us);
+    endpoint_record_received(r->endpoint, now_us);
     buf_append_str(&r->response, bytes);
     if (is_relayed_stream(r) && !relay_events(f, r)) {
         if (exceeds_buffer_limit(f, r)) {
@@ -505,7 +505,7 @@
 }
 
 static void
-give_up_silent_call(struct forward *f, int64_t now_us, struct request *r)
+abandon_silent_call(struct forward *f, int64_t now_us, struct request *r)
 {
     f->counters.silent++;
     endpoint_record_silence(r->endpoint, now_us);
@@ -533,8 +533,8 @@
         return;
     }
     check_silence_at(f, now_us + SILENCE_RETRY_US, r);
-    /* The endpoint may be sound and go on, so its answer is given up only for
-     * a repeat that can be sent. */
+    /* The endpoint may be healthy and go on, so its answer is abandoned only
+     * for a repeat that can be sent. */
     if (r->preparing || !can_be_sent_elsewhere(f, r, now_us)) {
         return;
     }
@@ -546,7 +546,7 @@
         return;
     }
     if (req_take_repeat(f, now_us, r)) {
-        give_up_silent_call(f, now_us, r);
+        abandon_silent_call(f, now_us, r);
     }
 }
 
@@ -559,7 +559,7 @@
         return;
     }
     r->preparing = false;
-    give_up_silent_call(f, now_us, r);
+    abandon_silent_call(f, now_us, r);
 }
 
 /* Returns whether the endpoint of a call may have been silent since the call
@@ -569,13 +569,13 @@
 may_be_silent(const struct request *r, int64_t now_us)
 {
     const GPtrArray *endpoints = r->service->endpoints;
-    if (r->endpoint->heard_us > r->sent_us) {
+    if (r->endpoint->received_us > r->sent_us) {
         return false;
     }
     for (guint i = 0; i < endpoints->len; i++) {
         const struct endpoint *e = g_ptr_array_index(endpoints, i);
         if (now_us < e->silent_until_us ||
-            (e->streams > 0 && e->heard_us <= r->sent_us)) {
+            (e->streams > 0 && e->received_us <= r->sent_us)) {
             return true;
         }
     }
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -35,7 +35,7 @@
     X(unsent, "sends that found no connection")                               \
     X(not_executed, "sends that an endpoint rejected")                        \
     X(broken, "sends without a whole answer")                                 \
-    X(silent, "sends given up since their endpoint was silent")               \
+    X(silent, "sends abandoned because their endpoint was silent")            \
     X(results_gone, "sends rejected since results of stages were gone")       \
     X(too_long, "answers longer than a node holds")                           \
     X(crossed, "answers of other requests")                                   \
@@ -292,7 +292,7 @@
 void response_handle_fetch_timeout(struct forward *f, int64_t now_us,
                                    uint64_t call);
 void response_handle_silence(struct forward *f, int64_t now_us, uint64_t call);
-/** Gives a silent call up for a repeat whose stages have run. */
+/** Abandons a silent call for a repeat whose stages have run. */
 void response_repeat_prepared(struct forward *f, int64_t now_us,
                               struct request *r);
 void response_handle_deadline(struct forward *f, int64_t now_us,
--- a/src/forward/stop.c
+++ b/src/forward/stop.c
@@ -14,7 +14,7 @@
 #define DEVIATIONS_REPEATABLE 1
 /* Interval between checks of the requests that wait. */
 #define CHECK_US (100 * MS)
-/* A sound endpoint may fall silent for about a second. */
+/* A healthy endpoint may fall silent for about a second. */
 #define SILENCE_US (1500 * MS)
 
 void
--- a/tests/platform/test_gateway_silence.c
+++ b/tests/platform/test_gateway_silence.c
@@ -1,7 +1,7 @@
-/* Runs nodes and servers as processes while sound servers hold all work for a
- * second or two and go on. Guards against answers that are cut or thrown away
- * for it, repeats above the shared limit, actions that run twice, and refusals
- * of requests that have run. */
+/* Runs nodes and servers as processes while healthy servers hold all work for
+ * a second or two and go on. Guards against answers that are cut or thrown
+ * away for it, repeats above the shared limit, actions that run twice, and
+ * refusals of requests that have run. */
 #include <arpa/inet.h>
 #include <glib.h>
 #include <jansson.h>
--- a/tests/test_forward_repeats.c
+++ b/tests/test_forward_repeats.c
@@ -227,7 +227,7 @@
     }
 }
 
-/* A silent call is not given up when it is too late for a repeat. */
+/* A silent call is not abandoned when it is too late for a repeat. */
 static void
 test_too_late(void)
 {
@@ -244,7 +244,7 @@
     forward_world_free(f.w);
 }
 
-/* A silent call is not given up when the node stops before a repeat could
+/* A silent call is not abandoned when the node stops before a repeat could
  * end. */
 static void
 test_stop(void)
--- a/tests/test_forward_silence.c
+++ b/tests/test_forward_silence.c
@@ -1,5 +1,6 @@
 /* Guards against answers that are cut, and against repeats above the shared
- * limit, because sound endpoints fall silent for a second or two and go on. */
+ * limit, because healthy endpoints fall silent for a second or two and go on.
+ */
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -291,7 +292,7 @@
         (!row->silent_us ||
          ends[FW_ANSWERED] + (row->overload ? ends[FW_REFUSED] : 0) == count);
     g_test_message("%s: %d requests, %d answered, %d refused, %d failed, "
-                   "%d cut, %d repeats, %d above the limit, %d given up for "
+                   "%d cut, %d repeats, %d above the limit, %d abandoned for "
                    "silence, %d without results%s",
                    row->title, count, ends[FW_ANSWERED], ends[FW_REFUSED],
                    ends[FW_FAILED], ends[FW_ABORTED],
