Soak: servers fall silent; answers of sound servers are not cut (failing)

In the soak a server, or all of them at the same moment, hold all work for 0.8 to 1.8 s and go on, together with the other faults. After those are cleared, 12 further steps draw only faults that leave the servers sound: silences, restarts and SIGHUP of nodes, and reset connections to the store. A request without a whole answer counts as cut if the servers and its node were sound from its begin to its end and its timeout had not passed.

--- a/tests/platform/test_soak_gateway.c
+++ b/tests/platform/test_soak_gateway.c
@@ -2,8 +2,9 @@
  * injected faults. Nodes are stopped, paused, killed and restarted; proxies
  * inject faults between nodes and servers or the store; callers keep sending
  * requests. Guards against actions that run more than once or run although
- * they were refused, streams that are incomplete or out of order, and removed
- * credentials that still work.
+ * they were refused, streams that are incomplete or out of order, answers that
+ * are cut while all servers are sound, and removed credentials that still
+ * work. Silent servers hold all work for a time and go on; they are sound.
  *
  * SOAK_SEED=N runs one seed, SOAK_SEEDS=N the first N seeds, SOAK_STEPS=N sets
  * the number of faults per seed.
@@ -22,9 +23,19 @@
 #define CALLERS 6
 #define STEPS 25
 #define STEP_US 120000
+/* Faults that leave the servers sound, after the others are cleared. */
+#define SOUND_STEPS 12
+#define SOUND_STEP_US 250000
+#define SILENCE_MIN_US 800000
+#define SILENCE_MAX_US 1800000
+/* Between two silences of a server. */
+#define SILENCE_REST_US 2000000
+#define STREAM_TIMEOUT_US 5000000
 #define PIECES PR_KEY "Camphorfall-Pieces: 1,8\r\nCamphorfall-Piece-Key: k\r\n"
 /* Seeds that failed once, each with a line on the cause. */
-static const uint64_t regressions[] = {1};
+static const uint64_t regressions[] = {
+    1, 2, /* streams of servers that were silent for a second were cut */
+};
 
 struct soak {
     struct platform_rig rig;
@@ -32,6 +43,11 @@
     struct proxy *store;
     struct rng rng;
     bool paused[PR_NODES];
+    int64_t silent_until_us[PR_SERVERS];
+    /* INT64_MAX while a server or the node may be out of order. */
+    _Atomic int64_t servers_sound_from_us;
+    _Atomic int64_t node_sound_from_us[PR_NODES];
+    _Atomic int cut;
     _Atomic int stop;
     _Atomic int request_count;
     _Atomic int served;
@@ -62,6 +78,21 @@
     }
 }
 
+/* Counts answers that ended early or did not come although the servers and the
+ * node were sound all the while. */
+static void
+check_cut(struct soak *s, int node, const char *host, int64_t begin_us)
+{
+    int64_t took_us = g_get_monotonic_time() - begin_us;
+    if (begin_us > atomic_load(&s->servers_sound_from_us) &&
+        begin_us > atomic_load(&s->node_sound_from_us[node]) &&
+        took_us < STREAM_TIMEOUT_US) {
+        g_test_message("%s at node %d: no whole answer after %d ms", host,
+                       node, (int)(took_us / 1000));
+        atomic_fetch_add(&s->cut, 1);
+    }
+}
+
 /* Sends requests to the nodes in turn. One request in four is an action; the
  * servers are queried about its id at the end. */
 static gpointer
@@ -73,11 +104,15 @@
     for (int i = c->index; !atomic_load(&s->stop); i++) {
         struct buf out = {0};
         const char *host = hosts[i % 4];
+        int64_t begin_us = g_get_monotonic_time();
         int status = platform_rig_send_request(
             &s->rig, i % PR_NODES, host,
             strcmp(host, "stream") == 0 ? PIECES : PR_KEY, &out);
         atomic_fetch_add(&s->request_count, 1);
         check_response(s, host, status, &out);
+        if (status == 0) {
+            check_cut(s, i % PR_NODES, host, begin_us);
+        }
         buf_free(&out);
         g_usleep(8000);
     }
@@ -98,12 +133,37 @@
 restart(struct soak *s, int n, int sig)
 {
     struct rig_process *p = &s->rig.nodes[n];
+    atomic_store(&s->node_sound_from_us[n], INT64_MAX);
     resume(s, n);
     proc_signal_and_wait(p->pid, sig);
     p->pid = 0;
     platform_rig_start_node(&s->rig, n);
 }
 
+/* Lets one server or all fall silent at the same moment. */
+static void
+silence(struct soak *s)
+{
+    bool all = rng_below(&s->rng, 3) == 0;
+    int one = (int)rng_below(&s->rng, PR_SERVERS);
+    int64_t silent_us =
+        SILENCE_MIN_US +
+        (int64_t)rng_below(&s->rng, SILENCE_MAX_US - SILENCE_MIN_US + 1);
+    int64_t from_us = g_get_monotonic_time() + 50000;
+    for (int i = 0; i < PR_SERVERS; i++) {
+        if ((all || i == one) &&
+            from_us > s->silent_until_us[i] + SILENCE_REST_US) {
+            char *text =
+                g_strdup_printf("{\"silent_us\":%" G_GINT64_FORMAT
+                                ",\"silent_from_us\":%" G_GINT64_FORMAT "}",
+                                (gint64)silent_us, (gint64)from_us);
+            platform_rig_post_control(&s->rig, s->rig.servers[i].port, text);
+            g_free(text);
+            s->silent_until_us[i] = from_us + silent_us;
+        }
+    }
+}
+
 static void
 fault(struct soak *s)
 {
@@ -111,7 +171,11 @@
     int e = (int)rng_below(&s->rng, PR_SERVERS);
     enum proxy_fault f = (enum proxy_fault)rng_below(&s->rng, PROXY_FAULTS);
     struct platform_rig *r = &s->rig;
-    switch (rng_below(&s->rng, 12)) {
+    int kind = (int)rng_below(&s->rng, 13);
+    if (kind >= 6 && kind != 10) {
+        atomic_store(&s->servers_sound_from_us, INT64_MAX);
+    }
+    switch (kind) {
     case 0:
         restart(s, n, SIGKILL);
         break;
@@ -123,6 +187,7 @@
             resume(s, n);
         }
         else {
+            atomic_store(&s->node_sound_from_us[n], INT64_MAX);
             kill(r->nodes[n].pid, SIGSTOP);
             s->paused[n] = true;
         }
@@ -148,12 +213,37 @@
     case 9:
         platform_rig_post_control(r, r->servers[e].port, "{\"break_at\":3}");
         break;
+    case 10:
+        silence(s);
+        break;
     default:
         proxy_set_fault(s->servers[e], f);
         break;
     }
 }
 
+static void
+fault_with_sound_servers(struct soak *s)
+{
+    int n = (int)rng_below(&s->rng, PR_NODES);
+    switch (rng_below(&s->rng, 6)) {
+    case 0:
+        restart(s, n, rng_below(&s->rng, 2) ? SIGTERM : SIGKILL);
+        platform_rig_wait_readiness(&s->rig, n, 200);
+        atomic_store(&s->node_sound_from_us[n], g_get_monotonic_time());
+        break;
+    case 1:
+        kill(s->rig.nodes[n].pid, SIGHUP);
+        break;
+    case 2:
+        proxy_reset_connections(s->store);
+        break;
+    default:
+        silence(s);
+        break;
+    }
+}
+
 static void
 clear_faults(struct soak *s)
 {
@@ -169,7 +259,9 @@
     for (int i = 0; i < PR_NODES; i++) {
         resume(s, i);
         platform_rig_wait_readiness(&s->rig, i, 200);
+        atomic_store(&s->node_sound_from_us[i], g_get_monotonic_time());
     }
+    atomic_store(&s->servers_sound_from_us, g_get_monotonic_time());
 }
 
 static void
@@ -180,6 +272,8 @@
     platform_rig_open_without_nodes(&s->rig);
     for (int i = 0; i < PR_SERVERS; i++) {
         s->servers[i] = proxy_new(s->rig.servers[i].port);
+        platform_rig_post_control(&s->rig, s->rig.servers[i].port,
+                                  "{\"event_gap_us\":50000}");
         platform_rig_register_server_at(&s->rig, i, "ready",
                                         proxy_port(s->servers[i]));
     }
@@ -212,6 +306,7 @@
                    (unsigned long long)seed, s->request_count, s->served,
                    protocol_errors);
     g_assert_cmpint(s->incomplete_streams, ==, 0);
+    g_assert_cmpint(s->cut, ==, 0);
     g_assert_cmpint(protocol_errors, ==, 0);
     g_assert_cmpint(platform_rig_count_violations(&s->rig), ==, 0);
     platform_rig_set_credentials(&s->rig, "\"key-2\"");
@@ -245,6 +340,10 @@
         fault(&s);
     }
     clear_faults(&s);
+    for (int i = 0; i < SOUND_STEPS; i++) {
+        g_usleep(SOUND_STEP_US);
+        fault_with_sound_servers(&s);
+    }
     g_usleep(STEP_US);
     atomic_store(&s.stop, 1);
     for (int i = 0; i < CALLERS; i++) {
