Stand-in: deliver nothing after bytes that a proxy has discarded

The test's proxy discards what a server sends during a one-way fault, and passed on what came after it on the same connection. TCP delivers nothing after a gap.

A connection that has lost bytes transfers no more in that direction, so the fault is as hard as before for new calls and harder for open ones.

--- a/tests/platform/proxy.c
+++ b/tests/platform/proxy.c
@@ -37,6 +37,7 @@
     struct half_connection up; /* client to target */
     struct half_connection down;
     bool silent;
+    bool lost; /* data from the target was discarded */
     bool closed;
 };
 
@@ -156,7 +157,9 @@
     }
     bool ok = fill(&p->up, now_us, delayed) && send_due_bytes(&p->up, now_us);
     ok = ok && fill(&p->down, now_us, delayed);
-    if (fault == PROXY_ONE_WAY) {
+    /* TCP delivers nothing after a gap. */
+    p->lost |= fault == PROXY_ONE_WAY && p->down.buffer.len > 0;
+    if (p->lost) {
         p->down.buffer.len = 0;
     }
     ok = ok && send_due_bytes(&p->down, now_us);
--- a/tests/platform/proxy.h
+++ b/tests/platform/proxy.h
@@ -12,7 +12,8 @@
     PROXY_PASS,
     PROXY_DELAY,   /**< data is delayed by 150 ms */
     PROXY_SILENCE, /**< connections that are open now transfer no more data */
-    PROXY_ONE_WAY, /**< data from the target is discarded */
+    PROXY_ONE_WAY, /**< data from the target is discarded; a connection that
+                      has lost some transfers no more in that direction */
     PROXY_REFUSE,  /**< new connections are closed at once */
     PROXY_FAULTS
 };
