--- a/tests/platform/fake_server.c
+++ b/tests/platform/fake_server.c
@@ -18,6 +18,8 @@
 /* From the response head to the crash; longer than the time within which
  * crashes count as one. */
 #define CRASH_DELAY_US 100000
+/* A later event is sent after a silence. */
+#define EVENT_LATE_MAX_US 400000
 /* Time for the response to the control call that announces a silence. */
 #define SILENCE_DELAY_US 20000
 
@@ -63,6 +65,7 @@
     char id[32];
     json_t *results; /* of a stage; owned */
     int64_t next;
+    int64_t next_us; /* time of the next event */
     int64_t stop;
     uint64_t timer;
 };
@@ -110,7 +113,15 @@
              sv.tag_events ? p->id : "");
     fh_stream_write(p->req, str_from_cstr(text));
     p->next++;
-    fh_add_timer(sv.h, sv.event_gap_us, next_event, p);
+    /* The times are absolute, so that late timers do not add up; after a
+     * silence the stream goes on at its pace. */
+    int64_t now_us = g_get_monotonic_time();
+    p->next_us += sv.event_gap_us;
+    if (now_us - p->next_us > EVENT_LATE_MAX_US) {
+        p->next_us = now_us + sv.event_gap_us;
+    }
+    fh_add_timer(sv.h, p->next_us > now_us ? p->next_us - now_us : 0,
+                 next_event, p);
 }
 
 static void
@@ -136,6 +147,7 @@
     struct pending *p = mem_calloc(1, sizeof(*p));
     p->req = r;
     g_strlcpy(p->id, id, sizeof(p->id));
+    p->next_us = g_get_monotonic_time();
     p->next = last ? g_ascii_strtoll(last, NULL, 10) + 1 : 0;
     p->stop = sv.break_at >= 0 ? sv.break_at : INT64_MAX;
     sv.break_at = -1;
