Probe an endpoint again that closes the probe's connection unsent

The node's log has endpoint_not_crashed probes=1 ms=0 for the first crash: the dying server had accepted the probe's connection and closed it before the node saw it. libcurl reports that as a connection that could not be made, which counted as a slow one, so as alive.

RELAY_CLOSED_UNSENT tells this from a time-out; the probe is repeated after it, as after a connection that breaks. Calls that end so are unsent as before.

--- a/src/daemon/gateway_calls.c
+++ b/src/daemon/gateway_calls.c
@@ -154,6 +154,7 @@
     switch (result) {
     case RELAY_REFUSED:
         return PROBE_REFUSED;
+    case RELAY_CLOSED_UNSENT:
     case RELAY_INCOMPLETE:
         return PROBE_BROKEN;
     case RELAY_COMPLETE:
@@ -280,6 +281,7 @@
         return CALL_END_COMPLETE;
     case RELAY_NOT_SENT:
     case RELAY_REFUSED:
+    case RELAY_CLOSED_UNSENT:
         return CALL_END_UNSENT;
     case RELAY_INVALID_RESPONSE:
         return CALL_END_MALFORMED;
--- a/src/edge/relay.c
+++ b/src/edge/relay.c
@@ -58,8 +58,9 @@
 const char *
 relay_result_name(enum relay_result r)
 {
-    static const char *const names[] = {"complete", "unsent",  "refused",
-                                        "broken",   "garbage", "timeout"};
+    static const char *const names[] = {"complete", "unsent", "refused",
+                                        "closed",   "broken", "garbage",
+                                        "timeout"};
     return names[r];
 }
 
@@ -406,6 +407,19 @@
            rc == CURLE_BAD_CONTENT_ENCODING || rc == CURLE_OUT_OF_MEMORY;
 }
 
+/* The result of a call of which nothing was sent. libcurl reports a connection
+ * that is reset before it has seen it as one that could not be made. */
+static enum relay_result
+unsent_result(CURLcode rc, long os_error)
+{
+    if (rc == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED) {
+        return RELAY_REFUSED;
+    }
+    bool closed = (rc == CURLE_COULDNT_CONNECT && os_error == ECONNRESET) ||
+                  rc == CURLE_SEND_ERROR || rc == CURLE_RECV_ERROR;
+    return closed ? RELAY_CLOSED_UNSENT : RELAY_NOT_SENT;
+}
+
 static void
 on_done(void *ctx, CURL *easy, CURLcode rc)
 {
@@ -424,9 +438,7 @@
         result = RELAY_COMPLETE;
     }
     else if (c->send_count == 0 || (sent == 0 && c->send_count < 2)) {
-        result = rc == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED
-                     ? RELAY_REFUSED
-                     : RELAY_NOT_SENT;
+        result = unsent_result(rc, os_error);
     }
     else if (rc == CURLE_OPERATION_TIMEDOUT) {
         result = RELAY_TIMEOUT;
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -35,6 +35,8 @@
     RELAY_NOT_SENT,         /**< no byte of the request was sent */
     RELAY_REFUSED,          /**< as RELAY_NOT_SENT; the endpoint refused the
                         connection */
+    RELAY_CLOSED_UNSENT,    /**< as RELAY_NOT_SENT; the endpoint accepted the
+                        connection and closed it */
     RELAY_INCOMPLETE,       /**< sent; the response is missing or incomplete */
     RELAY_INVALID_RESPONSE, /**< sent; the received bytes are not a valid
                         response, or its headers and trailers exceed
