Start with a short time for a planned stop

A node whose platform gives it 2.3 s or less to stop did not start: the default of [stop] balancer_ms, 2,300, must be below the limit. It is half of the limit now if that is shorter. Found by a developer while reading the stop. test_settings /settings/gateway has a row with limit_s = 2, which was refused before.

--- a/src/settings/gateway_settings.c
+++ b/src/settings/gateway_settings.c
@@ -4,6 +4,11 @@
 #include "base/clean.h"
 #include "settings/fields.h"
 
+/* The balancer takes a node out after two checks at an interval of one second.
+ * A node that has less time for its stop keeps half of it for open requests.
+ */
+#define BALANCER_MS 2300
+#define BALANCER_UNSET (-1)
 #define OFFSET(member) offsetof(struct gateway_settings, member)
 
 static const struct settings_field fields[] = {
@@ -23,7 +28,7 @@
     {"stop", "limit_s", FIELD_SECONDS_AS_MS, OFFSET(stop_limit_ms), 1000,
      3600000, 8000, NULL},
     {"stop", "balancer_ms", FIELD_INT, OFFSET(balancer_drain_ms), 0, 600000,
-     2300, NULL},
+     BALANCER_UNSET, NULL},
     {"bounds", "revoke_ms", FIELD_ROUNDED_INT, OFFSET(revoke_ms), 100, 3600000,
      5000, NULL},
     {"bounds", "repeat_ratio", FIELD_REAL, OFFSET(repeat_ratio), 0, 100, 200,
@@ -70,6 +75,9 @@
     check_address(&c, "metrics.address", out->metrics);
     check_address(&c, "store.address", out->store);
     check_address(&c, "link.address", out->link);
+    if (out->balancer_drain_ms == BALANCER_UNSET) {
+        out->balancer_drain_ms = MIN(BALANCER_MS, out->stop_limit_ms / 2);
+    }
     if (out->balancer_drain_ms >= out->stop_limit_ms) {
         settings_report_error(&c, "stop.balancer_ms",
                               "must be below stop.limit_s");
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -27,8 +27,9 @@
     struct str link;      /**< [link] address, "IP:PORT", for other nodes */
     struct str store;     /**< [store] address, "IP:PORT" */
     int stop_limit_ms;    /**< [stop] limit_s: time until the node must exit */
-    int balancer_drain_ms; /**< [stop] balancer_drain_ms: time until the load
-                          balancer sends no more callers */
+    int balancer_drain_ms; /**< [stop] balancer_ms: time until the load
+                          balancer sends no more callers; if it is not set,
+                          2300 or half of the limit */
     int revoke_ms; /**< [bounds] revoke_ms: time until a revoked credential
                         must be rejected */
     double repeat_ratio; /**< [bounds] repeat_ratio: repeats per request */
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -113,17 +113,21 @@
     static const struct {
         const char *bounds;
         const char *error; /* NULL: none */
-        int expected[4];   /* stop, revocation, slack, window */
+        int expected[5];   /* stop, revocation, slack, window, balancer */
     } rows[] = {
-        {"", NULL, {8000, 5000, 10, 10000}},
+        {"", NULL, {8000, 5000, 10, 10000, 2300}},
+        {"[stop]\nlimit_s=2", NULL, {2000, 5000, 10, 10000, 1000}},
+        {"[stop]\nlimit_s=2\nbalancer_ms=2000",
+         "stop.balancer_ms: must be below",
+         {0}},
         {"[stop]\nlimit_s=7\n[bounds]\nrevoke_ms=900\nrepeat_slack=33\n"
          "repeat_window_s=4\nrepeat_ratio=1",
          NULL,
-         {7000, 900, 33, 4000}},
+         {7000, 900, 33, 4000, 2300}},
         {"[stop]\nlimit_s=7.2504\n[bounds]\nrevoke_ms=4999.9\n"
          "repeat_slack=33.16\nrepeat_window_s=0.5\nrepeat_ratio=0.2",
          NULL,
-         {7250, 4999, 33, 500}},
+         {7250, 4999, 33, 500, 2300}},
         {"[stop]\nlimit_s=0.5",
          "f: stop.limit_s: must be from 1 to 3600",
          {0}},
@@ -157,6 +161,7 @@
         g_assert_cmpint(s.revoke_ms, ==, rows[i].expected[1]);
         g_assert_cmpint(s.repeat_slack, ==, rows[i].expected[2]);
         g_assert_cmpint(s.repeat_window_ms, ==, rows[i].expected[3]);
+        g_assert_cmpint(s.balancer_drain_ms, ==, rows[i].expected[4]);
     }
 }
 
