--- a/tests/feed_script.c
+++ b/tests/feed_script.c
@@ -48,10 +48,14 @@
     bool sends_era;
     bool away;
     bool rejects; /* responds with status 503 */
+    bool rejects_lists;
     struct call calls[MAX_CALLS];
     int call_count;
     struct kv_op query; /* newest of the operator's range to another node */
     bool query_open;
+    struct kv_op query_e;
+    bool query_e_open;
+    bool watcher_holds;
     int answer_version; /* of the configuration that watchers know */
     int64_t answer_age_us;
     int answer_era; /* watchers reply at once, from this era; 0: they do not */
@@ -244,6 +248,11 @@
         respond(w, c, KV_NOT_EXECUTED, (struct kv_result){.http_status = 503});
         return true;
     }
+    if (w->rejects_lists &&
+        (c->op.kind == KV_LIST || c->op.kind == KV_WATCH)) {
+        respond(w, c, KV_NOT_EXECUTED, (struct kv_result){.http_status = 503});
+        return true;
+    }
     switch (c->op.kind) {
     case KV_LIST:
         respond_list(w, c);
@@ -266,6 +275,10 @@
     if (op->via_node) {
         w->query = is_operator ? *op : w->query;
         w->query_open = w->query_open || is_operator;
+        if (str_starts_with(op->prefix, STR_LIT("e/"))) {
+            w->query_e = *op;
+            w->query_e_open = true;
+        }
         return;
     }
     g_assert_cmpint(w->call_count, <, MAX_CALLS);
@@ -304,6 +317,28 @@
         w->query_open = false;
         feed_handle_peer_reply(w->feed, w->now, &r);
     }
+    if (w->query_e_open && w->answer_era) {
+        /* the watcher passes on the newest records of e/ that the asker lacks
+         */
+        struct feed_reply r = {.correlation_id = w->query_e.id,
+                               .known = true,
+                               .era = w->answer_era,
+                               .version = w->answer_version,
+                               .revision = w->data.revision};
+        for (guint i = 0; i < w->data.changes->len; i++) {
+            const struct change *c = g_ptr_array_index(w->data.changes, i);
+            if (c->revision > w->query_e.revision &&
+                strncmp(c->key, "e/", 2) == 0) {
+                r.items[r.item_count++] = (struct feed_relay_item){
+                    str_from_cstr(c->key), str_from_cstr(c->value),
+                    c->revision, !c->value};
+            }
+        }
+        if (r.item_count) {
+            w->query_e_open = false;
+            feed_handle_peer_reply(w->feed, w->now, &r);
+        }
+    }
     struct cluster_view *v = feed_take_site(w->feed, w->now);
     if (v) {
         cluster_view_unref(w->view);
@@ -443,7 +478,12 @@
 static bool
 run_peer_step(struct world *w, const char *const *words)
 {
-    if (strcmp(words[0], "query") == 0) {
+    if (strcmp(words[0], "query-wait") == 0) {
+        struct feed_query q = {feed_query_id(atoi(words[1]), 9),
+                               FEED_RANGE_OPERATOR, atoi(words[2]), true};
+        feed_handle_peer_query(w->feed, w->now, 42, &q);
+    }
+    else if (strcmp(words[0], "query") == 0) {
         receive_query(w, words[1], words[2]);
     }
     else if (strcmp(words[0], "reply") == 0) {
@@ -452,6 +492,11 @@
     else if (strcmp(words[0], "answer") == 0) {
         receive_reply(w, words[1], words[2]);
     }
+    else if (strcmp(words[0], "no-reply") == 0) {
+        uint64_t node;
+        struct feed_reply r;
+        g_assert_false(feed_next_peer_reply(w->feed, &node, &r));
+    }
     else if (strcmp(words[0], "no-poll") == 0) {
         w->store_polls = 0;
     }
@@ -504,11 +549,17 @@
         w->away = false;
     }
     else if (strcmp(what, "back") == 0) {
-        w->away = w->rejects = false;
+        w->away = w->rejects = w->rejects_lists = false;
     }
     else if (strcmp(what, "rejects") == 0) {
         w->rejects = true;
     }
+    else if (strcmp(what, "rejects-lists") == 0) {
+        w->rejects_lists = true;
+    }
+    else if (strcmp(what, "era") == 0) {
+        w->era = atoi(argument);
+    }
     else if (strcmp(what, "without-era") == 0) {
         w->sends_era = false;
     }
--- a/tests/test_feed_era.c
+++ b/tests/test_feed_era.c
@@ -9,6 +9,10 @@
  * control/feed_share.c, and the other one does not. */
 #define WATCHER "node-15"
 #define ASKER "node-1"
+/* The store rejects the node for 300 ms three times. */
+#define FLAPS                                                                 \
+    "rejects; run 300; back; run 1300; rejects; run 300; back; run 1300; "    \
+    "rejects; run 300; back; run 1300; "
 
 static void
 run_rows(const struct feed_script *rows, size_t count)
@@ -333,6 +337,83 @@
     run_rows(rows, G_N_ELEMENTS(rows));
 }
 
+/* Guards against a node that the store rejects for a time and that does not
+ * follow the watchers then, and against holds that each failed call extends.
+ */
+static void
+test_rejected(void)
+{
+    static const struct {
+        const char *node;
+        int nodes;
+        struct feed_script script;
+    } rows[] = {
+        {ASKER,
+         30,
+         {"records while the store rejects the node",
+          "copy; put o/config 4; run 500; answer 1 4; away; run 500; "
+          "restored; put o/config 4; answer-version 4; answer-always 2; "
+          "run 3000; contact-below 1500; rejects; run 4000; "
+          "put e/one pool draining 0 1; run 10000; contact-below 1500; "
+          "unused one"}},
+        {ASKER,
+         30,
+         {"contact while the store rejects the node",
+          "copy; put o/config 4; run 500; answer 1 4; away; run 500; "
+          "restored; put o/config 4; answer-version 4; answer-always 2; "
+          "run 1500; contact-below 1500; rejects; run 9000; "
+          "contact-below 4000"}},
+        {ASKER,
+         30,
+         {"the same without a restore",
+          "copy; put o/config 4; run 500; answer 1 4; answer-version 4; "
+          "answer-always 1; run 3000; contact-below 1500; rejects; run 4000; "
+          "put e/one pool draining 0 1; run 4500; contact-below 1500; "
+          "unused one"}},
+        {"node-0",
+         1,
+         {"the store rejects the node for a moment now and then",
+          "copy; away; run 5500; restored; run 700; " FLAPS FLAPS
+          "contact-below 5000"}},
+        {"node-0",
+         1,
+         {"an endpoint is removed meanwhile",
+          "copy; away; run 2000; restored; run 700; rejects; run 300; back; "
+          "run 1300; delete e/one; " FLAPS FLAPS "unused one"}},
+        {"node-0",
+         1,
+         {"the lease of the era before was granted before the first list",
+          "copy; away; start; run 10; back; rejects-lists; run 700; away; "
+          "run 500; restored; foreign-lease; back; run 4000; "
+          "registered n/node-0"}},
+        {"node-0",
+         1,
+         {"two restores before the operator has written again",
+          "copy; put o/config 4; away; run 2200; restored; run 1500; away; "
+          "run 1400; restored; run 300; contact-above 4750"}},
+        {"node-0",
+         1,
+         {"another record at the same revision, from a store without eras",
+          "without-era; copy; put e/three pool ready 0 1; put o/config 4; "
+          "put o/config 5; run 800; used three; away; run 500; restored; "
+          "put e/three pool draining 0 1; run 7000; unused three"}},
+        {"node-0",
+         1,
+         {"the same with eras",
+          "copy; put e/three pool ready 0 1; put o/config 4; "
+          "put o/config 5; run 800; used three; away; run 500; restored; "
+          "put e/three pool draining 0 1; run 1000; unused three"}},
+        {"node-0",
+         1,
+         {"a server that is removed in the lost seconds and lives on",
+          "copy; delete e/one; run 800; unused one; away; run 500; restored; "
+          "run 8000; used one"}},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        feed_script_run(&rows[i].script, rows[i].node, rows[i].nodes);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -345,5 +426,6 @@
     g_test_add_func("/feed-era/nodes", test_nodes);
     g_test_add_func("/feed-era/contact", test_contact);
     g_test_add_func("/feed-era/without-era", test_without_era);
+    g_test_add_func("/feed-era/rejected", test_rejected);
     return g_test_run();
 }
