Do not take a record for a repeat from a store without eras

A record written again at the same revision with another content was taken for a repeat of the list, if the store names no era: the node kept using an endpoint that was draining for the 7 s of the row. Eras that a falling revision shows are counted by the node itself now. One row of /feed-era/rejected passes with it; the same with eras passed before.

--- a/src/control/feed_era.c
+++ b/src/control/feed_era.c
@@ -121,6 +121,7 @@
 static void
 start_era(struct feed *f, int64_t now_us)
 {
+    f->era_count++;
     f->routing_revision = 0;
     f->removed_hold_end_us =
         MAX(f->removed_hold_end_us, now_us + REMOVED_HOLD_US);
--- a/src/control/feed_records.c
+++ b/src/control/feed_records.c
@@ -155,7 +155,7 @@
         endpoint_record_free(&info);
         return;
     }
-    if (old && old->era == f->era && old->revision == item->revision &&
+    if (old && old->era == f->era_count && old->revision == item->revision &&
         !old->removed_us) {
         /* A list repeats the record; its cold time is running already. */
         old->seen_in_list = true;
@@ -165,7 +165,7 @@
     info.id = str_dup(id);
     struct endpoint_entry *r = mem_calloc(1, sizeof(*r));
     r->info = info;
-    r->era = f->era;
+    r->era = f->era_count;
     r->revision = item->revision;
     r->seen_in_list = true;
     r->cold_until_us = cold_until_us(f, now_us, old, &info);
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -37,7 +37,7 @@
 
 struct endpoint_entry {
     struct endpoint_record info;
-    int64_t era; /* of the revision */
+    int64_t era; /* era_count at the revision */
     int64_t revision;
     int64_t cold_until_us;
     int64_t removed_us; /* when its key was removed; 0: the key exists */
@@ -128,6 +128,8 @@
     GHashTable *suspected_until; /* hash of node -> int64_t, time in us */
     GQueue due_replies;          /* struct due_reply */
     int64_t era;                 /* newest era of the store; 0: unknown */
+    int64_t era_count;           /* eras that this node has seen begin, also
+                                    without a number */
     /* Until then, lists may lack what was written before the store came back
      * from an older copy; 0: they do not. */
     int64_t copy_end_us[FEED_RANGE_COUNT];
