Do not keep a lease of the era before the first list

A node whose lease was granted and whose lists failed until the store came back from an older copy used that lease in the new era, where its id may be another node's; ending it removes that node's registration. It asks for a new one now.

--- a/src/control/feed_era.c
+++ b/src/control/feed_era.c
@@ -183,6 +183,9 @@
               LOG_INT("before", before), LOG_INT("revision", r->revision),
               LOG_INT("http_status", r->http_status));
     if (!f->answered) {
+        if (before > 0) {
+            feed_restart_registration(f, now_us);
+        }
         if (r->era > FIRST_ERA) {
             f->copy_end_us[FEED_RANGE_OPERATOR] =
                 now_us + copy_us[FEED_RANGE_OPERATOR];
