Extend holds after a restore by the time without the store only

Each failed call of a node started the time again in which writers may write what an older copy lacks. A node that the store rejects for 300 ms every 1.6 s stayed without contact for 16.8 s, so not ready in a fleet of up to eight, and used a removed endpoint 8 s later. The time is extended by the length of the outage now, in which nobody could write.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -152,6 +152,9 @@
                   LOG_INT("http_status", r->http_status),
                   LOG_INT("contact_age_ms", contact_age_ms(rw, now_us)));
     }
+    if (!rw->failing) {
+        rw->failing_since_us = now_us;
+    }
     rw->failing = true;
     int64_t interval_us = rw->range == FEED_RANGE_NODES
                               ? NODES_PROBE_INTERVAL_US
--- a/src/control/feed_era.c
+++ b/src/control/feed_era.c
@@ -24,15 +24,18 @@
 void
 feed_extend_copy(struct feed *f, int64_t now_us, enum feed_range range)
 {
-    if (f->copy_end_us[range]) {
-        f->copy_end_us[range] = now_us + copy_us[range];
+    int64_t outage_us = now_us - f->range_watches[range].failing_since_us;
+    if (!f->copy_end_us[range]) {
+        return;
     }
+    f->copy_end_us[range] += outage_us;
     if (range == FEED_RANGE_OPERATOR && f->contact_hold_end_us) {
         f->contact_hold_end_us = f->copy_end_us[range];
     }
-    if (range == FEED_RANGE_ENDPOINTS && f->copy_end_us[range]) {
+    if (range == FEED_RANGE_ENDPOINTS) {
         f->removed_hold_end_us =
-            MAX(f->removed_hold_end_us, now_us + REMOVED_HOLD_US);
+            MIN(now_us + REMOVED_HOLD_US,
+                MAX(f->removed_hold_end_us, now_us - outage_us) + outage_us);
     }
 }
 
@@ -131,6 +134,7 @@
         feed_restart_range(rw, now_us);
         f->copy_end_us[i] = now_us + copy_us[i];
         rw->revision = 0;
+        rw->failing_since_us = now_us;
         feed_trim_cached_changes(rw, 0);
     }
     feed_drop_queries(f, now_us);
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -112,6 +112,7 @@
     size_t cached_bytes;
     int64_t cached_after;     /* all changes after this revision are cached */
     int64_t last_response_us; /* when the last result arrived; 0: never */
+    int64_t failing_since_us; /* when the first call of this era failed */
 };
 
 struct feed {
