Do not count contact with an older copy as recent at the next restore

A node that had contact between two restores, before the operator had written again, took itself for one with recent contact at the second and went on accepting credentials that the lost configuration had taken away: its contact was 2.1 s old where 5.4 s was true. Only contact after the operator's write, or after the time for it, counts.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -258,12 +258,15 @@
 }
 
 static void
-update_contact(const struct feed *f, struct range_watch *rw,
-               int64_t contact_us)
+update_contact(struct feed *f, struct range_watch *rw, int64_t contact_us)
 {
     if (contact_us >= f->contact_hold_end_us) {
         rw->contact_us = MAX(rw->contact_us, contact_us);
     }
+    if (rw->range == FEED_RANGE_OPERATOR &&
+        (!f->copy_end_us[rw->range] || f->operator_has_written)) {
+        f->sure_contact_us = rw->contact_us;
+    }
 }
 
 /* @param contact_us this node knows all writes acknowledged before this time
--- a/src/control/feed_era.c
+++ b/src/control/feed_era.c
@@ -52,8 +52,9 @@
 static void
 hold_contact(struct feed *f, int64_t now_us)
 {
-    if (now_us - feed_contact_us(f) > RECENT_CONTACT_US) {
+    if (now_us - f->sure_contact_us > RECENT_CONTACT_US) {
         f->contact_hold_end_us = f->copy_end_us[FEED_RANGE_OPERATOR];
+        f->range_watches[FEED_RANGE_OPERATOR].contact_us = f->sure_contact_us;
         f->contact_query_due = true;
         /* Watchers are skipped because they had no contact either. */
         g_hash_table_remove_all(f->suspected_until);
@@ -67,6 +68,7 @@
 {
     if (f->range_watches[FEED_RANGE_OPERATOR].watching) {
         f->contact_hold_end_us = 0;
+        f->operator_has_written = true;
     }
 }
 
@@ -125,6 +127,7 @@
 start_era(struct feed *f, int64_t now_us)
 {
     f->era_count++;
+    f->operator_has_written = false;
     f->routing_revision = 0;
     f->removed_hold_end_us =
         MAX(f->removed_hold_end_us, now_us + REMOVED_HOLD_US);
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -131,6 +131,9 @@
     int64_t era;                 /* newest era of the store; 0: unknown */
     int64_t era_count;           /* eras that this node has seen begin, also
                                     without a number */
+    bool operator_has_written;   /* a configuration, in this era */
+    int64_t sure_contact_us; /* newest contact that was not with an older copy
+                              */
     /* Until then, lists may lack what was written before the store came back
      * from an older copy; 0: they do not. */
     int64_t copy_end_us[FEED_RANGE_COUNT];
