Follow watchers after a restore while the store rejects the node

2.2 s after a restore for the operator's records, and 5 s for the others, each key range was listed once more, which only the store can do. A node that the store rejected by then no longer got changes from its watcher: it stayed ready and did not learn that endpoints drain.

What the lists and changes of the new era did not contain is dropped without a list now. One is made only if an item of the copy was ignored, or if the contact was held.

--- a/src/control/feed_era.c
+++ b/src/control/feed_era.c
@@ -95,16 +95,29 @@
     return due;
 }
 
+/* A list is made only if it is needed: a node that the store rejects gets the
+ * changes from a watcher, but no list. */
+static void
+end_copy(struct feed *f, int64_t now_us, struct range_watch *rw)
+{
+    bool held = rw->range == FEED_RANGE_OPERATOR && f->contact_hold_end_us;
+    if (rw->ignored_of_copy || held) {
+        f->contact_hold_end_us = held ? 0 : f->contact_hold_end_us;
+        feed_restart_range(rw, now_us);
+    }
+    else if (rw->watching) {
+        feed_remove_unseen(f, now_us, rw->range);
+    }
+    rw->ignored_of_copy = false;
+}
+
 void
 feed_end_copies(struct feed *f, int64_t now_us)
 {
     for (int i = 0; i < FEED_RANGE_COUNT; i++) {
         if (is_copy_due(f, i) && now_us >= f->copy_end_us[i]) {
             f->copy_end_us[i] = 0;
-            if (i == FEED_RANGE_OPERATOR) {
-                f->contact_hold_end_us = 0;
-            }
-            feed_restart_range(&f->range_watches[i], now_us);
+            end_copy(f, now_us, &f->range_watches[i]);
         }
     }
 }
@@ -137,6 +150,7 @@
         feed_restart_range(rw, now_us);
         f->copy_end_us[i] = now_us + copy_us[i];
         rw->revision = 0;
+        rw->ignored_of_copy = false;
         rw->failing_since_us = now_us;
         feed_trim_cached_changes(rw, 0);
     }
--- a/src/control/feed_records.c
+++ b/src/control/feed_records.c
@@ -146,6 +146,7 @@
         return;
     }
     if (is_outdated(f, now_us, key, old, &info)) {
+        f->range_watches[FEED_RANGE_ENDPOINTS].ignored_of_copy = true;
         LOG_EVENT(LOG_INFO, "endpoint_of_copy_ignored",
                   LOG_STR("endpoint", id), LOG_STR("address", info.address),
                   LOG_INT("revision", item->revision));
@@ -303,6 +304,7 @@
         else if (feed_is_copy_list(f, now_us, FEED_RANGE_OPERATOR) &&
                  !g_hash_table_contains(f->evacuated_zones, key)) {
             /* This node knows that the zone was taken back. */
+            f->range_watches[FEED_RANGE_OPERATOR].ignored_of_copy = true;
             LOG_EVENT(LOG_WARN, "zone_out_of_copy_ignored",
                       LOG_STR("name", name),
                       LOG_INT("revision", item->revision));
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -113,6 +113,8 @@
     int64_t cached_after;     /* all changes after this revision are cached */
     int64_t last_response_us; /* when the last result arrived; 0: never */
     int64_t failing_since_us; /* when the first call of this era failed */
+    bool ignored_of_copy;     /* an item of a list was ignored because the list
+                                 may be older than what this node knows */
 };
 
 struct feed {
