Hold queries of the new era until the watcher has listed

A watcher in a new era kept the last revision of the era before as the one from which its changes are cached, and answered queries that may wait for contact as unknown at once; two such answers make a node skip the watcher.

--- a/src/control/feed_era.c
+++ b/src/control/feed_era.c
@@ -153,6 +153,7 @@
         rw->ignored_of_copy = false;
         rw->failing_since_us = now_us;
         feed_trim_cached_changes(rw, 0);
+        rw->cached_after = 0;
     }
     feed_drop_queries(f, now_us);
     hold_contact(f, now_us);
