Pass an error on when the node stops before a repeat could end

A response with status 500 of a request that may be repeated was cancelled for a repeat, which the planned stop then refused: the caller got 502 instead of the server's answer. Found in a review by reading. test_forward_repeats /forward-repeats/error-in-stop failed before.

--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -253,7 +253,8 @@
         handle_broken_call(f, now_us, r, why);
         return;
     }
-    if (why && req_take_repeat(f, now_us, r)) {
+    if (why && !crashes_is_blocked(f, r) && !stop_refuses(f, r, now_us) &&
+        req_take_repeat(f, now_us, r)) {
         endpoint_record_failure(e, now_us, false);
         f->io.cancel_call(f->io.ctx, r->call);
         r->may_have_run = true;
--- a/tests/test_forward_repeats.c
+++ b/tests/test_forward_repeats.c
@@ -265,6 +265,30 @@
     forward_world_free(f.w);
 }
 
+/* A response with an error is passed on when the node stops before a repeat
+ * could end. */
+static void
+test_error_in_stop(void)
+{
+    struct fleet f;
+    struct fw_request_spec spec = {.host = "staged",
+                                   .caller_timeout_us = 12 * SECOND,
+                                   .prompt_tokens = 2000};
+    fleet_init(&f, 20, 50 * MS);
+    for (int i = 0; i < ENGINES; i++) {
+        f.endpoints[i].fail_next_requests = 1;
+    }
+    forward_world_send_request(f.w, 0, &spec);
+    forward_world_run_until(f.w, forward_world_now_us(f.w) + 10 * MS);
+    int64_t now_us = forward_world_now_us(f.w);
+    forward_begin_stop(forward_world_core(f.w, 0), now_us + 2 * SECOND,
+                       now_us + 7 * SECOND);
+    forward_world_run_until(f.w, now_us + 14 * SECOND);
+    g_assert_cmpint(forward_world_request(f.w, 0)->end, ==, FW_ANSWERED);
+    g_assert_cmpint(forward_world_repeats(f.w, "pool", 0, INT64_MAX), ==, 0);
+    forward_world_free(f.w);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -274,5 +298,6 @@
                     test_break_after_silences);
     g_test_add_func("/forward-repeats/too-late", test_too_late);
     g_test_add_func("/forward-repeats/stop", test_stop);
+    g_test_add_func("/forward-repeats/error-in-stop", test_error_in_stop);
     return g_test_run();
 }
