Register a new socket although its descriptor was that of a failed connection

Calls to endpoints are hit in the same way: a response, or the request itself, waits for the next time-out of libcurl (up to 500 ms, or until the call ends).

Cause: libcurl closes the socket of a connection that could not be made by itself, without the callback for closed sockets (strace: close(14) without EPOLL_CTL_DEL). Its watch stayed, marked idle. The next socket with this descriptor was taken for the same one, with the same events, so it was never added to epoll; the kernel had removed the old one. Nothing but time-outs of libcurl moved that connection.

Change: sockets are opened by a callback that drops a watch left for the descriptor. Failures of epoll_ctl are logged.

Test: /relay/after-failed-connection failed before (the call on the reused descriptor ended with result 4 after 200 ms, without epoll registration) and takes 50 ms now, the time of the server.

--- a/src/edge/curl_loop.c
+++ b/src/edge/curl_loop.c
@@ -133,6 +133,25 @@
     return close(fd);
 }
 
+/* libcurl does not call on_close for a socket whose connection failed, and the
+ * kernel removes a closed socket from epoll. Its watch must not be taken for
+ * that of a new socket with the same descriptor. */
+static curl_socket_t
+on_open(void *ctx, curlsocktype purpose, struct curl_sockaddr *address)
+{
+    struct curl_loop *c = ctx;
+    (void)purpose;
+    int fd = socket(address->family, address->socktype | SOCK_CLOEXEC,
+                    address->protocol);
+    if (fd < 0) {
+        LOG_EVENT(LOG_WARN, "socket_failed",
+                  LOG_CSTR("error", g_strerror(errno)));
+        return CURL_SOCKET_BAD;
+    }
+    remove_watch(c, fd);
+    return fd;
+}
+
 static int
 on_timer(CURLM *multi, long ms, void *ctx)
 {
@@ -230,6 +249,8 @@
     curl_easy_setopt(e, CURLOPT_FOLLOWLOCATION, 0L);
     curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http,https");
     curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(e, CURLOPT_OPENSOCKETFUNCTION, on_open);
+    curl_easy_setopt(e, CURLOPT_OPENSOCKETDATA, c);
     curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, on_close);
     curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, c);
 }
--- a/src/edge/loop.c
+++ b/src/edge/loop.c
@@ -1,5 +1,7 @@
 #include "edge/loop.h"
 
+#include <errno.h>
+#include <glib.h>
 #include <stddef.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
@@ -7,6 +9,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "base/log.h"
 #include "base/str.h"
 
 #define EVENTS_PER_WAIT 128
@@ -73,6 +76,15 @@
     free(l);
 }
 
+/* Without its registration a source gets no events. */
+static void
+log_failure(const char *event, int fd)
+{
+    int error = errno;
+    LOG_EVENT(LOG_ERROR, event, LOG_INT("fd", fd),
+              LOG_CSTR("error", g_strerror(error)));
+}
+
 struct loop_source *
 loop_add(struct loop *l, int fd, uint32_t events, loop_callback *fn, void *ctx)
 {
@@ -82,7 +94,9 @@
     s->ctx = ctx;
     LIST_INSERT_HEAD(&l->sources, s, link);
     struct epoll_event ev = {.events = events, .data.ptr = s};
-    epoll_ctl(l->fd, EPOLL_CTL_ADD, fd, &ev);
+    if (epoll_ctl(l->fd, EPOLL_CTL_ADD, fd, &ev) != 0) {
+        log_failure("epoll_add_failed", fd);
+    }
     return s;
 }
 
@@ -90,7 +104,9 @@
 loop_modify(struct loop *l, struct loop_source *s, uint32_t events)
 {
     struct epoll_event ev = {.events = events, .data.ptr = s};
-    epoll_ctl(l->fd, EPOLL_CTL_MOD, s->fd, &ev);
+    if (epoll_ctl(l->fd, EPOLL_CTL_MOD, s->fd, &ev) != 0) {
+        log_failure("epoll_modify_failed", s->fd);
+    }
 }
 
 void
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -1,5 +1,6 @@
 /* Guards against connections that are closed before the request is sent being
- * reported as if no connection had been made in time. */
+ * reported as if no connection had been made in time, and against responses
+ * that are read too late on a connection that follows a failed one. */
 #include <arpa/inet.h>
 #include <glib.h>
 #include <pthread.h>
@@ -13,20 +14,55 @@
 
 #define CALLS 200
 #define TIMEOUT_MS 2000
+#define SHORT_TIMEOUT_MS 100
+/* Connections that fill the queue of a listening socket. */
+#define QUEUED_CONNECTIONS 4
+/* The server responds after this time. */
+#define RESPONSE_DELAY_MS 50
+/* Limit on the time of a call that the server answers at once. */
+#define PROMPT_US 1000000
 
-/* Closes each connection with a reset as soon as it is made, like a process
- * that ends. */
-struct closing_server {
+struct test_server {
     int fd;
     int port;
     pthread_t thread;
     _Atomic bool stop;
 };
 
+static void
+respond_to_all(int fd)
+{
+    static const char response[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                                   "\r\nok";
+    char request[4096];
+    struct timeval wait = {5, 0};
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+    while (recv(fd, request, sizeof(request), 0) > 0) {
+        usleep(RESPONSE_DELAY_MS * 1000);
+        send(fd, response, sizeof(response) - 1, MSG_NOSIGNAL);
+    }
+    close(fd);
+}
+
+static void *
+respond_on_connections(void *arg)
+{
+    struct test_server *s = arg;
+    while (!atomic_load(&s->stop)) {
+        int fd = accept(s->fd, NULL, NULL);
+        if (fd >= 0) {
+            respond_to_all(fd);
+        }
+    }
+    return NULL;
+}
+
+/* Closes each connection with a reset as soon as it is made, like a process
+ * that ends. */
 static void *
 close_connections(void *arg)
 {
-    struct closing_server *s = arg;
+    struct test_server *s = arg;
     struct linger reset = {1, 0};
     while (!atomic_load(&s->stop)) {
         int fd = accept(s->fd, NULL, NULL);
@@ -38,25 +74,33 @@
     return NULL;
 }
 
-static void
-server_open(struct closing_server *s)
+/* @return a socket that listens on a free port */
+static int
+listen_on_port(int backlog, int *port)
 {
     struct sockaddr_in a = {.sin_family = AF_INET};
     struct timeval wait = {0, 100000};
     socklen_t len = sizeof(a);
-    memset(s, 0, sizeof(*s));
     a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    s->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    setsockopt(s->fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
-    g_assert_cmpint(bind(s->fd, (struct sockaddr *)&a, sizeof(a)), ==, 0);
-    g_assert_cmpint(listen(s->fd, 16), ==, 0);
-    getsockname(s->fd, (struct sockaddr *)&a, &len);
-    s->port = ntohs(a.sin_port);
-    pthread_create(&s->thread, NULL, close_connections, s);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+    g_assert_cmpint(bind(fd, (struct sockaddr *)&a, sizeof(a)), ==, 0);
+    g_assert_cmpint(listen(fd, backlog), ==, 0);
+    getsockname(fd, (struct sockaddr *)&a, &len);
+    *port = ntohs(a.sin_port);
+    return fd;
+}
+
+static void
+server_open(struct test_server *s, void *(*run)(void *arg))
+{
+    memset(s, 0, sizeof(*s));
+    s->fd = listen_on_port(16, &s->port);
+    pthread_create(&s->thread, NULL, run, s);
 }
 
 static void
-server_close(struct closing_server *s)
+server_close(struct test_server *s)
 {
     atomic_store(&s->stop, true);
     pthread_join(s->thread, NULL);
@@ -92,49 +136,148 @@
     *o = (struct outcome){true, result};
 }
 
+struct client {
+    struct loop *loop;
+    struct relay *relay;
+    uint64_t last_call;
+    struct outcome outcome;
+};
+
+static void
+client_open(struct client *c)
+{
+    memset(c, 0, sizeof(*c));
+    c->loop = loop_new();
+    c->relay = relay_new(c->loop, (struct relay_callbacks){
+                                      &c->outcome, on_head, on_bytes, on_end});
+}
+
+static void
+client_close(struct client *c)
+{
+    relay_free(c->relay);
+    loop_free(c->loop);
+}
+
+/* @param connect_timeout_ms also the time-out of the call */
+static enum relay_result
+client_call(struct client *c, int port, int64_t connect_timeout_ms,
+            bool new_connection)
+{
+    char address[32];
+    snprintf(address, sizeof(address), "127.0.0.1:%d", port);
+    struct relay_call call = {.id = ++c->last_call,
+                              .address = str_from_cstr(address),
+                              .method = STR_LIT("GET"),
+                              .target = STR_LIT("/"),
+                              .new_connection = new_connection,
+                              .connect_timeout_ms = connect_timeout_ms,
+                              .timeout_ms = connect_timeout_ms};
+    c->outcome.ended = false;
+    relay_start_call(c->relay, &call);
+    for (;;) {
+        relay_process_events(c->relay, loop_now_us());
+        if (c->outcome.ended) {
+            break;
+        }
+        loop_run_once(c->loop, relay_next_wakeup_us(c->relay));
+    }
+    return c->outcome.result;
+}
+
 static void
 test_closed_while_connecting(void)
 {
-    struct closing_server s;
-    struct outcome o;
+    struct test_server s;
+    struct client c;
     int counts[RELAY_TIMEOUT + 1] = {0};
-    char address[32];
-    struct loop *l = loop_new();
-    struct relay *r =
-        relay_new(l, (struct relay_callbacks){&o, on_head, on_bytes, on_end});
-    server_open(&s);
-    snprintf(address, sizeof(address), "127.0.0.1:%d", s.port);
+    client_open(&c);
+    server_open(&s, close_connections);
     for (int i = 1; i <= CALLS; i++) {
-        struct relay_call call = {.id = (uint64_t)i,
-                                  .address = str_from_cstr(address),
-                                  .method = STR_LIT("GET"),
-                                  .target = STR_LIT("/"),
-                                  .new_connection = true,
-                                  .connect_timeout_ms = TIMEOUT_MS,
-                                  .timeout_ms = TIMEOUT_MS};
-        o.ended = false;
-        relay_start_call(r, &call);
-        while (!o.ended) {
-            relay_process_events(r, loop_now_us());
-            loop_run_once(l, relay_next_wakeup_us(r));
-        }
-        counts[o.result]++;
+        counts[client_call(&c, s.port, TIMEOUT_MS, true)]++;
     }
     g_test_message("%d not sent, %d closed, %d incomplete",
                    counts[RELAY_NOT_SENT], counts[RELAY_CLOSED_UNSENT],
                    counts[RELAY_INCOMPLETE]);
     server_close(&s);
-    relay_free(r);
-    loop_free(l);
+    client_close(&c);
     g_assert_cmpint(counts[RELAY_CLOSED_UNSENT] + counts[RELAY_INCOMPLETE], ==,
                     CALLS);
 }
 
+/* @return a port on which no connection can be made: its queue is full */
+static int
+open_full_queue(int fds[QUEUED_CONNECTIONS + 1])
+{
+    int port;
+    fds[0] = listen_on_port(0, &port);
+    struct sockaddr_in a = {.sin_family = AF_INET,
+                            .sin_port = htons((uint16_t)port)};
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    for (int i = 1; i <= QUEUED_CONNECTIONS; i++) {
+        fds[i] =
+            socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        connect(fds[i], (struct sockaddr *)&a, sizeof(a));
+    }
+    return port;
+}
+
+/* Guards against a connection whose responses are noticed only at the next
+ * time-out, because its descriptor was that of a connection that failed. */
+static void
+test_after_failed_connection(void)
+{
+    enum { SILENT, REFUSED };
+    static const struct {
+        const char *name;
+        int failure;
+        bool new_connection;
+    } rows[] = {
+        {"no answer, then a new connection", SILENT, true},
+        {"no answer, then a kept connection", SILENT, false},
+        {"refused, then a new connection", REFUSED, true},
+        {"refused, then a kept connection", REFUSED, false},
+    };
+    int fds[QUEUED_CONNECTIONS + 1];
+    int refused_port;
+    int silent_port = open_full_queue(fds);
+    close(listen_on_port(16, &refused_port));
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct test_server s;
+        struct client c;
+        client_open(&c);
+        server_open(&s, respond_on_connections);
+        enum relay_result failed = client_call(
+            &c, rows[i].failure == SILENT ? silent_port : refused_port,
+            SHORT_TIMEOUT_MS, true);
+        g_assert_cmpint(failed, ==,
+                        rows[i].failure == SILENT ? RELAY_NOT_SENT
+                                                  : RELAY_REFUSED);
+        for (int k = 0; k < 2; k++) {
+            int64_t start_us = loop_now_us();
+            g_assert_cmpint(
+                client_call(&c, s.port, TIMEOUT_MS, rows[i].new_connection),
+                ==, RELAY_COMPLETE);
+            int64_t took_us = loop_now_us() - start_us;
+            g_test_message("%s: call %d took %d us", rows[i].name, k + 1,
+                           (int)took_us);
+            g_assert_cmpint(took_us, <, PROMPT_US);
+        }
+        client_close(&c);
+        server_close(&s);
+    }
+    for (int i = 0; i <= QUEUED_CONNECTIONS; i++) {
+        close(fds[i]);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/relay/closed-while-connecting",
                     test_closed_while_connecting);
+    g_test_add_func("/relay/after-failed-connection",
+                    test_after_failed_connection);
     return g_test_run();
 }
