Keep two time-outs of one call from being 1 ms apart

Cause: libcurl 7.88 loses the time-out of a transfer that is due 1 ms after another one of the same transfer (time-out of connecting 500 ms, or the 200 ms after which a second address would be tried). The call ends only when its socket has an event.

Calls to endpoints are limited to the time that is left, so they can meet either value by chance; there the deadline of the request ends the call.

Change: the limit of connecting is left out if it is within 5 ms of the limit of the call, and the time for a second address, which numeric addresses do not have, is out of reach. Both users of curl_loop set their limits by one function.

--- a/src/edge/curl_loop.c
+++ b/src/edge/curl_loop.c
@@ -21,6 +21,14 @@
 #define FRAMING_MAX_BYTES (128 * 1024)
 #define READ_PER_USED_BYTE_MAX 16
 
+/* libcurl loses a time-out that is due 1 ms after another one of the same
+ * transfer, so time-outs that are closer than this are merged. */
+#define TIMEOUT_DISTANCE_MS 5
+/* Addresses are numeric, so no second address is ever tried. */
+#define HAPPY_EYEBALLS_MS 3600000L
+/* The default of libcurl, 300 s, which is not reached. */
+#define CONNECT_TIMEOUT_DEFAULT 0L
+
 /* A socket of libcurl that is registered in the epoll loop. */
 struct socket_watch {
     struct curl_loop *owner;
@@ -244,6 +252,7 @@
 curl_loop_set_options(struct curl_loop *c, CURL *e)
 {
     curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(e, CURLOPT_HAPPY_EYEBALLS_TIMEOUT_MS, HAPPY_EYEBALLS_MS);
     curl_easy_setopt(e, CURLOPT_PROXY, "");
     curl_easy_setopt(e, CURLOPT_NOPROXY, "*");
     curl_easy_setopt(e, CURLOPT_FOLLOWLOCATION, 0L);
@@ -255,6 +264,17 @@
     curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, c);
 }
 
+void
+curl_loop_set_timeouts(CURL *e, int64_t connect_ms, int64_t total_ms)
+{
+    int64_t total = total_ms > 0 ? total_ms : 1;
+    bool limits_connecting = connect_ms + TIMEOUT_DISTANCE_MS < total;
+    curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS,
+                     limits_connecting ? (long)connect_ms
+                                       : CONNECT_TIMEOUT_DEFAULT);
+    curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)total);
+}
+
 CURLMcode
 curl_loop_add(struct curl_loop *c, CURL *easy)
 {
--- a/src/edge/curl_loop.h
+++ b/src/edge/curl_loop.h
@@ -30,6 +30,11 @@
 /** Sets the options that every transfer in this loop needs: numeric
  * addresses only, HTTP/1.1, no proxy, no redirects, no signals. */
 void curl_loop_set_options(struct curl_loop *c, CURL *easy);
+/** Sets the time limits of a transfer.
+ * @param connect_ms for connecting; not in effect if it is as long as the
+ * other
+ *  @param total_ms for the whole transfer; 1 at least */
+void curl_loop_set_timeouts(CURL *easy, int64_t connect_ms, int64_t total_ms);
 CURLMcode curl_loop_add(struct curl_loop *c, CURL *easy);
 void curl_loop_remove(struct curl_loop *c, CURL *easy);
 
--- a/src/edge/http_out.c
+++ b/src/edge/http_out.c
@@ -110,8 +110,6 @@
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, http_out_on_body);
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, http_out_on_header);
     curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
-    curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS,
-                     (long)o->opts.connect_timeout_ms);
     return e;
 }
 
@@ -129,8 +127,7 @@
     curl_easy_setopt(c->easy, CURLOPT_PREREQDATA, c);
     curl_easy_setopt(c->easy, CURLOPT_URL, url);
     curl_easy_setopt(c->easy, CURLOPT_FRESH_CONNECT, new_connection ? 1L : 0L);
-    curl_easy_setopt(c->easy, CURLOPT_TIMEOUT_MS,
-                     timeout_ms > 0 ? (long)timeout_ms : 1L);
+    curl_loop_set_timeouts(c->easy, o->opts.connect_timeout_ms, timeout_ms);
     return c;
 }
 
--- a/src/edge/relay.c
+++ b/src/edge/relay.c
@@ -295,10 +295,7 @@
     curl_easy_setopt(e, CURLOPT_PREREQDATA, c);
     curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_new_socket);
     curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, r);
-    curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS,
-                     (long)call->connect_timeout_ms);
-    curl_easy_setopt(e, CURLOPT_TIMEOUT_MS,
-                     call->timeout_ms > 0 ? (long)call->timeout_ms : 1L);
+    curl_loop_set_timeouts(e, call->connect_timeout_ms, call->timeout_ms);
     curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, MAX_REUSE_IDLE_S);
     curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, call->new_connection ? 1L : 0L);
     curl_easy_setopt(e, CURLOPT_FORBID_REUSE, call->new_connection ? 1L : 0L);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -15,6 +15,7 @@
 #define CALLS 200
 #define TIMEOUT_MS 2000
 #define SHORT_TIMEOUT_MS 100
+#define TIMEOUT_ROUNDS 6
 /* Connections that fill the queue of a listening socket. */
 #define QUEUED_CONNECTIONS 4
 /* The server responds after this time. */
@@ -271,6 +272,68 @@
     }
 }
 
+struct timed_calls {
+    int ended;
+    enum relay_result results[3];
+};
+
+static void
+on_timed_end(void *ctx, uint64_t id, enum relay_result result)
+{
+    struct timed_calls *t = ctx;
+    t->results[id - 1] = result;
+    t->ended++;
+}
+
+/* Guards against a call that never ends because the time-out of the whole call
+ * follows another one by 1 ms, which libcurl loses in one of five calls. */
+static void
+test_timeouts(void)
+{
+    static const struct {
+        int connect_ms;
+        int timeout_ms;
+    } rows[] = {{5000, 201}, {300, 301}, {300, 300}, {200, 305}};
+    int port;
+    char address[32];
+    int fd = listen_on_port(16, &port);
+    snprintf(address, sizeof(address), "127.0.0.1:%d", port);
+    for (size_t i = 0; i < TIMEOUT_ROUNDS * G_N_ELEMENTS(rows); i++) {
+        int timeout_ms = rows[i % G_N_ELEMENTS(rows)].timeout_ms;
+        struct timed_calls t = {0};
+        struct loop *l = loop_new();
+        struct relay *r = relay_new(
+            l, (struct relay_callbacks){&t, on_head, on_bytes, on_timed_end});
+        for (int k = 0; k < 3; k++) {
+            struct relay_call call = {
+                .id = (uint64_t)k + 1,
+                .address = str_from_cstr(address),
+                .method = STR_LIT("GET"),
+                .target = STR_LIT("/"),
+                .connect_timeout_ms = rows[i % G_N_ELEMENTS(rows)].connect_ms,
+                .timeout_ms = timeout_ms + 20 * k};
+            relay_start_call(r, &call);
+        }
+        int64_t end_us = loop_now_us() + timeout_ms * 1000 + PROMPT_US;
+        while (t.ended < 3 && loop_now_us() < end_us) {
+            relay_process_events(r, loop_now_us());
+            int64_t wakeup_us = relay_next_wakeup_us(r);
+            loop_run_once(l, MIN(wakeup_us, end_us));
+            relay_process_events(r, loop_now_us());
+        }
+        g_assert_cmpint(t.ended, ==, 3);
+        for (int k = 0; k < 3; k++) {
+            g_assert_cmpint(t.results[k], ==, RELAY_TIMEOUT);
+        }
+        relay_free(r);
+        loop_free(l);
+        while ((port = accept(fd, NULL, NULL)) >= 0) {
+            close(port);
+        }
+    }
+    close(fd);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -279,5 +342,6 @@
                     test_closed_while_connecting);
     g_test_add_func("/relay/after-failed-connection",
                     test_after_failed_connection);
+    g_test_add_func("/relay/time-outs", test_timeouts);
     return g_test_run();
 }
