Repeat a call to the store at once when its connection is silent

Endpoints whose records were removed got requests until they exited, 3.6 s after the store had acknowledged the removal, and the actions that ran there were lost.

Cause: a watch on a silent connection was given up after its wait and 1.5 s, and called again 0.2 to 0.6 s later, possibly on another silent connection of the pool; then the time without an answer was taken for an outage of the store, in which records of live endpoints lapse, so the removed record was held for 2.2 s more. With one store connection a watch, nothing told a dead connection from a store that does not answer.

Change: - A watch is given up 0.5 s after its wait.

/feed/turned-away: a watcher answers "unknown" when the repeat has failed too; the row now checks both steps.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -18,9 +18,9 @@
 #define WATCHER_OPERATOR_WAIT_MS 1300
 /* The timers of the store and of this node may differ by this much. */
 #define TIMER_MARGIN_US (20 * MS)
-/* The store reports changes at once and keep-alive probes end a silent
- * connection, so this limits only how often a watch without changes is
- * repeated. */
+/* The store reports changes at once, and connections that go silent together
+ * show in the operator's watch, so this limits only how often a watch without
+ * changes is repeated. */
 #define WATCHER_ENDPOINTS_WAIT_MS 4000
 /* Changes in quick succession are batched: the heartbeats of servers arrive
  * all the time, and each answered watch counts as one call to the store. */
@@ -40,8 +40,8 @@
 /* A watcher without contact holds the query, but this node tries another
  * watcher after this time. */
 #define OUTAGE_PEER_TIMEOUT_US (1400 * MS)
-/* A silent connection is detected after this time plus the slack of a call.
- * Endpoints that leave must be known within seconds. */
+/* A silent connection is detected after this time plus the slack of a watch.
+ * Endpoints that leave must be known within 2 s. */
 #define ENDPOINTS_WATCH_WAIT_MS 1500
 /* Owners that are gone are detected by their silence. If a join is seen late,
  * the limits that nodes share are too high for that time only. */
@@ -143,19 +143,58 @@
     return rw->contact_us ? (now_us - rw->contact_us) / MS : -1;
 }
 
+/* Repeats the calls of the other key ranges. Their connections are as old as
+ * one that has turned out to be silent. */
+static void
+repeat_other_calls(struct feed *f, int64_t now_us,
+                   const struct range_watch *silent)
+{
+    for (int i = 0; i < FEED_RANGE_COUNT; i++) {
+        struct range_watch *rw = &f->range_watches[i];
+        if (rw != silent && rw->busy && !rw->via_node && rw->watching &&
+            !rw->failing && !rw->retrying) {
+            rw->busy = false;
+            rw->call_id = 0;
+            rw->bypass_watcher = true;
+            rw->next_call_us = now_us;
+        }
+    }
+}
+
+/* A connection may be silent while the store responds on new ones, so the
+ * first call without a response does not count as a failure of the store. */
+static void
+retry_call(struct feed *f, int64_t now_us, struct range_watch *rw)
+{
+    LOG_EVENT(LOG_INFO, "store_call_repeated", LOG_STR("prefix", rw->prefix),
+              LOG_INT("ms", (now_us - rw->call_sent_us) / MS),
+              LOG_INT("contact_age_ms", contact_age_ms(rw, now_us)));
+    rw->retrying = true;
+    rw->failing_since_us = now_us;
+    rw->bypass_watcher = true;
+    rw->next_call_us = now_us;
+    repeat_other_calls(f, now_us, rw);
+}
+
 static void
 handle_call_failure(struct feed *f, int64_t now_us, struct range_watch *rw,
                     const struct kv_result *r)
 {
+    bool silent = r->outcome == KV_OUTCOME_UNKNOWN && r->http_status == 0;
+    if (silent && !rw->failing && !rw->retrying) {
+        retry_call(f, now_us, rw);
+        return;
+    }
     if (!rw->failing) {
         LOG_EVENT(LOG_WARN, "store_lost", LOG_STR("prefix", rw->prefix),
                   LOG_INT("http_status", r->http_status),
                   LOG_INT("contact_age_ms", contact_age_ms(rw, now_us)));
     }
-    if (!rw->failing) {
+    if (!rw->failing && !rw->retrying) {
         rw->failing_since_us = now_us;
     }
     rw->failing = true;
+    rw->retrying = false;
     int64_t interval_us = rw->range == FEED_RANGE_NODES
                               ? NODES_PROBE_INTERVAL_US
                               : PROBE_INTERVAL_US;
@@ -179,7 +218,8 @@
 handle_call_success(struct feed *f, int64_t now_us, struct range_watch *rw)
 {
     int64_t last = latest_response_us(f);
-    if (rw->failing && last && now_us - last > MIN_OUTAGE_US) {
+    bool failed = rw->failing || rw->retrying;
+    if (failed && last && now_us - last > MIN_OUTAGE_US) {
         f->outage_end_us = now_us;
     }
     if (rw->failing) {
@@ -187,12 +227,13 @@
         LOG_EVENT(LOG_INFO, "store_back", LOG_STR("prefix", rw->prefix),
                   LOG_INT("contact_age_ms", contact_age_ms(rw, now_us)));
     }
-    if (rw->range == FEED_RANGE_ENDPOINTS && rw->failing && f->outage_end_us &&
+    if (rw->range == FEED_RANGE_ENDPOINTS && failed && f->outage_end_us &&
         now_us - f->outage_end_us < REMOVED_HOLD_US) {
         f->removed_hold_end_us =
             MAX(f->removed_hold_end_us, f->outage_end_us + REMOVED_HOLD_US);
     }
     rw->failing = false;
+    rw->retrying = false;
     rw->last_response_us = now_us;
     rw->next_call_us = now_us;
 }
@@ -251,6 +292,7 @@
 {
     rw->watching = false;
     rw->busy = false;
+    rw->retrying = false;
     rw->call_id = 0;
     g_free(rw->list_after_key);
     rw->list_after_key = NULL;
@@ -316,10 +358,9 @@
     }
 }
 
-/* Stops querying a watcher for some time. The next query goes to the store for
- * two key ranges: for the operator's records, so that the contact does not age
- * while several dead watchers are tried in turn, and for the nodes, because a
- * watcher that has restarted cannot be reached before its new public key is
+/* Stops querying a watcher for some time. The next query goes to the store, so
+ * that nothing ages while several dead watchers are tried in turn, and because
+ * a watcher that has restarted cannot be reached before its new public key is
  * known. */
 static void
 suspect_watcher(struct feed *f, int64_t now_us, uint64_t node, bool failing)
@@ -328,7 +369,7 @@
     for (int i = 0; i < FEED_RANGE_COUNT; i++) {
         struct range_watch *rw = &f->range_watches[i];
         if (rw->busy && rw->via_node == node) {
-            rw->bypass_watcher = rw->range != FEED_RANGE_ENDPOINTS;
+            rw->bypass_watcher = true;
             rw->busy = false;
             rw->next_call_us = now_us;
         }
@@ -468,8 +509,9 @@
             rw->failing || (rw->via_node && rw->range == FEED_RANGE_OPERATOR &&
                             feed_take_contact_query(f));
         out->wait_ms = choose_wait_ms(f, rw, now_us);
-        out->timeout_ms =
-            rw->failing ? PROBE_TIMEOUT_MS : out->wait_ms + CALL_SLACK_MS;
+        out->timeout_ms = rw->failing || rw->retrying
+                              ? PROBE_TIMEOUT_MS
+                              : out->wait_ms + WATCH_SLACK_MS;
         rw->call_wait_us = out->wait_ms * MS;
         rw->peer_timeout_us =
             now_us + (rw->failing
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -26,6 +26,9 @@
 #define REMOVED_HOLD_US (2200 * MS)
 /* A slow store takes some hundred ms per response. */
 #define CALL_SLACK_MS 1500
+/* A watch that gets no response for this time beyond its wait is repeated on a
+ * new connection: what a silent connection hides must be known within 2 s. */
+#define WATCH_SLACK_MS 500
 
 enum lease_state {
     LEASE_NONE,
@@ -90,7 +93,8 @@
     int64_t max_wait_ms;
     bool watching; /* the current or next call is a watch, not a list */
     bool busy;     /* a call is in progress */
-    bool failing;  /* the last call failed */
+    bool failing;  /* the last two calls failed */
+    bool retrying; /* the last call got no response, so it is repeated */
     bool listed_once;
     uint64_t call_id; /* of the call in progress */
     int64_t call_sent_us;
@@ -112,7 +116,8 @@
     size_t cached_bytes;
     int64_t cached_after;     /* all changes after this revision are cached */
     int64_t last_response_us; /* when the last result arrived; 0: never */
-    int64_t failing_since_us; /* when the first call of this era failed */
+    int64_t failing_since_us; /* when the first of these calls failed, or the
+                                 era began */
     bool ignored_of_copy;     /* an item of a list was ignored because the list
                                  may be older than what this node knows */
 };
--- a/src/edge/curl_loop.c
+++ b/src/edge/curl_loop.c
@@ -314,6 +314,9 @@
 {
     if (c) {
         curl_multi_cleanup(c->multi);
+        for (guint fd = 0; fd < c->sockets->len; fd++) {
+            remove_watch(c, (curl_socket_t)fd);
+        }
         g_ptr_array_free(c->sockets, TRUE);
         free(c);
     }
--- a/tests/platform/test_gateway_store.c
+++ b/tests/platform/test_gateway_store.c
@@ -1,10 +1,11 @@
 /* Runs processes of the forwarding daemon while the store comes back from an
- * older copy. Guards against configurations that are never in force, removed
- * credentials that work again and servers that receive requests after they
- * started draining. */
+ * older copy or connections to it go silent. Guards against configurations
+ * that are never in force, removed credentials that work again and servers
+ * that receive requests after they started draining. */
 #include <glib.h>
 #include <signal.h>
 
+#include "tests/platform/proxy.h"
 #include "tests/platform/rig_platform.h"
 #include "tests/proc.h"
 
@@ -12,6 +13,9 @@
 #define KEY_3 "Camphorfall-Key: key-3\r\n"
 #define KEY_4 "Camphorfall-Key: key-4\r\n"
 #define POLL_US 25000
+/* Nodes count as connected again this long after connections went silent. */
+#define CONTACT_US 3000000
+#define SILENT_ROUNDS 3
 
 static int
 ask(struct platform_rig *r, int node, const char *headers)
@@ -136,6 +140,44 @@
     platform_rig_close(&r);
 }
 
+static void
+sleep_until(int64_t at_us)
+{
+    int64_t left_us = at_us - g_get_monotonic_time();
+    g_usleep(left_us > 0 ? (gulong)left_us : 0);
+}
+
+/* Guards against requests to a server whose record was removed while the open
+ * connections to the store transferred nothing and new ones worked. */
+static void
+test_silent_connections(void)
+{
+    struct platform_rig r;
+    platform_rig_open_without_nodes(&r);
+    struct proxy *store = proxy_new(r.store.port);
+    r.store_port = proxy_port(store);
+    platform_rig_register_servers(&r);
+    platform_rig_start_nodes(&r);
+    for (int i = 0; i < SILENT_ROUNDS; i++) {
+        g_assert_true(wait_for_all(&r, PR_KEY, 200, 2000));
+        proxy_set_fault(store, PROXY_SILENCE);
+        int64_t silent_us = g_get_monotonic_time();
+        g_usleep((gulong)(100000 + 150000 * i));
+        platform_rig_set_server_state(&r, 0, NULL);
+        proxy_set_fault(store, PROXY_PASS);
+        sleep_until(silent_us + CONTACT_US);
+        long before = platform_rig_server_stat(&r, 0, "arrivals");
+        for (int k = 0; k < 20 * PR_NODES; k++) {
+            g_assert_cmpint(ask(&r, k % PR_NODES, PR_KEY), ==, 200);
+        }
+        g_assert_cmpint(platform_rig_server_stat(&r, 0, "arrivals"), ==,
+                        before);
+        platform_rig_set_server_state(&r, 0, "ready");
+    }
+    platform_rig_close(&r);
+    proxy_free(store);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -143,5 +185,7 @@
     g_test_add_func("/gateway-store/configuration", test_configuration);
     g_test_add_func("/gateway-store/revocation", test_revocation);
     g_test_add_func("/gateway-store/draining", test_draining);
+    g_test_add_func("/gateway-store/silent-connections",
+                    test_silent_connections);
     return g_test_run();
 }
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -501,9 +501,9 @@
     g_assert_cmpint(feed_contact_us(r->f), ==, asked - 200 * MS);
 }
 
-/* A watcher without contact responds "unknown" at once to nodes that have
- * contact, and responds to nodes without contact as soon as it has contact
- * again. */
+/* A watcher without contact, whose repeated call has got no response either,
+ * responds "unknown" at once to nodes that have contact, and responds to nodes
+ * without contact as soon as it has contact again. */
 static void
 check_watcher_without_contact(struct feed_fixture *r, const struct kv_op *op)
 {
@@ -513,6 +513,13 @@
         .correlation_id = 77, .track = FEED_RANGE_OPERATOR, .revision = 10};
     give_result(r, op, KV_OUTCOME_UNKNOWN, 0, NULL, 0);
     feed_handle_peer_query(r->f, r->now, 42, &ask);
+    g_assert_false(feed_next_peer_reply(r->f, &node, &out));
+    struct kv_op repeat = take_op(r, KV_WATCH, "o/");
+    give_result(r, &repeat, KV_OUTCOME_UNKNOWN, 0, NULL, 0);
+    g_assert_true(feed_next_peer_reply(r->f, &node, &out));
+    g_assert_false(out.known);
+    ask.correlation_id = 78;
+    feed_handle_peer_query(r->f, r->now, 42, &ask);
     g_assert_true(feed_next_peer_reply(r->f, &node, &out));
     g_assert_false(out.known);
     ask.wait_for_contact = true;
@@ -554,6 +561,77 @@
     g_assert_cmpint(requesting_nodes, ==, 27);
 }
 
+/* A node that watches the store for others and knows two endpoints. */
+static void
+init_watcher(struct feed_fixture *r, int nodes)
+{
+    struct kv_item list[] = {make_item("e/one", "pool ready 0 1", 6),
+                             make_item("e/two", "pool ready 0 1", 7)};
+    for (int i = 0; i < nodes; i++) {
+        char name[16];
+        g_snprintf(name, sizeof(name), "node-%d", i);
+        fixture_init_as(r, name);
+        list_nodes(r, nodes);
+        collect_ops(r);
+        for (int k = 0; k < r->count; k++) {
+            if (r->ops[k].kind == KV_WATCH && r->ops[k].via_node == 0 &&
+                str_eq_cstr(r->ops[k].prefix, "o/")) {
+                struct kv_op op = take_op(r, KV_LIST, "e/");
+                give_result(r, &op, KV_OK, 10, list, 2);
+                g_assert_cmpint(new_site_endpoint_count(r), ==, 2);
+                return;
+            }
+        }
+        feed_free(r->f);
+    }
+    g_error("none of %d nodes watches the store", nodes);
+}
+
+/* Guards against endpoints that are used after they have left, and against an
+ * old configuration, because the node waits for a connection to the store that
+ * has gone silent. */
+static void
+test_silent_connection(void)
+{
+    static const struct {
+        const char *silent; /* range whose watch gets no response */
+        int nodes;
+        int64_t limit_ms; /* of the time until all ranges are called again */
+    } rows[] = {
+        {"o/", 0, 1700},
+        {"e/", 0, 2000},
+        {"o/", 30, 1900},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct feed_fixture r;
+        struct kv_item gone[] = {make_item("e/two", NULL, 12)};
+        if (rows[i].nodes) {
+            init_watcher(&r, rows[i].nodes);
+        }
+        else {
+            fixture_init(&r);
+            list_initial_records(&r);
+        }
+        struct kv_op op = take_op(&r, KV_WATCH, rows[i].silent);
+        g_assert_cmpuint(op.via_node, ==, 0);
+        g_assert_cmpint(op.timeout_ms, <=, rows[i].limit_ms);
+        r.now += op.timeout_ms * MS;
+        give_result(&r, &op, KV_OUTCOME_UNKNOWN, 0, NULL, 0);
+        r.count = 0;
+        op = take_op(&r, KV_WATCH, "e/");
+        g_assert_cmpuint(op.via_node, ==, 0);
+        g_assert_cmpint(op.wait_ms, <=, 1);
+        give_result(&r, &op, KV_OK, 12, gone, 1);
+        g_assert_cmpint(new_site_endpoint_count(&r), ==, 1);
+        op = take_op(&r, KV_WATCH, "o/");
+        g_assert_cmpuint(op.via_node, ==, 0);
+        g_assert_cmpint(op.wait_ms, <=, 1);
+        op = take_op(&r, KV_WATCH, "n/");
+        g_assert_cmpuint(op.via_node, ==, 0);
+        feed_free(r.f);
+    }
+}
+
 /* Limits that nodes share grow only when a node has been missing for ten
  * seconds. */
 static void
@@ -589,6 +667,7 @@
     g_test_add_func("/feed/contact", test_contact);
     g_test_add_func("/feed/compacted", test_compacted);
     g_test_add_func("/feed/outage", test_outage);
+    g_test_add_func("/feed/silent-connection", test_silent_connection);
     g_test_add_func("/feed/cold", test_restart_is_cold);
     g_test_add_func("/feed/registration", test_registration);
     g_test_add_func("/feed/shared-watch", test_shared_watch);
