Count crashes by a request content on all nodes together

Cause: each node counted the breaks of a content for itself and refused it after its own third. It looked at new requests only, so the repeats of an attempt were sent all the same. Only prompt parts of engines were blamed by all nodes.

Change: contents (route, caller, target, body and parts) are blamed by the mechanism of prompt parts, in evidence of their own: a break is followed by a probe that shows whether the endpoint has crashed; crashes, answers and blocks go to all nodes; open requests and repeats are checked too; a blocked content is tried again from time to time. Weight 3 within ten minutes blocks; the call of a request that has broken one before has weight 2, which tells it from the others at the same endpoint. The count of breaks at one node is gone: it also refused a sound content that ran on several endpoints which crashed at once (/forward-crashes/sound-content).

Builds before this one reject the messages about contents, with a log line, and use the others.

/forward/poison: its endpoints broke connections and lived; they crash now, as the test says, and the number of crashes is checked.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -764,6 +764,7 @@
         in.parts[in.part_count++] =
             (struct prompt_part){content, ask->prompt_tokens / 4};
     }
+    r->content = content;
     r->parts[0] = ask->shared_prompt_id;
     r->parts[1] = ask->second_part;
     for (int i = 0; i < 4; i++) {
--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -75,6 +75,7 @@
         *refusal_reason; /**< reason of the refusal; NULL: not refused */
     int runs;            /**< times that an endpoint ran it */
     uint64_t parts[2];   /**< its shared prompt parts; 0: none */
+    uint64_t content;
     struct buf body;
 };
 
@@ -161,6 +162,10 @@
  * connections for @p down_us. 0: no part. */
 void forward_world_set_deadly_part(struct forward_world *w, uint64_t part,
                                    int64_t down_us);
+/** An endpoint that runs a request with this content crashes before it
+ * responds, as with a deadly part. 0: no content. */
+void forward_world_set_deadly_content(struct forward_world *w,
+                                      uint64_t content, int64_t down_us);
 /** Sets the time for which an endpoint that has crashed still accepts
  * connections and closes them at once. */
 void forward_world_set_exit_time(struct forward_world *w, int64_t exit_us);
@@ -190,12 +195,12 @@
                                 const struct repeat_limit *limit);
 /** Breaks all calls at an endpoint, which stays up. */
 void forward_world_reset_connections(struct forward_world *w, int endpoint);
-/** Number of endpoints that the deadly part has crashed. */
+/** Number of endpoints that the deadly part or content has crashed. */
 int forward_world_crash_count(const struct forward_world *w);
-/** Returns when the deadly part crashed an endpoint for the n-th time, counted
- * from 0. */
+/** Returns when it crashed an endpoint for the n-th time, counted from 0. */
 int64_t forward_world_crash_us(const struct forward_world *w, int n);
-/** Number of calls with the deadly part that reached an endpoint at or after
+/** Number of calls with the deadly part or content that reached an endpoint at
+ * or after
  * @p since_us. */
 int forward_world_deadly_arrivals(const struct forward_world *w,
                                   int64_t since_us);
--- a/bench/forward_world_endpoint.c
+++ b/bench/forward_world_endpoint.c
@@ -48,6 +48,12 @@
     return ev;
 }
 
+static bool
+has_deadly_content(const struct forward_world *w, const struct fw_request *r)
+{
+    return w->deadly_content && r->content == w->deadly_content;
+}
+
 static bool
 has_deadly_part(const struct forward_world *w, const struct fw_request *r)
 {
@@ -82,6 +88,15 @@
         ev->end = CALL_END_BROKEN;
         return;
     }
+    if (has_deadly_content(w, r)) {
+        struct sim_event *crash =
+            forward_world_schedule(w, done_us, SIM_CRASH, job->node);
+        crash->endpoint = (int)(s - w->sim_endpoints);
+        crash->call = job->call;
+        ev->kind = SIM_CALL_END;
+        ev->end = CALL_END_BROKEN;
+        return;
+    }
     if (has_deadly_part(w, r)) {
         struct sim_event *crash = forward_world_schedule(
             w, done_us + FIRST_EVENT_US, SIM_CRASH, job->node);
@@ -297,8 +312,10 @@
         struct sim_arrival a = {w->now_us, job->request, e->service};
         g_array_append_val(w->arrivals, a);
     }
-    if (!job->pieces &&
-        has_deadly_part(w, forward_world_find_request(w, job->request))) {
+    const struct fw_request *request =
+        job->pieces ? NULL : forward_world_find_request(w, job->request);
+    if (request &&
+        (has_deadly_part(w, request) || has_deadly_content(w, request))) {
         g_array_append_val(w->deadly_arrivals_us, w->now_us);
     }
     if (e->other_instance) {
@@ -387,6 +404,14 @@
     w->deadly_down_us = down_us;
 }
 
+void
+forward_world_set_deadly_content(struct forward_world *w, uint64_t content,
+                                 int64_t down_us)
+{
+    w->deadly_content = content;
+    w->deadly_down_us = down_us;
+}
+
 void
 forward_world_set_exit_time(struct forward_world *w, int64_t exit_us)
 {
--- a/bench/forward_world_state.h
+++ b/bench/forward_world_state.h
@@ -138,6 +138,7 @@
     enum stage_msg_kind drop_kind;
     int drop_count; /* messages of drop_kind still to drop */
     uint64_t deadly_part;
+    uint64_t deadly_content;
     int64_t deadly_down_us;
     int64_t exit_us;
     GArray *deadly_arrivals_us; /* int64_t */
--- a/src/forward/blame.c
+++ b/src/forward/blame.c
@@ -15,14 +15,9 @@
 #define ANSWERS_MAX 4096
 #define BLOCKS_MAX 32
 /* Weight of a crash for the parts of a call with a response head and no body,
- * and for those of a call without a response, and the sum that blocks. Two
- * crashes block in the first case and four in the second; five is the number
- * after which all nodes must have stopped. */
+ * and for those of a call without a response. */
 #define WEIGHT_HEAD 2
 #define WEIGHT_NO_HEAD 1
-#define WEIGHT_BLOCKED 4
-/* Crashes older than this no longer count. */
-#define CRASH_WINDOW_US (60 * SECOND)
 /* Reports of one crash arrive within this time; an endpoint needs longer to
  * start again. */
 #define SAME_CRASH_US (2 * SECOND)
@@ -38,6 +33,19 @@
  * met it since the longest time until a trial. */
 #define BLOCK_EXPIRY_US (12 * 3600 * SECOND)
 
+struct limits {
+    int blocked_weight; /* sum of weights that blocks */
+    int64_t window_us;  /* crashes older than this no longer count */
+};
+
+/* All nodes must have stopped after five crashes by a part and after three by
+ * a content. Requests with the same part come often; the same content may come
+ * seldom. */
+static const struct limits limits[CRASH_SUBJECT_COUNT] = {
+    [CRASH_OF_PARTS] = {4, 60 * SECOND},
+    [CRASH_OF_CONTENT] = {3, 600 * SECOND},
+};
+
 /* The shared parts of a call that broke in a crash. */
 struct broken_call {
     bool head_sent;
@@ -53,6 +61,7 @@
 };
 
 struct blame {
+    const struct limits *limits;
     double spread;
     int crash_count;
     struct crash crashes[CRASHES_MAX]; /* by time */
@@ -62,9 +71,10 @@
 };
 
 struct blame *
-blame_new(double spread)
+blame_new(enum crash_subject subject, double spread)
 {
     struct blame *b = mem_calloc(1, sizeof(*b));
+    b->limits = &limits[subject];
     b->spread = spread;
     b->answers =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
@@ -191,7 +201,8 @@
 part_weight(const struct blame *b, int64_t now_us, uint64_t part,
             bool explained)
 {
-    int64_t since_us = MAX(last_answer_us(b, part), now_us - CRASH_WINDOW_US);
+    int64_t since_us =
+        MAX(last_answer_us(b, part), now_us - b->limits->window_us);
     int64_t group_us = INT64_MIN / 2;
     int group = 0;
     int sum = 0;
@@ -288,7 +299,8 @@
 common_parts(const struct blame *b, int64_t now_us, uint64_t part,
              const struct broken_call *call, struct part_block *out)
 {
-    int64_t since_us = MAX(last_answer_us(b, part), now_us - CRASH_WINDOW_US);
+    int64_t since_us =
+        MAX(last_answer_us(b, part), now_us - b->limits->window_us);
     int64_t first_us = INT64_MAX;
     out->part_count = call->part_count;
     memcpy(out->parts, call->parts, sizeof(out->parts));
@@ -330,7 +342,8 @@
     for (int i = 0; i < call->part_count; i++) {
         struct part_block next = {.last_us = c->at_us};
         int weight = part_weight(b, now_us, call->parts[i], true);
-        if (part_weight(b, now_us, call->parts[i], false) < WEIGHT_BLOCKED ||
+        if (part_weight(b, now_us, call->parts[i], false) <
+                b->limits->blocked_weight ||
             weight < best_weight) {
             continue;
         }
@@ -349,7 +362,7 @@
                 const struct part_block **blocked)
 {
     *blocked = NULL;
-    if (crash->part_count == 0 || crash->age_us >= CRASH_WINDOW_US) {
+    if (crash->part_count == 0 || crash->age_us >= b->limits->window_us) {
         return false;
     }
     int64_t at_us = now_us - crash->age_us;
--- a/src/forward/blame.h
+++ b/src/forward/blame.h
@@ -1,7 +1,8 @@
 /**
  * @file blame.h
- * Finds the prompt parts that crash endpoints, from the calls that broke when
- * endpoints crashed and from the parts that endpoints have answered. A crash
+ * Finds the prompt parts or the request contents that crash endpoints, from
+ * the calls that broke when endpoints crashed and from what endpoints have
+ * answered. A content counts as a single part. A crash
  * counts against the parts of the calls that were closest to it: those whose
  * response had a head and no body, or else those without a response. An answer
  * clears the crashes before it, so that a part that many requests share is not
@@ -26,7 +27,7 @@
 
 /** @param spread in [0, 1): differs between nodes, so that they do not try a
  * blocked part at the same time */
-struct blame *blame_new(double spread);
+struct blame *blame_new(enum crash_subject subject, double spread);
 void blame_free(struct blame *b);
 
 /** Adds a call that broke as its endpoint crashed, with its age from now.
--- a/src/forward/crashes.c
+++ b/src/forward/crashes.c
@@ -9,11 +9,11 @@
 
 /* An endpoint that has crashed refuses connections at once. */
 #define PROBE_TIMEOUT_MS 400
-/* Calls that one probe stands for; more calls of one node at an engine that
+/* Calls that one probe stands for; more calls of one node at an endpoint that
  * have no response yet are rare and add little evidence. */
 #define PROBE_MAX_CALLS 4
-/* Notices of crashes that a node accepts in a second, so that the loss of many
- * endpoints at once does not cause many messages. */
+/* Notices of crashes about one subject that a node accepts in a second, so
+ * that the loss of many endpoints at once does not cause many messages. */
 #define NOTICES_PER_S 40
 /* Answers are reported at once; an older report is not genuine. */
 #define ANSWER_MAX_AGE_US (1 * SECOND)
@@ -42,13 +42,18 @@
     struct str name;  /* owned */
     int64_t at_us;    /* when the first call broke */
     int call_count;
-    struct part_notice calls[PROBE_MAX_CALLS];
+    int notice_count;
+    struct part_notice notices[PROBE_MAX_CALLS * CRASH_SUBJECT_COUNT];
 };
 
 void
 crashes_init(struct forward *f)
 {
-    f->blame = blame_new((double)(f->self >> 11) / (double)(1ULL << 53));
+    for (int i = 0; i < CRASH_SUBJECT_COUNT; i++) {
+        f->blames[i] =
+            blame_new((enum crash_subject)i,
+                      (double)(f->self >> 11) / (double)(1ULL << 53));
+    }
     f->sync_due_us = f->probe_due_us = INT64_MAX;
 }
 
@@ -69,7 +74,9 @@
         probe_free(p);
     }
     map_free(&f->probes);
-    blame_free(f->blame);
+    for (int i = 0; i < CRASH_SUBJECT_COUNT; i++) {
+        blame_free(f->blames[i]);
+    }
 }
 
 /* Copies the ids of the parts that other requests may share: all but the last
@@ -85,6 +92,47 @@
     return n;
 }
 
+/* Lists what a request may be blamed for. @return the number of entries */
+static int
+blamed_parts(const struct forward_request *in, const struct route *route,
+             bool is_engine, enum crash_subject subject,
+             uint64_t out[PART_NOTICE_MAX_PARTS])
+{
+    switch (subject) {
+    case CRASH_OF_PARTS:
+        return is_engine ? shared_parts(in, out) : 0;
+    case CRASH_OF_CONTENT:
+        out[0] = req_content_key(in, route);
+        return 1;
+    case CRASH_SUBJECT_COUNT:
+        break;
+    }
+    return 0;
+}
+
+static struct part_block *
+find_block(const struct forward *f, const struct forward_request *in,
+           const struct route *route, bool is_engine,
+           enum crash_subject subject)
+{
+    uint64_t parts[PART_NOTICE_MAX_PARTS];
+    if (blame_block_count(f->blames[subject]) == 0) {
+        return NULL;
+    }
+    int count = blamed_parts(in, route, is_engine, subject, parts);
+    return blame_find_block(f->blames[subject], parts, count);
+}
+
+static int
+block_count(const struct forward *f)
+{
+    int count = 0;
+    for (int i = 0; i < CRASH_SUBJECT_COUNT; i++) {
+        count += blame_block_count(f->blames[i]);
+    }
+    return count;
+}
+
 static struct str
 format_parts(const uint64_t *parts, int count, char text[REQ_PARTS_TEXT_BYTES])
 {
@@ -117,9 +165,11 @@
 }
 
 static struct part_notice
-block_notice(const struct part_block *block, int64_t now_us)
+block_notice(enum crash_subject subject, const struct part_block *block,
+             int64_t now_us)
 {
-    struct part_notice n = {.kind = PART_BLOCKED,
+    struct part_notice n = {.subject = subject,
+                            .kind = PART_BLOCKED,
                             .age_us = MAX(now_us - block->last_us, 0),
                             .trials = block->trials,
                             .part_count = block->part_count};
@@ -130,16 +180,19 @@
 bool
 crashes_is_blocked(const struct forward *f, const struct request *r)
 {
-    uint64_t parts[PART_NOTICE_MAX_PARTS];
-    return !r->trial && blame_block_count(f->blame) > 0 &&
-           r->service->info.is_engine &&
-           blame_find_block(f->blame, parts, shared_parts(&r->in, parts));
+    for (int i = 0; i < CRASH_SUBJECT_COUNT && !r->trial; i++) {
+        if (find_block(f, &r->in, r->route, r->service->info.is_engine,
+                       (enum crash_subject)i)) {
+            return true;
+        }
+    }
+    return false;
 }
 
-/* Refuses the open requests with blocked parts, also those that were sent: an
- * endpoint drops a request whose connection closes. Not those whose response
- * head has come: the endpoint crashes all the same, and the break of the call
- * shows the cause. */
+/* Refuses the open requests with blocked parts or content, also those that
+ * were sent: an endpoint drops a request whose connection closes. Not those
+ * whose response head has come: the endpoint crashes all the same, and the
+ * break of the call shows the cause. */
 static void
 refuse_open_requests(struct forward *f, int64_t now_us)
 {
@@ -168,12 +221,15 @@
              const char *source)
 {
     char text[REQ_PARTS_TEXT_BYTES];
-    f->counters.parts_blocked++;
-    LOG_EVENT(LOG_WARN, "parts_blocked",
-              LOG_STR("parts", format_parts(n->parts, n->part_count, text)),
+    bool parts = n->subject == CRASH_OF_PARTS;
+    f->counters.parts_blocked += parts;
+    f->counters.contents_blocked += !parts;
+    LOG_EVENT(LOG_WARN, parts ? "parts_blocked" : "content_blocked",
+              LOG_STR(parts ? "parts" : "content",
+                      format_parts(n->parts, n->part_count, text)),
               LOG_CSTR("source", source), LOG_INT("trials", n->trials),
               LOG_INT("age_ms", n->age_us / MS),
-              LOG_INT("blocks", blame_block_count(f->blame)));
+              LOG_INT("blocks", blame_block_count(f->blames[n->subject])));
     f->sync_due_us = MIN(f->sync_due_us, now_us + SYNC_INTERVAL_US);
     flood_notice(f, n);
     refuse_open_requests(f, now_us);
@@ -181,17 +237,20 @@
 
 /* Returns whether one more notice may be accepted in this second. */
 static bool
-take_notice(struct forward *f, int64_t now_us)
+take_notice(struct forward *f, int64_t now_us, enum crash_subject subject)
 {
-    if (now_us - f->notices_since_us >= SECOND) {
-        if (f->notices_accepted > NOTICES_PER_S) {
+    int64_t *since_us = &f->crash_notices[subject].since_us;
+    int *accepted = &f->crash_notices[subject].accepted;
+    if (now_us - *since_us >= SECOND) {
+        if (*accepted > NOTICES_PER_S) {
             LOG_EVENT(LOG_WARN, "crash_notices_dropped",
-                      LOG_INT("count", f->notices_accepted - NOTICES_PER_S));
+                      LOG_INT("subject", subject),
+                      LOG_INT("count", *accepted - NOTICES_PER_S));
         }
-        f->notices_since_us = now_us;
-        f->notices_accepted = 0;
+        *since_us = now_us;
+        *accepted = 0;
     }
-    return ++f->notices_accepted <= NOTICES_PER_S;
+    return ++*accepted <= NOTICES_PER_S;
 }
 
 static void
@@ -199,12 +258,12 @@
                     const struct part_notice *n, const char *source)
 {
     const struct part_block *block;
-    if (!blame_add_crash(f->blame, now_us, n, &block)) {
+    if (!blame_add_crash(f->blames[n->subject], now_us, n, &block)) {
         return;
     }
     flood_notice(f, n);
     if (block) {
-        struct part_notice b = block_notice(block, now_us);
+        struct part_notice b = block_notice(n->subject, block, now_us);
         handle_block(f, now_us, &b, source);
     }
 }
@@ -222,36 +281,50 @@
     f->io.probe_endpoint(f->io.ctx, &probe);
 }
 
-void
-crashes_call_broken(struct forward *f, int64_t now_us, const struct request *r)
+/* Adds a call that broke to the evidence against its parts and its content. A
+ * request that has broken a call before is the likelier cause, as those beside
+ * it are others each time. */
+static void
+add_broken_call(struct crash_probe *p, const struct request *r)
 {
-    struct part_notice n = {.kind = PART_CRASHED,
-                            .endpoint = r->endpoint->hash,
-                            .head_sent = r->head_accepted};
-    n.part_count = shared_parts(&r->in, n.parts);
-    if (n.part_count == 0 || !r->service->info.is_engine ||
-        r->state != REQ_SENT) {
+    if (p->call_count == PROBE_MAX_CALLS) {
         return;
     }
+    p->call_count++;
+    for (int i = 0; i < CRASH_SUBJECT_COUNT; i++) {
+        struct part_notice *n = &p->notices[p->notice_count];
+        *n = (struct part_notice){.subject = (enum crash_subject)i,
+                                  .kind = PART_CRASHED,
+                                  .endpoint = p->endpoint,
+                                  .head_sent = r->head_accepted};
+        n->head_sent |= i == CRASH_OF_CONTENT && r->may_have_run;
+        n->part_count =
+            blamed_parts(&r->in, r->route, r->service->info.is_engine,
+                         n->subject, n->parts);
+        p->notice_count += n->part_count > 0;
+    }
+}
+
+void
+crashes_call_broken(struct forward *f, int64_t now_us, const struct request *r)
+{
     struct crash_probe *p = NULL;
     size_t at = 0;
-    while ((p = map_next(&f->probes, &at))) {
-        if (p->endpoint == n.endpoint) {
-            break;
-        }
+    if (r->state != REQ_SENT) {
+        return;
     }
-    if (p) {
-        if (p->call_count < PROBE_MAX_CALLS) {
-            p->calls[p->call_count++] = n;
+    while ((p = map_next(&f->probes, &at))) {
+        if (p->endpoint == r->endpoint->hash) {
+            add_broken_call(p, r);
+            return;
         }
-        return;
     }
     p = mem_calloc(1, sizeof(*p));
-    p->endpoint = n.endpoint;
+    p->endpoint = r->endpoint->hash;
     p->name = str_dup(r->endpoint->id);
     p->address = str_dup(r->endpoint->address);
     p->at_us = now_us;
-    p->calls[p->call_count++] = n;
+    add_broken_call(p, r);
     start_probe(f, p);
 }
 
@@ -263,10 +336,11 @@
     if (e) {
         endpoint_record_failure(e, now_us, true);
     }
-    for (int i = 0; i < p->call_count; i++) {
-        p->calls[i].age_us = now_us - p->at_us;
-        if (take_notice(f, now_us)) {
-            handle_crashed_call(f, now_us, &p->calls[i], "own");
+    for (int i = 0; i < p->notice_count; i++) {
+        struct part_notice *n = &p->notices[i];
+        n->age_us = now_us - p->at_us;
+        if (take_notice(f, now_us, n->subject)) {
+            handle_crashed_call(f, now_us, n, "own");
         }
     }
 }
@@ -318,49 +392,61 @@
     g_array_free(due, TRUE);
 }
 
-void
-crashes_response_started(struct forward *f, int64_t now_us,
-                         const struct request *r)
+static void
+record_answer(struct forward *f, int64_t now_us, const struct request *r,
+              enum crash_subject subject)
 {
     uint64_t parts[PART_NOTICE_MAX_PARTS];
-    int count = r->service->info.is_engine ? shared_parts(&r->in, parts) : 0;
-    struct part_notice n = {.kind = PART_ANSWERED};
+    int count = blamed_parts(&r->in, r->route, r->service->info.is_engine,
+                             subject, parts);
+    struct part_notice n = {.subject = subject, .kind = PART_ANSWERED};
     for (int i = 0; i < count; i++) {
-        if (blame_add_answer(f->blame, now_us, now_us, parts[i])) {
+        if (blame_add_answer(f->blames[subject], now_us, now_us, parts[i])) {
             n.parts[n.part_count++] = parts[i];
         }
     }
     if (n.part_count > 0) {
         char text[REQ_PARTS_TEXT_BYTES];
-        LOG_EVENT(LOG_INFO, "parts_cleared",
+        LOG_EVENT(LOG_INFO,
+                  subject == CRASH_OF_PARTS ? "parts_cleared"
+                                            : "content_cleared",
                   LOG_STR("parts", format_parts(n.parts, n.part_count, text)),
                   LOG_STR("request", r->in.request_id));
         flood_notice(f, &n);
     }
 }
 
+void
+crashes_response_started(struct forward *f, int64_t now_us,
+                         const struct request *r)
+{
+    record_answer(f, now_us, r, CRASH_OF_PARTS);
+}
+
+void
+crashes_request_answered(struct forward *f, int64_t now_us,
+                         const struct request *r)
+{
+    record_answer(f, now_us, r, CRASH_OF_CONTENT);
+}
+
 bool
 crashes_refuses(struct forward *f, int64_t now_us,
-                const struct forward_request *in, bool *trial)
+                const struct forward_request *in, const struct route *route,
+                bool is_engine, enum crash_subject subject, bool *trial)
 {
-    uint64_t parts[PART_NOTICE_MAX_PARTS];
-    *trial = false;
-    if (blame_block_count(f->blame) == 0) {
-        return false;
-    }
-    struct part_block *block =
-        blame_find_block(f->blame, parts, shared_parts(in, parts));
+    struct part_block *block = find_block(f, in, route, is_engine, subject);
     if (!block) {
         return false;
     }
-    if (!blame_is_trial_due(f->blame, now_us, block)) {
-        f->counters.part_refusals++;
+    if (!blame_is_trial_due(f->blames[subject], now_us, block)) {
         return true;
     }
     blame_start_trial(block, now_us);
-    struct part_notice n = block_notice(block, now_us);
-    LOG_EVENT(LOG_INFO, "parts_tried", LOG_STR("request", in->request_id),
-              LOG_INT("trials", block->trials));
+    struct part_notice n = block_notice(subject, block, now_us);
+    LOG_EVENT(
+        LOG_INFO, subject == CRASH_OF_PARTS ? "parts_tried" : "content_tried",
+        LOG_STR("request", in->request_id), LOG_INT("trials", block->trials));
     flood_notice(f, &n);
     *trial = true;
     return false;
@@ -373,22 +459,22 @@
     bool news = false;
     switch (n->kind) {
     case PART_CRASHED:
-        if (take_notice(f, now_us)) {
+        if (take_notice(f, now_us, n->subject)) {
             handle_crashed_call(f, now_us, n, "node");
         }
         break;
     case PART_ANSWERED:
         for (int i = 0; i < n->part_count && n->age_us < ANSWER_MAX_AGE_US;
              i++) {
-            news |= blame_add_answer(f->blame, now_us, now_us - n->age_us,
-                                     n->parts[i]);
+            news |= blame_add_answer(f->blames[n->subject], now_us,
+                                     now_us - n->age_us, n->parts[i]);
         }
         if (news) {
             flood_notice(f, n);
         }
         break;
     case PART_BLOCKED:
-        if (blame_add_block(f->blame, now_us, n)) {
+        if (blame_add_block(f->blames[n->subject], now_us, n)) {
             handle_block(f, now_us, n, "node");
         }
         break;
@@ -400,7 +486,7 @@
 void
 crashes_node_started(struct forward *f, int64_t now_us)
 {
-    if (blame_block_count(f->blame) > 0) {
+    if (block_count(f) > 0) {
         f->sync_due_us = now_us;
     }
 }
@@ -414,13 +500,17 @@
     if (now_us < f->sync_due_us) {
         return;
     }
-    blame_expire_blocks(f->blame, now_us);
-    int count = blame_block_count(f->blame);
-    for (int i = 0; i < count; i++) {
-        struct part_notice n = block_notice(blame_block(f->blame, i), now_us);
-        send_notice(f, &n, SYNC_OFFSETS);
+    for (int s = 0; s < CRASH_SUBJECT_COUNT; s++) {
+        struct blame *b = f->blames[s];
+        blame_expire_blocks(b, now_us);
+        for (int i = 0; i < blame_block_count(b); i++) {
+            struct part_notice n =
+                block_notice((enum crash_subject)s, blame_block(b, i), now_us);
+            send_notice(f, &n, SYNC_OFFSETS);
+        }
     }
-    f->sync_due_us = count > 0 ? now_us + SYNC_INTERVAL_US : INT64_MAX;
+    f->sync_due_us =
+        block_count(f) > 0 ? now_us + SYNC_INTERVAL_US : INT64_MAX;
 }
 
 int64_t
--- a/src/forward/crashes.h
+++ b/src/forward/crashes.h
@@ -1,9 +1,9 @@
 /**
  * @file crashes.h
- * Refuses requests whose prompt parts crash endpoints. A call that breaks
- * before its response has a body makes this node probe the endpoint; if it
- * refuses connections, the call is evidence against the prompt parts, which is
- * passed on to all nodes. Private to src/forward.
+ * Refuses requests whose prompt parts or contents crash endpoints. A call that
+ * breaks before its response has a body makes this node probe the endpoint; if
+ * it refuses connections, the call is evidence against the prompt parts and
+ * the content, which is passed on to all nodes. Private to src/forward.
  */
 #ifndef FORWARD_CRASHES_H
 #define FORWARD_CRASHES_H
@@ -20,12 +20,17 @@
 /** Handles the first byte of a successful response. */
 void crashes_response_started(struct forward *f, int64_t now_us,
                               const struct request *r);
-/** Returns whether a new request has to be refused. Lets one through from time
- * to time and sets @p trial then. */
+/** Handles the end of a whole response. */
+void crashes_request_answered(struct forward *f, int64_t now_us,
+                              const struct request *r);
+/** Returns whether a new request has to be refused for its parts or for its
+ * content. Lets one through from time to time and sets @p trial then. */
 bool crashes_refuses(struct forward *f, int64_t now_us,
-                     const struct forward_request *in, bool *trial);
-/** Returns whether the parts of an open request have been blocked since it
- * arrived. */
+                     const struct forward_request *in,
+                     const struct route *route, bool is_engine,
+                     enum crash_subject subject, bool *trial);
+/** Returns whether the parts or the content of an open request have been
+ * blocked since it arrived. */
 bool crashes_is_blocked(const struct forward *f, const struct request *r);
 void crashes_handle_notice(struct forward *f, int64_t now_us,
                            const struct part_notice *n);
@@ -36,7 +41,7 @@
 int64_t crashes_next_wakeup_us(const struct forward *f);
 
 /** Reason of a refusal. */
-#define CRASHES_REFUSAL "endpoints crash when they answer this prompt"
+#define CRASHES_REFUSAL "endpoints crash when they answer this request"
 /** Retry-After of a refusal: the parts stay blocked for much longer, and a
  * caller whose request is sound may return once answers have cleared it. */
 #define CRASHES_RETRY_MS 5000
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -12,7 +12,6 @@
  * configuration is at most this old; otherwise it may have been added since.
  */
 #define CONFIG_FRESH_US (2500 * MS)
-#define STRIKES_MAX 3
 /* A request that was not sent is refused this long before its caller
  * disconnects, so that the caller learns that it was not run. */
 #define REFUSE_EARLY_US (60 * MS)
@@ -33,8 +32,6 @@
      * and send their results for seconds after it has ended. A random start
      * avoids reusing these ids. */
     f->next_call = rng_next(&f->rng) >> 1;
-    f->strikes =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     f->self = hash64(opts->node);
     f->requests_check_us = INT64_MAX;
     f->accept_until_us = f->finish_by_us = INT64_MAX;
@@ -86,7 +83,6 @@
     map_free(&f->endpoints);
     stop_free(f);
     timers_free(&f->timers);
-    g_hash_table_destroy(f->strikes);
     cluster_view_unref(f->cluster_view);
     str_free(&f->opts.zone);
     free(f);
@@ -301,15 +297,6 @@
     return route->target_count > 0 ? route->targets[0].service : -1;
 }
 
-static bool
-is_quarantined(struct forward *f, int64_t now_us,
-               const struct forward_request *in, const struct route *route)
-{
-    uint64_t key = req_strike_key(in, route);
-    const struct strike *s = g_hash_table_lookup(f->strikes, &key);
-    return s && s->count >= STRIKES_MAX && now_us < s->until_us;
-}
-
 static struct request *
 request_new(struct forward *f, int64_t now_us,
             const struct forward_request *in, const struct route *route,
@@ -369,20 +356,24 @@
                    RETRY_AFTER_MS);
         return;
     }
-    if (is_quarantined(f, now_us, in, route)) {
+    bool trial = false;
+    bool is_engine =
+        routing_service(f->cluster_view->routing, target)->is_engine;
+    if (crashes_refuses(f, now_us, in, route, is_engine, CRASH_OF_PARTS,
+                        &trial)) {
+        f->counters.part_refusals++;
+        refuse_new(f, in, ERRKIND_NO_ENDPOINT, CRASHES_REFUSAL, 0,
+                   CRASHES_RETRY_MS);
+        return;
+    }
+    if (crashes_refuses(f, now_us, in, route, is_engine, CRASH_OF_CONTENT,
+                        &trial)) {
         f->counters.poisonous++;
         refuse_new(f, in, ERRKIND_QUARANTINED,
                    "endpoints crashed while running this request", 0,
                    RETRY_AFTER_MS);
         return;
     }
-    bool trial = false;
-    if (routing_service(f->cluster_view->routing, target)->is_engine &&
-        crashes_refuses(f, now_us, in, &trial)) {
-        refuse_new(f, in, ERRKIND_NO_ENDPOINT, CRASHES_REFUSAL, 0,
-                   CRASHES_RETRY_MS);
-        return;
-    }
     struct request *r = request_new(f, now_us, in, route, team);
     r->trial = trial;
     r->service = map_get(
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -24,7 +24,6 @@
 #define MAX_INPUTS 512
 #define CONNECT_US (3 * MS)
 #define FIRST_TOKEN_US (25 * MS)
-#define STRIKE_EXPIRY_US (120 * SECOND)
 
 bool
 req_is_repeatable(const struct request *r)
@@ -378,27 +377,15 @@
     free(list);
 }
 
-/* Strikes of requests that were running when endpoints crashed */
-
 uint64_t
-req_strike_key(const struct forward_request *in, const struct route *route)
+req_content_key(const struct forward_request *in, const struct route *route)
 {
-    return in->content.lo ^ hash64(route->name);
-}
-
-void
-req_add_strike(struct forward *f, int64_t now_us, const struct request *r)
-{
-    uint64_t key = req_strike_key(&r->in, r->route);
-    struct strike *s = g_hash_table_lookup(f->strikes, &key);
-    if (!s) {
-        uint64_t *copy = g_new(uint64_t, 1);
-        *copy = key;
-        s = g_new0(struct strike, 1);
-        g_hash_table_insert(f->strikes, copy, s);
-    }
-    s->count++;
-    s->until_us = now_us + STRIKE_EXPIRY_US;
+    uint64_t key = in->content.lo ^ hash64(route->name);
+    for (int i = 0; i < in->part_count; i++) {
+        uint64_t pair[2] = {key, in->parts[i].id};
+        key = hash64(str_from_bytes((const char *)pair, sizeof(pair)));
+    }
+    return key;
 }
 
 /* Logs why a request is not sent again. @return false */
--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -423,8 +423,7 @@
     f->io.finish_response(f->io.ctx, r->id);
     f->counters.answers++;
     stop_record_call(f, r, now_us);
-    uint64_t key = req_strike_key(&r->in, r->route);
-    g_hash_table_remove(f->strikes, &key);
+    crashes_request_answered(f, now_us, r);
     hist_add(&f->latency, now_us - r->arrived_us);
     req_log_outcome(r, now_us, "answered", "whole");
     req_free(f, r);
@@ -464,10 +463,6 @@
     case CALL_END_BROKEN:
     case CALL_END_TIMED_OUT:
         endpoint_record_failure(e, now_us, false);
-        if (now_us < r->deadline_us &&
-            (!r->head_accepted || req_is_stream(r))) {
-            req_add_strike(f, now_us, r);
-        }
         crashes_call_broken(f, now_us, r);
         handle_broken_call(f, now_us, r,
                            "the connection to the endpoint broke");
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -48,7 +48,8 @@
     X(poisonous, "requests refused since they crash endpoints")               \
     X(part_refusals,                                                          \
       "requests refused since a prompt part crashes endpoints")               \
-    X(parts_blocked, "prompt parts that were blocked")
+    X(parts_blocked, "prompt parts that were blocked")                        \
+    X(contents_blocked, "request contents that were blocked")
 
 enum req_state {
     REQ_RUNNING_STAGES, /* its stages are running */
@@ -182,12 +183,6 @@
     int waiting_cap;
 };
 
-/* Crash count of a request content that was running when endpoints crashed. */
-struct strike {
-    int count;
-    int64_t until_us;
-};
-
 struct forward {
     struct forward_options opts;
     struct forward_io io;
@@ -221,16 +216,17 @@
     struct map durations;    /* hash of a route's name -> struct
                                 call_duration */
     bool dispatch_needed;    /* pieces or waiting requests may be sendable */
-    GHashTable *strikes;     /* req_strike_key -> struct strike */
-    struct blame *blame;
-    struct map probes;        /* call -> struct crash_probe */
-    int64_t probe_due_us;     /* next repeated probe; INT64_MAX: none */
-    int64_t sync_due_us;      /* next repetition of the blocks; INT64_MAX: none
-                               */
-    int64_t notices_since_us; /* start of the second of notices_accepted */
-    int notices_accepted;     /* notices of crashes */
-    struct hist latency;      /* until the complete response, us */
-    struct hist first_byte;   /* until the first byte, us */
+    struct blame *blames[CRASH_SUBJECT_COUNT];
+    struct map probes;    /* call -> struct crash_probe */
+    int64_t probe_due_us; /* next repeated probe; INT64_MAX: none */
+    int64_t sync_due_us;  /* next repetition of the blocks; INT64_MAX: none
+                           */
+    struct {
+        int64_t since_us; /* start of the second of the number */
+        int accepted;
+    } crash_notices[CRASH_SUBJECT_COUNT];
+    struct hist latency;    /* until the complete response, us */
+    struct hist first_byte; /* until the first byte, us */
 #define X(id, help) uint64_t id;
     struct {
         FORWARD_COUNTER_LIST(X)
@@ -257,15 +253,12 @@
 /** As req_take_repeat, for a request that arrived at an endpoint and was
  * rejected without being run, which may be sent again in any case. */
 bool req_take_resend(struct forward *f, int64_t now_us, struct request *r);
-/** Counts a crash against the content of a request. */
-void req_add_strike(struct forward *f, int64_t now_us,
-                    const struct request *r);
 void req_log_outcome(const struct request *r, int64_t now_us,
                      const char *event, const char *why);
-/** Returns the key of a request in f->strikes, made of the low half of the
- * content's digest and the route. */
-uint64_t req_strike_key(const struct forward_request *in,
-                        const struct route *route);
+/** Returns the key of a request's content, made of the low half of the
+ * content's digest, the route and the prompt parts, which a header names. */
+uint64_t req_content_key(const struct forward_request *in,
+                         const struct route *route);
 /** Size of a text that holds the ids of all prompt parts of a request. */
 #define REQ_PARTS_TEXT_BYTES (FORWARD_MAX_PARTS * 17 + 1)
 /** Writes the hexadecimal ids of the prompt parts, separated by commas.
--- a/src/wire/msg.c
+++ b/src/wire/msg.c
@@ -341,10 +341,15 @@
     }
 }
 
+/* The kinds of notices of contents follow those of parts, so a build that
+ * knows only these rejects them. */
 static void
 io_part_notice(struct io *io, struct part_notice *b)
 {
-    IO_ENUM(io, b->kind, PART_NOTICE_KIND_COUNT);
+    int kind = (int)b->subject * PART_NOTICE_KIND_COUNT + (int)b->kind;
+    io_int(io, &kind, CRASH_SUBJECT_COUNT * PART_NOTICE_KIND_COUNT - 1);
+    b->subject = (enum crash_subject)(kind / PART_NOTICE_KIND_COUNT);
+    b->kind = (enum part_notice_kind)(kind % PART_NOTICE_KIND_COUNT);
     io_i64(io, &b->age_us, DURATION_MAX_US);
     io_u64(io, &b->endpoint);
     io_bool(io, &b->head_sent);
--- a/tests/test_blame.c
+++ b/tests/test_blame.c
@@ -144,7 +144,7 @@
 test_blocks(void)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-        struct blame *b = blame_new(0);
+        struct blame *b = blame_new(CRASH_OF_PARTS, 0);
         int64_t now_us = 0;
         char **steps = g_strsplit(rows[i].steps, " ", 0);
         for (char **s = steps; *s; s++) {
@@ -163,7 +163,7 @@
 static void
 test_bounds(void)
 {
-    struct blame *b = blame_new(0.5);
+    struct blame *b = blame_new(CRASH_OF_PARTS, 0.5);
     const struct part_block *block;
     for (int i = 0; i < 20000; i++) {
         int64_t now_us = i * 10 * MS;
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -991,11 +991,12 @@
     struct fw_request_spec ask = {
         .host = "action", .caller_timeout_us = 1500 * MS, .content = 99};
     int runs = 0;
+    forward_world_set_deadly_content(r.w, ask.content, 500 * MS);
     for (int i = 0; i < 8; i++) {
-        r.e[2].break_next_requests = r.e[3].break_next_requests = 1;
         runs += submit(&r, &ask)->runs;
     }
     g_assert_cmpint(runs, <=, 3);
+    g_assert_cmpint(forward_world_crash_count(r.w), ==, runs);
     forward_world_free(r.w);
 }
 
--- a/tests/test_forward_crashes.c
+++ b/tests/test_forward_crashes.c
@@ -1,6 +1,6 @@
-/* Guards against prompt parts that crash one endpoint after the other, and
- * against sound requests that are refused because they were running beside
- * such a part or share another part with it. */
+/* Guards against prompt parts and request contents that crash one endpoint
+ * after the other, and against sound requests that are refused because they
+ * were running beside such a request or share another part with it. */
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -31,8 +31,15 @@
                                       .timeout_us = 8 * SECOND,
                                       .target_us = 1 * SECOND};
 
+#define DEADLY_CONTENT 13
+/* Crashes by a content after which all nodes must act in the same time. */
+#define CONTENT_CRASHES_KNOWN 3
+
+static const struct fw_service plain_service = {.name = "desk"};
+
 struct fleet {
     struct forward_world *w;
+    struct fw_route check; /* of the plain service */
     int nodes;
     struct fw_endpoint endpoints[ENGINES_MAX];
     char ids[ENGINES_MAX][24];
@@ -333,6 +340,151 @@
     forward_world_free(f.w);
 }
 
+static void
+plain_fleet_init(struct fleet *f, int nodes, int servers, int attempts,
+                 uint64_t seed)
+{
+    static const char *const zones[] = {"a", "b", "c"};
+    memset(f, 0, sizeof(*f));
+    f->check = (struct fw_route){.host = "check",
+                                 .service = "desk",
+                                 .kind = REPEAT_IDEMPOTENT,
+                                 .max_attempts = attempts,
+                                 .timeout_us = 2 * SECOND,
+                                 .target_us = 200 * MS};
+    f->nodes = nodes;
+    rng_seed(&f->rng, seed);
+    for (int i = 0; i < servers; i++) {
+        snprintf(f->ids[i], sizeof(f->ids[i]), "desk-%d", i);
+        f->endpoints[i] = (struct fw_endpoint){.id = f->ids[i],
+                                               .service = "desk",
+                                               .zone = zones[i % 3],
+                                               .slots = 8,
+                                               .queue = 20,
+                                               .work_us = 40 * MS};
+    }
+    f->w = forward_world_new(nodes, &plain_service, 1, &f->check, 1,
+                             f->endpoints, servers, seed);
+}
+
+static int
+send_plain(struct fleet *f, int node, uint64_t content)
+{
+    const struct fw_request_spec spec = {
+        .host = "check", .caller_timeout_us = 1500 * MS, .content = content};
+    return forward_world_send_request(f->w, node, &spec);
+}
+
+/* Guards against a content that crashes endpoints through each node in turn,
+ * since each counts its crashes alone, and through the repeats of an attempt.
+ */
+static void
+test_content(void)
+{
+    static const struct {
+        const char *title;
+        int nodes;
+        int servers;
+        int attempts;
+        int interval_ms;     /* between two deadly requests */
+        int caller_retry_ms; /* until a caller sends again; -1: never */
+        uint64_t sound;      /* content of all other requests; 0: all differ */
+    } rows[] = {
+        {"each 2.5 s, repeated by the caller", 5, 9, 2, 2500, 100, 0},
+        {"the caller repeats at once", 5, 9, 2, 4000, 0, 0},
+        {"three attempts, the caller repeats at once", 5, 9, 3, 4000, 0, 0},
+        {"one attempt", 5, 9, 1, 4000, -1, 0},
+        {"seldom", 5, 9, 2, 70000, -1, 0},
+        {"others have one content", 5, 9, 2, 2500, 100, 14},
+        {"25 nodes", 25, 30, 2, 1500, 100, 0},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct fleet f;
+        int asked = 0;
+        int refused = 0;
+        plain_fleet_init(&f, rows[i].nodes, rows[i].servers, rows[i].attempts,
+                         41 + i);
+        forward_world_set_deadly_content(f.w, DEADLY_CONTENT, DOWN_US);
+        int64_t end_us =
+            forward_world_now_us(f.w) + 12LL * rows[i].interval_ms * MS;
+        int64_t next_us = forward_world_now_us(f.w) + SECOND;
+        int again = -1; /* the deadly request that its caller may repeat */
+        int64_t again_us = 0;
+        while (forward_world_now_us(f.w) < end_us) {
+            int64_t now_us = forward_world_now_us(f.w);
+            if (now_us >= next_us) {
+                again = send_plain(&f, asked++ % f.nodes, DEADLY_CONTENT);
+                next_us = now_us + rows[i].interval_ms * MS;
+                again_us = 0;
+            }
+            const struct fw_request *r =
+                again >= 0 ? forward_world_request(f.w, again) : NULL;
+            if (r && r->end == FW_FAILED && rows[i].caller_retry_ms >= 0) {
+                again_us = r->end_us + rows[i].caller_retry_ms * MS;
+                again = -1;
+            }
+            if (again_us && now_us >= again_us) {
+                send_plain(&f, asked++ % f.nodes, DEADLY_CONTENT);
+                again_us = 0;
+            }
+            send_plain(&f, (int)(rng_uniform(&f.rng) * f.nodes),
+                       rows[i].sound);
+            forward_world_run_until(f.w, now_us + 10 * MS);
+        }
+        for (int k = 0; k < forward_world_request_count(f.w); k++) {
+            const struct fw_request *r = forward_world_request(f.w, k);
+            refused += r->content != DEADLY_CONTENT && r->end == FW_REFUSED;
+        }
+        int crashes = forward_world_crash_count(f.w);
+        int late =
+            crashes < CONTENT_CRASHES_KNOWN
+                ? 0
+                : forward_world_deadly_arrivals(
+                      f.w,
+                      forward_world_crash_us(f.w, CONTENT_CRASHES_KNOWN - 1) +
+                          CONTACT_US);
+        g_test_message("%s: %d deadly requests, %d crashes, %d late sends, "
+                       "%d other requests refused",
+                       rows[i].title, asked, crashes, late, refused);
+        g_assert_cmpint(late, <=, LATE_SENDS_MAX);
+        g_assert_cmpint(refused, ==, 0);
+        forward_world_free(f.w);
+    }
+}
+
+/* Guards against a content that is refused because it runs everywhere when
+ * endpoints crash for another reason. */
+static void
+test_sound_content(void)
+{
+    struct fleet f;
+    int answered = 0;
+    plain_fleet_init(&f, 5, 24, 2, 61);
+    for (int i = 0; i < 24; i++) {
+        f.endpoints[i].work_us = 300 * MS;
+    }
+    for (int i = 0; i < 2000; i++) {
+        int64_t now_us = forward_world_now_us(f.w);
+        send_plain(&f, i % f.nodes, 14);
+        for (int k = 0; i % 200 == 100 && k < 8; k++) {
+            forward_world_crash_endpoint(f.w, (i / 200 + 3 * k) % 24,
+                                         2 * SECOND);
+        }
+        forward_world_run_until(f.w, now_us + 10 * MS);
+    }
+    forward_world_run_until(f.w, forward_world_now_us(f.w) + 3 * SECOND);
+    for (int i = 0; i < forward_world_request_count(f.w); i++) {
+        const struct fw_request *r = forward_world_request(f.w, i);
+        g_assert_true(!r->refusal_reason ||
+                      !strstr(r->refusal_reason, "crash"));
+        answered += r->end == FW_ANSWERED;
+    }
+    g_test_message("%d of %d answered", answered,
+                   forward_world_request_count(f.w));
+    g_assert_cmpint(answered, >=, forward_world_request_count(f.w) * 9 / 10);
+    forward_world_free(f.w);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -345,5 +497,7 @@
     g_test_add_func("/forward-crashes/other-crashes", test_other_crashes);
     g_test_add_func("/forward-crashes/tried-again", test_tried_again);
     g_test_add_func("/forward-crashes/truthful", test_truthful);
+    g_test_add_func("/forward-crashes/content", test_content);
+    g_test_add_func("/forward-crashes/sound-content", test_sound_content);
     return g_test_run();
 }
