End the hold of removed endpoints before a node counts as connected again

Cause: after a call without an answer, which has itself lasted 0.5 s at least, the next one was made 0.2 to 0.6 s later, and the other ranges waited for their own turn once the operator's range was answered.

Change: 75 to 225 ms after a call without an answer, as before after a rejection, which costs the store a call. The other ranges are called as soon as the operator's is answered.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -52,6 +52,10 @@
 #define PROBE_WAIT_MS 1
 #define PROBE_TIMEOUT_MS 700
 #define PROBE_INTERVAL_US (400 * MS)
+/* A call that gets no answer has lasted long enough itself. The return of the
+ * store must be noticed within 0.8 s: removed records stay in effect for 2.2 s
+ * from then, and must not when this node counts as connected, after 3 s. */
+#define PROBE_SILENT_INTERVAL_US (150 * MS)
 /* The list of nodes may be older than the other data. It is queried at this
  * interval while its calls fail and those for the operator's records do not.
  */
@@ -195,14 +199,28 @@
     }
     rw->failing = true;
     rw->retrying = false;
-    int64_t interval_us = rw->range == FEED_RANGE_NODES
-                              ? NODES_PROBE_INTERVAL_US
-                              : PROBE_INTERVAL_US;
+    int64_t interval_us =
+        silent ? PROBE_SILENT_INTERVAL_US : PROBE_INTERVAL_US;
+    if (rw->range == FEED_RANGE_NODES) {
+        interval_us = NODES_PROBE_INTERVAL_US;
+    }
     rw->next_call_us = now_us + interval_us / 2 +
                        (int64_t)rng_below(&f->rng, (uint64_t)interval_us);
     feed_reject_queries(f, now_us, rw);
 }
 
+/* The store is back, which the operator's range detects for all ranges. */
+static void
+call_failing_ranges(struct feed *f, int64_t now_us)
+{
+    for (int i = 0; i < FEED_RANGE_COUNT; i++) {
+        struct range_watch *rw = &f->range_watches[i];
+        if (rw->failing && !rw->busy) {
+            rw->next_call_us = now_us;
+        }
+    }
+}
+
 /* Time of the newest response for any key range. */
 static int64_t
 latest_response_us(const struct feed *f)
@@ -222,6 +240,9 @@
     if (failed && last && now_us - last > MIN_OUTAGE_US) {
         f->outage_end_us = now_us;
     }
+    if (rw->failing && rw->range == FEED_RANGE_OPERATOR) {
+        call_failing_ranges(f, now_us);
+    }
     if (rw->failing) {
         feed_extend_copy(f, now_us, rw->range);
         LOG_EVENT(LOG_INFO, "store_back", LOG_STR("prefix", rw->prefix),
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -250,6 +250,73 @@
     feed_free(r.f);
 }
 
+/* Runs a node whose calls to the store get no connection until @p cut_end_us.
+ * From then on they are answered at once, and one endpoint is gone.
+ * @return when the endpoint was no longer in use */
+static int64_t
+run_cut(struct feed_fixture *r, int64_t cut_end_us)
+{
+    const int64_t connect_timeout_us = 500 * MS;
+    const struct kv_item gone[] = {make_item("e/two", NULL, 50)};
+    int64_t ends_us[MAX_PENDING_OPS];
+    bool answered[MAX_PENDING_OPS];
+    int known = 0;
+    for (;;) {
+        collect_ops(r);
+        for (int i = known; i < r->count; i++) {
+            answered[i] = r->now >= cut_end_us;
+            ends_us[i] = r->now + (answered[i] ? MS : connect_timeout_us);
+        }
+        known = r->count;
+        if (new_site_endpoint_count(r) == 1) {
+            return r->now;
+        }
+        int first = 0;
+        for (int i = 1; i < r->count; i++) {
+            first = ends_us[i] < ends_us[first] ? i : first;
+        }
+        int64_t wakeup_us = feed_next_wakeup_us(r->f);
+        if (r->count == 0 || wakeup_us < ends_us[first]) {
+            r->now = MAX(r->now, wakeup_us);
+            continue;
+        }
+        struct kv_op op = r->ops[first];
+        bool in_touch = answered[first];
+        r->now = MAX(r->now, ends_us[first]);
+        known = --r->count;
+        r->ops[first] = r->ops[r->count];
+        answered[first] = answered[r->count];
+        ends_us[first] = ends_us[r->count];
+        bool news =
+            in_touch && op.revision < 50 && str_eq_cstr(op.prefix, "e/");
+        give_result(r, &op, in_touch ? KV_OK : KV_OUTCOME_UNKNOWN, 50, gone,
+                    news);
+    }
+}
+
+/* Guards against endpoints that have left and are still used when the node
+ * counts as connected again: records that were removed while it was cut off
+ * stay in effect from the time at which it notices that it no longer is. */
+static void
+test_end_of_cut(void)
+{
+    const int64_t connected_us = 3 * SECOND;
+    for (int i = 0; i < 400; i++) {
+        struct feed_fixture r;
+        fixture_init(&r);
+        feed_free(r.f);
+        r.f = feed_new(&feed_text_codec, STR_LIT("node-0"),
+                       STR_LIT("tcp://x key"), (uint64_t)i);
+        list_initial_records(&r);
+        int64_t cut_end_us = r.now + 6 * SECOND + i * 7 * MS;
+        int64_t unused_us = run_cut(&r, cut_end_us);
+        /* An outage of the store looks the same. */
+        g_assert_cmpint(unused_us, >=, cut_end_us + 2 * SECOND);
+        g_assert_cmpint(unused_us, <=, cut_end_us + connected_us);
+        feed_free(r.f);
+    }
+}
+
 /* An endpoint that starts after the first list is cold for the cold time of
  * its service. */
 static void
@@ -668,6 +735,7 @@
     g_test_add_func("/feed/compacted", test_compacted);
     g_test_add_func("/feed/outage", test_outage);
     g_test_add_func("/feed/silent-connection", test_silent_connection);
+    g_test_add_func("/feed/end-of-cut", test_end_of_cut);
     g_test_add_func("/feed/cold", test_restart_is_cold);
     g_test_add_func("/feed/registration", test_registration);
     g_test_add_func("/feed/shared-watch", test_shared_watch);
