Limit the memory of many answers without end

Cause: the limit on all buffered answers together (16 MiB) was looked at only when the current one had 512 KiB. Below that, each caller added half a megabyte and more, and the buffers grow by doubling.

Change: answers of 32 KiB and more count, and are counted whenever one of them grows; beyond the limit the largest is given up rather than the current one, since answers of working servers are the smaller ones.

--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -21,10 +21,11 @@
  * a node has 260 MB and more. */
 #define RESPONSE_MAX_BYTES (4u << 20)
 #define EVENT_MAX_BYTES (256u << 10)
-/* Limit on all buffered responses together, checked when one is larger than
- * BUFFERED_CHECK_BYTES. */
+/* Limit on all buffered responses together, without those that are smaller
+ * than BUFFERED_CHECK_BYTES: hundreds of callers may wait for endpoints that
+ * respond without end. */
 #define BUFFERED_MAX_BYTES (16u << 20)
-#define BUFFERED_CHECK_BYTES (512u << 10)
+#define BUFFERED_CHECK_BYTES (32u << 10)
 /* Reading of a stream is paused when its caller's backlog exceeds this. */
 #define CALLER_BACKLOG_BYTES (256u << 10)
 /* The limit is at least this many of the longest pauses that a route allows.
@@ -345,22 +346,12 @@
     return req_is_stream(r) && is_success_status(r->status);
 }
 
-/* Returns whether the current response exceeds the limits on buffered bytes.
- */
+/* Returns whether the current response exceeds the limit of one response. */
 static bool
-exceeds_buffer_limit(const struct forward *f, const struct request *r)
+is_too_long(const struct request *r)
 {
     size_t limit = is_relayed_stream(r) ? EVENT_MAX_BYTES : RESPONSE_MAX_BYTES;
-    size_t sum = 0;
-    size_t at = 0;
-    const struct request *other;
-    if (r->response.len > limit || r->response.len < BUFFERED_CHECK_BYTES) {
-        return r->response.len > limit;
-    }
-    while ((other = map_next(&f->requests, &at))) {
-        sum += other->response.len;
-    }
-    return sum > BUFFERED_MAX_BYTES;
+    return r->response.len > limit;
 }
 
 /* Handles the first byte of a plain response, or the first event of a stream.
@@ -388,6 +379,44 @@
     handle_broken_call(f, now_us, r, "the answer is too long");
 }
 
+/* If the buffered responses exceed their limit, cancels the largest one: those
+ * of working endpoints are the smaller ones. */
+static void
+limit_buffered_bytes(struct forward *f, int64_t now_us,
+                     const struct request *grown)
+{
+    struct request *largest = NULL;
+    struct request *r;
+    size_t sum = 0;
+    size_t at = 0;
+    if (grown->response.len < BUFFERED_CHECK_BYTES) {
+        return;
+    }
+    while ((r = map_next(&f->requests, &at))) {
+        if (r->response.len >= BUFFERED_CHECK_BYTES && r->call) {
+            sum += r->response.len;
+            largest = !largest || r->response.len > largest->response.len
+                          ? r
+                          : largest;
+        }
+    }
+    if (largest && sum > BUFFERED_MAX_BYTES) {
+        cancel_too_long(f, now_us, largest);
+    }
+}
+
+/* Handles bytes that were added to a response. */
+static void
+check_buffered_bytes(struct forward *f, int64_t now_us, struct request *r)
+{
+    if (is_too_long(r)) {
+        cancel_too_long(f, now_us, r);
+    }
+    else {
+        limit_buffered_bytes(f, now_us, r);
+    }
+}
+
 void
 forward_response_body(struct forward *f, int64_t now_us, uint64_t call,
                       struct str bytes)
@@ -399,18 +428,14 @@
     endpoint_record_received(r->endpoint, now_us);
     buf_append_str(&r->response, bytes);
     if (is_relayed_stream(r) && !relay_events(f, r)) {
-        if (exceeds_buffer_limit(f, r)) {
-            cancel_too_long(f, now_us, r);
-        }
+        check_buffered_bytes(f, now_us, r);
         return;
     }
     record_progress(f, now_us, r);
     if (r->state == REQ_SENT) {
         handle_response_start(f, now_us, r);
     }
-    if (exceeds_buffer_limit(f, r)) {
-        cancel_too_long(f, now_us, r);
-    }
+    check_buffered_bytes(f, now_us, r);
 }
 
 static void
--- a/tests/platform/test_gateway_limits.c
+++ b/tests/platform/test_gateway_limits.c
@@ -221,6 +221,79 @@
     platform_rig_close(&r);
 }
 
+#define MANY_CALLERS 600
+/* Half of the memory of the smallest node. */
+#define MANY_GROWTH_MAX_KB (130 * 1024)
+
+struct endless_caller {
+    struct platform_rig *r;
+    const char *host;
+    const char *headers;
+};
+
+static gpointer
+call_endless(gpointer p)
+{
+    const struct endless_caller *c = p;
+    struct buf out = {0};
+    int status = platform_rig_send_request(c->r, 0, c->host, c->headers, &out);
+    buf_free(&out);
+    return GINT_TO_POINTER(status);
+}
+
+/* Guards against a node that runs out of memory when all servers of a service
+ * answer hundreds of callers without end, each by less than the limit of one
+ * answer. */
+static void
+test_many_endless(void)
+{
+    static const struct {
+        const char *host;
+        const char *headers;
+        struct endless_response response;
+    } cases[] = {
+        {"check", PR_KEY DEADLINE, {PLAIN "\r\n", "{x}", 16384, 0}},
+        {"check", PR_KEY DEADLINE, {PLAIN "\r\n", "{x}", 4096, 20}},
+        {"check", PR_KEY DEADLINE, {PLAIN, "H{n}: {x}\r\n", 900, 5}},
+        {"stream",
+         PR_KEY NO_PIECES DEADLINE,
+         {EVENTS "\r\nid: 0\ndata: ", "{x}", 4096, 20}},
+    };
+    struct platform_rig r;
+    platform_rig_open_without_nodes(&r);
+    struct endless_server *endless = endless_server_new();
+    endless_server_set_response(endless, &cases[0].response);
+    for (int i = 0; i < 4; i++) {
+        platform_rig_register_server_at(&r, i, "ready",
+                                        endless_server_port(endless));
+    }
+    platform_rig_start_nodes(&r);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct endless_caller c = {&r, cases[i].host, cases[i].headers};
+        GThread *threads[MANY_CALLERS];
+        int answered = 0;
+        endless_server_set_response(endless, &cases[i].response);
+        long before = peak_kb(r.nodes[0].pid);
+        for (int k = 0; k < MANY_CALLERS; k++) {
+            threads[k] = g_thread_new("caller", call_endless, &c);
+        }
+        for (int k = 0; k < MANY_CALLERS; k++) {
+            answered += GPOINTER_TO_INT(g_thread_join(threads[k])) == 200;
+        }
+        long growth_kb = peak_kb(r.nodes[0].pid) - before;
+        g_test_message("%s, %zu: %d answered, peak grew by %ld kB", c.host, i,
+                       answered, growth_kb);
+        g_assert_cmpint(answered, ==, 0);
+        if (is_release_build()) {
+            g_assert_cmpint(growth_kb, <, MANY_GROWTH_MAX_KB);
+        }
+        platform_rig_wait_readiness(&r, 0, 200);
+    }
+    g_assert_cmpint(platform_rig_count_ended_nodes(&r), ==, 0);
+    endless_server_free(endless);
+    platform_rig_close(&r);
+}
+
 /* Checks that no event is missing. @return the number after the last one */
 static int64_t
 check_events(const char *text, int64_t next)
@@ -288,6 +361,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/gateway/endless", test_endless);
+    g_test_add_func("/gateway/many-endless", test_many_endless);
     g_test_add_func("/gateway/slow-caller", test_slow_caller);
     return g_test_run();
 }
