--- a/tests/platform/test_gateway_store.c
+++ b/tests/platform/test_gateway_store.c
@@ -162,7 +162,7 @@
         g_assert_true(wait_for_all(&r, PR_KEY, 200, 2000));
         proxy_set_fault(store, PROXY_SILENCE);
         int64_t silent_us = g_get_monotonic_time();
-        g_usleep((gulong)(100000 + 150000 * i));
+        g_usleep(100000 + 150000 * (gulong)i);
         platform_rig_set_server_state(&r, 0, NULL);
         proxy_set_fault(store, PROXY_PASS);
         sleep_until(silent_us + CONTACT_US);
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -258,8 +258,8 @@
 {
     const int64_t connect_timeout_us = 500 * MS;
     const struct kv_item gone[] = {make_item("e/two", NULL, 50)};
-    int64_t ends_us[MAX_PENDING_OPS];
-    bool answered[MAX_PENDING_OPS];
+    int64_t ends_us[MAX_PENDING_OPS] = {0};
+    bool answered[MAX_PENDING_OPS] = {false};
     int known = 0;
     for (;;) {
         collect_ops(r);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -2,6 +2,7 @@
  * reported as if no connection had been made in time, and against responses
  * that are read too late on a connection that follows a failed one. */
 #include <arpa/inet.h>
+#include <errno.h>
 #include <glib.h>
 #include <pthread.h>
 #include <stdatomic.h>
@@ -218,7 +219,8 @@
     for (int i = 1; i <= QUEUED_CONNECTIONS; i++) {
         fds[i] =
             socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-        connect(fds[i], (struct sockaddr *)&a, sizeof(a));
+        int rc = connect(fds[i], (struct sockaddr *)&a, sizeof(a));
+        g_assert_true(rc == 0 || errno == EINPROGRESS);
     }
     return port;
 }
