Give the repeat of a watch as much time as a slow store needs

The repeat was limited to 700 ms like the calls to a store that is lost, so a store that responds later than that counted as lost, and stayed so.

Change: the repeat has 1.5 s, as a watch had before.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -530,9 +530,11 @@
             rw->failing || (rw->via_node && rw->range == FEED_RANGE_OPERATOR &&
                             feed_take_contact_query(f));
         out->wait_ms = choose_wait_ms(f, rw, now_us);
-        out->timeout_ms = rw->failing || rw->retrying
-                              ? PROBE_TIMEOUT_MS
-                              : out->wait_ms + WATCH_SLACK_MS;
+        out->timeout_ms =
+            out->wait_ms + (rw->retrying ? CALL_SLACK_MS : WATCH_SLACK_MS);
+        if (rw->failing) {
+            out->timeout_ms = PROBE_TIMEOUT_MS;
+        }
         rw->call_wait_us = out->wait_ms * MS;
         rw->peer_timeout_us =
             now_us + (rw->failing
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -24,7 +24,8 @@
 /* Records that expired during an outage are written again within two seconds
  * of the store's return. Until then removed records stay in effect. */
 #define REMOVED_HOLD_US (2200 * MS)
-/* A slow store takes some hundred ms per response. */
+/* A slow store takes some hundred ms per response, and more than a second at
+ * worst. */
 #define CALL_SLACK_MS 1500
 /* A watch that gets no response for this time beyond its wait is repeated on a
  * new connection: what a silent connection hides must be known within 2 s. */
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -15,6 +15,8 @@
 #define SECOND 1000000LL
 
 #define MAX_PENDING_OPS 16
+/* Time of a response of a store that is 300 times as slow as usual. */
+#define SLOW_STORE_MS 1200
 
 struct feed_fixture {
     struct feed *f;
@@ -685,6 +687,10 @@
         r.now += op.timeout_ms * MS;
         give_result(&r, &op, KV_OUTCOME_UNKNOWN, 0, NULL, 0);
         r.count = 0;
+        op = take_op(&r, KV_WATCH, rows[i].silent);
+        /* A store that is only slow must not count as lost. */
+        g_assert_cmpint(op.timeout_ms, >=, SLOW_STORE_MS);
+        r.ops[r.count++] = op;
         op = take_op(&r, KV_WATCH, "e/");
         g_assert_cmpuint(op.via_node, ==, 0);
         g_assert_cmpint(op.wait_ms, <=, 1);
