Choose owners of stage groups among the strong nodes

Owners of endpoint groups were chosen among all nodes alike. Each owner handles the pieces of all nodes; on a machine with 0.09 of a core and 10 Mbit/s its messages waited longer than the pieces for their endpoints. A node now registers its share of a core beside its address, and nodes with less than half of the largest share come last in the order of owners. Without the setting the order is as before.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -453,7 +453,7 @@
         snprintf(text, sizeof(text), "tcp://%d key%d", i,
                  w->nodes[i].start_count);
         cluster_view_add_node(cluster_view, str_from_cstr(w->nodes[i].name),
-                              str_from_cstr(text));
+                              str_from_cstr(text), 0);
     }
     cluster_view_sort_nodes(cluster_view);
     cluster_view->nodes_version = ++w->nodes_version;
--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -86,7 +86,10 @@
     f->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     f->registrations =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    f->capacities =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     codec->node_key(&f->node_key, node);
+    codec->capacity_key(&f->capacity_key, node);
     for (int i = 0; i < FEED_RANGE_COUNT; i++) {
         static const int64_t waits[] = {OPERATOR_WATCH_WAIT_MS,
                                         ENDPOINTS_WATCH_WAIT_MS,
@@ -107,6 +110,14 @@
     return f;
 }
 
+void
+feed_set_capacity(struct feed *f, int cpu_milli)
+{
+    if (cpu_milli > 0) {
+        buf_printf(&f->capacity, "%d", cpu_milli);
+    }
+}
+
 void
 feed_free(struct feed *f)
 {
@@ -119,6 +130,7 @@
     g_hash_table_destroy(f->evacuated_zones);
     g_hash_table_destroy(f->nodes);
     g_hash_table_destroy(f->registrations);
+    g_hash_table_destroy(f->capacities);
     g_free(f->node);
     str_free(&f->registered);
     for (int i = 0; i < FEED_RANGE_COUNT; i++) {
@@ -130,6 +142,8 @@
     g_array_free(f->watchers, TRUE);
     g_queue_clear_full(&f->due_replies, free);
     buf_free(&f->node_key);
+    buf_free(&f->capacity_key);
+    buf_free(&f->capacity);
     free(f);
 }
 
@@ -683,7 +697,8 @@
     while (g_hash_table_iter_next(&it, &k, NULL)) {
         cluster_view_add_node(
             s, str_from_cstr(k),
-            str_from_cstr(g_hash_table_lookup(f->registrations, k)));
+            str_from_cstr(g_hash_table_lookup(f->registrations, k)),
+            GPOINTER_TO_INT(g_hash_table_lookup(f->capacities, k)));
     }
     cluster_view_sort_nodes(s);
     s->nodes_version = f->nodes_version;
--- a/src/control/feed.h
+++ b/src/control/feed.h
@@ -28,6 +28,7 @@
     FEED_KEY_ENDPOINT,      /**< an endpoint's record */
     FEED_KEY_ZONE_OUT,      /**< a zone that is out of service */
     FEED_KEY_NODE,          /**< a node of this system */
+    FEED_KEY_CAPACITY,      /**< what a node's machine can do */
     FEED_KEY_OTHER,         /**< ignored */
 };
 
@@ -50,6 +51,8 @@
     enum status (*endpoint)(struct str bytes, struct endpoint_record *out);
     /** Appends the key under which a node registers. */
     void (*node_key)(struct buf *out, struct str name);
+    /** Appends the key of a node's capacity; in the same key range. */
+    void (*capacity_key)(struct buf *out, struct str name);
 };
 
 struct feed;
@@ -61,6 +64,11 @@
                       struct str registered, uint64_t seed);
 void feed_free(struct feed *f);
 
+/** Sets what this node registers of its machine, before the first operation.
+ * @param cpu_milli its share of a core, in thousandths; 0: nothing is
+ * registered */
+void feed_set_capacity(struct feed *f, int cpu_milli);
+
 /** The next operation to submit. If its via is set, it goes to that node as a
  * feed_query with the operation's id and key range. Also answers the queries
  * of other nodes that have waited for the maximum time.
--- a/src/control/feed_records.c
+++ b/src/control/feed_records.c
@@ -6,6 +6,8 @@
 #include "control/feed_state.h"
 
 /* Cold times in records are rounded and some milliseconds old. */
+/* Largest share of a machine's cores that a node may register. */
+#define MAX_CPU_MILLI 1000000
 #define COLD_TIME_MARGIN_US (300 * MS)
 /* The store may come back from a copy that is some seconds old. */
 #define MAX_COPY_AGE_US (60 * SECOND)
@@ -276,6 +278,30 @@
     }
 }
 
+static void
+set_capacity(struct feed *f, const char *node, const struct kv_item *item)
+{
+    int64_t cpu_milli = 0;
+    if (!item->deleted && (!str_to_i64(item->value, &cpu_milli) ||
+                           cpu_milli <= 0 || cpu_milli > MAX_CPU_MILLI)) {
+        LOG_EVENT(LOG_WARN, "capacity_ignored", LOG_CSTR("name", node),
+                  LOG_INT("bytes", item->value.len));
+        cpu_milli = 0;
+    }
+    gpointer value = GINT_TO_POINTER((int)cpu_milli);
+    if (g_hash_table_lookup(f->capacities, node) == value) {
+        return;
+    }
+    if (cpu_milli > 0) {
+        g_hash_table_replace(f->capacities, g_strdup(node), value);
+    }
+    else {
+        g_hash_table_remove(f->capacities, node);
+    }
+    f->site_changed = true;
+    f->nodes_version++;
+}
+
 void
 feed_apply_item(struct feed *f, int64_t now_us, const struct kv_item *item)
 {
@@ -325,6 +351,9 @@
             set_registration(f, key, item->value);
         }
         break;
+    case FEED_KEY_CAPACITY:
+        set_capacity(f, key, item);
+        break;
     case FEED_KEY_OTHER:
         break;
     }
--- a/src/control/feed_register.c
+++ b/src/control/feed_register.c
@@ -105,6 +105,8 @@
         out->kind = KV_PUT;
         out->key = buf_str(&f->node_key);
         out->value = f->registered;
+        out->second_key = buf_str(&f->capacity_key);
+        out->second_value = buf_str(&f->capacity);
         out->lease = f->lease;
         break;
     case LEASE_REGISTERED:
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -162,6 +162,7 @@
     GHashTable *evacuated_zones; /* zone -> 1: unseen, 2: seen in the list */
     GHashTable *nodes;           /* name -> 1: unseen, 2: seen in the list */
     GHashTable *registrations;   /* name of node -> what it registered */
+    GHashTable *capacities;      /* name of node -> thousandths of a core */
     uint64_t nodes_version;      /* rises with each change of nodes and
                                     registrations */
     int sharing_nodes;      /* number of nodes that limits are divided by */
@@ -176,6 +177,8 @@
     int64_t registered_revision; /* of the key that this node has written */
     bool leaving;
     struct buf node_key; /* under which this node registers */
+    struct buf capacity_key;
+    struct buf capacity; /* value under capacity_key; empty: none */
 };
 
 /* feed.c */
--- a/src/daemon/gateway_control.c
+++ b/src/daemon/gateway_control.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
@@ -393,6 +394,7 @@
                shared->link_public);
     c->feed = feed_new(&platform_codec, set->name, buf_str(&registered),
                        shared->seed);
+    feed_set_capacity(c->feed, (int)lround(set->cpu_share * 1000));
     buf_free(&registered);
     c->store = platform_store_new(c->loop, set->store, on_store, c);
     if (st == ST_OK) {
--- a/src/forward/owners.c
+++ b/src/forward/owners.c
@@ -275,6 +275,15 @@
     return XXH3_64bits(parts, sizeof(parts));
 }
 
+/* An owner handles the pieces of all nodes, so nodes with a small share of a
+ * core come after all others. */
+static uint64_t
+capable_owner_rank(const struct cluster_node *n, uint64_t service, int group)
+{
+    uint64_t rank = owner_rank(n->hash, service, group) >> 1;
+    return n->weak ? rank : rank | 1ULL << 63;
+}
+
 uint64_t
 owners_find(const struct forward *f, uint64_t service, int group)
 {
@@ -286,7 +295,7 @@
             (n->address.len == 0 || should_avoid(f, n->hash))) {
             continue;
         }
-        uint64_t rank = owner_rank(n->hash, service, group);
+        uint64_t rank = capable_owner_rank(n, service, group);
         if (rank > best_rank) {
             best_rank = rank;
             best = n->hash;
@@ -533,7 +542,7 @@
         found = 0;
         for (int i = 0; i < f->cluster_view->alive_count; i++) {
             const struct cluster_node *n = &f->cluster_view->alive[i];
-            uint64_t rank = owner_rank(n->hash, service, group);
+            uint64_t rank = capable_owner_rank(n, service, group);
             if (rank < limit && rank > best_rank) {
                 best_rank = rank;
                 found = n->hash;
--- a/src/model/cluster_view.c
+++ b/src/model/cluster_view.c
@@ -109,12 +109,13 @@
 
 void
 cluster_view_add_node(struct cluster_view *s, struct str name,
-                      struct str registered)
+                      struct str registered, int cpu_milli)
 {
     struct cluster_node *n = &s->alive[s->alive_count++];
     struct str address;
     struct str key;
     n->hash = hash64(name);
+    n->cpu_milli = cpu_milli;
     if (split_registration(registered, &address, &key)) {
         n->address = str_dup(address);
         n->key = str_dup(key);
@@ -132,6 +133,15 @@
 void
 cluster_view_sort_nodes(struct cluster_view *s)
 {
+    int strongest = 0;
+    for (int i = 0; i < s->alive_count; i++) {
+        strongest = s->alive[i].cpu_milli > strongest ? s->alive[i].cpu_milli
+                                                      : strongest;
+    }
+    for (int i = 0; i < s->alive_count; i++) {
+        struct cluster_node *n = &s->alive[i];
+        n->weak = n->cpu_milli > 0 && n->cpu_milli < strongest / 2;
+    }
     qsort(s->alive, (size_t)s->alive_count, sizeof(s->alive[0]), compare_hash);
 }
 
--- a/src/model/cluster_view.h
+++ b/src/model/cluster_view.h
@@ -38,6 +38,9 @@
     uint64_t hash;      /**< hash of its name */
     struct str address; /**< owned, "tcp://IP:PORT"; empty: not registered */
     struct str key;     /**< owned, public key, Z85 */
+    int cpu_milli; /**< thousandths of a core that it has; 0: not registered */
+    bool weak; /**< has less than half of what the strongest node has, so that
+                  it owns endpoint groups only if no other node can */
 };
 
 struct cluster_view {
@@ -59,10 +62,12 @@
                                       int capacity, int nodes);
 /** Returns whether a value is "tcp://IP:PORT KEY" as a node registers it. */
 bool cluster_view_is_registration(struct str registered);
-/** Adds a node by its name and the value that it registered, "ADDRESS KEY". */
+/** Adds a node by its name, the value that it registered, "ADDRESS KEY", and
+ * its thousandths of a core (0: not registered). */
 void cluster_view_add_node(struct cluster_view *s, struct str name,
-                           struct str registered);
-/** Sorts the nodes by hash; call this after the last cluster_view_add_node. */
+                           struct str registered, int cpu_milli);
+/** Sorts the nodes by hash and finds the weak ones; call this after the last
+ * cluster_view_add_node. */
 void cluster_view_sort_nodes(struct cluster_view *s);
 /** Returns the index of the first node whose hash is at least @p hash, or
  * alive_count if there is none. */
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -35,6 +35,8 @@
     double repeat_ratio; /**< [bounds] repeat_ratio: repeats per request */
     int repeat_slack; /**< [bounds] repeat_slack: repeats added per window */
     int repeat_window_ms; /**< [bounds] repeat_window_s, in ms */
+    double cpu_share;     /**< [limits] cpu_share: cores that the machine gives
+                             this process; 0: unknown */
     struct str log_level; /**< [log] level */
 };
 
--- a/src/store/kv.h
+++ b/src/store/kv.h
@@ -34,6 +34,9 @@
     int64_t ttl_ms;
     struct str key;
     struct str value;
+    struct str second_key; /**< PUT: written with the first one, under the same
+                              lease */
+    struct str second_value; /**< empty: there is only one key */
     int64_t timeout_ms;
     uint64_t
         via_node; /**< WATCH: hash of a node to query instead; 0: the store */
--- a/tests/feed_text.c
+++ b/tests/feed_text.c
@@ -15,6 +15,7 @@
         enum feed_key_kind kind;
     } rows[] = {{"e/", FEED_KEY_ENDPOINT},
                 {"o/zone/", FEED_KEY_ZONE_OUT},
+                {"n/capacity/", FEED_KEY_CAPACITY},
                 {"n/", FEED_KEY_NODE}};
     if (str_eq_cstr(key, "o/config")) {
         return FEED_KEY_CONFIGURATION;
@@ -71,9 +72,16 @@
     buf_printf(out, "n/%.*s", STR_FMT(name));
 }
 
+static void
+append_capacity_key(struct buf *out, struct str name)
+{
+    buf_printf(out, "n/capacity/%.*s", STR_FMT(name));
+}
+
 const struct feed_codec feed_text_codec = {
     {STR_LIT("o/"), STR_LIT("e/"), STR_LIT("n/")},
     classify_key,
     parse_routing,
     parse_endpoint,
-    append_node_key};
+    append_node_key,
+    append_capacity_key};
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -732,6 +732,71 @@
     feed_free(r.f);
 }
 
+/* Guards against owners of endpoint groups on nodes with a small share of a
+ * core: with 0.09 of a core, stages of a fleet of 63 nodes waited for the
+ * owner for longer than for the endpoints. */
+static void
+test_capacity(void)
+{
+    static const struct {
+        const char *node0;
+        const char *node1;
+        const char *node2;
+        int weak; /* bit i: node-i */
+    } rows[] = {
+        {"500", "500", "250", 0},  {"500", "90", "250", 2},
+        {"500", "249", "250", 2},  {"500", NULL, "90", 4},
+        {"garbage", "500", "", 0}, {"-1", "500", "99999999999", 0},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        const char *values[] = {rows[i].node0, rows[i].node1, rows[i].node2};
+        struct feed_fixture r;
+        fixture_init(&r);
+        list_nodes(&r, 3);
+        struct kv_op op = take_op(&r, KV_LIST, "e/");
+        give_result(&r, &op, KV_OK, 10, NULL, 0);
+        const struct kv_item items[] = {
+            make_item("n/capacity/node-0", values[0], 20),
+            make_item("n/capacity/node-1", values[1], 21),
+            make_item("n/capacity/node-2", values[2], 22)};
+        op = take_op(&r, KV_WATCH, "n/");
+        give_result(&r, &op, KV_OK, 22, items, 3);
+        struct cluster_view *s = feed_take_site(r.f, r.now);
+        g_assert_cmpint(s->alive_count, ==, 3);
+        for (int n = 0; n < 3; n++) {
+            char name[16];
+            g_snprintf(name, sizeof(name), "node-%d", n);
+            const struct cluster_node *node =
+                cluster_view_find_node(s, hash64(str_from_cstr(name)));
+            g_assert_cmpint(node->weak, ==, rows[i].weak >> n & 1);
+        }
+        cluster_view_unref(s);
+        feed_free(r.f);
+    }
+}
+
+/* Guards against a registration without the capacity beside it: other nodes
+ * would rank the node among the strong ones until it comes. */
+static void
+test_capacity_registration(void)
+{
+    for (int cpu_milli = 0; cpu_milli <= 90; cpu_milli += 90) {
+        struct feed_fixture r;
+        fixture_init(&r);
+        feed_set_capacity(r.f, cpu_milli);
+        list_initial_records(&r);
+        struct kv_op op = take_op(&r, KV_LEASE_GRANT, "");
+        give_result(&r, &op, KV_OK, 10, NULL, 0);
+        op = take_op(&r, KV_PUT, "");
+        g_assert_true(str_eq_cstr(op.key, "n/node-0"));
+        g_assert_true(str_eq_cstr(op.second_value, cpu_milli ? "90" : ""));
+        if (cpu_milli) {
+            g_assert_true(str_eq_cstr(op.second_key, "n/capacity/node-0"));
+        }
+        feed_free(r.f);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -747,5 +812,7 @@
     g_test_add_func("/feed/shared-watch", test_shared_watch);
     g_test_add_func("/feed/turned-away", test_without_contact);
     g_test_add_func("/feed/share", test_limit_sharing);
+    g_test_add_func("/feed/capacity", test_capacity);
+    g_test_add_func("/feed/capacity-registration", test_capacity_registration);
     return g_test_run();
 }
