Order stage jobs by rank and time left, as code of its own

Cause: jobs that had begun or held large results passed all others, whatever their rank, and the expected waits of the queue made urgent jobs late on arrival. The wait that results reported also included the call itself.

Change: forward/stage_order decides the order (rank, holders of memory, time left; late jobs yield; one piece in six for less urgent holders and long waits); the time left includes a full call for each later stage instead of the observed waits; results report the wait until the call. The place for the excess of teams is stage_order_job.team_excess. A dispatch looks only at jobs with waiting pieces, sets the cost of each endpoint once, ends when no endpoint is idle, and runs at once after an event and otherwise every 5 ms.

No existing test changed.

--- a/src/forward/pieces.c
+++ b/src/forward/pieces.c
@@ -72,11 +72,38 @@
     return r->stages[i].ready == r->stages[i].count;
 }
 
+/* Which waits a path through the stages includes. */
+enum path_waits {
+    WAITS_NONE,
+    /* The duration of a full call for each stage: a piece that comes first in
+     * the order still waits for an endpoint to end its call. A stage request
+     * that starts with less time left meets its objective in its own stage
+     * only to miss it in the next one. */
+    WAITS_FOR_CALL,
+    WAITS_ALL,
+};
+
+static int64_t
+stage_wait_us(const struct request *r, int i, enum path_waits waits,
+              int64_t now_us)
+{
+    const struct service_state *s = r->stages[i].service;
+    switch (waits) {
+    case WAITS_NONE:
+        break;
+    case WAITS_FOR_CALL:
+        return stage_duration_us(s, s->info.pieces.batch);
+    case WAITS_ALL:
+        return current_wait_us(s, r->priority, now_us);
+    }
+    return 0;
+}
+
 /* Longest path through the remaining stages that follow stage @p from, without
- * stage @p skip (-1: all stages, none skipped). @param now_us 0: exclude waits
- */
+ * stage @p skip (-1: all stages, none skipped). */
 static int64_t
-longest_path_us(const struct request *r, int from, int skip, int64_t now_us)
+longest_path_us(const struct request *r, int from, int skip,
+                enum path_waits waits, int64_t now_us)
 {
     int64_t at[ROUTING_MAX_STAGES] = {0};
     int64_t latest = 0;
@@ -92,8 +119,7 @@
         }
         if (counts && i != skip && !stage_done(r, i)) {
             at[i] += stage_duration_us(st->service, st->count);
-            at[i] +=
-                now_us ? current_wait_us(st->service, r->priority, now_us) : 0;
+            at[i] += stage_wait_us(r, i, waits, now_us);
         }
         latest = at[i] > latest ? at[i] : latest;
     }
@@ -103,13 +129,13 @@
 int64_t
 pieces_remaining_us(const struct request *r)
 {
-    return longest_path_us(r, -1, -1, 0);
+    return longest_path_us(r, -1, -1, WAITS_NONE, 0);
 }
 
 int64_t
 pieces_expected_us(int64_t now_us, const struct request *r)
 {
-    return longest_path_us(r, -1, -1, now_us);
+    return longest_path_us(r, -1, -1, WAITS_ALL, now_us);
 }
 
 int64_t
@@ -127,6 +153,18 @@
                ENGINE_TOKENS_PER_MS;
 }
 
+/* As pieces_final_call_us, without the prompts that wait at the engine. */
+static int64_t
+final_call_work_us(int64_t now_us, const struct request *r)
+{
+    int64_t uncached;
+    if (!r->service->info.is_engine || !r->planned_engine) {
+        return pieces_final_call_us(now_us, r);
+    }
+    place_prefill_us(r->planned_engine, &r->prompt, now_us, &uncached);
+    return FINAL_CALL_US + uncached * MS / ENGINE_TOKENS_PER_MS;
+}
+
 bool
 pieces_init(struct forward *f, int64_t now_us, struct request *r)
 {
@@ -219,7 +257,9 @@
     }
 }
 
-/* Fills in everything of a stage request except its pieces. */
+/* Fills in everything of a stage request except its pieces. The latest start
+ * does not include the observed waits: they are longest when the queue is
+ * long, and would make all urgent work late just then. */
 static void
 fill_stage_request(struct forward *f, int64_t now_us, const struct request *r,
                    const struct pending_stage_request *a,
@@ -228,10 +268,11 @@
     const struct route_stage *st = &r->route->stages[a->stage];
     const struct service_state *s = r->stages[a->stage].service;
     int64_t own_us = stage_duration_us(s, r->stages[a->stage].count);
-    int64_t after_us = longest_path_us(r, a->stage, -1, now_us) +
-                       pieces_final_call_us(now_us, r);
+    int64_t after_us =
+        longest_path_us(r, a->stage, -1, WAITS_FOR_CALL, now_us) +
+        final_call_work_us(now_us, r);
     int64_t min_after_us =
-        longest_path_us(r, a->stage, -1, 0) + FINAL_CALL_US / 2;
+        longest_path_us(r, a->stage, -1, WAITS_NONE, 0) + FINAL_CALL_US / 2;
     out->correlation_id = a->id;
     out->service = s->hash;
     out->group = a->group;
@@ -319,8 +360,8 @@
     }
     int64_t own_us = stage_duration_us(st->service, st->count) +
                      current_wait_us(st->service, r->priority, now_us);
-    int64_t slack_us =
-        longest_path_us(r, -1, stage, now_us) - own_us - POSTPONE_MARGIN_US;
+    int64_t slack_us = longest_path_us(r, -1, stage, WAITS_ALL, now_us) -
+                       own_us - POSTPONE_MARGIN_US;
     if (slack_us <= 0) {
         return false;
     }
--- a/src/forward/stage_dispatch.c
+++ b/src/forward/stage_dispatch.c
@@ -17,9 +17,9 @@
  * five. */
 #define HEDGE_FACTOR 2
 #define HEDGE_SLACK_US (60 * MS)
-/* Maximum number of jobs of one order without an endpoint that a dispatch
- * tries. The jobs after them seldom find one, and a long queue must not use up
- * the CPU time. */
+/* Maximum number of jobs without an endpoint that a dispatch tries. The jobs
+ * after them seldom find one, and a long queue must not use up the CPU time.
+ */
 #define MAX_UNPLACED_JOBS 256
 /* Time in which the excess of an endpoint's slowness falls by half, so that it
  * is tried again. */
@@ -48,60 +48,65 @@
     return !j->zone[0] || str_eq_cstr(pe->endpoint->zone, j->zone);
 }
 
-/* Jobs that hold results come first, so that their memory is freed; then those
- * that can meet their target; then late ones. */
-enum order { ORDER_STARTED, ORDER_ON_TIME, ORDER_LATE, ORDER_COUNT };
-
-static enum order
-job_order(const struct job *j, int64_t now_us)
+/* Memory that the waiting pieces of a started job need. */
+static int64_t
+needed_bytes(const struct job *j)
 {
-    if (j->holds_results) {
-        return ORDER_STARTED;
-    }
-    return now_us > j->latest_start_us ? ORDER_LATE : ORDER_ON_TIME;
+    return j->waiting_count * j->result_bytes;
 }
 
-static struct job *
-next_job(const struct stage_pool *p, int64_t now_us, const struct job *after,
-         enum order order)
+static void
+add_entry(struct stage_pool *p, const struct job *j, int64_t now_us)
 {
-    struct job *j = after ? TAILQ_NEXT(after, link) : TAILQ_FIRST(&p->jobs);
-    for (; j; j = TAILQ_NEXT(j, link)) {
-        if (j->waiting_count > 0 && job_order(j, now_us) == order) {
-            return j;
-        }
-    }
-    return NULL;
+    /* Calls are filled up with other pieces when the queue is long, and then
+     * take longer than this job's pieces alone. */
+    int others = p->limits.batch - j->piece_count;
+    int64_t fill_us = others > 0 && p->stats.queued >= p->limits.batch
+                          ? others * p->limits.item_us
+                          : 0;
+    const struct stage_order_job job = {
+        .rank = j->priority,
+        .team_excess = 0,
+        .received_us = j->received_us,
+        .latest_start_us = j->latest_start_us - fill_us,
+        .latest_useful_start_us = j->latest_useful_start_us,
+        .has_started = j->sent_any_piece,
+        .holds_large_results = j->holds_large_results};
+    struct stage_order_entry e = {.job = (struct job *)j,
+                                  .pieces = j->waiting_count};
+    stage_order_classify(&job, now_us, &e);
+    g_array_append_val(p->entries, e);
 }
 
-/* Memory of all endpoints that is not needed for the remaining pieces of
- * started jobs. */
-static int64_t
-unreserved_memory_bytes(const struct stage_pool *p, int64_t now_us)
+/* Puts the waiting jobs in the order of service, and removes from the queue
+ * those that no longer wait. Sets the memory that is not needed for the
+ * remaining pieces of started jobs. */
+static void
+arrange_queue(struct stage_pool *p, int64_t now_us)
 {
-    int64_t free_bytes = 0;
-    const struct job *j;
-    GHashTableIter it;
-    gpointer v;
-    if (p->limits.result_memory_bytes <= 0) {
-        return INT64_MAX;
-    }
-    g_hash_table_iter_init(&it, p->endpoints);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const struct pool_endpoint *pe = v;
-        int64_t left = stage_pool_free_bytes(p, pe, now_us);
-        if (pe->in_pool && endpoint_is_available(pe->endpoint, now_us) &&
-            left > 0) {
-            free_bytes += left;
+    struct job *j;
+    struct job *next;
+    g_array_set_size(p->entries, 0);
+    for (j = TAILQ_FIRST(&p->queue); j; j = next) {
+        next = TAILQ_NEXT(j, queue_link);
+        if (j->waiting_count == 0) {
+            TAILQ_REMOVE(&p->queue, j, queue_link);
+            j->is_queued = false;
+            continue;
         }
-    }
-    TAILQ_FOREACH(j, &p->jobs, link)
-    {
-        if (j->sent_any_piece) {
-            free_bytes -= j->waiting_count * j->result_bytes;
+        if (j->sent_any_piece && p->limits.result_memory_bytes > 0) {
+            p->unreserved_bytes -= needed_bytes(j);
         }
+        add_entry(p, j, now_us);
     }
-    return free_bytes;
+    guint count = p->entries->len;
+    g_array_set_size(p->order, count);
+    g_array_set_size(p->reserve, count);
+    p->reserve_credit = stage_order_arrange(
+        (struct stage_order_entry *)(void *)p->entries->data, (int)count,
+        p->reserve_credit, p->limits.batch,
+        (struct stage_order_entry *)(void *)p->order->data,
+        (struct stage_order_ref *)(void *)p->reserve->data);
 }
 
 /* Returns whether the job may start. A job that has not started needs memory
@@ -116,9 +121,8 @@
     }
     int64_t total_bytes = (int64_t)g_hash_table_size(p->endpoints) *
                           p->limits.result_memory_bytes;
-    int64_t needed_bytes = j->waiting_count * j->result_bytes;
-    return needed_bytes > total_bytes / 2 ||
-           needed_bytes <= p->unreserved_bytes;
+    return needed_bytes(j) > total_bytes / 2 ||
+           needed_bytes(j) <= p->unreserved_bytes;
 }
 
 static bool
@@ -130,53 +134,76 @@
            now_us >= pe->last_rejection_us + REJECTION_DELAY_US;
 }
 
-/* Cost of running the job at the endpoint: the expected end of a call, plus
- * penalties for failures and another zone. */
-static double
-job_cost_us(const struct stage_pool *p, const struct pool_endpoint *pe,
-            const struct job *j, int64_t now_us, bool busy)
+/* Sets what is known of an endpoint for all jobs of a dispatch.
+ * @return whether it accepts work, now or after its call */
+static bool
+set_candidate(const struct stage_pool *p, struct pool_endpoint *pe,
+              int64_t now_us, struct candidate *out)
 {
-    double cost = stage_pool_slowness(pe, now_us) *
-                      (double)stage_pool_call_duration_us(p, p->limits.batch) +
-                  endpoint_failure_rate(pe->endpoint, now_us) * SECOND;
-    if (busy && pe->busy_until_us > now_us) {
-        cost += (double)(pe->busy_until_us - now_us);
+    if (!pe->in_pool || !endpoint_is_available(pe->endpoint, now_us)) {
+        return false;
     }
-    if (!is_preferred_zone(j, pe)) {
-        cost += (double)j->zone_cost_us;
+    out->pool_endpoint = pe;
+    out->is_idle = is_free(p, pe, now_us);
+    out->free_bytes = stage_pool_free_bytes(p, pe, now_us);
+    out->cost_us =
+        stage_pool_slowness(pe, now_us) *
+            (double)stage_pool_call_duration_us(p, p->limits.batch) +
+        endpoint_failure_rate(pe->endpoint, now_us) * SECOND;
+    if (!out->is_idle && pe->busy_until_us > now_us) {
+        out->cost_us += (double)(pe->busy_until_us - now_us);
     }
-    return cost;
+    return true;
 }
 
-/* Returns the best endpoint for a job if it is free now; NULL if it is better
- * to wait for a busy one or if no endpoint accepts work. */
-static struct pool_endpoint *
-select_endpoint(const struct stage_pool *p, const struct job *j,
-                int64_t now_us)
+/* Collects the endpoints and their free memory. @return the number of idle
+ * ones */
+static int
+collect_candidates(struct stage_pool *p, int64_t now_us)
 {
-    struct pool_endpoint *best = NULL;
-    double best_cost = 0;
-    bool best_free = false;
+    int idle = 0;
     GHashTableIter it;
     gpointer v;
+    p->unreserved_bytes = p->limits.result_memory_bytes > 0 ? 0 : INT64_MAX;
+    g_array_set_size(p->candidates, 0);
     g_hash_table_iter_init(&it, p->endpoints);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        struct pool_endpoint *pe = v;
-        bool idle = is_free(p, pe, now_us);
-        bool busy = pe->in_pool &&
-                    endpoint_is_available(pe->endpoint, now_us) && !idle;
-        if (!(idle || busy) ||
-            (idle && stage_pool_free_bytes(p, pe, now_us) < j->result_bytes)) {
+        struct candidate c;
+        if (!set_candidate(p, v, now_us, &c)) {
             continue;
         }
-        double cost = job_cost_us(p, pe, j, now_us, busy);
+        if (c.free_bytes > 0 && p->limits.result_memory_bytes > 0) {
+            p->unreserved_bytes += c.free_bytes;
+        }
+        idle += c.is_idle;
+        g_array_append_val(p->candidates, c);
+    }
+    return idle;
+}
+
+/* Returns the best endpoint for a job if it is idle; NULL if it is better to
+ * wait for a busy one or if no endpoint accepts work. */
+static struct candidate *
+select_endpoint(const struct stage_pool *p, const struct job *j)
+{
+    struct candidate *best = NULL;
+    double best_cost = 0;
+    for (guint i = 0; i < p->candidates->len; i++) {
+        struct candidate *c =
+            &g_array_index(p->candidates, struct candidate, i);
+        if (c->is_idle && c->free_bytes < j->result_bytes) {
+            continue;
+        }
+        double cost = c->cost_us;
+        if (!is_preferred_zone(j, c->pool_endpoint)) {
+            cost += (double)j->zone_cost_us;
+        }
         if (!best || cost < best_cost) {
-            best = pe;
+            best = c;
             best_cost = cost;
-            best_free = idle;
         }
     }
-    return best_free ? best : NULL;
+    return best && best->is_idle ? best : NULL;
 }
 
 struct batch_fill {
@@ -187,10 +214,10 @@
 
 static void
 add_pieces(struct stage_pool *p, int64_t now_us, struct job *j,
-           struct batch_fill *f)
+           bool from_reserve, struct batch_fill *f)
 {
-    int64_t needed_bytes =
-        j->sent_any_piece ? 0 : j->waiting_count * j->result_bytes;
+    int64_t newly_needed_bytes = j->sent_any_piece ? 0 : needed_bytes(j);
+    int before = f->call->count;
     for (int i = 0; i < j->piece_count && f->call->count < p->limits.batch;
          i++) {
         struct piece *piece = &j->pieces[i];
@@ -212,21 +239,27 @@
         f->call->items[f->call->count].bytes = j->result_bytes;
         f->call->count++;
         f->free_bytes -= j->result_bytes;
-        j->holds_results = j->sent_any_piece = true;
+        j->sent_any_piece = true;
         piece->state = PIECE_STATE_SENT;
+        piece->sent_us = now_us;
         piece->send_count++;
         piece->calls++;
         j->waiting_count--;
         p->stats.queued--;
     }
     if (j->sent_any_piece && p->limits.result_memory_bytes > 0) {
-        p->unreserved_bytes -= needed_bytes;
+        p->unreserved_bytes -= newly_needed_bytes;
     }
+    p->reserve_credit =
+        stage_order_charge(p->reserve_credit, from_reserve,
+                           f->call->count - before, p->limits.batch);
 }
 
+/* Fills a call with the pieces of the job at index @p first in the order of
+ * service, and of those after it. */
 static void
 start_call(struct stage_pool *p, int64_t now_us, struct pool_endpoint *pe,
-           struct job *first)
+           guint first)
 {
     size_t batch = (size_t)p->limits.batch;
     struct pool_call *c =
@@ -234,17 +267,16 @@
     CLEANUP_FREE struct piece_item *items = mem_calloc(batch, sizeof(*items));
     int64_t free_bytes = stage_pool_free_bytes(p, pe, now_us);
     struct batch_fill f = {c, items, free_bytes};
-    add_pieces(p, now_us, first, &f);
-    for (int order = 0; order < ORDER_COUNT; order++) {
-        struct job *j = NULL;
-        while (c->count < p->limits.batch &&
-               (j = next_job(p, now_us, j, (enum order)order))) {
-            /* Other jobs wait some time for an endpoint in their zone. */
-            bool fits = is_preferred_zone(j, pe) ||
-                        now_us - j->received_us > j->zone_cost_us;
-            if (fits && may_start(p, j)) {
-                add_pieces(p, now_us, j, &f);
-            }
+    for (guint i = first; i < p->order->len && c->count < p->limits.batch;
+         i++) {
+        const struct stage_order_entry *e =
+            &g_array_index(p->order, struct stage_order_entry, i);
+        struct job *j = e->job;
+        /* Other jobs wait some time for an endpoint in their zone. */
+        bool fits = i == first || is_preferred_zone(j, pe) ||
+                    now_us - j->received_us > j->zone_cost_us;
+        if (j->waiting_count > 0 && fits && may_start(p, j)) {
+            add_pieces(p, now_us, j, e->from_reserve, &f);
         }
     }
     c->id = p->io.next_call(p->io.ctx);
@@ -269,39 +301,27 @@
     p->io.send_pieces(p->io.ctx, &call);
 }
 
-static bool
-any_endpoint_free(const struct stage_pool *p, int64_t now_us)
-{
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, p->endpoints);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        if (is_free(p, v, now_us)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 void
 stage_pool_dispatch(struct stage_pool *p, int64_t now_us)
 {
-    if (!any_endpoint_free(p, now_us)) {
+    int unplaced = 0;
+    int idle = collect_candidates(p, now_us);
+    if (idle == 0) {
         return;
     }
-    p->unreserved_bytes = unreserved_memory_bytes(p, now_us);
-    for (int order = 0; order < ORDER_COUNT; order++) {
-        struct job *j = NULL;
-        int unplaced = 0;
-        while (unplaced < MAX_UNPLACED_JOBS &&
-               (j = next_job(p, now_us, j, (enum order)order))) {
-            struct pool_endpoint *pe = NULL;
-            while (j->waiting_count > 0 && may_start(p, j) &&
-                   (pe = select_endpoint(p, j, now_us))) {
-                start_call(p, now_us, pe, j);
-            }
-            unplaced += j->waiting_count > 0;
+    arrange_queue(p, now_us);
+    for (guint i = 0;
+         i < p->order->len && idle > 0 && unplaced < MAX_UNPLACED_JOBS; i++) {
+        struct job *j =
+            g_array_index(p->order, struct stage_order_entry, i).job;
+        struct candidate *c = NULL;
+        while (j->waiting_count > 0 && may_start(p, j) &&
+               (c = select_endpoint(p, j))) {
+            start_call(p, now_us, c->pool_endpoint, i);
+            set_candidate(p, c->pool_endpoint, now_us, c);
+            idle -= !c->is_idle;
         }
+        unplaced += j->waiting_count > 0;
     }
 }
 
@@ -337,6 +357,7 @@
                 piece->state = PIECE_STATE_WAITING;
                 j->waiting_count++;
                 p->stats.queued++;
+                stage_pool_enqueue(p, j);
                 p->dispatch_needed = true;
             }
         }
--- a/src/forward/stage_ends.c
+++ b/src/forward/stage_ends.c
@@ -21,6 +21,7 @@
     piece->state = PIECE_STATE_WAITING;
     j->waiting_count++;
     p->stats.queued++;
+    stage_pool_enqueue(p, j);
 }
 
 static void
--- a/src/forward/stage_pool.c
+++ b/src/forward/stage_pool.c
@@ -19,6 +19,10 @@
 /* Minimum interval between scans of the job list, which may hold hundreds of
  * jobs. */
 #define EXPIRE_INTERVAL_US (10 * MS)
+/* Interval of dispatches while pieces wait and nothing has happened: an
+ * endpoint may accept work again, or a job may take one in another zone. A
+ * call takes at least 150 ms. */
+#define DISPATCH_INTERVAL_US (5 * MS)
 #define COUNT_INTERVAL_US (20 * MS)
 /* Minimum interval between pieces_late log lines: late pieces come by the
  * dozen, and a line lists all endpoints. */
@@ -62,6 +66,11 @@
     p->reminder_due_us = p->memory_query_due_us = INT64_MAX;
     TAILQ_INIT(&p->jobs);
     TAILQ_INIT(&p->ended);
+    TAILQ_INIT(&p->queue);
+    p->entries = g_array_new(FALSE, FALSE, sizeof(struct stage_order_entry));
+    p->order = g_array_new(FALSE, FALSE, sizeof(struct stage_order_entry));
+    p->reserve = g_array_new(FALSE, FALSE, sizeof(struct stage_order_ref));
+    p->candidates = g_array_new(FALSE, FALSE, sizeof(struct candidate));
     p->jobs_by_key = g_hash_table_new(key_hash, key_equal);
     p->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free);
     p->endpoints = g_hash_table_new_full(NULL, NULL, NULL, free);
@@ -87,12 +96,25 @@
     free(j);
 }
 
+void
+stage_pool_enqueue(struct stage_pool *p, struct job *j)
+{
+    if (!j->is_queued) {
+        j->is_queued = true;
+        TAILQ_INSERT_TAIL(&p->queue, j, queue_link);
+    }
+}
+
 /* Unlinks a job, which is freed at the end of stage_pool_run. */
 static void
 unlink_job(struct stage_pool *p, struct job *j)
 {
     p->stats.queued -= j->waiting_count;
     g_hash_table_remove(p->jobs_by_key, &j->key);
+    if (j->is_queued) {
+        TAILQ_REMOVE(&p->queue, j, queue_link);
+        j->is_queued = false;
+    }
     TAILQ_REMOVE(&p->jobs, j, link);
     TAILQ_INSERT_TAIL(&p->ended, j, link);
 }
@@ -119,6 +141,10 @@
     g_hash_table_destroy(p->calls);
     g_hash_table_destroy(p->endpoints);
     g_hash_table_destroy(p->releases);
+    g_array_free(p->entries, TRUE);
+    g_array_free(p->order, TRUE);
+    g_array_free(p->reserve, TRUE);
+    g_array_free(p->candidates, TRUE);
     free(p);
 }
 
@@ -201,7 +227,7 @@
     }
     p->counted_us = now_us;
     memset(p->waiting, 0, sizeof(p->waiting));
-    TAILQ_FOREACH(j, &p->jobs, link)
+    TAILQ_FOREACH(j, &p->queue, queue_link)
     {
         p->waiting[CLAMP(j->priority, 0, POOL_PRIORITIES - 1)] +=
             j->waiting_count;
@@ -280,7 +306,8 @@
         .outcome = outcome,
         .handle = str_from_cstr(piece->handle),
         .maker = piece->result_endpoint ? piece->result_endpoint->hash : 0,
-        .waited_us = now_us - j->received_us};
+        .waited_us = MAX(
+            (piece->sent_us ? piece->sent_us : now_us) - j->received_us, 0)};
     p->io.send_message(p->io.ctx, j->key.node, &m);
 }
 
@@ -301,21 +328,6 @@
     }
 }
 
-/* Inserts a job by priority, then by arrival. */
-static void
-insert_job(struct stage_pool *p, struct job *j)
-{
-    struct job *at;
-    TAILQ_FOREACH_REVERSE(at, &p->jobs, job_list, link)
-    {
-        if (at->priority <= j->priority) {
-            TAILQ_INSERT_AFTER(&p->jobs, at, j, link);
-            return;
-        }
-    }
-    TAILQ_INSERT_HEAD(&p->jobs, j, link);
-}
-
 void
 stage_pool_add_request(struct stage_pool *p, int64_t now_us, uint64_t node,
                        const struct stage_work_request *request)
@@ -338,7 +350,7 @@
     j->deadline_us = now_us + request->end_left_us;
     j->results_expire_us = j->deadline_us + p->limits.result_ttl_us;
     j->result_bytes = request->bytes;
-    j->holds_results = request->held_bytes >= LARGE_HELD_BYTES;
+    j->holds_large_results = request->held_bytes >= LARGE_HELD_BYTES;
     j->zone = stage_pool_copy_str(request->zone);
     j->zone_cost_us = request->zone_bytes * ZONE_US_PER_MB / 1000000;
     if (j->zone_cost_us > ZONE_PENALTY_MAX_US) {
@@ -359,7 +371,10 @@
         j->inputs[i] = str_dup(request->inputs[i]);
     }
     p->stats.queued += j->waiting_count;
-    insert_job(p, j);
+    TAILQ_INSERT_TAIL(&p->jobs, j, link);
+    if (j->waiting_count > 0) {
+        stage_pool_enqueue(p, j);
+    }
     g_hash_table_insert(p->jobs_by_key, &j->key, j);
     send_ack(p, now_us, &j->key, request->priority);
     p->dispatch_needed = true;
@@ -564,8 +579,10 @@
     expire_jobs(p, now_us);
     stage_pool_hedge_slow_calls(p, now_us);
     stage_pool_query_memory(p, now_us);
-    if (p->stats.queued > 0) {
+    if (p->stats.queued > 0 &&
+        (p->dispatch_needed || now_us >= p->dispatch_due_us)) {
         stage_pool_dispatch(p, now_us);
+        p->dispatch_due_us = now_us + DISPATCH_INTERVAL_US;
     }
     measure_queue_speed(p, now_us);
     p->dispatch_needed = false;
@@ -581,7 +598,7 @@
         return 0;
     }
     if (p->stats.queued > 0) {
-        return 1; /* runs at the shortest interval of the event loop */
+        at = MIN(at, p->dispatch_due_us);
     }
     return MIN(MIN(at, p->reminder_due_us), p->memory_query_due_us);
 }
--- a/src/forward/stage_pool_state.h
+++ b/src/forward/stage_pool_state.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 #include <sys/queue.h>
 
+#include "forward/stage_order.h"
 #include "forward/stage_pool.h"
 
 #define MS 1000LL
@@ -28,7 +29,8 @@
     int number;
     enum piece_state state;
     int send_count;
-    int calls; /* calls in flight that contain it */
+    int64_t sent_us; /* when it was last sent */
+    int calls;       /* calls in flight that contain it */
     struct endpoint *result_endpoint;
     char *handle; /* NULL: none */
 };
@@ -40,8 +42,10 @@
 
 /* A request for pieces from one node. */
 struct job {
-    struct job_key key;    /* key in jobs_by_key */
-    TAILQ_ENTRY(job) link; /* in pool->jobs, by priority and arrival */
+    struct job_key key;          /* key in jobs_by_key */
+    TAILQ_ENTRY(job) link;       /* in pool->jobs or pool->ended */
+    TAILQ_ENTRY(job) queue_link; /* in pool->queue, if is_queued */
+    bool is_queued;
     char *request_id;
     int stage;
     int priority;
@@ -53,9 +57,8 @@
     int64_t deadline_us;            /* deadline of the caller */
     int64_t results_expire_us;      /* when all its results have expired */
     int64_t result_bytes;
-    bool holds_results; /* a piece was sent, or the request holds large results
-                           at other endpoints */
-    bool sent_any_piece; /* a piece was sent */
+    bool holds_large_results; /* at endpoints of other stages */
+    bool sent_any_piece;      /* a piece was sent */
     char *zone;
     int64_t zone_cost_us; /* added cost of another zone */
     bool keyed;
@@ -86,6 +89,15 @@
     bool was_in_pool; /* was in the pool before */
 };
 
+/* An endpoint that a dispatch may use or wait for. */
+struct candidate {
+    struct pool_endpoint *pool_endpoint;
+    bool is_idle;
+    int64_t free_bytes; /* if idle */
+    double cost_us;     /* expected end of a call, and the penalty for
+                           failures */
+};
+
 struct pool_call {
     uint64_t id;
     struct pool_endpoint *pool_endpoint;
@@ -106,6 +118,9 @@
     struct piece_limits limits;
     struct job_list jobs;
     struct job_list ended;
+    /* Jobs with waiting pieces, by arrival. A job without any stays in it
+     * until the next dispatch. */
+    struct job_list queue;
     GHashTable *jobs_by_key;
     GHashTable *calls;           /* id -> struct pool_call */
     GHashTable *endpoints;       /* endpoint -> struct pool_endpoint */
@@ -118,6 +133,12 @@
     int64_t unreserved_bytes; /* memory available to jobs that have not
                                  started, as of the last dispatch */
     int64_t counted_us;       /* when waiting[] was counted */
+    GArray *entries;          /* struct stage_order_entry, of a dispatch */
+    GArray *order;            /* the same, in the order of service */
+    GArray *reserve;          /* scratch of stage_order_arrange */
+    GArray *candidates;       /* struct candidate, of a dispatch */
+    int64_t reserve_credit;   /* see stage_order_charge */
+    int64_t dispatch_due_us;  /* next dispatch without an event */
     int waiting[POOL_PRIORITIES]; /* waiting pieces by priority */
     int64_t interval_start_us;    /* start of the measured interval; 0: none */
     int64_t interval_start_pieces; /* stats.pieces at its start */
@@ -144,6 +165,9 @@
                             const struct job *j, const struct piece *piece,
                             enum piece_outcome outcome);
 
+/** Adds a job with waiting pieces to the queue, unless it is there. */
+void stage_pool_enqueue(struct stage_pool *p, struct job *j);
+
 /* stage_dispatch.c */
 /** Expected duration of a call. */
 int64_t stage_pool_call_duration_us(const struct stage_pool *p, int items);
--- /dev/null
+++ b/tests/test_stage_load.c
@@ -0,0 +1,248 @@
+/* Guards against an order of stage jobs that serves a less urgent kind of
+ * request better than a more urgent one, or that starves a kind, under the
+ * load of deployment A of docs/heavy-load.md at a quarter of its size. The
+ * endpoints and nodes are simulated. */
+#include <glib.h>
+#include <stdlib.h>
+
+#include "base/rng.h"
+#include "bench/forward_world.h"
+
+#define MS 1000LL
+#define SECOND 1000000LL
+#define NODES 6
+#define RUN_US (20 * SECOND)
+
+enum kind { MEDIUM, LONG, SHORT, SHORT_LARGE, KIND_COUNT };
+
+static const struct fw_service services[] = {
+    {.name = "pool", .engine = true},
+    {.name = "large",
+     .pieces = {.slots = 1,
+                .queue = 2,
+                .batch = 10,
+                .call_us = 150 * MS,
+                .item_us = 13 * MS,
+                .result_memory_bytes = 56000000,
+                .result_ttl_us = 4 * SECOND}},
+    {.name = "middle",
+     .pieces = {.slots = 1,
+                .queue = 2,
+                .batch = 42,
+                .call_us = 150 * MS,
+                .item_us = 3100,
+                .result_memory_bytes = 7500000,
+                .result_ttl_us = 4 * SECOND}},
+    {.name = "small",
+     .pieces = {.slots = 1,
+                .queue = 2,
+                .batch = 70,
+                .call_us = 150 * MS,
+                .item_us = 1800,
+                .result_memory_bytes = 1200000,
+                .result_ttl_us = 4 * SECOND}},
+};
+
+/* One route for each kind, in the order of enum kind. */
+static const struct fw_route routes[KIND_COUNT] = {
+    {.host = "medium",
+     .service = "pool",
+     .kind = REPEAT_STREAM,
+     .resumable = true,
+     .max_attempts = 2,
+     .timeout_us = 8 * SECOND,
+     .target_us = 1700 * MS,
+     .caller_disconnect_us = 6800 * MS,
+     .stage_count = 3,
+     .stage_service = {"large", "middle", "small"},
+     .stage_after = {0, 1, 2},
+     .stage_bytes = {8000, 60000, 6000}},
+    {.host = "long",
+     .service = "pool",
+     .kind = REPEAT_STREAM,
+     .resumable = true,
+     .priority = 1,
+     .max_attempts = 2,
+     .timeout_us = 8 * SECOND,
+     .target_us = 1300 * MS,
+     .caller_disconnect_us = 5200 * MS,
+     .stage_count = 1,
+     .stage_service = {"large"},
+     .stage_bytes = {3000000}},
+    {.host = "short",
+     .service = "pool",
+     .kind = REPEAT_STREAM,
+     .resumable = true,
+     .priority = 2,
+     .max_attempts = 2,
+     .timeout_us = 8 * SECOND,
+     .target_us = 1600 * MS,
+     .caller_disconnect_us = 6400 * MS,
+     .stage_count = 3,
+     .stage_service = {"large", "middle", "small"},
+     .stage_after = {0, 1, 2},
+     .stage_bytes = {8000, 60000, 6000}},
+    {.host = "short-large",
+     .service = "pool",
+     .kind = REPEAT_STREAM,
+     .resumable = true,
+     .priority = 2,
+     .max_attempts = 2,
+     .timeout_us = 8 * SECOND,
+     .target_us = 1600 * MS,
+     .caller_disconnect_us = 6400 * MS,
+     .stage_count = 4,
+     .stage_service = {"large", "large", "middle", "small"},
+     .stage_after = {0, 0, 2, 4},
+     .stage_bytes = {3000000, 8000, 60000, 6000}},
+};
+
+struct outcome {
+    int sent;
+    int served;
+    int on_time;
+    int refused;
+    int64_t latency_us; /* sum over the served */
+};
+
+static void
+send_one(struct forward_world *w, struct rng *rng, enum kind kind)
+{
+    struct fw_request_spec spec = {.host = routes[kind].host,
+                                   .caller_timeout_us = 8 * SECOND,
+                                   .prompt_tokens = 2000};
+    switch (kind) {
+    case MEDIUM:
+    case SHORT:
+        spec.pieces[0] = 1;
+        spec.pieces[1] = 8;
+        spec.pieces[2] = 16;
+        break;
+    case LONG:
+        spec.pieces[0] =
+            rng_uniform(rng) < 0.7 ? 2 + (rng_uniform(rng) < 0.5) : 0;
+        break;
+    case SHORT_LARGE:
+        spec.pieces[0] = 1 + (rng_uniform(rng) < 0.5);
+        spec.pieces[1] = 1;
+        spec.pieces[2] = 8;
+        spec.pieces[3] = 16;
+        break;
+    case KIND_COUNT:
+        break;
+    }
+    forward_world_send_request(w, (int)(rng_uniform(rng) * NODES), &spec);
+}
+
+/* Sends the load of the deployment, with a burst of @p factor times the rate
+ * from the 4th to the 10th second. */
+static void
+run_load(uint64_t seed, double factor, struct outcome out[KIND_COUNT])
+{
+    static const double rates[KIND_COUNT] = {12.5, 16.5, 11.7, 7.8};
+    static const struct {
+        const char *service;
+        int count;
+    } groups[] = {{"pool", 30}, {"large", 4}, {"middle", 4}, {"small", 5}};
+    static const char *const zones[] = {"a", "b", "c"};
+    struct fw_endpoint e[43] = {0};
+    char names[43][16];
+    int n = 0;
+    for (size_t g = 0; g < G_N_ELEMENTS(groups); g++) {
+        for (int i = 0; i < groups[g].count; i++, n++) {
+            g_snprintf(names[n], sizeof(names[n]), "%s-%d", groups[g].service,
+                       i);
+            e[n] = (struct fw_endpoint){
+                .id = names[n],
+                .service = groups[g].service,
+                .zone = zones[i % 3],
+                .slots = g == 0 ? 32 : 1,
+                .queue = g == 0 ? 100 : 2,
+                .work_us = g == 0 ? 80 * MS : 0,
+                .events = g == 0 ? 4 : 0,
+                .result_memory_bytes = services[g].pieces.result_memory_bytes};
+        }
+    }
+    struct forward_world *w =
+        forward_world_new(NODES, services, G_N_ELEMENTS(services), routes,
+                          KIND_COUNT, e, n, seed);
+    struct rng rng;
+    rng_seed(&rng, seed);
+    int64_t start_us = forward_world_now_us(w);
+    for (int64_t at = 0; at < RUN_US; at += 2 * MS) {
+        bool burst = at >= 4 * SECOND && at < 10 * SECOND;
+        for (int k = 0; k < KIND_COUNT; k++) {
+            if (rng_uniform(&rng) <
+                rates[k] * (burst ? factor : 1) * 2 * MS / SECOND) {
+                send_one(w, &rng, (enum kind)k);
+            }
+        }
+        forward_world_run_until(w, start_us + at);
+    }
+    forward_world_run_until(w, start_us + RUN_US + 9 * SECOND);
+    for (int i = 0; i < forward_world_request_count(w); i++) {
+        const struct fw_request *q = forward_world_request(w, i);
+        struct outcome *o = &out[q->route];
+        int64_t latency_us = q->first_byte_us - q->sent_us;
+        o->sent++;
+        o->refused += q->end == FW_REFUSED;
+        if (q->end == FW_ANSWERED) {
+            o->served++;
+            o->latency_us += latency_us;
+            o->on_time += latency_us <= routes[q->route].target_us;
+        }
+    }
+    forward_world_free(w);
+}
+
+/* Routes in the order of their ranks; kinds of one rank may differ. */
+static void
+check_kinds(const struct outcome out[KIND_COUNT])
+{
+    for (int a = 0; a < KIND_COUNT; a++) {
+        for (int b = 0; b < KIND_COUNT; b++) {
+            double served_a = 100.0 * out[a].served / out[a].sent;
+            double served_b = 100.0 * out[b].served / out[b].sent;
+            double on_time_a = 100.0 * out[a].on_time / out[a].sent;
+            double on_time_b = 100.0 * out[b].on_time / out[b].sent;
+            g_assert_cmpfloat(served_a, >=, served_b / 2);
+            if (routes[a].priority < routes[b].priority) {
+                g_assert_cmpfloat(served_b, <=, served_a + 5);
+                g_assert_cmpfloat(on_time_b, <=, on_time_a + 15);
+            }
+        }
+    }
+}
+
+/* The bursts that callers of the deployment send. The bounds are those of the
+ * design page. */
+static void
+test_burst(void)
+{
+    static const double factors[] = {1.0, 1.6, 2.2, 2.6};
+    for (size_t f = 0; f < G_N_ELEMENTS(factors); f++) {
+        struct outcome out[KIND_COUNT] = {0};
+        for (uint64_t seed = 1; seed <= 4; seed++) {
+            run_load(seed, factors[f], out);
+        }
+        for (int k = 0; k < KIND_COUNT; k++) {
+            const struct outcome *o = &out[k];
+            g_test_message("burst %.1f %-12s sent %4d served %5.1f%% on time "
+                           "%5.1f%% refused %5.1f%% mean %4d ms",
+                           factors[f], routes[k].host, o->sent,
+                           100.0 * o->served / o->sent,
+                           100.0 * o->on_time / o->sent,
+                           100.0 * o->refused / o->sent,
+                           (int)(o->latency_us / MS / MAX(o->served, 1)));
+        }
+        check_kinds(out);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/stage-load/burst", test_burst);
+    return g_test_run();
+}
