Refuse requests whose stages cannot end before their callers leave

Cause: a new request was judged by the waits that its node had observed, which a node without recent requests does not have; and a request whose first stage was slow still started the next one, although it could not end in time.

Change: an acknowledgement with an expected wait of more than twice what the request can wait ends it if no piece is done, before it is paid for; after each stage, a request whose others cannot end even without waits is refused. Late requests are still served. The estimates of times move to stage_time.c.

Both new tests fail without the change.

--- a/src/forward/pieces.c
+++ b/src/forward/pieces.c
@@ -11,15 +11,10 @@
 /* Postponed large results are requested this much earlier, so that they are
  * seldom the last to be ready. */
 #define POSTPONE_MARGIN_US (100 * MS)
-/* Time from the final call to the first byte, excluding the prefill of the
- * prompt. */
-#define FINAL_CALL_US (40 * MS)
-/* Assumed uncached share of a prompt before an engine is chosen; most of a
- * prompt is shared. */
-#define UNCACHED_SHARE 0.3
-/* Half-life of an observed wait. */
-#define WAIT_HALF_LIFE_US (400 * MS)
-#define WAIT_WEIGHT 0.3
+/* The expected wait must be this many times what a request can wait before it
+ * is refused: after an endpoint was silent for a second or two, the speed of
+ * the queue is measured as half of what it is. */
+#define EXPECTED_WAIT_MARGIN 2
 /* Interval between checks of pending stage requests, and the time after which
  * one is resent. The time doubles with each resend up to
  * RESEND_MAX_DOUBLINGS: an owner that is only slow has all of them to read. */
@@ -29,142 +24,12 @@
 /* An acknowledged stage request is resent only in case results were lost. A
  * request with its inputs takes kilobytes of a slow link. */
 #define RESEND_ACKNOWLEDGED_US (700 * MS)
-/* Network time between nodes and the owner's processing time. */
-#define OWNER_OVERHEAD_US (3 * MS)
-
-static int64_t
-stage_duration_us(const struct service_state *s, int pieces)
-{
-    int batch = s->info.pieces.batch;
-    int items = batch > 0 && pieces > batch ? batch : pieces;
-    return s->info.pieces.call_us + items * s->info.pieces.item_us +
-           OWNER_OVERHEAD_US;
-}
-
-static int
-wait_index(int priority)
-{
-    return CLAMP(priority, 0, WAIT_PRIORITIES - 1);
-}
-
-static int64_t
-current_wait_us(const struct service_state *s, int priority, int64_t now_us)
-{
-    int index = wait_index(priority);
-    int64_t halves = (now_us - s->waits[index].seen_us) / WAIT_HALF_LIFE_US;
-    return halves > 8 ? 0 : s->waits[index].us >> halves;
-}
-
-static void
-record_wait(struct service_state *s, int priority, int64_t now_us,
-            int64_t wait_us)
-{
-    double before = (double)current_wait_us(s, priority, now_us);
-    int index = wait_index(priority);
-    s->waits[index].us =
-        (int64_t)((1 - WAIT_WEIGHT) * before + WAIT_WEIGHT * (double)wait_us);
-    s->waits[index].seen_us = now_us;
-}
-
 static bool
 stage_done(const struct request *r, int i)
 {
     return r->stages[i].ready == r->stages[i].count;
 }
 
-/* Which waits a path through the stages includes. */
-enum path_waits {
-    WAITS_NONE,
-    /* The duration of a full call for each stage: a piece that comes first in
-     * the order still waits for an endpoint to end its call. A stage request
-     * that starts with less time left meets its objective in its own stage
-     * only to miss it in the next one. */
-    WAITS_FOR_CALL,
-    WAITS_ALL,
-};
-
-static int64_t
-stage_wait_us(const struct request *r, int i, enum path_waits waits,
-              int64_t now_us)
-{
-    const struct service_state *s = r->stages[i].service;
-    switch (waits) {
-    case WAITS_NONE:
-        break;
-    case WAITS_FOR_CALL:
-        return stage_duration_us(s, s->info.pieces.batch);
-    case WAITS_ALL:
-        return current_wait_us(s, r->priority, now_us);
-    }
-    return 0;
-}
-
-/* Longest path through the remaining stages that follow stage @p from, without
- * stage @p skip (-1: all stages, none skipped). */
-static int64_t
-longest_path_us(const struct request *r, int from, int skip,
-                enum path_waits waits, int64_t now_us)
-{
-    int64_t at[ROUTING_MAX_STAGES] = {0};
-    int64_t latest = 0;
-    for (int i = 0; i < r->route->stage_count; i++) {
-        const struct stage *st = &r->stages[i];
-        bool counts = from < 0;
-        for (int k = 0; k < i; k++) {
-            if (!(r->route->stages[i].after >> k & 1)) {
-                continue;
-            }
-            counts |= k == from || (from >= 0 && at[k] > 0);
-            at[i] = at[k] > at[i] ? at[k] : at[i];
-        }
-        if (counts && i != skip && !stage_done(r, i)) {
-            at[i] += stage_duration_us(st->service, st->count);
-            at[i] += stage_wait_us(r, i, waits, now_us);
-        }
-        latest = at[i] > latest ? at[i] : latest;
-    }
-    return latest;
-}
-
-int64_t
-pieces_remaining_us(const struct request *r)
-{
-    return longest_path_us(r, -1, -1, WAITS_NONE, 0);
-}
-
-int64_t
-pieces_expected_us(int64_t now_us, const struct request *r)
-{
-    return longest_path_us(r, -1, -1, WAITS_ALL, now_us);
-}
-
-int64_t
-pieces_final_call_us(int64_t now_us, const struct request *r)
-{
-    if (!r->service->info.is_engine) {
-        return FINAL_CALL_US / 4;
-    }
-    if (r->planned_engine) {
-        return FINAL_CALL_US +
-               place_prefill_us(r->planned_engine, &r->prompt, now_us, NULL);
-    }
-    return FINAL_CALL_US +
-           (int64_t)(UNCACHED_SHARE * (double)r->prompt.total) * MS /
-               ENGINE_TOKENS_PER_MS;
-}
-
-/* As pieces_final_call_us, without the prompts that wait at the engine. */
-static int64_t
-final_call_work_us(int64_t now_us, const struct request *r)
-{
-    int64_t uncached;
-    if (!r->service->info.is_engine || !r->planned_engine) {
-        return pieces_final_call_us(now_us, r);
-    }
-    place_prefill_us(r->planned_engine, &r->prompt, now_us, &uncached);
-    return FINAL_CALL_US + uncached * MS / ENGINE_TOKENS_PER_MS;
-}
-
 bool
 pieces_init(struct forward *f, int64_t now_us, struct request *r)
 {
@@ -267,12 +132,12 @@
 {
     const struct route_stage *st = &r->route->stages[a->stage];
     const struct service_state *s = r->stages[a->stage].service;
-    int64_t own_us = stage_duration_us(s, r->stages[a->stage].count);
+    int64_t own_us = stage_time_duration_us(s, r->stages[a->stage].count);
     int64_t after_us =
-        longest_path_us(r, a->stage, -1, WAITS_FOR_CALL, now_us) +
-        final_call_work_us(now_us, r);
-    int64_t min_after_us =
-        longest_path_us(r, a->stage, -1, WAITS_NONE, 0) + FINAL_CALL_US / 2;
+        stage_time_path_us(r, a->stage, -1, WAITS_FOR_CALL, now_us) +
+        stage_time_final_work_us(now_us, r);
+    int64_t min_after_us = stage_time_path_us(r, a->stage, -1, WAITS_NONE, 0) +
+                           STAGE_TIME_FIRST_BYTE_MIN_US;
     out->correlation_id = a->id;
     out->service = s->hash;
     out->group = a->group;
@@ -358,9 +223,9 @@
     if (info->feeds_stage || st->count * info->bytes < LARGE_RESULT_BYTES) {
         return false;
     }
-    int64_t own_us = stage_duration_us(st->service, st->count) +
-                     current_wait_us(st->service, r->priority, now_us);
-    int64_t slack_us = longest_path_us(r, -1, stage, WAITS_ALL, now_us) -
+    int64_t own_us = stage_time_duration_us(st->service, st->count) +
+                     stage_time_wait_us(st->service, r->priority, now_us);
+    int64_t slack_us = stage_time_path_us(r, -1, stage, WAITS_ALL, now_us) -
                        own_us - POSTPONE_MARGIN_US;
     if (slack_us <= 0) {
         return false;
@@ -545,6 +410,50 @@
     return n;
 }
 
+/* Refuses a request whose next stages cannot end before its caller leaves, so
+ * that they are not paid for. @return whether it was refused */
+static bool
+refuse_unmeetable(struct forward *f, int64_t now_us, struct request *r)
+{
+    for (int i = 0; i < r->route->stage_count; i++) {
+        if (!stage_done(r, i) && stage_time_missing_us(r, i, now_us) > 0) {
+            f->counters.stages_unmeetable++;
+            req_refuse(
+                f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
+                "the next stage cannot end in time",
+                stage_time_wait_us(r->stages[i].service, r->priority, now_us) /
+                    MS);
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Refuses a request before its first piece is paid for if, by the wait that
+ * the owner expects, its stages cannot end before its caller leaves. A request
+ * that is only late by its objective is not refused: a late answer is worth
+ * more than none. */
+static void
+refuse_by_expected_wait(struct forward *f, int64_t now_us, struct request *r,
+                        int stage, int64_t wait_us)
+{
+    if (r->state != REQ_RUNNING_STAGES || r->stage_restarts > 0) {
+        return;
+    }
+    for (int i = 0; i < r->route->stage_count; i++) {
+        if (r->stages[i].ready > 0) {
+            return;
+        }
+    }
+    int64_t missing = stage_time_missing_us(
+        r, stage, now_us + wait_us / EXPECTED_WAIT_MARGIN);
+    if (missing > 0) {
+        f->counters.stages_unmeetable++;
+        req_refuse(f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
+                   "a stage is not expected to start in time", missing / MS);
+    }
+}
+
 static void
 handle_piece_done(struct forward *f, int64_t now_us, struct request *r,
                   int stage, const struct stage_result *res)
@@ -558,10 +467,13 @@
     p->handle = str_dup(res->handle);
     p->result_endpoint_hash = res->maker;
     st->ready++;
-    record_wait(st->service, r->priority, now_us, res->waited_us);
+    stage_time_record_wait(st->service, r->priority, now_us, res->waited_us);
     if (!stage_done(r, stage)) {
         return;
     }
+    if (!r->preparing && refuse_unmeetable(f, now_us, r)) {
+        return;
+    }
     drop_unneeded_stages(f, now_us, r);
     if (!pieces_request_ready(f, now_us, r)) {
         return;
@@ -601,7 +513,7 @@
         req_refuse(
             f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
             "a stage cannot be done in time",
-            current_wait_us(r->stages[stage].service, r->priority, now_us) /
+            stage_time_wait_us(r->stages[stage].service, r->priority, now_us) /
                 MS);
         break;
     case PIECE_INPUT_GONE:
@@ -647,10 +559,11 @@
         return;
     }
     a->acknowledged |= from == a->owner;
-    const struct request *r = map_get(&f->requests, a->request);
+    struct request *r = map_get(&f->requests, a->request);
     if (r) {
-        record_wait(r->stages[a->stage].service, r->priority, now_us,
-                    m->ack.wait_us);
+        stage_time_record_wait(r->stages[a->stage].service, r->priority,
+                               now_us, m->ack.wait_us);
+        refuse_by_expected_wait(f, now_us, r, a->stage, m->ack.wait_us);
     }
 }
 
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -44,6 +44,8 @@
     X(pieces, "pieces sent")                                                  \
     X(pieces_rejected, "calls of pieces that an endpoint rejected")           \
     X(pieces_failed, "pieces without a result")                               \
+    X(stages_unmeetable,                                                      \
+      "requests refused since their stages cannot end in time")               \
     X(owner_changes, "asks that were taken from a silent owner")              \
     X(poisonous, "requests refused since they crash endpoints")               \
     X(part_refusals,                                                          \
@@ -317,6 +319,11 @@
 /** Collects the handles of the results that the final call needs.
  * @return their number */
 int pieces_result_handles(const struct request *r, struct str *out, int max);
+/** Resends stage requests to owners that do not reply, or moves them to
+ * another owner. */
+void pieces_check_requests(struct forward *f, int64_t now_us);
+
+/* stage_time.c */
 /** Estimates the time until the final call if no piece has to wait. */
 int64_t pieces_remaining_us(const struct request *r);
 /** As pieces_remaining_us, including recently observed waits. */
@@ -324,9 +331,37 @@
 /** Estimates the time from the final call to the first byte of the response.
  */
 int64_t pieces_final_call_us(int64_t now_us, const struct request *r);
-/** Resends stage requests to owners that do not reply, or moves them to
- * another owner. */
-void pieces_check_requests(struct forward *f, int64_t now_us);
+/** Least time from the final call to the first byte. */
+#define STAGE_TIME_FIRST_BYTE_MIN_US (20 * MS)
+/** Which waits a path through the stages includes. */
+enum path_waits {
+    WAITS_NONE,
+    /** The duration of a full call for each stage: a piece that comes first in
+     * the order still waits for an endpoint to end its call. A stage request
+     * that starts with less time left meets its objective in its own stage
+     * only to miss it in the next one. */
+    WAITS_FOR_CALL,
+    /** The waits that were observed lately. */
+    WAITS_ALL,
+};
+/** Duration of a call with this many pieces, with the owner's overhead. */
+int64_t stage_time_duration_us(const struct service_state *s, int pieces);
+/** Wait of pieces that was observed lately. */
+int64_t stage_time_wait_us(const struct service_state *s, int priority,
+                           int64_t now_us);
+void stage_time_record_wait(struct service_state *s, int priority,
+                            int64_t now_us, int64_t wait_us);
+/** Longest path through the remaining stages that follow stage @p from,
+ * without stage @p skip (-1: all stages, none skipped). */
+int64_t stage_time_path_us(const struct request *r, int from, int skip,
+                           enum path_waits waits, int64_t now_us);
+/** As pieces_final_call_us, without the prompts that wait at the engine. */
+int64_t stage_time_final_work_us(int64_t now_us, const struct request *r);
+/** Returns by how much the caller leaves too early for a stage that starts at
+ * @p start_us, the stages after it and the first byte, if none of the later
+ * ones has to wait; negative or 0: they can end in time. */
+int64_t stage_time_missing_us(const struct request *r, int stage,
+                              int64_t start_us);
 
 /* owners.c */
 void owners_set_site(struct forward *f, int64_t now_us);
--- a/tests/test_stage_load.c
+++ b/tests/test_stage_load.c
@@ -134,26 +134,30 @@
     forward_world_send_request(w, (int)(rng_uniform(rng) * NODES), &spec);
 }
 
-/* Sends the load of the deployment, with a burst of @p factor times the rate
- * from the 4th to the 10th second. */
+#define ENDPOINTS 43
+
+/* The endpoints of a quarter of the deployment. */
+struct fleet {
+    struct fw_endpoint e[ENDPOINTS];
+    char names[ENDPOINTS][16];
+    struct forward_world *w;
+};
+
 static void
-run_load(uint64_t seed, double factor, struct outcome out[KIND_COUNT])
+fleet_init(struct fleet *f, uint64_t seed)
 {
-    static const double rates[KIND_COUNT] = {12.5, 16.5, 11.7, 7.8};
     static const struct {
         const char *service;
         int count;
     } groups[] = {{"pool", 30}, {"large", 4}, {"middle", 4}, {"small", 5}};
     static const char *const zones[] = {"a", "b", "c"};
-    struct fw_endpoint e[43] = {0};
-    char names[43][16];
     int n = 0;
     for (size_t g = 0; g < G_N_ELEMENTS(groups); g++) {
         for (int i = 0; i < groups[g].count; i++, n++) {
-            g_snprintf(names[n], sizeof(names[n]), "%s-%d", groups[g].service,
-                       i);
-            e[n] = (struct fw_endpoint){
-                .id = names[n],
+            g_snprintf(f->names[n], sizeof(f->names[n]), "%s-%d",
+                       groups[g].service, i);
+            f->e[n] = (struct fw_endpoint){
+                .id = f->names[n],
                 .service = groups[g].service,
                 .zone = zones[i % 3],
                 .slots = g == 0 ? 32 : 1,
@@ -163,9 +167,30 @@
                 .result_memory_bytes = services[g].pieces.result_memory_bytes};
         }
     }
-    struct forward_world *w =
-        forward_world_new(NODES, services, G_N_ELEMENTS(services), routes,
-                          KIND_COUNT, e, n, seed);
+    f->w = forward_world_new(NODES, services, G_N_ELEMENTS(services), routes,
+                             KIND_COUNT, f->e, n, seed);
+}
+
+/* Number of pieces that the endpoints of a service have received. */
+static int
+piece_count(const struct fleet *f, const char *service)
+{
+    int sum = 0;
+    for (int i = 0; i < ENDPOINTS; i++) {
+        sum += g_str_equal(f->e[i].service, service) ? f->e[i].pieces : 0;
+    }
+    return sum;
+}
+
+/* Sends the load of the deployment, with a burst of @p factor times the rate
+ * from the 4th to the 10th second. */
+static void
+run_load(uint64_t seed, double factor, struct outcome out[KIND_COUNT])
+{
+    static const double rates[KIND_COUNT] = {12.5, 16.5, 11.7, 7.8};
+    struct fleet f;
+    fleet_init(&f, seed);
+    struct forward_world *w = f.w;
     struct rng rng;
     rng_seed(&rng, seed);
     int64_t start_us = forward_world_now_us(w);
@@ -239,10 +264,68 @@
     }
 }
 
+/* A request that the owner does not expect to serve before its caller leaves
+ * must be refused at once and cost no piece; one that will only be late must
+ * not be refused. */
+static void
+test_expected_wait(void)
+{
+    struct fleet f;
+    fleet_init(&f, 1);
+    struct fw_request_spec urgent = {.host = "medium",
+                                     .caller_timeout_us = 8 * SECOND,
+                                     .prompt_tokens = 2000,
+                                     .pieces = {1, 8, 16}};
+    struct fw_request_spec spec = urgent;
+    spec.host = "short";
+    /* 600 pieces of 4 endpoints with 10 in a call of 283 ms take 4.2 s. */
+    for (int i = 0; i < 600; i++) {
+        forward_world_send_request(f.w, 0, &urgent);
+    }
+    forward_world_run_until(f.w, forward_world_now_us(f.w) + 100 * MS);
+    spec.caller_timeout_us = 1600 * MS;
+    int hopeless = forward_world_send_request(f.w, 4, &spec);
+    spec.caller_timeout_us = 8 * SECOND;
+    int late = forward_world_send_request(f.w, 5, &spec);
+    forward_world_run_until(f.w, forward_world_now_us(f.w) + 60 * MS);
+    const struct fw_request *q = forward_world_request(f.w, hopeless);
+    g_assert_cmpint(q->end, ==, FW_REFUSED);
+    g_assert_cmpint(q->retry_after_ms, >, 0);
+    g_assert_cmpint(forward_world_request(f.w, late)->end, ==, FW_OPEN);
+    forward_world_run_until(f.w, forward_world_now_us(f.w) + 9 * SECOND);
+    g_assert_cmpint(forward_world_request(f.w, late)->end, ==, FW_ANSWERED);
+    g_assert_cmpint(piece_count(&f, "large"), ==, 601);
+    forward_world_free(f.w);
+}
+
+/* A request whose first stage took so long that the others cannot end before
+ * its caller leaves must not cost calls of the next stage. */
+static void
+test_next_stage(void)
+{
+    struct fleet f;
+    fleet_init(&f, 1);
+    struct fw_request_spec spec = {.host = "medium",
+                                   .caller_timeout_us = 900 * MS,
+                                   .prompt_tokens = 2000,
+                                   .pieces = {1, 8, 16}};
+    for (int i = 0; i < ENDPOINTS; i++) {
+        f.e[i].slow = g_str_equal(f.e[i].service, "large") ? 4 : 1;
+    }
+    int q = forward_world_send_request(f.w, 0, &spec);
+    forward_world_run_until(f.w, forward_world_now_us(f.w) + 2 * SECOND);
+    g_assert_cmpint(forward_world_request(f.w, q)->end, ==, FW_REFUSED);
+    g_assert_cmpint(piece_count(&f, "large"), >, 0);
+    g_assert_cmpint(piece_count(&f, "middle"), ==, 0);
+    forward_world_free(f.w);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/stage-load/burst", test_burst);
+    g_test_add_func("/stage-load/expected-wait", test_expected_wait);
+    g_test_add_func("/stage-load/next-stage", test_next_stage);
     return g_test_run();
 }
