Send results of one call for a request together; fields for teams

Cause: the owner sent a message for each piece, 25 for a request with stages of 1, 8 and 16 pieces, and the processor time of owners is scarce.

Change: struct stage_results, a new kind of message at the end of the list, holds the results of one call for one request. msg_decode rejects extra fields and counts messages of unknown kinds as malformed, so nodes of the build before ignore the new kind and would reject longer stage requests. A node therefore asks an owner, with a message without results, whether it knows them, at most every 2 s until it does, and again after its restart; only then are results sent together, and stage_work_request with its last two fields, team and waited_before_us. The team is the request's; waited_before_us is taken from struct request, where nothing sets it yet, and counts as waiting in the order.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -269,6 +269,14 @@
     if (to < 0 || n->cut || w->nodes[to].cut) {
         return;
     }
+    if (w->nodes[to].old_build && m->kind == STAGE_MSG_REQUEST) {
+        g_assert_cmpuint(m->request.team, ==, 0);
+        g_assert_cmpint(m->request.waited_before_us, ==, 0);
+    }
+    if (m->kind == STAGE_MSG_RESULTS &&
+        (n->old_build || w->nodes[to].old_build)) {
+        return;
+    }
     struct sim_event *ev = forward_world_schedule(
         w, message_arrival_us(w, n, &w->nodes[to]), SIM_MESSAGE, to);
     ev->work_us = w->message_us;
@@ -294,6 +302,12 @@
     else if (m->kind == STAGE_MSG_RESULT) {
         ev->msg->result.handle = copy_str(ev->strings, m->result.handle);
     }
+    else if (m->kind == STAGE_MSG_RESULTS) {
+        for (int k = 0; k < m->results.count; k++) {
+            ev->msg->results.items[k].handle =
+                copy_str(ev->strings, m->results.items[k].handle);
+        }
+    }
 }
 
 static void
@@ -621,6 +635,12 @@
     w->nodes[node].cut = cut;
 }
 
+void
+forward_world_set_old_build(struct forward_world *w, int node)
+{
+    w->nodes[node].old_build = true;
+}
+
 void
 forward_world_set_message_delay(struct forward_world *w, int node,
                                 int64_t delay_us)
--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -123,6 +123,9 @@
 /** A node that is cut off, as by a stop, neither sends messages to other nodes
  * nor receives theirs. */
 void forward_world_set_cut(struct forward_world *w, int node, bool cut);
+/** A node of the build before struct stage_results ignores and never sends
+ * these; a stage request to it with fields that it rejects fails the test. */
+void forward_world_set_old_build(struct forward_world *w, int node);
 /** Delays the messages that a node receives from other nodes. */
 void forward_world_set_message_delay(struct forward_world *w, int node,
                                      int64_t delay_us);
--- a/bench/forward_world_state.h
+++ b/bench/forward_world_state.h
@@ -95,6 +95,7 @@
     int index;
     struct forward *core;
     bool cut;
+    bool old_build;
     /* From the arrival of a message to its handling. */
     int64_t message_delay_us;
     int64_t paused_until_us; /* the node does not run before this time */
--- a/src/daemon/gateway_link.c
+++ b/src/daemon/gateway_link.c
@@ -74,6 +74,10 @@
         out.type = MSG_PARTS;
         out.part_notice = m->parts;
         break;
+    case STAGE_MSG_RESULTS:
+        out.type = MSG_STAGE_RESULTS;
+        out.stage_results = m->results;
+        break;
     case STAGE_MSG_KIND_COUNT:
         return;
     }
@@ -146,6 +150,10 @@
         in.kind = STAGE_MSG_PARTS;
         in.parts = m->part_notice;
         break;
+    case MSG_STAGE_RESULTS:
+        in.kind = STAGE_MSG_RESULTS;
+        in.results = m->stage_results;
+        break;
     case MSG_FEED_ASK:
     case MSG_FEED_ANSWER:
         push_to_control(t, m);
--- a/src/forward/owners.c
+++ b/src/forward/owners.c
@@ -61,6 +61,14 @@
 on_send_message(void *ctx, uint64_t node, const struct stage_msg *m)
 {
     struct forward *f = ctx;
+    if (m->kind == STAGE_MSG_RESULTS) {
+        const struct peer *p = map_get(&f->peers, node);
+        if (node == f->self || !p || !p->knows_results) {
+            owner_results_split(&m->results, node, on_send_message, f);
+            return;
+        }
+        f->counters.result_groups++;
+    }
     if (node != f->self) {
         f->io.send_message(f->io.ctx, node, m);
         return;
@@ -191,6 +199,8 @@
             crashes_node_started(f, now_us);
             p->key = key;
             p->contacted = false;
+            p->knows_results = false;
+            p->results_asked_us = 0;
             p->last_received_us = 0;
             p->unanswered_us = 0;
             p->suspect_until_us = 0;
@@ -343,12 +353,22 @@
     struct peer *p = get_peer(f, node);
     if (m->kind == STAGE_MSG_REQUEST) {
         p->last_request_us = now_us;
+        if (!p->knows_results) {
+            owner_results_ask(f, now_us, p);
+        }
     }
     if (m->kind == STAGE_MSG_REQUEST && !p->unanswered_us) {
         p->unanswered_us = now_us;
         p->unanswered_request = m->request.correlation_id;
         p->reconnected = false;
     }
+    if (m->kind == STAGE_MSG_REQUEST && !p->knows_results) {
+        struct stage_msg plain = *m;
+        plain.request.team = 0;
+        plain.request.waited_before_us = 0;
+        f->io.send_message(f->io.ctx, node, &plain);
+        return;
+    }
     f->io.send_message(f->io.ctx, node, m);
 }
 
@@ -399,6 +419,8 @@
     return (m->kind == STAGE_MSG_ACK && m->ack.correlation_id == request) ||
            (m->kind == STAGE_MSG_RESULT &&
             m->result.correlation_id == request) ||
+           (m->kind == STAGE_MSG_RESULTS &&
+            m->results.correlation_id == request) ||
            (m->kind == STAGE_MSG_DROP && m->drop.correlation_id == request);
 }
 
@@ -431,6 +453,11 @@
     case STAGE_MSG_PREFILL:
         handle_prefill_notice(f, now_us, &m->prefill);
         break;
+    case STAGE_MSG_RESULTS:
+        if (from != f->self) {
+            owner_results_handle(f, now_us, get_peer(f, from), &m->results);
+        }
+        break;
     case STAGE_MSG_PARTS:
         crashes_handle_notice(f, now_us, &m->parts);
         break;
--- a/src/forward/pieces.c
+++ b/src/forward/pieces.c
@@ -139,6 +139,8 @@
     int64_t min_after_us = stage_time_path_us(r, a->stage, -1, WAITS_NONE, 0) +
                            STAGE_TIME_FIRST_BYTE_MIN_US;
     out->correlation_id = a->id;
+    out->team = r->team.len > 0 ? hash64(r->team) : 0;
+    out->waited_before_us = r->waited_before_us;
     out->service = s->hash;
     out->group = a->group;
     out->request_id = r->in.request_id;
--- a/src/forward/stage_dispatch.c
+++ b/src/forward/stage_dispatch.c
@@ -66,8 +66,8 @@
                           : 0;
     const struct stage_order_job job = {
         .rank = j->priority,
-        .team_excess = 0,
-        .received_us = j->received_us,
+        .team_excess = 0, /* of j->team, once forward/team_share exists */
+        .received_us = j->received_us - j->waited_before_us,
         .latest_start_us = j->latest_start_us - fill_us,
         .latest_useful_start_us = j->latest_useful_start_us,
         .has_started = j->sent_any_piece,
--- a/src/forward/stage_ends.c
+++ b/src/forward/stage_ends.c
@@ -150,9 +150,11 @@
         endpoint_record_duration(pe->endpoint, now_us - c->sent_us,
                                  c->expected_us);
         pe->slowness_updated_us = now_us;
+        p->collects_results = true;
         for (int i = 0; i < count; i++) {
             handle_item_result(p, now_us, c, i, &results[i]);
         }
+        stage_pool_flush_results(p);
     }
     if (pe->endpoint->calls_in_flight == 0) {
         stage_pool_recount_memory(p, pe);
--- a/src/forward/stage_pool.c
+++ b/src/forward/stage_pool.c
@@ -294,6 +294,52 @@
     p->io.send_message(p->io.ctx, key->node, &m);
 }
 
+void
+stage_pool_flush_results(struct stage_pool *p)
+{
+    struct stage_results *r = &p->pending_results;
+    struct stage_msg m = {.kind = STAGE_MSG_RESULTS};
+    p->collects_results = false;
+    if (r->count == 1) {
+        m.kind = STAGE_MSG_RESULT;
+        m.result = (struct stage_result){.correlation_id = r->correlation_id,
+                                         .piece = r->items[0].piece,
+                                         .outcome = PIECE_DONE,
+                                         .handle = r->items[0].handle,
+                                         .maker = r->maker,
+                                         .waited_us = r->waited_us};
+    }
+    else {
+        m.results = *r;
+    }
+    if (r->count > 0) {
+        r->count = 0;
+        p->io.send_message(p->io.ctx, p->pending_results_node, &m);
+    }
+}
+
+/* Adds a result to those of the same request, or sends those of another one.
+ */
+static void
+collect_result(struct stage_pool *p, uint64_t node,
+               const struct stage_result *result)
+{
+    struct stage_results *r = &p->pending_results;
+    if (r->count > 0 &&
+        (p->pending_results_node != node ||
+         r->correlation_id != result->correlation_id ||
+         r->waited_us != result->waited_us || r->count == STAGE_MAX_PIECES)) {
+        stage_pool_flush_results(p);
+        p->collects_results = true;
+    }
+    p->pending_results_node = node;
+    r->correlation_id = result->correlation_id;
+    r->maker = result->maker;
+    r->waited_us = result->waited_us;
+    r->items[r->count].piece = result->piece;
+    r->items[r->count++].handle = result->handle;
+}
+
 void
 stage_pool_send_result(struct stage_pool *p, int64_t now_us,
                        const struct job *j, const struct piece *piece,
@@ -308,6 +354,10 @@
         .maker = piece->result_endpoint ? piece->result_endpoint->hash : 0,
         .waited_us = MAX(
             (piece->sent_us ? piece->sent_us : now_us) - j->received_us, 0)};
+    if (p->collects_results && outcome == PIECE_DONE) {
+        collect_result(p, j->key.node, &m.result);
+        return;
+    }
     p->io.send_message(p->io.ctx, j->key.node, &m);
 }
 
@@ -356,6 +406,8 @@
     if (j->zone_cost_us > ZONE_PENALTY_MAX_US) {
         j->zone_cost_us = ZONE_PENALTY_MAX_US;
     }
+    j->team = request->team;
+    j->waited_before_us = request->waited_before_us;
     j->keyed = request->keyed;
     j->piece_key = stage_pool_copy_str(request->key);
     j->waiting_count = j->piece_count = request->piece_count;
--- a/src/forward/stage_pool_state.h
+++ b/src/forward/stage_pool_state.h
@@ -59,6 +59,8 @@
     int64_t result_bytes;
     bool holds_large_results; /* at endpoints of other stages */
     bool sent_any_piece;      /* a piece was sent */
+    uint64_t team;            /* hash of its name; 0: unknown */
+    int64_t waited_before_us; /* in earlier attempts of the caller */
     char *zone;
     int64_t zone_cost_us; /* added cost of another zone */
     bool keyed;
@@ -148,6 +150,10 @@
                                  was empty or pieces were sent */
     int64_t us_per_piece;     /* in the last interval; 0: no queue */
     struct stage_pool_stats stats;
+    bool collects_results; /* results are collected in pending_results */
+    uint64_t pending_results_node;
+    struct stage_results
+        pending_results; /* handles are views of the pieces' */
     bool dispatch_needed;
 };
 
@@ -162,6 +168,8 @@
 void stage_pool_release_result(struct stage_pool *p, int64_t now_us,
                                struct endpoint *e, const char *handle,
                                int64_t bytes);
+/** Sends the results collected since collects_results was set. */
+void stage_pool_flush_results(struct stage_pool *p);
 /** Sends the outcome of a piece to the requesting node. */
 void stage_pool_send_result(struct stage_pool *p, int64_t now_us,
                             const struct job *j, const struct piece *piece,
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -46,6 +46,7 @@
     X(pieces_failed, "pieces without a result")                               \
     X(stages_unmeetable,                                                      \
       "requests refused since their stages cannot end in time")               \
+    X(result_groups, "results of pieces that were sent together")             \
     X(owner_changes, "asks that were taken from a silent owner")              \
     X(poisonous, "requests refused since they crash endpoints")               \
     X(part_refusals,                                                          \
@@ -85,6 +86,8 @@
     struct service_state *service; /* service of the final call */
     struct str team;               /* view into the cluster view */
     int priority;
+    int64_t waited_before_us; /* since the caller's first refused attempt; 0:
+                                 none */
     int64_t arrived_us;
     int64_t target_us;   /* absolute latency target; later responses are worth
                             less */
@@ -144,9 +147,11 @@
 /* Another node that may own stage endpoints. */
 struct peer {
     uint64_t node;
-    uint64_t key;     /* hash of its public key; changes when it restarts */
-    bool contacted;   /* was sent a message ahead of the first request */
-    bool reconnected; /* since unanswered_us */
+    uint64_t key;       /* hash of its public key; changes when it restarts */
+    bool knows_results; /* has shown that it knows struct stage_results */
+    int64_t results_asked_us; /* when it was last asked to; 0: never */
+    bool contacted;        /* was sent a message ahead of the first request */
+    bool reconnected;      /* since unanswered_us */
     int64_t unanswered_us; /* send time of the oldest message with no reply
                               since; 0: none */
     uint64_t unanswered_request; /* stage request in that message */
@@ -385,6 +390,19 @@
 void pieces_handle_reply(struct forward *f, int64_t now_us, uint64_t from,
                          const struct stage_msg *m);
 
+/* owner_results.c */
+/** Sends results one by one with @p send. */
+void owner_results_split(const struct stage_results *r, uint64_t node,
+                         void (*send)(void *ctx, uint64_t node,
+                                      const struct stage_msg *m),
+                         void *ctx);
+/** Asks a node to show that it knows struct stage_results, unless it was asked
+ * lately. */
+void owner_results_ask(struct forward *f, int64_t now_us, struct peer *p);
+/** Handles results, or a message without any, of another node. */
+void owner_results_handle(struct forward *f, int64_t now_us, struct peer *p,
+                          const struct stage_results *r);
+
 /* stream.c */
 /** Finds the complete events at the front of a buffer. Sets @p last_id to the
  * last id in them, if any.
--- a/src/model/stage_work.h
+++ b/src/model/stage_work.h
@@ -66,6 +66,11 @@
     int pieces[STAGE_MAX_PIECES];
     int input_count;
     struct str inputs[STAGE_MAX_INPUTS];
+    /* The fields below are sent only to nodes that have shown that they know
+     * them, since builds without them reject the message. */
+    uint64_t team; /**< hash of the team's name; 0: none, or not sent */
+    int64_t waited_before_us; /**< time since the caller's first refused
+                                 attempt; 0: none, or not sent */
 };
 
 /** Acknowledges that the owner has received a request. */
@@ -84,6 +89,21 @@
     int64_t waited_us; /**< time from the request to the call */
 };
 
+/** Reports the pieces of one request that one call has done. Without pieces it
+ * shows that its sender knows this message and the last fields of struct
+ * stage_work_request; builds without them ignore it. */
+struct stage_results {
+    uint64_t correlation_id; /**< without pieces: whether the receiver is to
+                                show the same; 0: no */
+    uint64_t maker;          /**< as in struct stage_result */
+    int64_t waited_us;       /**< as in struct stage_result */
+    int count;
+    struct {
+        int piece;
+        struct str handle;
+    } items[STAGE_MAX_PIECES];
+};
+
 /** Reports that a request has ended: the owner drops its queued pieces and
  * releases its results. */
 struct stage_drop {
@@ -113,6 +133,7 @@
         STAGE_MSG_DROP,
         STAGE_MSG_PREFILL,
         STAGE_MSG_PARTS,
+        STAGE_MSG_RESULTS,
         STAGE_MSG_KIND_COUNT
     } kind;
     union {
@@ -122,6 +143,7 @@
         struct stage_drop drop;
         struct prefill_notice prefill;
         struct part_notice parts;
+        struct stage_results results;
     };
 };
 
--- a/src/wire/msg.c
+++ b/src/wire/msg.c
@@ -302,6 +302,26 @@
     for (int i = 0; !io->is_malformed && i < b->input_count; i++) {
         io_str(io, &b->inputs[i], NAME_MAX_BYTES);
     }
+    /* Builds without these fields reject them. They send none, and are sent
+     * none. */
+    if (io->mode == IO_READ ? io->fields > 0
+                            : b->team || b->waited_before_us > 0) {
+        io_u64(io, &b->team);
+        io_i64(io, &b->waited_before_us, DURATION_MAX_US);
+    }
+}
+
+static void
+io_stage_results(struct io *io, struct stage_results *b)
+{
+    io_u64(io, &b->correlation_id);
+    io_u64(io, &b->maker);
+    io_i64(io, &b->waited_us, DURATION_MAX_US);
+    io_int(io, &b->count, STAGE_MAX_PIECES);
+    for (int i = 0; !io->is_malformed && i < b->count; i++) {
+        io_int(io, &b->items[i].piece, INT32_MAX);
+        io_str(io, &b->items[i].handle, NAME_MAX_BYTES);
+    }
 }
 
 static void
--- a/tests/test_stage_load.c
+++ b/tests/test_stage_load.c
@@ -360,6 +360,79 @@
     forward_world_free(f.w);
 }
 
+/* Nodes of this build send each other results in groups, and work with nodes
+ * of the build before it. Guards against requests that stay unanswered while a
+ * fleet is updated, and against a message for each piece after it. */
+static void
+test_result_groups(void)
+{
+    for (int old_count = 0; old_count < NODES; old_count++) {
+        struct fleet f;
+        struct fw_request_spec spec = {.host = "medium",
+                                       .caller_timeout_us = 8 * SECOND,
+                                       .prompt_tokens = 2000,
+                                       .pieces = {1, 8, 16}};
+        fleet_init(&f, 1);
+        for (int i = 0; i < old_count; i++) {
+            forward_world_set_old_build(f.w, i);
+        }
+        for (int i = 0; i < 60; i++) {
+            forward_world_send_request(f.w, i % NODES, &spec);
+            forward_world_run_until(f.w, forward_world_now_us(f.w) + 80 * MS);
+        }
+        forward_world_run_until(f.w, forward_world_now_us(f.w) + 4 * SECOND);
+        for (int i = 0; i < forward_world_request_count(f.w); i++) {
+            const struct fw_request *q = forward_world_request(f.w, i);
+            g_assert_cmpint(q->end, ==, FW_ANSWERED);
+            g_assert_cmpint(q->first_byte_us - q->sent_us, <, 1700 * MS);
+        }
+        int single = forward_world_message_count(f.w, STAGE_MSG_RESULT);
+        int groups = forward_world_message_count(f.w, STAGE_MSG_RESULTS);
+        g_test_message("%d old nodes: %d messages with results, %d with one",
+                       old_count, groups, single);
+        /* 60 requests have 1500 pieces, of which one in six is of the owner's
+         * own requests; the first stage has one piece. */
+        if (old_count == 0) {
+            g_assert_cmpint(single + groups, <=, 60 * 3 + 2 * NODES * NODES);
+        }
+        forward_world_free(f.w);
+    }
+}
+
+/* A lost group of results must neither delay a response until its deadline nor
+ * leave results that occupy memory until they expire. */
+static void
+test_lost_groups(void)
+{
+    for (int lost = 1; lost <= 4; lost++) {
+        struct fleet f;
+        struct fw_request_spec spec = {.host = "medium",
+                                       .caller_timeout_us = 8 * SECOND,
+                                       .prompt_tokens = 2000,
+                                       .pieces = {1, 8, 16}};
+        int held = 0;
+        fleet_init(&f, 1);
+        for (int i = 0; i < 2 * NODES; i++) {
+            if (i == NODES) {
+                forward_world_drop_messages(f.w, STAGE_MSG_RESULTS, lost);
+            }
+            forward_world_send_request(f.w, i % NODES, &spec);
+            forward_world_run_until(f.w, forward_world_now_us(f.w) + 100 * MS);
+        }
+        forward_world_run_until(f.w, forward_world_now_us(f.w) + 8 * SECOND);
+        for (int i = 0; i < 2 * NODES; i++) {
+            const struct fw_request *q = forward_world_request(f.w, i);
+            g_assert_cmpint(q->end, ==, FW_ANSWERED);
+            g_assert_cmpint(q->first_byte_us - q->sent_us, <, 3 * SECOND);
+        }
+        for (int i = 0; i < ENDPOINTS; i++) {
+            held += f.e[i].held;
+        }
+        g_assert_cmpint(held, ==, 0);
+        forward_world_free(f.w);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -368,5 +441,7 @@
     g_test_add_func("/stage-load/changing-load", test_changing_load);
     g_test_add_func("/stage-load/expected-wait", test_expected_wait);
     g_test_add_func("/stage-load/next-stage", test_next_stage);
+    g_test_add_func("/stage-load/result-groups", test_result_groups);
+    g_test_add_func("/stage-load/lost-groups", test_lost_groups);
     return g_test_run();
 }
