Correct the choice of endpoints; prefer idle ones to waiting

With the factor in use, jobs waited for better endpoints while the capacity of loaded ones was lost, and then found these loaded as well.

Change: the fields are set; a busy endpoint is expected to have the mean load of the pool; waiting for one costs eight times its time while another one in the job's zone is idle.

--- a/src/forward/stage_dispatch.c
+++ b/src/forward/stage_dispatch.c
@@ -21,6 +21,13 @@
  * after them seldom find one, and a long queue must not use up the CPU time.
  */
 #define MAX_UNPLACED_JOBS 256
+/* Weight of the time for which a job waits for a busy endpoint while another
+ * one is idle. With a weight of 1, jobs wait for a better endpoint while the
+ * capacity of loaded ones is lost, and find it loaded too: in
+ * /stage-load/changing-load 54% of rank 0 are on time, with 4 to 6 80%, and
+ * 84% if jobs never wait. With 8, they still avoid an endpoint that is about
+ * five times slower than the others, as one that is about to fail. */
+#define IDLE_CAPACITY_WEIGHT 8
 /* Time in which the excess of an endpoint's slowness falls by half, so that it
  * is tried again. */
 #define SLOWNESS_HALF_LIFE_US (2 * SECOND)
@@ -146,13 +153,17 @@
     out->pool_endpoint = pe;
     out->is_idle = is_free(p, pe, now_us);
     out->free_bytes = stage_pool_free_bytes(p, pe, now_us);
+    out->planned_count = 0;
+    /* What a busy endpoint has reported no longer holds when it is idle. */
+    double factor = out->is_idle ? endpoint_load_factor(pe->endpoint, now_us)
+                                 : p->mean_load_factor;
+    out->call_us = factor * stage_pool_slowness(pe, now_us) *
+                   (double)stage_pool_call_duration_us(p, p->limits.batch);
+    out->wait_us = !out->is_idle && pe->busy_until_us > now_us
+                       ? (double)(pe->busy_until_us - now_us)
+                       : 0;
     out->cost_us =
-        stage_pool_slowness(pe, now_us) *
-            (double)stage_pool_call_duration_us(p, p->limits.batch) +
-        endpoint_failure_rate(pe->endpoint, now_us) * SECOND;
-    if (!out->is_idle && pe->busy_until_us > now_us) {
-        out->cost_us += (double)(pe->busy_until_us - now_us);
-    }
+        out->call_us + endpoint_failure_rate(pe->endpoint, now_us) * SECOND;
     return true;
 }
 
@@ -168,7 +179,7 @@
     g_array_set_size(p->candidates, 0);
     g_hash_table_iter_init(&it, p->endpoints);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        struct candidate c;
+        struct candidate c = {0};
         if (!set_candidate(p, v, now_us, &c)) {
             continue;
         }
@@ -181,10 +192,11 @@
     return idle;
 }
 
-/* Returns the best endpoint for a job, which may be a busy one that is worth
- * waiting for; NULL if no endpoint accepts work. */
+/* Returns the best endpoint for a job; NULL if none accepts work.
+ * @param wait_weight weight of the time until a busy endpoint is idle */
 static struct candidate *
-select_endpoint(const struct stage_pool *p, const struct job *j)
+find_endpoint(const struct stage_pool *p, const struct job *j,
+              double wait_weight)
 {
     struct candidate *best = NULL;
     double best_cost = 0;
@@ -194,7 +206,7 @@
         if (c->is_idle && c->free_bytes < j->result_bytes) {
             continue;
         }
-        double cost = c->cost_us;
+        double cost = c->cost_us + wait_weight * c->wait_us;
         if (!is_preferred_zone(j, c->pool_endpoint)) {
             cost += (double)j->zone_cost_us;
         }
@@ -206,6 +218,19 @@
     return best;
 }
 
+/* Returns the best endpoint for a job, which may be a busy one that is worth
+ * waiting for; NULL if no endpoint accepts work. */
+static struct candidate *
+select_endpoint(const struct stage_pool *p, const struct job *j)
+{
+    struct candidate *best = find_endpoint(p, j, IDLE_CAPACITY_WEIGHT);
+    if (best && best->is_idle && !is_preferred_zone(j, best->pool_endpoint)) {
+        /* The transfers between zones are worth a wait. */
+        best = find_endpoint(p, j, 1);
+    }
+    return best;
+}
+
 /* Counts a job that waits for the next call of a busy endpoint, so that the
  * jobs after it do not wait for the same call when it is full, while slower
  * endpoints are idle. */
@@ -215,7 +240,7 @@
     c->planned_count += j->waiting_count;
     while (c->planned_count >= p->limits.batch) {
         c->planned_count -= p->limits.batch;
-        c->cost_us += c->call_us;
+        c->wait_us += c->call_us;
     }
 }
 
--- a/src/forward/stage_ends.c
+++ b/src/forward/stage_ends.c
@@ -4,6 +4,9 @@
 #include "base/log.h"
 #include "forward/stage_pool_state.h"
 
+/* Weight of a report in the mean load factor of the pool. */
+#define LOAD_WEIGHT 0.05
+
 static void
 retry_piece(struct stage_pool *p, int64_t now_us, struct job *j,
             struct piece *piece, enum piece_outcome outcome)
@@ -141,6 +144,11 @@
         endpoint_apply_response(pe->endpoint, now_us, meta->leaving,
                                 meta->retry_after_us);
         endpoint_apply_load(pe->endpoint, now_us, meta->load_percent);
+        if (meta->load_percent > 0) {
+            p->mean_load_factor +=
+                LOAD_WEIGHT * (endpoint_load_factor(pe->endpoint, now_us) -
+                               p->mean_load_factor);
+        }
     }
     if (end != CALL_END_COMPLETE || status != 200 || count != c->count) {
         call_failed(p, now_us, c, end, status, meta);
--- a/src/forward/stage_pool.c
+++ b/src/forward/stage_pool.c
@@ -67,6 +67,7 @@
     TAILQ_INIT(&p->jobs);
     TAILQ_INIT(&p->ended);
     TAILQ_INIT(&p->queue);
+    p->mean_load_factor = 1;
     p->entries = g_array_new(FALSE, FALSE, sizeof(struct stage_order_entry));
     p->order = g_array_new(FALSE, FALSE, sizeof(struct stage_order_entry));
     p->reserve = g_array_new(FALSE, FALSE, sizeof(struct stage_order_ref));
--- a/src/forward/stage_pool_state.h
+++ b/src/forward/stage_pool_state.h
@@ -97,8 +97,8 @@
     bool is_idle;
     int64_t free_bytes; /* if idle */
     double call_us;     /* expected duration of a full call */
-    double cost_us;     /* expected end of a call, and the penalty for
-                           failures */
+    double wait_us;     /* expected time until it is idle */
+    double cost_us;     /* call_us and the penalty for failures */
     int planned_count;  /* pieces that wait for its next call */
 };
 
@@ -141,6 +141,7 @@
     GArray *order;            /* the same, in the order of service */
     GArray *reserve;          /* scratch of stage_order_arrange */
     GArray *candidates;       /* struct candidate, of a dispatch */
+    double mean_load_factor;  /* moving average of the load reports */
     int64_t reserve_credit;   /* see stage_order_charge */
     int64_t dispatch_due_us;  /* next dispatch without an event */
     int waiting[POOL_PRIORITIES]; /* waiting pieces by priority */
