--- a/src/forward/owners.c
+++ b/src/forward/owners.c
@@ -93,6 +93,8 @@
     struct forward *f = ctx;
     f->counters.piece_calls++;
     f->counters.pieces += (uint64_t)call->item_count;
+    f->counters.pieces_reserve += (uint64_t)call->reserve_count;
+    f->counters.pieces_late += (uint64_t)call->late_count;
     f->io.send_pieces(f->io.ctx, call);
 }
 
--- a/src/forward/stage_dispatch.c
+++ b/src/forward/stage_dispatch.c
@@ -248,6 +248,8 @@
     struct pool_call *call;
     struct piece_item *items;
     int64_t free_bytes;
+    int reserve_count;
+    int late_count;
 };
 
 static void
@@ -288,9 +290,11 @@
     if (j->sent_any_piece && p->limits.result_memory_bytes > 0) {
         p->unreserved_bytes -= newly_needed_bytes;
     }
-    p->reserve_credit =
-        stage_order_charge(p->reserve_credit, from_reserve,
-                           f->call->count - before, p->limits.batch);
+    int added = f->call->count - before;
+    f->reserve_count += from_reserve ? added : 0;
+    f->late_count += now_us > j->latest_start_us ? added : 0;
+    p->reserve_credit = stage_order_charge(p->reserve_credit, from_reserve,
+                                           added, p->limits.batch);
 }
 
 /* Fills a call with the pieces of the job at index @p first in the order of
@@ -304,7 +308,7 @@
         mem_calloc(1, sizeof(*c) + batch * sizeof(c->items[0]));
     CLEANUP_FREE struct piece_item *items = mem_calloc(batch, sizeof(*items));
     int64_t free_bytes = stage_pool_free_bytes(p, pe, now_us);
-    struct batch_fill f = {c, items, free_bytes};
+    struct batch_fill f = {c, items, free_bytes, 0, 0};
     for (guint i = first; i < p->order->len && c->count < p->limits.batch;
          i++) {
         const struct stage_order_entry *e =
@@ -337,7 +341,9 @@
                                    CALL_TIMEOUT_FACTOR * c->expected_us / MS +
                                    CALL_TIMEOUT_SLACK_MS,
                                .item_count = c->count,
-                               .items = items};
+                               .items = items,
+                               .reserve_count = f.reserve_count,
+                               .late_count = f.late_count};
     p->io.send_pieces(p->io.ctx, &call);
 }
 
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -42,6 +42,8 @@
     X(resumed, "streams that went on at another endpoint")                    \
     X(piece_calls, "calls of pieces")                                         \
     X(pieces, "pieces sent")                                                  \
+    X(pieces_reserve, "pieces sent ahead of more urgent ones")                \
+    X(pieces_late, "pieces sent too late for their latency objective")        \
     X(pieces_rejected, "calls of pieces that an endpoint rejected")           \
     X(pieces_failed, "pieces without a result")                               \
     X(stages_unmeetable,                                                      \
--- a/src/forward/types.h
+++ b/src/forward/types.h
@@ -77,6 +77,8 @@
     int64_t timeout_ms;
     int item_count;
     const struct piece_item *items;
+    int reserve_count; /**< pieces sent ahead of more urgent ones */
+    int late_count;    /**< pieces that cannot meet their latency objective */
 };
 
 /** Releases results that are no longer needed at the endpoint that holds them.
