Learn the speed of each engine instead of assuming 50 tokens per ms

Cause: a fixed rate of 50 prompt tokens per ms ranked all engines of all deployments, and a moving average without decay (weight 0.25) kept the mark of a slow phase until the next call, which on a node of a large fleet comes 45 s later. Change: src/forward/engine_speed holds a model of the service's mean engine (idle time, time per token, time per running request; ridge regression) and a pace per engine: the median of up to five samples that are a second apart and of one that stands for the mean engine. Samples are compared with the time for all tokens read, queued ones included. The common order of engines is weighted by capability in steps of 1.5.

--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -176,6 +176,7 @@
 {
     if (e->started_ms != started_ms) {
         e->started_ms = started_ms;
+        engine_speed_clear(&e->speed);
         e->leaving = false;
         e->paused_until_us = 0;
     }
@@ -269,8 +270,7 @@
 {
     e->remote_prefill_until_us =
         MAX(e->remote_prefill_until_us, now_us) +
-        (int64_t)(e->slowness * (double)(n->tokens * MS) /
-                  ENGINE_TOKENS_PER_MS);
+        (int64_t)engine_speed_read_us(&e->speed, now_us, (double)n->tokens);
     e->remote_prefill_until_us =
         MIN(e->remote_prefill_until_us, now_us + REMOTE_PREFILL_MAX_US);
     endpoint_cache_parts(e, n->parts, n->part_tokens, n->part_count, now_us);
--- a/src/forward/endpoints.h
+++ b/src/forward/endpoints.h
@@ -10,13 +10,10 @@
 #include <glib.h>
 
 #include "base/str.h"
+#include "forward/engine_speed.h"
 #include "model/cluster_view.h"
 #include "model/stage_work.h"
 
-/** Assumed prefill speed of an engine, in tokens per ms. Only used to rank
- * engines against each other. */
-#define ENGINE_TOKENS_PER_MS 50
-
 struct endpoint {
     struct str id;      /**< owned */
     struct str address; /**< owned */
@@ -47,8 +44,10 @@
     int consecutive_failures;
     int64_t ejected_until_us;
     double latency_us; /**< moving average of the time to the response head */
-    double slowness;   /**< moving average of actual / expected duration */
-    int64_t prefill_tokens; /**< prompt tokens sent and not yet prefilled */
+    double slowness;   /**< moving average of actual / expected duration of
+                          stage calls */
+    struct engine_speed speed; /**< of an engine */
+    int64_t prefill_tokens;    /**< prompt tokens sent and not yet prefilled */
     int64_t remote_prefill_until_us; /**< when the prompts sent by other nodes
                                         are expected to be prefilled */
     int reported_running;            /**< from its load report; -1: unknown */
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -106,6 +106,7 @@
         repeat_budget_init(&s->budget, &f->opts.repeats,
                            f->opts.predecessor_until_us);
         s->groups = 1;
+        engine_model_init(&s->engine_model);
         s->info.name = str_dup(info->name);
         map_put(&f->services, hash, s);
     }
@@ -162,6 +163,7 @@
         endpoint_clear_cache(e);
     }
     struct service_state *s = map_get(&f->services, hash64(info->name));
+    e->speed.model = &s->engine_model;
     g_ptr_array_add(s->endpoints, e);
 }
 
--- a/src/forward/pieces.c
+++ b/src/forward/pieces.c
@@ -122,9 +122,8 @@
         return FINAL_CALL_US +
                place_prefill_us(r->planned_engine, &r->prompt, now_us, NULL);
     }
-    return FINAL_CALL_US +
-           (int64_t)(UNCACHED_SHARE * (double)r->prompt.total) * MS /
-               ENGINE_TOKENS_PER_MS;
+    return FINAL_CALL_US + (int64_t)(UNCACHED_SHARE * (double)r->prompt.total *
+                                     r->service->engine_model.us_per_token);
 }
 
 bool
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -1,5 +1,6 @@
 #include "forward/place.h"
 
+#include <math.h>
 #include <xxhash.h>
 
 #define MS 1000LL
@@ -9,9 +10,6 @@
 /* Cost of an endpoint that seems to be silent: sound ones go on within a
  * second or two. */
 #define SILENT_COST_US (1000 * MS)
-/* Cost of each request that is already running at an engine: a larger batch
- * makes each of its steps longer. */
-#define BATCH_COST_US 300
 /* Assumed duration of a plain call to an endpoint without measurements. */
 #define PLAIN_DEFAULT_US (20 * MS)
 /* Share of the prompt's shared parts that the first and second engine in the
@@ -21,6 +19,8 @@
 /* Weight of prefilling a shared part again. It is higher than the wait of this
  * request alone, since it takes engine time from all requests. */
 #define REPEATED_PREFILL_WEIGHT 2.0
+/* Ratio of capability between two classes of engine speed. */
+#define CLASS_WEIGHT 1.5
 /* Load reports older than this are ignored. */
 #define MAX_REPORT_AGE_US (400 * MS)
 
@@ -49,10 +49,19 @@
     if (uncached) {
         *uncached = left;
     }
-    return (left + e->prefill_tokens) * MS / ENGINE_TOKENS_PER_MS +
+    return (int64_t)engine_speed_read_us(&e->speed, now_us,
+                                         (double)(left + e->prefill_tokens)) +
            MAX(e->remote_prefill_until_us - now_us, 0);
 }
 
+double
+place_queued_tokens(const struct endpoint *e, int64_t now_us)
+{
+    return (double)e->prefill_tokens +
+           (double)MAX(e->remote_prefill_until_us - now_us, 0) /
+               engine_speed_read_us(&e->speed, now_us, 1);
+}
+
 /* Returns whether the query excludes an endpoint. */
 static bool
 is_excluded(const struct place_query *query, const struct endpoint *e,
@@ -69,19 +78,25 @@
     return false;
 }
 
-/* Rendezvous hashing (highest random weight): the same order on every node. */
-static uint64_t
-rendezvous_rank(const struct endpoint *e, uint64_t key)
+/* Rendezvous hashing (highest random weight): the same order on every node.
+ * The weight of an engine is its capability, in classes, so that nodes whose
+ * samples differ slightly agree; engines of one class are in the order of
+ * their hashes. Source: Schindelhauer and Schomaker, "Weighted distributed
+ * hash tables", 2005 (logarithmic method). */
+static double
+rendezvous_rank(const struct endpoint *e, uint64_t key, int64_t now_us)
 {
     uint64_t pair[2] = {e->hash, key};
-    return XXH3_64bits(pair, sizeof(pair));
+    double u = ((double)(XXH3_64bits(pair, sizeof(pair)) >> 11) + 0.5) /
+               (double)(1ULL << 53);
+    return pow(CLASS_WEIGHT, -engine_speed_class(&e->speed, now_us)) / -log(u);
 }
 
 /* Finds the endpoints that come first in the common order of the prompt's
  * shared parts, which are all parts but the last one. */
 static void
 find_preferred_engines(const GPtrArray *endpoints,
-                       const struct place_prompt *p,
+                       const struct place_prompt *p, int64_t now_us,
                        const struct endpoint *out[PREFERRED_ENGINES])
 {
     out[0] = out[1] = NULL;
@@ -89,29 +104,26 @@
         return;
     }
     uint64_t key = p->chain[p->count - 2];
+    double ranks[PREFERRED_ENGINES] = {0};
     for (guint i = 0; i < endpoints->len; i++) {
         const struct endpoint *e = g_ptr_array_index(endpoints, i);
         if (!e->usable || e->leaving) {
             continue;
         }
-        if (!out[0] ||
-            rendezvous_rank(e, key) > rendezvous_rank(out[0], key)) {
+        double rank = rendezvous_rank(e, key, now_us);
+        if (!out[0] || rank > ranks[0]) {
             out[1] = out[0];
+            ranks[1] = ranks[0];
             out[0] = e;
+            ranks[0] = rank;
         }
-        else if (!out[1] ||
-                 rendezvous_rank(e, key) > rendezvous_rank(out[1], key)) {
+        else if (!out[1] || rank > ranks[1]) {
             out[1] = e;
+            ranks[1] = rank;
         }
     }
 }
 
-static double
-prefill_cost_us(int64_t tokens)
-{
-    return (double)tokens * MS / ENGINE_TOKENS_PER_MS;
-}
-
 static double
 engine_cost_us(const struct endpoint *e, const struct place_query *query,
                int64_t now_us,
@@ -127,13 +139,16 @@
                                : 0;
     for (int i = 0; i < PREFERRED_ENGINES; i++) {
         if (e == first[i]) {
-            cost -= prefill_cost_us(
-                (int64_t)(assumed_cached_share[i] * shared_tokens));
+            cost -= engine_speed_read_us(
+                &e->speed, now_us, assumed_cached_share[i] * shared_tokens);
             shared_tokens *= 1 - assumed_cached_share[i];
         }
     }
-    cost += REPEATED_PREFILL_WEIGHT * prefill_cost_us((int64_t)shared_tokens);
-    return cost * e->slowness + e->in_flight * BATCH_COST_US * query->nodes;
+    cost += REPEATED_PREFILL_WEIGHT *
+            engine_speed_read_us(&e->speed, now_us, shared_tokens);
+    return cost * engine_speed_phase(&e->speed, now_us) +
+           e->in_flight * engine_speed_running_us(&e->speed, now_us) *
+               query->nodes;
 }
 
 static double
@@ -157,7 +172,7 @@
     double best_cost = 0;
     const struct endpoint *first[PREFERRED_ENGINES] = {NULL, NULL};
     if (query->prompt) {
-        find_preferred_engines(endpoints, query->prompt, first);
+        find_preferred_engines(endpoints, query->prompt, now_us, first);
     }
     for (guint i = 0; i < endpoints->len; i++) {
         struct endpoint *e = g_ptr_array_index(endpoints, i);
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -45,6 +45,10 @@
                          const struct place_prompt *p, int64_t now_us,
                          int64_t *uncached);
 
+/** Returns the prompt tokens that wait at an engine, those of other nodes
+ * included. */
+double place_queued_tokens(const struct endpoint *e, int64_t now_us);
+
 /** @return the endpoint with the lowest cost that accepts work now, NULL if
  * there is none */
 struct endpoint *place_select(const GPtrArray *endpoints,
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -23,7 +23,6 @@
 #define RESPONSE_TRAVEL_US (5 * MS)
 #define MAX_INPUTS 512
 #define CONNECT_US (3 * MS)
-#define FIRST_TOKEN_US (25 * MS)
 
 bool
 req_is_repeatable(const struct request *r)
@@ -253,8 +252,9 @@
     if (r->service->info.is_engine) {
         int64_t uncached;
         r->expected_first_byte_us =
-            FIRST_TOKEN_US +
+            (int64_t)engine_speed_idle_us(&e->speed, now_us) +
             place_prefill_us(e, &r->prompt, now_us, &uncached);
+        r->sample_tokens = place_queued_tokens(e, now_us) + (double)uncached;
         owners_notify_prefill(f, r, e, uncached);
         r->prefill_tokens = uncached;
         e->prefill_tokens += uncached;
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -105,6 +105,8 @@
     int64_t first_byte_us; /* first byte of the response; 0: none yet */
     int64_t expected_first_byte_us; /* expected time to the first byte */
     int64_t prefill_tokens;         /* counted in endpoint->prefill_tokens */
+    double sample_tokens; /* prompt tokens that the engine reads until the
+                             first event */
     int tried_count;
     uint64_t tried[PLACE_MAX_TRIED];
     bool head_accepted;    /* of the current call */
@@ -170,6 +172,7 @@
     uint64_t hash;        /* hash of the name */
     struct service info;  /* strings are views into the current cluster view */
     GPtrArray *endpoints; /* usable endpoints of the current cluster view */
+    struct engine_model engine_model; /* of its engines */
     struct repeat_budget budget;
     int groups; /* number of groups of its stage endpoints; each group is owned
                    by one node */
