--- a/src/forward/stage_time.c
+++ b/src/forward/stage_time.c
@@ -115,9 +115,8 @@
         return FINAL_CALL_US +
                place_prefill_us(r->planned_engine, &r->prompt, now_us, NULL);
     }
-    return FINAL_CALL_US +
-           (int64_t)(UNCACHED_SHARE * (double)r->prompt.total) * MS /
-               ENGINE_TOKENS_PER_MS;
+    return FINAL_CALL_US + (int64_t)(UNCACHED_SHARE * (double)r->prompt.total *
+                                     r->service->engine_model.us_per_token);
 }
 
 int64_t
@@ -128,7 +127,8 @@
         return pieces_final_call_us(now_us, r);
     }
     place_prefill_us(r->planned_engine, &r->prompt, now_us, &uncached);
-    return FINAL_CALL_US + uncached * MS / ENGINE_TOKENS_PER_MS;
+    return FINAL_CALL_US +
+           (int64_t)((double)uncached * r->service->engine_model.us_per_token);
 }
 
 int64_t
