Send waiting requests by rank, team and time left

Cause: the requests that wait for an endpoint of a service were retried in order of arrival. A burst of one team took what endpoints accepted, urgent requests waited behind others, new arrivals could pass those that waited, and requests were held to their deadline although others came first.

Change: src/forward/wait_list sorts them by rank, then the excess of their team, then callers that return in their time, then time left. A request is refused at once if the endpoints take only those before it in time. forward_options.ignore_teams restores the order of arrival for measurements. The stages do not use this yet.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -412,6 +412,15 @@
     struct routing_team team = {dup_cstr("team"), -1};
     routing_add_credential(rt, STR_LIT(CREDENTIAL),
                            routing_add_team(rt, &team));
+    for (int i = 1; i <= FORWARD_WORLD_TEAMS; i++) {
+        char name[32];
+        char key[32];
+        snprintf(name, sizeof(name), "team-%d", i);
+        snprintf(key, sizeof(key), CREDENTIAL "-%d", i);
+        struct routing_team more = {dup_cstr(name), -1};
+        routing_add_credential(rt, str_from_cstr(key),
+                               routing_add_team(rt, &more));
+    }
     for (int i = 0; i < route_count; i++) {
         const struct fw_route *from = &routes[i];
         struct route r = {.name = dup_cstr(from->host),
@@ -490,6 +499,7 @@
                                    .predecessor_until_us =
                                        n->start_count > 1 ? w->now_us : 0,
                                    .max_store_age_us = MAX_STORE_AGE_US,
+                                   .ignore_teams = w->ignore_teams,
                                    .seed = w->seed + (uint64_t)n->index +
                                            1000 * (uint64_t)n->start_count};
     const struct forward_io io = {n,
@@ -603,16 +613,31 @@
     free(w);
 }
 
+static void
+update_options(struct forward_world *w)
+{
+    for (int i = 0; i < w->node_count; i++) {
+        const struct forward_options opts = {.repeats = w->repeats,
+                                             .max_store_age_us =
+                                                 MAX_STORE_AGE_US,
+                                             .ignore_teams = w->ignore_teams};
+        forward_set_options(w->nodes[i].core, &opts);
+    }
+}
+
 void
 forward_world_set_repeat_limit(struct forward_world *w,
                                const struct repeat_limit *limit)
 {
     w->repeats = *limit;
-    for (int i = 0; i < w->node_count; i++) {
-        const struct forward_options opts = {
-            .repeats = *limit, .max_store_age_us = MAX_STORE_AGE_US};
-        forward_set_options(w->nodes[i].core, &opts);
-    }
+    update_options(w);
+}
+
+void
+forward_world_set_ignore_teams(struct forward_world *w, bool ignore)
+{
+    w->ignore_teams = ignore;
+    update_options(w);
 }
 
 void
--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -205,10 +205,17 @@
 int forward_world_deadly_arrivals(const struct forward_world *w,
                                   int64_t since_us);
 
+/** Sets whether the nodes ignore teams; see forward_options. */
+void forward_world_set_ignore_teams(struct forward_world *w, bool ignore);
+
+/** Teams besides the usual one; their credentials are "key-of-team-1" and so
+ * on. */
+#define FORWARD_WORLD_TEAMS 16
+
 /** A request that a caller sends. */
 struct fw_request_spec {
     const char *host;
-    const char *key;
+    const char *key; /**< credential; NULL: that of the usual team */
     int64_t caller_timeout_us;
     int pieces[4];
     int prompt_tokens;
--- a/bench/forward_world_state.h
+++ b/bench/forward_world_state.h
@@ -130,6 +130,7 @@
     GHashTable *cancelled;     /* keys by call_key() */
     GHashTable *result_owners; /* handle -> id of the request */
     struct repeat_limit repeats;
+    bool ignore_teams;
     uint64_t seed;
     uint64_t seq;
     uint64_t handle_count;
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -12,9 +12,6 @@
  * configuration is at most this old; otherwise it may have been added since.
  */
 #define CONFIG_FRESH_US (2500 * MS)
-/* A request that was not sent is refused this long before its caller
- * disconnects, so that the caller learns that it was not run. */
-#define REFUSE_EARLY_US (60 * MS)
 /* Retry-After of a refusal that another node may not give. */
 #define RETRY_AFTER_MS 300
 /* Number of recent latencies that the quantiles are computed from. */
@@ -49,7 +46,8 @@
 {
     str_free(&s->info.name);
     g_ptr_array_free(s->endpoints, TRUE);
-    free(s->waiting);
+    wait_list_free(&s->waiting);
+    team_share_free(s->share);
     free(s);
 }
 
@@ -103,6 +101,7 @@
         s = mem_calloc(1, sizeof(*s));
         s->hash = hash;
         s->endpoints = g_ptr_array_new();
+        s->share = team_share_new();
         repeat_budget_init(&s->budget, &f->opts.repeats,
                            f->opts.predecessor_until_us);
         s->groups = 1;
@@ -210,6 +209,7 @@
 {
     f->opts.repeats = opts->repeats;
     f->opts.max_store_age_us = opts->max_store_age_us;
+    f->opts.ignore_teams = opts->ignore_teams;
 }
 
 bool
@@ -315,6 +315,7 @@
         const struct routing_team *t =
             routing_team(f->cluster_view->routing, team);
         r->team = t->name;
+        r->team_hash = hash64(t->name);
         r->priority = t->priority >= 0 ? t->priority : route->priority;
     }
     int64_t left =
@@ -470,7 +471,7 @@
     struct service_state *s;
     f->dispatch_needed = false;
     while ((s = map_next(&f->services, &at))) {
-        if (s->waiting_count > 0 &&
+        if (s->waiting.count > 0 &&
             (dispatch || now_us >= s->waiting_retry_us)) {
             req_retry_waiting(f, now_us, s);
         }
@@ -490,7 +491,7 @@
     size_t i = 0;
     const struct service_state *s;
     while ((s = map_next(&f->services, &i))) {
-        if (s->waiting_count > 0 && s->waiting_retry_us < at) {
+        if (s->waiting.count > 0 && s->waiting_retry_us < at) {
             at = s->waiting_retry_us;
         }
     }
--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -23,6 +23,10 @@
      * are no longer accepted. */
     int64_t max_store_age_us;
     uint64_t seed;
+    /** Requests wait in the order of arrival, and refused callers are told no
+     * times of their own: the behaviour without docs/design/teams.md, for
+     * measurements. */
+    bool ignore_teams;
 };
 
 struct forward;
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "base/clean.h"
 #include "base/log.h"
 #include "forward/crashes.h"
 #include "forward/state.h"
@@ -21,6 +22,13 @@
 /* Endpoints get slightly less time than the caller waits, to leave time for
  * the response to travel back. */
 #define RESPONSE_TRAVEL_US (5 * MS)
+/* Part of the wait by which a request that begins to wait should be sent
+ * before the last possible time: each send follows its opening by up to a few
+ * ms, until the loop runs, which delays those after it. */
+#define WAIT_MARGIN 0.02
+#define NO_ENDPOINT_REFUSAL "no endpoint takes work"
+/* Retry-After if it is not known when an endpoint takes work. */
+#define NO_ENDPOINT_RETRY_MS 500
 #define MAX_INPUTS 512
 #define CONNECT_US (3 * MS)
 #define FIRST_TOKEN_US (25 * MS)
@@ -81,18 +89,8 @@
 static void
 remove_waiting(struct request *r)
 {
-    struct service_state *s = r->service;
-    if (r->state != REQ_WAITING) {
-        return;
-    }
-    for (int i = 0; i < s->waiting_count; i++) {
-        if (s->waiting[i] == r) {
-            for (int k = i + 1; k < s->waiting_count; k++) {
-                s->waiting[k - 1] = s->waiting[k];
-            }
-            s->waiting_count--;
-            return;
-        }
+    if (r->state == REQ_WAITING) {
+        wait_list_remove(&r->service->waiting, &r->wait);
     }
 }
 
@@ -181,24 +179,94 @@
     req_free(f, r);
 }
 
+static void
+fill_wait_entry(struct request *r)
+{
+    r->wait.item = r;
+    r->wait.rank = r->priority;
+    r->wait.team = r->team_hash;
+    r->wait.by_us = req_caller_leaves_us(r);
+}
+
 static void
 enqueue_waiting(struct request *r, int64_t at_us)
 {
     struct service_state *s = r->service;
     if (r->state != REQ_WAITING) {
         r->state = REQ_WAITING;
-        if (s->waiting_count == s->waiting_cap) {
-            s->waiting_cap = s->waiting_cap ? s->waiting_cap * 2 : 16;
-            s->waiting = mem_realloc(s->waiting, (size_t)s->waiting_cap,
-                                     sizeof(struct request *));
-        }
-        s->waiting[s->waiting_count++] = r;
+        fill_wait_entry(r);
+        wait_list_add(&s->waiting, &r->wait);
     }
-    if (at_us < s->waiting_retry_us || s->waiting_count == 1) {
+    if (at_us < s->waiting_retry_us || s->waiting.count == 1) {
         s->waiting_retry_us = at_us;
     }
 }
 
+/* Lists when the endpoints that a request may use take requests.
+ * @return their number */
+static int
+list_openings(const struct service_state *s, const struct place_query *query,
+              int64_t now_us, struct wait_opening *out)
+{
+    int n = 0;
+    for (guint i = 0; i < s->endpoints->len; i++) {
+        const struct endpoint *e = g_ptr_array_index(s->endpoints, i);
+        bool tried = false;
+        for (int k = 0; k < query->tried_count; k++) {
+            tried |= query->tried[k] == e->hash;
+        }
+        if (!e->usable || e->leaving || tried) {
+            continue;
+        }
+        int64_t at = MAX(now_us, MAX(e->ejected_until_us, e->paused_until_us));
+        out[n].interval_us = 0;
+        if (e->cold_requests_per_s > 0 && at < e->cold_until_us) {
+            at = MAX(at, e->cold_next_send_us);
+            out[n].interval_us =
+                (int64_t)(query->nodes / e->cold_requests_per_s * 1e6);
+        }
+        out[n++].at_us = at;
+    }
+    return n;
+}
+
+/* Puts a request into the waiting list, or refuses it if the endpoints take
+ * only those before it in time. */
+static void
+wait_or_refuse(struct forward *f, int64_t now_us, struct request *r,
+               const struct place_query *query, int64_t next_us)
+{
+    struct service_state *s = r->service;
+    int64_t by_us =
+        req_caller_leaves_us(r) - MAX(SEND_MIN_US, REFUSE_EARLY_US);
+    if (f->opts.ignore_teams) {
+        enqueue_waiting(r, next_us);
+        return;
+    }
+    CLEANUP_FREE struct wait_opening *openings =
+        mem_calloc(s->endpoints->len + 1, sizeof(*openings));
+    if (r->wait.order == 0) {
+        by_us -= (int64_t)(WAIT_MARGIN * (double)(by_us - now_us));
+    }
+    int count = list_openings(s, query, now_us, openings);
+    /* While the list is retried, those in it are before this one. */
+    int ahead = s->waiting.count;
+    if (!s->waiting_retried && ahead > 0) {
+        fill_wait_entry(r);
+        ahead = wait_list_ahead(&s->waiting, &r->wait, s->share, now_us);
+    }
+    if (wait_openings_until(openings, count, by_us) <= ahead) {
+        f->counters.wait_refusals++;
+        int64_t at =
+            wait_openings_expected_us(openings, count, s->waiting.count);
+        req_refuse(f, now_us, r, ERRKIND_NO_ENDPOINT, NO_ENDPOINT_REFUSAL,
+                   at == INT64_MAX ? NO_ENDPOINT_RETRY_MS
+                                   : (at - now_us) / MS);
+        return;
+    }
+    enqueue_waiting(r, next_us);
+}
+
 static bool
 has_large_results(const struct request *r)
 {
@@ -263,6 +331,7 @@
     }
     e->in_flight++;
     endpoint_record_send(e, forward_node_count(f), now_us);
+    team_share_charge(r->service->share, r->team_hash, 1, now_us);
     map_put(&f->calls, r->call, r);
     f->counters.sends++;
     struct forward_call call = {
@@ -335,6 +404,12 @@
         query.zone = results_zone(f, r);
         query.zone_penalty_us = RESULT_ZONE_PENALTY_US;
     }
+    if (r->service->waiting.count > 0 && !r->service->waiting_retried &&
+        r->state != REQ_WAITING && !f->opts.ignore_teams) {
+        /* The requests that wait already may come first. */
+        wait_or_refuse(f, now_us, r, &query, now_us);
+        return;
+    }
     struct endpoint *e = place_select(r->service->endpoints, &query, now_us);
     if (!e && query.tried_count > 0) {
         /* All other endpoints are unavailable; one that was tried may accept
@@ -351,30 +426,34 @@
         place_next_available_us(r->service->endpoints, &query, now_us);
     if (next == INT64_MAX || next - now_us > WAIT_FOR_ENDPOINT_US ||
         next + SEND_MIN_US > by_us) {
-        req_refuse(f, now_us, r, ERRKIND_NO_ENDPOINT, "no endpoint takes work",
-                   next == INT64_MAX ? 500 : (next - now_us) / MS);
+        req_refuse(f, now_us, r, ERRKIND_NO_ENDPOINT, NO_ENDPOINT_REFUSAL,
+                   next == INT64_MAX ? NO_ENDPOINT_RETRY_MS
+                                     : (next - now_us) / MS);
         return;
     }
-    enqueue_waiting(r, next);
+    wait_or_refuse(f, now_us, r, &query, next);
 }
 
 void
 req_retry_waiting(struct forward *f, int64_t now_us, struct service_state *s)
 {
-    int count = s->waiting_count;
-    struct request **list = s->waiting;
-    if (count == 0) {
+    struct wait_list list = s->waiting;
+    if (list.count == 0) {
         return;
     }
     /* Requests that keep waiting are added to a new list. */
-    s->waiting = NULL;
-    s->waiting_count = 0;
-    s->waiting_cap = 0;
-    for (int i = 0; i < count; i++) {
-        list[i]->state = REQ_RUNNING_STAGES;
-        req_send_or_wait(f, now_us, list[i]);
-    }
-    free(list);
+    s->waiting = (struct wait_list){.last_order = list.last_order};
+    s->waiting_retried = true;
+    if (!f->opts.ignore_teams) {
+        wait_list_sort(&list, s->share, now_us);
+    }
+    for (int i = 0; i < list.count; i++) {
+        struct request *r = list.entries[i]->item;
+        r->state = REQ_RUNNING_STAGES;
+        req_send_or_wait(f, now_us, r);
+    }
+    s->waiting_retried = false;
+    wait_list_free(&list);
 }
 
 uint64_t
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -18,16 +18,23 @@
 #include "forward/place.h"
 #include "forward/stage_pool.h"
 #include "forward/stop.h"
+#include "forward/team_share.h"
+#include "forward/wait_list.h"
 
 #define MS 1000LL
 #define SECOND 1000000LL
 
+/* A request that was not sent is refused this long before its caller
+ * disconnects, so that the caller learns that it was not run. */
+#define REFUSE_EARLY_US (60 * MS)
+
 /* id, help */
 #define FORWARD_COUNTER_LIST(X)                                               \
     X(requests, "requests received")                                          \
     X(answers, "whole answers given")                                         \
     X(refusals, "requests refused as not run")                                \
     X(failures, "requests failed after they were sent")                       \
+    X(wait_refusals, "requests refused behind others that wait")              \
     X(gone, "callers that left")                                              \
     X(sends, "requests sent to endpoints")                                    \
     X(repeats, "requests sent once more")                                     \
@@ -82,6 +89,7 @@
     const struct route *route;
     struct service_state *service; /* service of the final call */
     struct str team;               /* view into the cluster view */
+    uint64_t team_hash;            /* hash of team; 0: none */
     int priority;
     int64_t arrived_us;
     int64_t target_us;   /* absolute latency target; later responses are worth
@@ -90,6 +98,8 @@
     int64_t response_start_by_us; /* absolute; the caller disconnects unless
                                      the response has started */
     enum req_state state;
+    struct wait_entry wait; /* in the list of the service while it waits for an
+                               endpoint */
     struct place_prompt prompt;
     struct endpoint *planned_engine; /* engine of the final call */
     struct stage stages[ROUTING_MAX_STAGES];
@@ -177,10 +187,10 @@
         int64_t us; /* moving average of the wait of pieces */
         int64_t seen_us;
     } waits[WAIT_PRIORITIES];
-    struct request **waiting; /* for an endpoint, oldest first */
-    int waiting_count;
+    struct wait_list waiting; /* requests that wait for an endpoint */
     int64_t waiting_retry_us; /* when an endpoint may accept work again */
-    int waiting_cap;
+    bool waiting_retried;     /* the list is being retried */
+    struct team_share *share; /* recent use by teams, in requests */
 };
 
 struct forward {
