Tell refused callers when to return, and prefer those that do

Cause: Retry-After was the excess of the expected wait, the same for all callers refused at a moment, so that they returned at once; a caller that returned when told was treated as a new one by every node.

Change: src/forward/return_slots spreads the returns over this node's part of the room (what a service has taken from it in the last 2 s), more of it for urgent ranks and for callers refused before, within a third of the caller's remaining time. The node sends content digest, time and age of the first attempt to up to 32 other nodes (message RETURNS, at most 3.3 per second and 8 returns each). A request that returns in its time is ahead of new ones in the waiting list and is not refused by their expected wait; its latency objective counts from its first attempt. One that comes early is a new one and is told no earlier time. New counters, and sends and refusals of the 20 teams with most refusals.

Builds before this one reject the unknown message type in msg_decode and count it as malformed; nothing else happens (test_msg, 'unknown type').

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -36,6 +36,8 @@
     f->nodes_version = UINT64_MAX;
     g_queue_init(&f->inbox);
     crashes_init(f);
+    f->returns = return_slots_new();
+    f->team_counts = team_counts_new();
     hist_init(&f->latency, HIST_SAMPLES);
     hist_init(&f->first_byte, HIST_SAMPLES);
     return f;
@@ -68,6 +70,8 @@
     }
     owners_free(f);
     crashes_free(f);
+    return_slots_free(f->returns);
+    team_counts_free(f->team_counts);
     for (at = 0; (v = map_next(&f->services, &at));) {
         service_free(v);
     }
@@ -308,6 +312,7 @@
     r->cluster_view = cluster_view_ref(f->cluster_view);
     r->route = route;
     r->arrived_us = now_us;
+    r->first_attempt_us = now_us;
     r->last_activity_us = now_us;
     r->priority = route->priority;
     r->last_event_id = in->resume_after;
@@ -386,16 +391,22 @@
                    0);
         return;
     }
-    int64_t send_us = now_us + pieces_expected_us(now_us, r);
+    returns_arrive(f, now_us, r);
+    /* A caller that returns in its time goes before new ones, so that the wait
+     * of these does not apply to it. */
+    int64_t send_us =
+        now_us + (r->wait.returning ? pieces_remaining_us(r)
+                                    : pieces_expected_us(now_us, r));
     if (stop_refuses(f, r, send_us)) {
         req_refuse(f, now_us, r, ERRKIND_NOT_READY, STOP_REFUSAL, 0);
         return;
     }
     int64_t ready_us = send_us + pieces_final_call_us(now_us, r);
     if (ready_us > r->response_start_by_us) {
-        req_refuse(f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
-                   "the stages take longer than the caller waits",
-                   (ready_us - r->response_start_by_us) / MS);
+        returns_refuse(f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
+                       "the stages take longer than the caller waits",
+                       (ready_us - r->response_start_by_us) / MS,
+                       pieces_slowest_service(now_us, r));
         return;
     }
     timers_add(&f->timers, r->response_start_by_us - REFUSE_EARLY_US,
@@ -478,6 +489,7 @@
     }
     f->last_run_us = now_us;
     stop_run(f, now_us);
+    returns_run(f, now_us);
     crashes_run(f, now_us);
     owners_run(f, now_us);
 }
@@ -488,6 +500,7 @@
     int64_t at = timers_next_due_us(&f->timers);
     int64_t owners = owners_next_wakeup_us(f);
     at = MIN(at, crashes_next_wakeup_us(f));
+    at = MIN(at, return_slots_notice_due_us(f->returns));
     size_t i = 0;
     const struct service_state *s;
     while ((s = map_next(&f->services, &i))) {
@@ -528,6 +541,7 @@
                    "cf_forward_first_byte_us{quantile=\"%g\"} %" PRId64 "\n",
                    at[i], hist_quantile(&f->first_byte, at[i]));
     }
+    team_counts_metrics(f->team_counts, out);
     buf_printf(out, "cf_forward_open %d\n", forward_open_requests(f));
     buf_printf(out, "cf_forward_nodes %d\n", forward_node_count(f));
 }
--- a/src/forward/owners.c
+++ b/src/forward/owners.c
@@ -434,6 +434,9 @@
     case STAGE_MSG_PARTS:
         crashes_handle_notice(f, now_us, &m->parts);
         break;
+    case STAGE_MSG_RETURNS:
+        return_slots_handle_notice(f->returns, &m->returns, now_us);
+        break;
     case STAGE_MSG_KIND_COUNT:
         break;
     case STAGE_MSG_ACK:
--- a/src/forward/pieces.c
+++ b/src/forward/pieces.c
@@ -127,6 +127,25 @@
                ENGINE_TOKENS_PER_MS;
 }
 
+const struct service_state *
+pieces_slowest_service(int64_t now_us, const struct request *r)
+{
+    const struct service_state *slowest = r->service;
+    int64_t longest = 0;
+    for (int i = 0; i < r->route->stage_count; i++) {
+        const struct service_state *s = r->stages[i].service;
+        if (r->stages[i].count == 0 || stage_done(r, i)) {
+            continue;
+        }
+        int64_t wait = current_wait_us(s, r->priority, now_us);
+        if (wait > longest) {
+            longest = wait;
+            slowest = s;
+        }
+    }
+    return slowest;
+}
+
 bool
 pieces_init(struct forward *f, int64_t now_us, struct request *r)
 {
@@ -521,6 +540,7 @@
     if (!stage_done(r, stage)) {
         return;
     }
+    return_slots_record_taken(f->returns, st->service->hash, now_us);
     drop_unneeded_stages(f, now_us, r);
     if (!pieces_request_ready(f, now_us, r)) {
         return;
@@ -557,11 +577,12 @@
         handle_piece_done(f, now_us, r, stage, res);
         break;
     case PIECE_LATE:
-        req_refuse(
+        returns_refuse(
             f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
             "a stage cannot be done in time",
             current_wait_us(r->stages[stage].service, r->priority, now_us) /
-                MS);
+                MS,
+            r->stages[stage].service);
         break;
     case PIECE_INPUT_GONE:
         f->counters.pieces_failed++;
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -162,6 +162,7 @@
     }
     if (promise) {
         f->counters.refusals++;
+        team_counts_add(f->team_counts, r->team_hash, r->team, TEAM_REFUSED);
         retry_ms = retry_ms > RETRY_AFTER_MS ? retry_ms : RETRY_AFTER_MS;
     }
     else {
@@ -259,9 +260,9 @@
         f->counters.wait_refusals++;
         int64_t at =
             wait_openings_expected_us(openings, count, s->waiting.count);
-        req_refuse(f, now_us, r, ERRKIND_NO_ENDPOINT, NO_ENDPOINT_REFUSAL,
-                   at == INT64_MAX ? NO_ENDPOINT_RETRY_MS
-                                   : (at - now_us) / MS);
+        returns_refuse(
+            f, now_us, r, ERRKIND_NO_ENDPOINT, NO_ENDPOINT_REFUSAL,
+            at == INT64_MAX ? NO_ENDPOINT_RETRY_MS : (at - now_us) / MS, s);
         return;
     }
     enqueue_waiting(r, next_us);
@@ -331,6 +332,8 @@
     }
     e->in_flight++;
     endpoint_record_send(e, forward_node_count(f), now_us);
+    return_slots_record_taken(f->returns, r->service->hash, now_us);
+    team_counts_add(f->team_counts, r->team_hash, r->team, TEAM_SENT);
     team_share_charge(r->service->share, r->team_hash, 1, now_us);
     map_put(&f->calls, r->call, r);
     f->counters.sends++;
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -16,8 +16,10 @@
 #include "forward/endpoints.h"
 #include "forward/forward.h"
 #include "forward/place.h"
+#include "forward/return_slots.h"
 #include "forward/stage_pool.h"
 #include "forward/stop.h"
+#include "forward/team_counts.h"
 #include "forward/team_share.h"
 #include "forward/wait_list.h"
 
@@ -35,6 +37,11 @@
     X(refusals, "requests refused as not run")                                \
     X(failures, "requests failed after they were sent")                       \
     X(wait_refusals, "requests refused behind others that wait")              \
+    X(returns_promised, "refused callers that were promised a time")          \
+    X(returns_unpromised, "refused callers for which no room was left")       \
+    X(returns_in_time, "callers that returned in their time")                 \
+    X(returns_early, "callers that returned before their time")               \
+    X(return_notices, "notices of returns sent")                              \
     X(gone, "callers that left")                                              \
     X(sends, "requests sent to endpoints")                                    \
     X(repeats, "requests sent once more")                                     \
@@ -92,6 +99,8 @@
     uint64_t team_hash;            /* hash of team; 0: none */
     int priority;
     int64_t arrived_us;
+    int64_t first_attempt_us; /* arrival of its first attempt, which this or
+                                 another node refused; else arrived_us */
     int64_t target_us;   /* absolute latency target; later responses are worth
                             less */
     int64_t deadline_us; /* absolute deadline of the complete response */
@@ -226,6 +235,8 @@
     struct map durations;    /* hash of a route's name -> struct
                                 call_duration */
     bool dispatch_needed;    /* pieces or waiting requests may be sendable */
+    struct return_slots *returns;
+    struct team_counts *team_counts;
     struct blame *blames[CRASH_SUBJECT_COUNT];
     struct map probes;    /* call -> struct crash_probe */
     int64_t probe_due_us; /* next repeated probe; INT64_MAX: none */
@@ -301,7 +312,23 @@
 void response_handle_deadline(struct forward *f, int64_t now_us,
                               struct request *r);
 
+/* returns.c */
+/** Refuses a request for want of room: tells its caller a time at which there
+ * may be some, and expects it then. @param retry_ms time until there may be
+ * room */
+void returns_refuse(struct forward *f, int64_t now_us, struct request *r,
+                    enum errkind kind, const char *why, int64_t retry_ms,
+                    const struct service_state *full);
+/** Recognizes a caller that was refused and returns in its time. */
+void returns_arrive(struct forward *f, int64_t now_us, struct request *r);
+/** Sends the notices that are due to other nodes. */
+void returns_run(struct forward *f, int64_t now_us);
+
 /* pieces.c */
+/** Returns the service of the stages whose pieces wait longest, or the service
+ * of the final call if none waits. */
+const struct service_state *pieces_slowest_service(int64_t now_us,
+                                                   const struct request *r);
 /** Initializes the stages. @return false if a stage has no service */
 bool pieces_init(struct forward *f, int64_t now_us, struct request *r);
 /** Requests the pieces whose inputs are ready. @return true if all are done */
--- a/src/model/stage_work.h
+++ b/src/model/stage_work.h
@@ -15,6 +15,7 @@
 
 #include "base/str.h"
 #include "model/part_notice.h"
+#include "model/return_notice.h"
 
 /** Maximum number of pieces in a request; larger stages need several. */
 #define STAGE_MAX_PIECES 64
@@ -113,6 +114,7 @@
         STAGE_MSG_DROP,
         STAGE_MSG_PREFILL,
         STAGE_MSG_PARTS,
+        STAGE_MSG_RETURNS,
         STAGE_MSG_KIND_COUNT
     } kind;
     union {
@@ -122,6 +124,7 @@
         struct stage_drop drop;
         struct prefill_notice prefill;
         struct part_notice parts;
+        struct return_notice returns;
     };
 };
 
--- a/src/wire/msg.c
+++ b/src/wire/msg.c
@@ -360,6 +360,17 @@
     }
 }
 
+static void
+io_return_notice(struct io *io, struct return_notice *b)
+{
+    io_int(io, &b->count, RETURN_NOTICE_MAX);
+    for (int i = 0; !io->is_malformed && i < b->count; i++) {
+        io_u64(io, &b->returns[i].content);
+        io_i64(io, &b->returns[i].due_left_us, DURATION_MAX_US);
+        io_i64(io, &b->returns[i].waited_us, DURATION_MAX_US);
+    }
+}
+
 static void
 io_feed_query(struct io *io, struct feed_query *b)
 {
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -98,7 +98,8 @@
  * CREDIT_REPLY: matched by credit id; a late grant is released.
  * CREDIT_QUERY, CREDIT_STATE: repeated until answered or settled.
  * STAGE_*: see model/stage_work.h. FEED_*: see model/feed_relay.h.
- * PARTS: see model/part_notice.h.
+ * PARTS: see model/part_notice.h. RETURNS: see model/return_notice.h; builds
+ * before it count it as malformed and ignore it.
  */
 #define MSG_LIST(X)                                                           \
     X(PING, "ping", probe, struct probe_body)                                 \
@@ -124,7 +125,8 @@
     X(PREFILL, "prefill", prefill, struct prefill_notice)                     \
     X(FEED_ASK, "feed_ask", feed_query, struct feed_query)                    \
     X(FEED_ANSWER, "feed_answer", feed_reply, struct feed_reply)              \
-    X(PARTS, "parts", part_notice, struct part_notice)
+    X(PARTS, "parts", part_notice, struct part_notice)                        \
+    X(RETURNS, "returns", return_notice, struct return_notice)
 
 enum msg_type {
 #define X(id, name, field, type) MSG_##id,
@@ -156,6 +158,7 @@
         struct feed_query feed_query;
         struct feed_reply feed_reply;
         struct part_notice part_notice;
+        struct return_notice return_notice;
     };
 };
 
