Estimate waits of teams above their share apart from others

Cause: all requests of a priority shared one estimate of the wait for stages, so the queue of a team in a burst made nodes refuse the requests of the others as well.

Change: estimates are kept apart for requests of teams above their share of the final service; the others use observed waits only, not the expected waits of acknowledgements, while a team is above its share (src/forward/ waits.c, moved out of pieces.c). Callers that return pass the same check as others. request.first_attempt_us is for waited_before_us of the stage requests; target_us counts from this attempt. A slot is looked for from 0.9 of the time that the caller heeds, instead of 0.75.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -341,6 +341,25 @@
     return r;
 }
 
+/* Sets whether the request's team is within its share of the service of the
+ * final call. */
+static void
+set_share(const struct forward *f, int64_t now_us, struct request *r)
+{
+    struct service_state *s = r->service;
+    if (f->opts.ignore_teams) {
+        return;
+    }
+    if (team_share_excess(s->share, r->team_hash, now_us) > 0) {
+        s->above_share_us = now_us;
+        r->share = REQ_SHARE_ABOVE;
+    }
+    else if (s->above_share_us &&
+             now_us - s->above_share_us <= TEAM_SHARE_ACTIVE_US) {
+        r->share = REQ_SHARE_WITHIN;
+    }
+}
+
 void
 forward_accept(struct forward *f, int64_t now_us,
                const struct forward_request *in)
@@ -392,11 +411,8 @@
         return;
     }
     returns_arrive(f, now_us, r);
-    /* A caller that returns in its time goes before new ones, so that the wait
-     * of these does not apply to it. */
-    int64_t send_us =
-        now_us + (r->wait.returning ? pieces_remaining_us(r)
-                                    : pieces_expected_us(now_us, r));
+    set_share(f, now_us, r);
+    int64_t send_us = now_us + pieces_expected_us(now_us, r);
     if (stop_refuses(f, r, send_us)) {
         req_refuse(f, now_us, r, ERRKIND_NOT_READY, STOP_REFUSAL, 0);
         return;
@@ -406,7 +422,7 @@
         returns_refuse(f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
                        "the stages take longer than the caller waits",
                        (ready_us - r->response_start_by_us) / MS,
-                       pieces_slowest_service(now_us, r));
+                       waits_slowest_service(now_us, r));
         return;
     }
     timers_add(&f->timers, r->response_start_by_us - REFUSE_EARLY_US,
--- a/src/forward/pieces.c
+++ b/src/forward/pieces.c
@@ -17,9 +17,6 @@
 /* Assumed uncached share of a prompt before an engine is chosen; most of a
  * prompt is shared. */
 #define UNCACHED_SHARE 0.3
-/* Half-life of an observed wait. */
-#define WAIT_HALF_LIFE_US (400 * MS)
-#define WAIT_WEIGHT 0.3
 /* Interval between checks of pending stage requests, and the time after which
  * one is resent. The time doubles with each resend up to
  * RESEND_MAX_DOUBLINGS: an owner that is only slow has all of them to read. */
@@ -41,31 +38,6 @@
            OWNER_OVERHEAD_US;
 }
 
-static int
-wait_index(int priority)
-{
-    return CLAMP(priority, 0, WAIT_PRIORITIES - 1);
-}
-
-static int64_t
-current_wait_us(const struct service_state *s, int priority, int64_t now_us)
-{
-    int index = wait_index(priority);
-    int64_t halves = (now_us - s->waits[index].seen_us) / WAIT_HALF_LIFE_US;
-    return halves > 8 ? 0 : s->waits[index].us >> halves;
-}
-
-static void
-record_wait(struct service_state *s, int priority, int64_t now_us,
-            int64_t wait_us)
-{
-    double before = (double)current_wait_us(s, priority, now_us);
-    int index = wait_index(priority);
-    s->waits[index].us =
-        (int64_t)((1 - WAIT_WEIGHT) * before + WAIT_WEIGHT * (double)wait_us);
-    s->waits[index].seen_us = now_us;
-}
-
 static bool
 stage_done(const struct request *r, int i)
 {
@@ -92,8 +64,7 @@
         }
         if (counts && i != skip && !stage_done(r, i)) {
             at[i] += stage_duration_us(st->service, st->count);
-            at[i] +=
-                now_us ? current_wait_us(st->service, r->priority, now_us) : 0;
+            at[i] += now_us ? waits_current_us(st->service, r, now_us) : 0;
         }
         latest = at[i] > latest ? at[i] : latest;
     }
@@ -127,25 +98,6 @@
                ENGINE_TOKENS_PER_MS;
 }
 
-const struct service_state *
-pieces_slowest_service(int64_t now_us, const struct request *r)
-{
-    const struct service_state *slowest = r->service;
-    int64_t longest = 0;
-    for (int i = 0; i < r->route->stage_count; i++) {
-        const struct service_state *s = r->stages[i].service;
-        if (r->stages[i].count == 0 || stage_done(r, i)) {
-            continue;
-        }
-        int64_t wait = current_wait_us(s, r->priority, now_us);
-        if (wait > longest) {
-            longest = wait;
-            slowest = s;
-        }
-    }
-    return slowest;
-}
-
 bool
 pieces_init(struct forward *f, int64_t now_us, struct request *r)
 {
@@ -337,7 +289,7 @@
         return false;
     }
     int64_t own_us = stage_duration_us(st->service, st->count) +
-                     current_wait_us(st->service, r->priority, now_us);
+                     waits_current_us(st->service, r, now_us);
     int64_t slack_us =
         longest_path_us(r, -1, stage, now_us) - own_us - POSTPONE_MARGIN_US;
     if (slack_us <= 0) {
@@ -536,7 +488,7 @@
     p->handle = str_dup(res->handle);
     p->result_endpoint_hash = res->maker;
     st->ready++;
-    record_wait(st->service, r->priority, now_us, res->waited_us);
+    waits_record(st->service, r, now_us, res->waited_us);
     if (!stage_done(r, stage)) {
         return;
     }
@@ -577,12 +529,11 @@
         handle_piece_done(f, now_us, r, stage, res);
         break;
     case PIECE_LATE:
-        returns_refuse(
-            f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
-            "a stage cannot be done in time",
-            current_wait_us(r->stages[stage].service, r->priority, now_us) /
-                MS,
-            r->stages[stage].service);
+        returns_refuse(f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
+                       "a stage cannot be done in time",
+                       waits_current_us(r->stages[stage].service, r, now_us) /
+                           MS,
+                       r->stages[stage].service);
         break;
     case PIECE_INPUT_GONE:
         f->counters.pieces_failed++;
@@ -628,9 +579,10 @@
     }
     a->acknowledged |= from == a->owner;
     const struct request *r = map_get(&f->requests, a->request);
-    if (r) {
-        record_wait(r->stages[a->stage].service, r->priority, now_us,
-                    m->ack.wait_us);
+    /* The expected wait of the acknowledgement includes the pieces of teams
+     * above their share, which the others do not have to wait for. */
+    if (r && r->share != REQ_SHARE_WITHIN) {
+        waits_record(r->stages[a->stage].service, r, now_us, m->ack.wait_us);
     }
 }
 
--- a/src/forward/return_slots.c
+++ b/src/forward/return_slots.c
@@ -15,7 +15,7 @@
  * as a rule. */
 #define HEEDED_PART 3
 /* Where the search for a slot starts at the latest, in that time. */
-#define START_PART 0.75
+#define START_PART 0.9
 /* Shortest time that is told; see also RETRY_AFTER_MS of request.c. */
 #define MIN_DELAY_US 150000LL
 /* Room of a node from which nothing was taken lately, requests per second. */
@@ -157,6 +157,14 @@
     return t;
 }
 
+/* This node's part of the room of a service, requests per second. */
+static double
+room_per_s(struct service_slots *t, int64_t now_us)
+{
+    double room = window_sum(&t->taken, now_us) * 1e6 / RETURN_ROOM_US;
+    return room > MIN_ROOM_PER_S ? room : MIN_ROOM_PER_S;
+}
+
 void
 return_slots_record_taken(struct return_slots *s, uint64_t service,
                           int64_t now_us)
@@ -187,9 +195,7 @@
         int64_t delay = q->earliest_us > first_us ? q->earliest_us : first_us;
         return (struct return_plan){delay, false};
     }
-    double room = window_sum(&t->taken, now_us) * 1e6 / RETURN_ROOM_US;
-    room = room > MIN_ROOM_PER_S ? room : MIN_ROOM_PER_S;
-    room *= promised_part(q) / 1e6;
+    double room = room_per_s(t, now_us) * promised_part(q) / 1e6;
     int promised =
         return_slots_promised(s, q->service, now_us + first_us - 1, now_us);
     int least = -1;
--- a/src/forward/returns.c
+++ b/src/forward/returns.c
@@ -52,7 +52,6 @@
     case RETURN_IN_TIME:
         f->counters.returns_in_time++;
         r->wait.returning = true;
-        r->target_us -= r->first_attempt_us - first_us;
         r->first_attempt_us = first_us;
         break;
     }
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -96,7 +96,12 @@
     const struct route *route;
     struct service_state *service; /* service of the final call */
     struct str team;               /* view into the cluster view */
-    uint64_t team_hash;            /* hash of team; 0: none */
+    enum req_share {
+        REQ_SHARE_ANY,    /* no team is above its share */
+        REQ_SHARE_WITHIN, /* its team is within its share, another one above */
+        REQ_SHARE_ABOVE,
+    } share;            /* on arrival */
+    uint64_t team_hash; /* hash of team; 0: none */
     int priority;
     int64_t arrived_us;
     int64_t first_attempt_us; /* arrival of its first attempt, which this or
@@ -195,7 +200,10 @@
     struct {
         int64_t us; /* moving average of the wait of pieces */
         int64_t seen_us;
-    } waits[WAIT_PRIORITIES];
+    } waits[2 * WAIT_PRIORITIES]; /* the second half: of teams above their
+                                     share */
+    int64_t above_share_us;   /* when a request of a team above its share last
+                                 arrived for the final call; 0: never */
     struct wait_list waiting; /* requests that wait for an endpoint */
     int64_t waiting_retry_us; /* when an endpoint may accept work again */
     bool waiting_retried;     /* the list is being retried */
@@ -324,11 +332,20 @@
 /** Sends the notices that are due to other nodes. */
 void returns_run(struct forward *f, int64_t now_us);
 
-/* pieces.c */
+/* waits.c */
+/** Returns how long the pieces of a request are expected to wait at a service
+ * of stages, from waits of requests of the same priority and share. */
+int64_t waits_current_us(const struct service_state *s,
+                         const struct request *r, int64_t now_us);
+/** Records an observed or expected wait. */
+void waits_record(struct service_state *s, const struct request *r,
+                  int64_t now_us, int64_t wait_us);
 /** Returns the service of the stages whose pieces wait longest, or the service
  * of the final call if none waits. */
-const struct service_state *pieces_slowest_service(int64_t now_us,
-                                                   const struct request *r);
+const struct service_state *waits_slowest_service(int64_t now_us,
+                                                  const struct request *r);
+
+/* pieces.c */
 /** Initializes the stages. @return false if a stage has no service */
 bool pieces_init(struct forward *f, int64_t now_us, struct request *r);
 /** Requests the pieces whose inputs are ready. @return true if all are done */
