--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -412,7 +412,11 @@
     }
     returns_arrive(f, now_us, r);
     set_share(f, now_us, r);
-    int64_t send_us = now_us + pieces_expected_us(now_us, r);
+    /* A caller that returns in its time goes before new ones, whose wait does
+     * not apply to it, unless it would take the time of other teams. */
+    bool before_new = r->wait.returning && r->share != REQ_SHARE_ABOVE;
+    int64_t send_us = now_us + (before_new ? pieces_remaining_us(r)
+                                           : pieces_expected_us(now_us, r));
     if (stop_refuses(f, r, send_us)) {
         req_refuse(f, now_us, r, ERRKIND_NOT_READY, STOP_REFUSAL, 0);
         return;
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -144,6 +144,8 @@
               LOG_INT("sends", r->sends), LOG_INT("unsent", r->unsent),
               LOG_INT("maybe_ran", r->may_have_run),
               LOG_INT("left_ms", (r->deadline_us - now_us) / MS),
+              LOG_INT("above_share", r->share == REQ_SHARE_ABOVE),
+              LOG_INT("returned", r->wait.returning),
               LOG_INT("config", routing_version(r->cluster_view->routing)),
               LOG_STR("parts", req_format_parts(&r->in, parts)));
 }
--- a/src/forward/return_slots.c
+++ b/src/forward/return_slots.c
@@ -206,7 +206,9 @@
         int i = slot_index(t, n);
         int64_t end_us = (n + 1) * SLOT_US - now_us;
         promised += t->promised[i];
-        if (promised + 1 <= room * (double)end_us &&
+        /* One may always be promised, or a node with little room could promise
+         * nothing in the time that callers heed. */
+        if ((promised == 0 || promised + 1 <= room * (double)end_us) &&
             (t->promised[i] == 0 ||
              t->promised[i] + 1 <= 2 * room * SLOT_US)) {
             chosen = n;
--- a/tests/test_forward_teams.c
+++ b/tests/test_forward_teams.c
@@ -3,7 +3,10 @@
  * wait although no endpoint takes them in time. */
 #include <glib.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 
+#include "base/clean.h"
 #include "base/rng.h"
 #include "bench/forward_world.h"
 
@@ -180,6 +183,110 @@
     forward_world_free(c.w);
 }
 
+/* Returns the value of a counter of a node. */
+static int
+counter(struct cold_world *c, int node, const char *name)
+{
+    CLEANUP(buf_free) struct buf text = {0};
+    char line[64];
+    snprintf(line, sizeof(line), "\n%s ", name);
+    forward_metrics(forward_world_core(c->w, node), &text);
+    const char *at = strstr(text.ptr, line);
+    g_assert_nonnull(at);
+    return atoi(at + strlen(line));
+}
+
+/* Fills the waiting lists of both nodes until node 0 refuses a request, which
+ * returns to node 1 @p after_ms after its time while others wait there.
+ * @return time from its return to its first byte, ms; -1: not answered */
+static int
+play_return(bool lose_notices, int after_ms, int *recognized)
+{
+    struct cold_world c;
+    struct fw_request_spec ask = {.host = "usual",
+                                  .key = "key-of-team-1",
+                                  .caller_timeout_us = 2 * SECOND,
+                                  .content = 77};
+    cold_init(&c, false);
+    if (lose_notices) {
+        forward_world_drop_messages(c.w, STAGE_MSG_RETURNS, 1000);
+    }
+    const struct fw_request *first = NULL;
+    for (int i = 0; i < 60 && (!first || first->end == FW_OPEN); i++) {
+        ask.content = 77 + (uint64_t)i;
+        first = forward_world_request(
+            c.w, forward_world_send_request(c.w, 0, &ask));
+    }
+    g_assert_cmpint(first->end, ==, FW_REFUSED);
+    g_assert_cmpint(first->retry_after_ms, <=, 2000 / 3);
+    int64_t due =
+        forward_world_now_us(c.w) + (first->retry_after_ms + after_ms) * MS;
+    forward_world_run_until(c.w, due - 20 * MS);
+    for (int i = 0; i < 15; i++) {
+        /* These have less time left, and would be sent before it. */
+        struct fw_request_spec other = ask;
+        other.content = 0;
+        other.caller_timeout_us = 1200 * MS;
+        forward_world_send_request(c.w, 1, &other);
+    }
+    forward_world_run_until(c.w, due);
+    ask.caller_timeout_us -= first->retry_after_ms * MS;
+    const struct fw_request *again =
+        forward_world_request(c.w, forward_world_send_request(c.w, 1, &ask));
+    run_for(&c, 3 * SECOND);
+    *recognized = counter(&c, 1, "cf_forward_returns_in_time_total");
+    int ms = again->end == FW_ANSWERED
+                 ? (int)((again->first_byte_us - again->sent_us) / MS)
+                 : -1;
+    forward_world_free(c.w);
+    return ms;
+}
+
+/* Guards against a caller that returns when told, to another node, and waits
+ * behind new ones; and against one that is preferred although it came early
+ * or much later. */
+static void
+test_return(void)
+{
+    int recognized;
+    int ms = play_return(false, 0, &recognized);
+    g_test_message("returned when told: %d ms", ms);
+    g_assert_cmpint(recognized, ==, 1);
+    /* One opening of a cold endpoint, 167 ms, and the run. */
+    g_assert_cmpint(ms, >=, 0);
+    g_assert_cmpint(ms, <=, 200);
+    int late = play_return(false, 1100, &recognized);
+    g_assert_cmpint(recognized, ==, 0);
+    g_assert_true(late < 0 || late > 200);
+    int early = play_return(false, -100, &recognized);
+    g_assert_cmpint(recognized, ==, 0);
+    g_assert_true(early < 0 || early > 200);
+    /* A lost notice costs only the preference. */
+    int lost = play_return(true, 0, &recognized);
+    g_test_message("too late: %d ms, too early: %d ms, notices lost: %d ms",
+                   late, early, lost);
+    g_assert_cmpint(recognized, ==, 0);
+    g_assert_cmpint(lost, >, 200);
+}
+
+/* Guards against counts by team that are missing from the metrics. */
+static void
+test_counts(void)
+{
+    struct cold_world c;
+    cold_init(&c, false);
+    for (int i = 0; i < 40; i++) {
+        send_as(&c, 0, "usual", 3);
+    }
+    run_for(&c, 1 * SECOND);
+    g_assert_cmpint(
+        counter(&c, 0, "cf_forward_team_refusals_total{team=\"team-3\"}"), >,
+        0);
+    g_assert_cmpint(
+        counter(&c, 0, "cf_forward_team_sends_total{team=\"team-3\"}"), >, 0);
+    forward_world_free(c.w);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -187,5 +294,7 @@
     g_test_add_func("/forward_teams/burst", test_burst);
     g_test_add_func("/forward_teams/rank", test_rank);
     g_test_add_func("/forward_teams/refused_at_once", test_refused_at_once);
+    g_test_add_func("/forward_teams/return", test_return);
+    g_test_add_func("/forward_teams/counts", test_counts);
     return g_test_run();
 }
