Order by team only where the configuration has teams

Cause: waiting lists and return times also applied to deployments without teams, which are to be served as before.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -96,6 +96,13 @@
     return f->cluster_view ? f->cluster_view->node_count : 1;
 }
 
+bool
+forward_uses_teams(const struct forward *f)
+{
+    return !f->opts.ignore_teams && f->cluster_view &&
+           routing_has_teams(f->cluster_view->routing);
+}
+
 static struct service_state *
 update_service(struct forward *f, const struct service *info)
 {
@@ -347,7 +354,7 @@
 set_share(const struct forward *f, int64_t now_us, struct request *r)
 {
     struct service_state *s = r->service;
-    if (f->opts.ignore_teams) {
+    if (!forward_uses_teams(f)) {
         return;
     }
     if (team_share_excess(s->share, r->team_hash, now_us) > 0) {
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -242,7 +242,7 @@
     struct service_state *s = r->service;
     int64_t by_us =
         req_caller_leaves_us(r) - MAX(SEND_MIN_US, REFUSE_EARLY_US);
-    if (f->opts.ignore_teams) {
+    if (!forward_uses_teams(f)) {
         enqueue_waiting(r, next_us);
         return;
     }
@@ -410,7 +410,7 @@
         query.zone_penalty_us = RESULT_ZONE_PENALTY_US;
     }
     if (r->service->waiting.count > 0 && !r->service->waiting_retried &&
-        r->state != REQ_WAITING && !f->opts.ignore_teams) {
+        r->state != REQ_WAITING && forward_uses_teams(f)) {
         /* The requests that wait already may come first. */
         wait_or_refuse(f, now_us, r, &query, now_us);
         return;
@@ -449,7 +449,7 @@
     /* Requests that keep waiting are added to a new list. */
     s->waiting = (struct wait_list){.last_order = list.last_order};
     s->waiting_retried = true;
-    if (!f->opts.ignore_teams) {
+    if (forward_uses_teams(f)) {
         wait_list_sort(&list, s->share, now_us);
     }
     for (int i = 0; i < list.count; i++) {
--- a/src/forward/returns.c
+++ b/src/forward/returns.c
@@ -10,7 +10,7 @@
                enum errkind kind, const char *why, int64_t retry_ms,
                const struct service_state *full)
 {
-    if (f->opts.ignore_teams || r->may_have_run || r->call ||
+    if (!forward_uses_teams(f) || r->may_have_run || r->call ||
         r->response_started) {
         req_refuse(f, now_us, r, kind, why, retry_ms);
         return;
@@ -39,7 +39,7 @@
 returns_arrive(struct forward *f, int64_t now_us, struct request *r)
 {
     int64_t first_us;
-    if (f->opts.ignore_teams) {
+    if (!forward_uses_teams(f)) {
         return;
     }
     switch (return_slots_arrive(f->returns, req_content_key(&r->in, r->route),
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -298,6 +298,9 @@
 void req_retry_waiting(struct forward *f, int64_t now_us,
                        struct service_state *s);
 int forward_node_count(const struct forward *f);
+/** Returns whether the configuration has teams, so that waiting requests and
+ * refusals are ordered by docs/design/teams.md. */
+bool forward_uses_teams(const struct forward *f);
 /** Removes the current call and decrements the load of its endpoint. */
 void req_detach_call(struct forward *f, struct request *r);
 
--- a/tests/test_forward_teams.c
+++ b/tests/test_forward_teams.c
@@ -200,7 +200,7 @@
  * returns to node 1 @p after_ms after its time while others wait there.
  * @return time from its return to its first byte, ms; -1: not answered */
 static int
-play_return(bool lose_notices, int after_ms, int *recognized)
+play_return(bool lose_notices, bool restart, int after_ms, int *recognized)
 {
     struct cold_world c;
     struct fw_request_spec ask = {.host = "usual",
@@ -221,6 +221,10 @@
     g_assert_cmpint(first->retry_after_ms, <=, 2000 / 3);
     int64_t due =
         forward_world_now_us(c.w) + (first->retry_after_ms + after_ms) * MS;
+    forward_world_run_until(c.w, due - 100 * MS);
+    if (restart) {
+        forward_world_restart_node(c.w, 0);
+    }
     forward_world_run_until(c.w, due - 20 * MS);
     for (int i = 0; i < 15; i++) {
         /* These have less time left, and would be sent before it. */
@@ -249,20 +253,25 @@
 test_return(void)
 {
     int recognized;
-    int ms = play_return(false, 0, &recognized);
+    int ms = play_return(false, false, 0, &recognized);
     g_test_message("returned when told: %d ms", ms);
     g_assert_cmpint(recognized, ==, 1);
     /* One opening of a cold endpoint, 167 ms, and the run. */
     g_assert_cmpint(ms, >=, 0);
     g_assert_cmpint(ms, <=, 200);
-    int late = play_return(false, 1100, &recognized);
+    /* The node that refused it has ended meanwhile. */
+    ms = play_return(false, true, 0, &recognized);
+    g_assert_cmpint(recognized, ==, 1);
+    g_assert_cmpint(ms, >=, 0);
+    g_assert_cmpint(ms, <=, 200);
+    int late = play_return(false, false, 1100, &recognized);
     g_assert_cmpint(recognized, ==, 0);
     g_assert_true(late < 0 || late > 200);
-    int early = play_return(false, -100, &recognized);
+    int early = play_return(false, false, -100, &recognized);
     g_assert_cmpint(recognized, ==, 0);
     g_assert_true(early < 0 || early > 200);
     /* A lost notice costs only the preference. */
-    int lost = play_return(true, 0, &recognized);
+    int lost = play_return(true, false, 0, &recognized);
     g_test_message("too late: %d ms, too early: %d ms, notices lost: %d ms",
                    late, early, lost);
     g_assert_cmpint(recognized, ==, 0);
