--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -12,9 +12,6 @@
  * configuration is at most this old; otherwise it may have been added since.
  */
 #define CONFIG_FRESH_US (2500 * MS)
-/* A request that was not sent is refused this long before its caller
- * disconnects, so that the caller learns that it was not run. */
-#define REFUSE_EARLY_US (60 * MS)
 /* Retry-After of a refusal that another node may not give. */
 #define RETRY_AFTER_MS 300
 /* Number of recent latencies that the quantiles are computed from. */
@@ -39,6 +36,8 @@
     f->nodes_version = UINT64_MAX;
     g_queue_init(&f->inbox);
     crashes_init(f);
+    f->returns = return_slots_new();
+    f->team_counts = team_counts_new();
     hist_init(&f->latency, HIST_SAMPLES);
     hist_init(&f->first_byte, HIST_SAMPLES);
     return f;
@@ -49,7 +48,8 @@
 {
     str_free(&s->info.name);
     g_ptr_array_free(s->endpoints, TRUE);
-    free(s->waiting);
+    wait_list_free(&s->waiting);
+    team_share_free(s->share);
     free(s);
 }
 
@@ -70,6 +70,8 @@
     }
     owners_free(f);
     crashes_free(f);
+    return_slots_free(f->returns);
+    team_counts_free(f->team_counts);
     for (at = 0; (v = map_next(&f->services, &at));) {
         service_free(v);
     }
@@ -94,6 +96,13 @@
     return f->cluster_view ? f->cluster_view->node_count : 1;
 }
 
+bool
+forward_uses_teams(const struct forward *f)
+{
+    return !f->opts.ignore_teams && f->cluster_view &&
+           routing_has_teams(f->cluster_view->routing);
+}
+
 static struct service_state *
 update_service(struct forward *f, const struct service *info)
 {
@@ -103,6 +112,7 @@
         s = mem_calloc(1, sizeof(*s));
         s->hash = hash;
         s->endpoints = g_ptr_array_new();
+        s->share = team_share_new();
         repeat_budget_init(&s->budget, &f->opts.repeats,
                            f->opts.predecessor_until_us);
         s->groups = 1;
@@ -212,6 +222,7 @@
 {
     f->opts.repeats = opts->repeats;
     f->opts.max_store_age_us = opts->max_store_age_us;
+    f->opts.ignore_teams = opts->ignore_teams;
 }
 
 bool
@@ -310,6 +321,7 @@
     r->cluster_view = cluster_view_ref(f->cluster_view);
     r->route = route;
     r->arrived_us = now_us;
+    r->first_attempt_us = now_us;
     r->last_activity_us = now_us;
     r->priority = route->priority;
     r->last_event_id = in->resume_after;
@@ -317,6 +329,7 @@
         const struct routing_team *t =
             routing_team(f->cluster_view->routing, team);
         r->team = t->name;
+        r->team_hash = hash64(t->name);
         r->priority = t->priority >= 0 ? t->priority : route->priority;
     }
     int64_t left =
@@ -337,6 +350,25 @@
     return r;
 }
 
+/* Sets whether the request's team is within its share of the service of the
+ * final call. */
+static void
+set_share(const struct forward *f, int64_t now_us, struct request *r)
+{
+    struct service_state *s = r->service;
+    if (!forward_uses_teams(f)) {
+        return;
+    }
+    if (team_share_excess(s->share, r->team_hash, now_us) > 0) {
+        s->above_share_us = now_us;
+        r->share = REQ_SHARE_ABOVE;
+    }
+    else if (s->above_share_us &&
+             now_us - s->above_share_us <= TEAM_SHARE_ACTIVE_US) {
+        r->share = REQ_SHARE_WITHIN;
+    }
+}
+
 void
 forward_accept(struct forward *f, int64_t now_us,
                const struct forward_request *in)
@@ -387,16 +419,23 @@
                    0);
         return;
     }
-    int64_t send_us = now_us + pieces_expected_us(now_us, r);
+    returns_arrive(f, now_us, r);
+    set_share(f, now_us, r);
+    /* A caller that returns in its time goes before new ones, whose wait does
+     * not apply to it, unless it would take the time of other teams. */
+    bool before_new = r->wait.returning && r->share != REQ_SHARE_ABOVE;
+    int64_t send_us = now_us + (before_new ? pieces_remaining_us(r)
+                                           : pieces_expected_us(now_us, r));
     if (stop_refuses(f, r, send_us)) {
         req_refuse(f, now_us, r, ERRKIND_NOT_READY, STOP_REFUSAL, 0);
         return;
     }
     int64_t ready_us = send_us + pieces_final_call_us(now_us, r);
     if (ready_us > r->response_start_by_us) {
-        req_refuse(f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
-                   "the stages take longer than the caller waits",
-                   (ready_us - r->response_start_by_us) / MS);
+        returns_refuse(f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
+                       "the stages take longer than the caller waits",
+                       (ready_us - r->response_start_by_us) / MS,
+                       waits_slowest_service(now_us, r));
         return;
     }
     timers_add(&f->timers, r->response_start_by_us - REFUSE_EARLY_US,
@@ -472,13 +511,14 @@
     struct service_state *s;
     f->dispatch_needed = false;
     while ((s = map_next(&f->services, &at))) {
-        if (s->waiting_count > 0 &&
+        if (s->waiting.count > 0 &&
             (dispatch || now_us >= s->waiting_retry_us)) {
             req_retry_waiting(f, now_us, s);
         }
     }
     f->last_run_us = now_us;
     stop_run(f, now_us);
+    returns_run(f, now_us);
     crashes_run(f, now_us);
     owners_run(f, now_us);
 }
@@ -489,10 +529,11 @@
     int64_t at = timers_next_due_us(&f->timers);
     int64_t owners = owners_next_wakeup_us(f);
     at = MIN(at, crashes_next_wakeup_us(f));
+    at = MIN(at, return_slots_notice_due_us(f->returns));
     size_t i = 0;
     const struct service_state *s;
     while ((s = map_next(&f->services, &i))) {
-        if (s->waiting_count > 0 && s->waiting_retry_us < at) {
+        if (s->waiting.count > 0 && s->waiting_retry_us < at) {
             at = s->waiting_retry_us;
         }
     }
@@ -529,6 +570,7 @@
                    "cf_forward_first_byte_us{quantile=\"%g\"} %" PRId64 "\n",
                    at[i], hist_quantile(&f->first_byte, at[i]));
     }
+    team_counts_metrics(f->team_counts, out);
     buf_printf(out, "cf_forward_open %d\n", forward_open_requests(f));
     buf_printf(out, "cf_forward_nodes %d\n", forward_node_count(f));
 }
--- a/src/forward/pieces.c
+++ b/src/forward/pieces.c
@@ -139,8 +139,8 @@
     int64_t min_after_us = stage_time_path_us(r, a->stage, -1, WAITS_NONE, 0) +
                            STAGE_TIME_FIRST_BYTE_MIN_US;
     out->correlation_id = a->id;
-    out->team = r->team.len > 0 ? hash64(r->team) : 0;
-    out->waited_before_us = r->waited_before_us;
+    out->team = r->team_hash;
+    out->waited_before_us = at_least_zero(r->arrived_us - r->first_attempt_us);
     out->service = s->hash;
     out->group = a->group;
     out->request_id = r->in.request_id;
@@ -226,7 +226,7 @@
         return false;
     }
     int64_t own_us = stage_time_duration_us(st->service, st->count) +
-                     stage_time_wait_us(st->service, r->priority, now_us);
+                     waits_current_us(st->service, r, now_us);
     int64_t slack_us = stage_time_path_us(r, -1, stage, WAITS_ALL, now_us) -
                        own_us - POSTPONE_MARGIN_US;
     if (slack_us <= 0) {
@@ -420,11 +420,11 @@
     for (int i = 0; i < r->route->stage_count; i++) {
         if (!stage_done(r, i) && stage_time_missing_us(r, i, now_us) > 0) {
             f->counters.stages_unmeetable++;
-            req_refuse(
-                f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
-                "the next stage cannot end in time",
-                stage_time_wait_us(r->stages[i].service, r->priority, now_us) /
-                    MS);
+            returns_refuse(f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
+                           "the next stage cannot end in time",
+                           waits_current_us(r->stages[i].service, r, now_us) /
+                               MS,
+                           r->stages[i].service);
             return true;
         }
     }
@@ -451,8 +451,9 @@
         r, stage, now_us + wait_us / EXPECTED_WAIT_MARGIN);
     if (missing > 0) {
         f->counters.stages_unmeetable++;
-        req_refuse(f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
-                   "a stage is not expected to start in time", missing / MS);
+        returns_refuse(f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
+                       "a stage is not expected to start in time",
+                       missing / MS, r->stages[stage].service);
     }
 }
 
@@ -469,10 +470,11 @@
     p->handle = str_dup(res->handle);
     p->result_endpoint_hash = res->maker;
     st->ready++;
-    stage_time_record_wait(st->service, r->priority, now_us, res->waited_us);
+    waits_record(st->service, r, now_us, res->waited_us);
     if (!stage_done(r, stage)) {
         return;
     }
+    return_slots_record_taken(f->returns, st->service->hash, now_us);
     if (!r->preparing && refuse_unmeetable(f, now_us, r)) {
         return;
     }
@@ -512,11 +514,11 @@
         handle_piece_done(f, now_us, r, stage, res);
         break;
     case PIECE_LATE:
-        req_refuse(
-            f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
-            "a stage cannot be done in time",
-            stage_time_wait_us(r->stages[stage].service, r->priority, now_us) /
-                MS);
+        returns_refuse(f, now_us, r, ERRKIND_DEADLINE_UNMEETABLE,
+                       "a stage cannot be done in time",
+                       waits_current_us(r->stages[stage].service, r, now_us) /
+                           MS,
+                       r->stages[stage].service);
         break;
     case PIECE_INPUT_GONE:
         f->counters.pieces_failed++;
@@ -562,9 +564,10 @@
     }
     a->acknowledged |= from == a->owner;
     struct request *r = map_get(&f->requests, a->request);
-    if (r) {
-        stage_time_record_wait(r->stages[a->stage].service, r->priority,
-                               now_us, m->ack.wait_us);
+    /* The expected wait of the acknowledgement includes the pieces of teams
+     * above their share, which the others do not have to wait for. */
+    if (r && r->share != REQ_SHARE_WITHIN) {
+        waits_record(r->stages[a->stage].service, r, now_us, m->ack.wait_us);
         refuse_by_expected_wait(f, now_us, r, a->stage, m->ack.wait_us);
     }
 }
--- a/src/forward/stage_dispatch.c
+++ b/src/forward/stage_dispatch.c
@@ -63,7 +63,8 @@
 }
 
 static void
-add_entry(struct stage_pool *p, const struct job *j, int64_t now_us)
+add_entry(struct stage_pool *p, const struct job *j, bool contended,
+          int64_t now_us)
 {
     /* Calls are filled up with other pieces when the queue is long, and then
      * take longer than this job's pieces alone. */
@@ -73,7 +74,9 @@
                           : 0;
     const struct stage_order_job job = {
         .rank = j->priority,
-        .team_excess = 0, /* of j->team, once forward/team_share exists */
+        .team_excess =
+            contended ? team_share_excess(p->share, j->team, now_us)
+                      : 0, /* of j->team, once forward/team_share exists */
         .received_us = j->received_us - j->waited_before_us,
         .latest_start_us = j->latest_start_us - fill_us,
         .latest_useful_start_us = j->latest_useful_start_us,
@@ -91,6 +94,10 @@
 static void
 arrange_queue(struct stage_pool *p, int64_t now_us)
 {
+    /* If all waiting pieces fit into the next call of each endpoint, no team
+     * takes capacity from another one. */
+    bool contended = p->stats.queued > (int)p->candidates->len *
+                                           p->limits.slots * p->limits.batch;
     struct job *j;
     struct job *next;
     g_array_set_size(p->entries, 0);
@@ -104,7 +111,7 @@
         if (j->sent_any_piece && p->limits.result_memory_bytes > 0) {
             p->unreserved_bytes -= needed_bytes(j);
         }
-        add_entry(p, j, now_us);
+        add_entry(p, j, contended, now_us);
     }
     guint count = p->entries->len;
     g_array_set_size(p->order, count);
@@ -293,6 +300,7 @@
     int added = f->call->count - before;
     f->reserve_count += from_reserve ? added : 0;
     f->late_count += now_us > j->latest_start_us ? added : 0;
+    team_share_charge(p->share, j->team, added, now_us);
     p->reserve_credit = stage_order_charge(p->reserve_credit, from_reserve,
                                            added, p->limits.batch);
 }
--- a/src/forward/stage_pool.c
+++ b/src/forward/stage_pool.c
@@ -63,6 +63,7 @@
 {
     struct stage_pool *p = mem_calloc(1, sizeof(*p));
     p->io = *io;
+    p->share = team_share_new();
     p->reminder_due_us = p->memory_query_due_us = INT64_MAX;
     TAILQ_INIT(&p->jobs);
     TAILQ_INIT(&p->ended);
@@ -142,6 +143,7 @@
     g_hash_table_destroy(p->calls);
     g_hash_table_destroy(p->endpoints);
     g_hash_table_destroy(p->releases);
+    team_share_free(p->share);
     g_array_free(p->entries, TRUE);
     g_array_free(p->order, TRUE);
     g_array_free(p->reserve, TRUE);
--- a/src/forward/stage_pool_state.h
+++ b/src/forward/stage_pool_state.h
@@ -12,6 +12,7 @@
 
 #include "forward/stage_order.h"
 #include "forward/stage_pool.h"
+#include "forward/team_share.h"
 
 #define MS 1000LL
 #define SECOND 1000000LL
@@ -141,6 +142,7 @@
     GArray *order;            /* the same, in the order of service */
     GArray *reserve;          /* scratch of stage_order_arrange */
     GArray *candidates;       /* struct candidate, of a dispatch */
+    struct team_share *share; /* use of the endpoints by teams */
     double mean_load_factor;  /* moving average of the load reports */
     int64_t reserve_credit;   /* see stage_order_charge */
     int64_t dispatch_due_us;  /* next dispatch without an event */
--- a/src/forward/stage_time.c
+++ b/src/forward/stage_time.c
@@ -6,9 +6,6 @@
 /* Assumed uncached share of a prompt before an engine is chosen; most of a
  * prompt is shared. */
 #define UNCACHED_SHARE 0.3
-/* Half-life of an observed wait. */
-#define WAIT_HALF_LIFE_US (400 * MS)
-#define WAIT_WEIGHT 0.3
 /* Network time between nodes and the owner's processing time. */
 #define OWNER_OVERHEAD_US (3 * MS)
 
@@ -21,31 +18,6 @@
            OWNER_OVERHEAD_US;
 }
 
-static int
-wait_index(int priority)
-{
-    return CLAMP(priority, 0, WAIT_PRIORITIES - 1);
-}
-
-int64_t
-stage_time_wait_us(const struct service_state *s, int priority, int64_t now_us)
-{
-    int index = wait_index(priority);
-    int64_t halves = (now_us - s->waits[index].seen_us) / WAIT_HALF_LIFE_US;
-    return halves > 8 ? 0 : s->waits[index].us >> halves;
-}
-
-void
-stage_time_record_wait(struct service_state *s, int priority, int64_t now_us,
-                       int64_t wait_us)
-{
-    double before = (double)stage_time_wait_us(s, priority, now_us);
-    int index = wait_index(priority);
-    s->waits[index].us =
-        (int64_t)((1 - WAIT_WEIGHT) * before + WAIT_WEIGHT * (double)wait_us);
-    s->waits[index].seen_us = now_us;
-}
-
 static bool
 stage_done(const struct request *r, int i)
 {
@@ -63,7 +35,7 @@
     case WAITS_FOR_CALL:
         return stage_time_duration_us(s, s->info.pieces.batch);
     case WAITS_ALL:
-        return stage_time_wait_us(s, r->priority, now_us);
+        return waits_current_us(s, r, now_us);
     }
     return 0;
 }
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -16,18 +16,32 @@
 #include "forward/endpoints.h"
 #include "forward/forward.h"
 #include "forward/place.h"
+#include "forward/return_slots.h"
 #include "forward/stage_pool.h"
 #include "forward/stop.h"
+#include "forward/team_counts.h"
+#include "forward/team_share.h"
+#include "forward/wait_list.h"
 
 #define MS 1000LL
 #define SECOND 1000000LL
 
+/* A request that was not sent is refused this long before its caller
+ * disconnects, so that the caller learns that it was not run. */
+#define REFUSE_EARLY_US (60 * MS)
+
 /* id, help */
 #define FORWARD_COUNTER_LIST(X)                                               \
     X(requests, "requests received")                                          \
     X(answers, "whole answers given")                                         \
     X(refusals, "requests refused as not run")                                \
     X(failures, "requests failed after they were sent")                       \
+    X(wait_refusals, "requests refused behind others that wait")              \
+    X(returns_promised, "refused callers that were promised a time")          \
+    X(returns_unpromised, "refused callers for which no room was left")       \
+    X(returns_in_time, "callers that returned in their time")                 \
+    X(returns_early, "callers that returned before their time")               \
+    X(return_notices, "notices of returns sent")                              \
     X(gone, "callers that left")                                              \
     X(sends, "requests sent to endpoints")                                    \
     X(repeats, "requests sent once more")                                     \
@@ -87,16 +101,24 @@
     const struct route *route;
     struct service_state *service; /* service of the final call */
     struct str team;               /* view into the cluster view */
+    enum req_share {
+        REQ_SHARE_ANY,    /* no team is above its share */
+        REQ_SHARE_WITHIN, /* its team is within its share, another one above */
+        REQ_SHARE_ABOVE,
+    } share;            /* on arrival */
+    uint64_t team_hash; /* hash of team; 0: none */
     int priority;
-    int64_t waited_before_us; /* since the caller's first refused attempt; 0:
-                                 none */
     int64_t arrived_us;
+    int64_t first_attempt_us; /* arrival of its first attempt, which this or
+                                 another node refused; else arrived_us */
     int64_t target_us;   /* absolute latency target; later responses are worth
                             less */
     int64_t deadline_us; /* absolute deadline of the complete response */
     int64_t response_start_by_us; /* absolute; the caller disconnects unless
                                      the response has started */
     enum req_state state;
+    struct wait_entry wait; /* in the list of the service while it waits for an
+                               endpoint */
     struct place_prompt prompt;
     struct endpoint *planned_engine; /* engine of the final call */
     struct stage stages[ROUTING_MAX_STAGES];
@@ -188,11 +210,14 @@
     struct {
         int64_t us; /* moving average of the wait of pieces */
         int64_t seen_us;
-    } waits[WAIT_PRIORITIES];
-    struct request **waiting; /* for an endpoint, oldest first */
-    int waiting_count;
+    } waits[2 * WAIT_PRIORITIES]; /* the second half: of teams above their
+                                     share */
+    int64_t above_share_us;   /* when a request of a team above its share last
+                                 arrived for the final call; 0: never */
+    struct wait_list waiting; /* requests that wait for an endpoint */
     int64_t waiting_retry_us; /* when an endpoint may accept work again */
-    int waiting_cap;
+    bool waiting_retried;     /* the list is being retried */
+    struct team_share *share; /* recent use by teams, in requests */
 };
 
 struct forward {
@@ -228,6 +253,8 @@
     struct map durations;    /* hash of a route's name -> struct
                                 call_duration */
     bool dispatch_needed;    /* pieces or waiting requests may be sendable */
+    struct return_slots *returns;
+    struct team_counts *team_counts;
     struct blame *blames[CRASH_SUBJECT_COUNT];
     struct map probes;    /* call -> struct crash_probe */
     int64_t probe_due_us; /* next repeated probe; INT64_MAX: none */
@@ -281,6 +308,9 @@
 void req_retry_waiting(struct forward *f, int64_t now_us,
                        struct service_state *s);
 int forward_node_count(const struct forward *f);
+/** Returns whether the configuration has teams, so that waiting requests and
+ * refusals are ordered by docs/design/teams.md. */
+bool forward_uses_teams(const struct forward *f);
 /** Removes the current call and decrements the load of its endpoint. */
 void req_detach_call(struct forward *f, struct request *r);
 
@@ -303,6 +333,31 @@
 void response_handle_deadline(struct forward *f, int64_t now_us,
                               struct request *r);
 
+/* returns.c */
+/** Refuses a request for want of room: tells its caller a time at which there
+ * may be some, and expects it then. @param retry_ms time until there may be
+ * room */
+void returns_refuse(struct forward *f, int64_t now_us, struct request *r,
+                    enum errkind kind, const char *why, int64_t retry_ms,
+                    const struct service_state *full);
+/** Recognizes a caller that was refused and returns in its time. */
+void returns_arrive(struct forward *f, int64_t now_us, struct request *r);
+/** Sends the notices that are due to other nodes. */
+void returns_run(struct forward *f, int64_t now_us);
+
+/* waits.c */
+/** Returns how long the pieces of a request are expected to wait at a service
+ * of stages, from waits of requests of the same priority and share. */
+int64_t waits_current_us(const struct service_state *s,
+                         const struct request *r, int64_t now_us);
+/** Records an observed or expected wait. */
+void waits_record(struct service_state *s, const struct request *r,
+                  int64_t now_us, int64_t wait_us);
+/** Returns the service of the stages whose pieces wait longest, or the service
+ * of the final call if none waits. */
+const struct service_state *waits_slowest_service(int64_t now_us,
+                                                  const struct request *r);
+
 /* pieces.c */
 /** Initializes the stages. @return false if a stage has no service */
 bool pieces_init(struct forward *f, int64_t now_us, struct request *r);
@@ -356,11 +411,6 @@
 };
 /** Duration of a call with this many pieces, with the owner's overhead. */
 int64_t stage_time_duration_us(const struct service_state *s, int pieces);
-/** Wait of pieces that was observed lately. */
-int64_t stage_time_wait_us(const struct service_state *s, int priority,
-                           int64_t now_us);
-void stage_time_record_wait(struct service_state *s, int priority,
-                            int64_t now_us, int64_t wait_us);
 /** Longest path through the remaining stages that follow stage @p from,
  * without stage @p skip (-1: all stages, none skipped). */
 int64_t stage_time_path_us(const struct request *r, int from, int skip,
