Test the order of stages with changing loads at full size

Cause: at a quarter of the size, a service has four endpoints, and the wait for an idle one hides what the deployment sees.

Change: tests/test_stage_load.c runs the changing loads at full size as well, and compares the shares on time there at the usual rate.

--- a/tests/test_stage_load.c
+++ b/tests/test_stage_load.c
@@ -1,7 +1,7 @@
 /* Guards against an order of stage jobs that serves a less urgent kind of
  * request better than a more urgent one, or that starves a kind, under the
- * load of deployment A of docs/heavy-load.md at a quarter of its size. The
- * endpoints and nodes are simulated. */
+ * load of deployment A of docs/heavy-load.md at its size or at a quarter of
+ * it. The endpoints and nodes are simulated. */
 #include <glib.h>
 #include <stdlib.h>
 
@@ -134,26 +134,32 @@
     forward_world_send_request(w, (int)(rng_uniform(rng) * NODES), &spec);
 }
 
-#define ENDPOINTS 43
+#define ENDPOINTS 169
 
-/* The endpoints of a quarter of the deployment. */
+enum size { QUARTER, FULL };
+
+/* The endpoints of the deployment. */
 struct fleet {
+    int count;
     struct fw_endpoint e[ENDPOINTS];
     char names[ENDPOINTS][16];
     struct forward_world *w;
 };
 
 static void
-fleet_init(struct fleet *f, uint64_t seed)
+fleet_init(struct fleet *f, uint64_t seed, enum size size)
 {
     static const struct {
         const char *service;
-        int count;
-    } groups[] = {{"pool", 30}, {"large", 4}, {"middle", 4}, {"small", 5}};
+        int count[FULL + 1];
+    } groups[] = {{"pool", {30, 120}},
+                  {"large", {4, 16}},
+                  {"middle", {4, 15}},
+                  {"small", {5, 18}}};
     static const char *const zones[] = {"a", "b", "c"};
     int n = 0;
     for (size_t g = 0; g < G_N_ELEMENTS(groups); g++) {
-        for (int i = 0; i < groups[g].count; i++, n++) {
+        for (int i = 0; i < groups[g].count[size]; i++, n++) {
             g_snprintf(f->names[n], sizeof(f->names[n]), "%s-%d",
                        groups[g].service, i);
             f->e[n] = (struct fw_endpoint){
@@ -167,6 +173,7 @@
                 .result_memory_bytes = services[g].pieces.result_memory_bytes};
         }
     }
+    f->count = n;
     f->w = forward_world_new(NODES, services, G_N_ELEMENTS(services), routes,
                              KIND_COUNT, f->e, n, seed);
 }
@@ -176,7 +183,7 @@
 piece_count(const struct fleet *f, const char *service)
 {
     int sum = 0;
-    for (int i = 0; i < ENDPOINTS; i++) {
+    for (int i = 0; i < f->count; i++) {
         sum += g_str_equal(f->e[i].service, service) ? f->e[i].pieces : 0;
     }
     return sum;
@@ -187,7 +194,7 @@
 static void
 change_loads(struct fleet *f, struct rng *rng)
 {
-    for (int i = 0; i < ENDPOINTS; i++) {
+    for (int i = 0; i < f->count; i++) {
         double x = rng_uniform(rng) * rng_uniform(rng);
         if (!g_str_equal(f->e[i].service, "pool") && rng_uniform(rng) < 0.4) {
             f->e[i].load_percent = 70 + (int)(300 * x);
@@ -198,12 +205,12 @@
 /* Sends the load of the deployment, with a burst of @p factor times the rate
  * from the 4th to the 10th second. */
 static void
-run_load(uint64_t seed, double factor, bool changing,
+run_load(uint64_t seed, enum size size, double factor, bool changing,
          struct outcome out[KIND_COUNT])
 {
     static const double rates[KIND_COUNT] = {12.5, 16.5, 11.7, 7.8};
     struct fleet f;
-    fleet_init(&f, seed);
+    fleet_init(&f, seed, size);
     struct forward_world *w = f.w;
     struct rng rng;
     rng_seed(&rng, seed);
@@ -211,8 +218,9 @@
     for (int64_t at = 0; at < RUN_US; at += 2 * MS) {
         bool burst = at >= 4 * SECOND && at < 10 * SECOND;
         for (int k = 0; k < KIND_COUNT; k++) {
-            if (rng_uniform(&rng) <
-                rates[k] * (burst ? factor : 1) * 2 * MS / SECOND) {
+            if (rng_uniform(&rng) < rates[k] * (size == FULL ? 4 : 1) *
+                                        (burst ? factor : 1) * 2 * MS /
+                                        SECOND) {
                 send_one(w, &rng, (enum kind)k);
             }
         }
@@ -260,10 +268,11 @@
 }
 
 static void
-run_seeds(double factor, bool changing, struct outcome out[KIND_COUNT])
+run_seeds(enum size size, double factor, bool changing,
+          struct outcome out[KIND_COUNT])
 {
-    for (uint64_t seed = 1; seed <= 4; seed++) {
-        run_load(seed, factor, changing, out);
+    for (uint64_t seed = 1; seed <= (size == FULL ? 2 : 4); seed++) {
+        run_load(seed, size, factor, changing, out);
     }
     for (int k = 0; k < KIND_COUNT; k++) {
         const struct outcome *o = &out[k];
@@ -284,23 +293,26 @@
     static const double factors[] = {1.0, 1.6, 2.2, 2.6};
     for (size_t i = 0; i < G_N_ELEMENTS(factors); i++) {
         struct outcome out[KIND_COUNT] = {0};
-        run_seeds(factors[i], false, out);
+        run_seeds(QUARTER, factors[i], false, out);
         check_kinds(out, true);
     }
 }
 
 /* As test_burst, on endpoints whose load changes many times per second and is
- * reported. Rank 0 has three stages in sequence there and rank 1 has one,
- * which take 1.4 and 0.5 of the 1.7 and 1.3 s that they have without any
- * queue, so the shares on time are not compared. */
+ * reported. With few endpoints of each service, or a burst, rank 0 has three
+ * queues to wait in and rank 1 has one, so the shares on time are only
+ * compared at full size without a burst. */
 static void
 test_changing_load(void)
 {
-    static const double factors[] = {1.0, 1.6};
-    for (size_t i = 0; i < G_N_ELEMENTS(factors); i++) {
+    static const struct {
+        enum size size;
+        double factor;
+    } cases[] = {{QUARTER, 1.0}, {QUARTER, 1.6}, {FULL, 1.0}, {FULL, 1.6}};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         struct outcome out[KIND_COUNT] = {0};
-        run_seeds(factors[i], true, out);
-        check_kinds(out, false);
+        run_seeds(cases[i].size, cases[i].factor, true, out);
+        check_kinds(out, cases[i].size == FULL && cases[i].factor <= 1);
     }
 }
 
@@ -311,7 +323,7 @@
 test_expected_wait(void)
 {
     struct fleet f;
-    fleet_init(&f, 1);
+    fleet_init(&f, 1, QUARTER);
     struct fw_request_spec urgent = {.host = "medium",
                                      .caller_timeout_us = 8 * SECOND,
                                      .prompt_tokens = 2000,
@@ -344,12 +356,12 @@
 test_next_stage(void)
 {
     struct fleet f;
-    fleet_init(&f, 1);
+    fleet_init(&f, 1, QUARTER);
     struct fw_request_spec spec = {.host = "medium",
                                    .caller_timeout_us = 900 * MS,
                                    .prompt_tokens = 2000,
                                    .pieces = {1, 8, 16}};
-    for (int i = 0; i < ENDPOINTS; i++) {
+    for (int i = 0; i < f.count; i++) {
         f.e[i].slow = g_str_equal(f.e[i].service, "large") ? 4 : 1;
     }
     int q = forward_world_send_request(f.w, 0, &spec);
@@ -372,7 +384,7 @@
                                        .caller_timeout_us = 8 * SECOND,
                                        .prompt_tokens = 2000,
                                        .pieces = {1, 8, 16}};
-        fleet_init(&f, 1);
+        fleet_init(&f, 1, QUARTER);
         for (int i = 0; i < old_count; i++) {
             forward_world_set_old_build(f.w, i);
         }
@@ -411,7 +423,7 @@
                                        .prompt_tokens = 2000,
                                        .pieces = {1, 8, 16}};
         int held = 0;
-        fleet_init(&f, 1);
+        fleet_init(&f, 1, QUARTER);
         for (int i = 0; i < 2 * NODES; i++) {
             if (i == NODES) {
                 forward_world_drop_messages(f.w, STAGE_MSG_RESULTS, lost);
@@ -425,7 +437,7 @@
             g_assert_cmpint(q->end, ==, FW_ANSWERED);
             g_assert_cmpint(q->first_byte_us - q->sent_us, <, 3 * SECOND);
         }
-        for (int i = 0; i < ENDPOINTS; i++) {
+        for (int i = 0; i < f.count; i++) {
             held += f.e[i].held;
         }
         g_assert_cmpint(held, ==, 0);
