Weigh what a prompt costs others, share work by capability, set urgency

Cause: all engines were taken for equal and each node learned from its own calls only, in deployment A one call per engine in 45 s; a prompt's cost was its own wait; urgency was the rank alone; nothing bounded an engine's memory. Change: first events are passed on in a new kind of message (engines, at most one a second to the 32 nodes of prefill notices). A pace follows the median slowly; samples of held-up requests do not count. Engines carry work by capability where they differ; a long prompt costs what it delays; urgency is rank, then time left in three classes, with a guard against a starved rank; requests wait if they do not fit into an engine's memory. bench/forward_world_engine.c models engines that read prompts in chunks.

--- a/bench/forward_world.c
+++ b/bench/forward_world.c
@@ -121,6 +121,7 @@
     job->call = call->id;
     job->request = call->request;
     job->resume_after = call->resume_after;
+    job->urgency = call->urgency;
     char id[24];
     snprintf(id, sizeof(id), "r%llu", (unsigned long long)call->request);
     check_inputs(w, str_from_cstr(id), call->input_count, call->inputs);
@@ -402,7 +403,10 @@
         const struct fw_service *from = &w->services[i];
         struct service s = {.name = dup_cstr(from->name),
                             .is_engine = from->engine,
-                            .engine_tokens = 500000,
+                            .engine_slots = from->engine_slots,
+                            .engine_tokens = from->engine_tokens
+                                                 ? from->engine_tokens
+                                                 : 500000,
                             .cold_requests_per_s = from->cold_requests_per_s,
                             .cold_us = from->cold_us,
                             .processes_pieces = from->pieces.batch > 0,
@@ -579,6 +583,7 @@
     for (int i = 0; i < w->endpoint_count; i++) {
         sim_queue_clear(&w->sim_endpoints[i].waiting);
         sim_queue_clear(&w->sim_endpoints[i].unread);
+        forward_world_engine_stop(&w->sim_endpoints[i]);
         g_hash_table_destroy(w->sim_endpoints[i].results);
     }
     for (guint i = 0; i < w->events->len; i++) {
@@ -636,6 +641,14 @@
     w->handshake_us = handshake_us;
 }
 
+void
+forward_world_set_fixed_engines(struct forward_world *w)
+{
+    for (int i = 0; i < w->node_count; i++) {
+        forward_set_fixed_engines(w->nodes[i].core);
+    }
+}
+
 void
 forward_world_set_caller_backlog(struct forward_world *w, size_t backlog)
 {
@@ -679,7 +692,7 @@
 is_endpoint_event(enum sim_event_kind kind)
 {
     return kind == SIM_SLOT_FREE || kind == SIM_CRASH || kind == SIM_RESTART ||
-           kind == SIM_RESUME;
+           kind == SIM_RESUME || kind == SIM_ENGINE_STEP;
 }
 
 void
@@ -753,16 +766,20 @@
         .caller_timeout_us = ask->caller_timeout_us,
         .resume_after = -1,
         .prompt_tokens = ask->prompt_tokens,
+        .max_output_tokens = ask->output_tokens,
         .piece_key = STR_LIT("key")};
+    r->prompt_tokens = ask->prompt_tokens;
     if (ask->shared_prompt_id) {
-        in.parts[in.part_count++] = (struct prompt_part){
-            ask->shared_prompt_id, ask->prompt_tokens * 3 / 4};
+        r->shared_tokens = ask->shared_tokens ? ask->shared_tokens
+                                              : ask->prompt_tokens * 3 / 4;
+        in.parts[in.part_count++] =
+            (struct prompt_part){ask->shared_prompt_id, r->shared_tokens};
         if (ask->second_part) {
             in.parts[in.part_count++] =
                 (struct prompt_part){ask->second_part, 0};
         }
-        in.parts[in.part_count++] =
-            (struct prompt_part){content, ask->prompt_tokens / 4};
+        in.parts[in.part_count++] = (struct prompt_part){
+            content, ask->prompt_tokens - r->shared_tokens};
     }
     r->content = content;
     r->parts[0] = ask->shared_prompt_id;
@@ -825,6 +842,10 @@
         w->sim_endpoints[ev->endpoint].spec->dead = false;
         return;
     }
+    if (ev->kind == SIM_ENGINE_STEP) {
+        forward_world_engine_step(w, &w->sim_endpoints[ev->endpoint]);
+        return;
+    }
     if (ev->kind == SIM_RESUME) {
         forward_world_resume_endpoint(w, &w->sim_endpoints[ev->endpoint]);
         return;
@@ -864,6 +885,7 @@
     case SIM_CRASH:
     case SIM_RESTART:
     case SIM_RESUME:
+    case SIM_ENGINE_STEP:
     case SIM_DROPPED:
         break;
     }
--- a/bench/forward_world.h
+++ b/bench/forward_world.h
@@ -44,7 +44,16 @@
     int64_t started_ms;
     int64_t result_memory_bytes; /**< memory for results; 0: unlimited */
     int64_t cold_until_us;
+    /* An engine that reads prompts in chunks between the tokens of the
+     * requests beside them, instead of running each request for work_us. */
+    double tokens_per_ms;  /**< prompt tokens read; 0: not such an engine */
+    int64_t step_us;       /**< shortest time between two tokens */
+    int output_tokens;     /**< of each request */
+    int64_t memory_tokens; /**< memory for running requests and shared parts */
     /* Counted during the run. */
+    int64_t read_tokens;     /**< prompt tokens read */
+    int64_t max_held_tokens; /**< most tokens of running requests */
+    int64_t busy_us;         /**< time of all steps of an engine */
     int runs;
     int calls;
     int pieces;
@@ -77,6 +86,9 @@
     uint64_t parts[2];   /**< its shared prompt parts; 0: none */
     uint64_t content;
     struct buf body;
+    int prompt_tokens;
+    int shared_tokens;      /**< those of parts[0] */
+    int64_t longest_gap_us; /**< longest time between two of its tokens */
 };
 
 struct fw_route {
@@ -101,6 +113,8 @@
 struct fw_service {
     const char *name;
     bool engine;
+    int64_t engine_tokens; /**< memory of an engine; 0: 500,000 */
+    int engine_slots;      /**< 0: unknown */
     double cold_requests_per_s;
     int64_t cold_us;
     struct piece_limits pieces; /**< batch 0: does not process pieces */
@@ -130,6 +144,9 @@
 void forward_world_set_processing_times(struct forward_world *w,
                                         int64_t message_us,
                                         int64_t handshake_us);
+/** Sets the nodes to take all engines for equal, without regard to the cost of
+ * prompts to other requests, for comparisons. */
+void forward_world_set_fixed_engines(struct forward_world *w);
 /** Sets the number of bytes that each caller is reported not to have read
  * yet. */
 void forward_world_set_caller_backlog(struct forward_world *w, size_t backlog);
@@ -214,6 +231,8 @@
     int prompt_tokens;
     uint64_t shared_prompt_id; /**< id of the shared beginning of the prompt;
                       0: none */
+    int output_tokens; /**< greatest length of the answer; 0: not said */
+    int shared_tokens; /**< tokens of that; 0: three quarters of the prompt */
     uint64_t second_part; /**< id of the part after the shared beginning; 0:
                              none */
     uint64_t content;
--- a/bench/forward_world_endpoint.c
+++ b/bench/forward_world_endpoint.c
@@ -242,6 +242,10 @@
 void
 forward_world_start_calls(struct forward_world *w, struct sim_endpoint *s)
 {
+    if (s->spec->tokens_per_ms > 0) {
+        forward_world_engine_start(w, s);
+        return;
+    }
     while (s->running < s->spec->slots && !g_queue_is_empty(&s->waiting) &&
            w->now_us >= s->paused_until_us) {
         struct sim_call *job = g_queue_pop_head(&s->waiting);
@@ -394,6 +398,7 @@
     }
     g_array_free(broken, TRUE);
     s->running = 0;
+    forward_world_engine_stop(s);
 }
 
 void
--- a/bench/forward_world_pause.c
+++ b/bench/forward_world_pause.c
@@ -17,6 +17,7 @@
         return ev->at_us > w->now_us + ONE_WAY_US;
     case SIM_SLOT_FREE:
     case SIM_CRASH:
+    case SIM_ENGINE_STEP:
         return true;
     case SIM_FREE_MEMORY:
     case SIM_PROBED:
--- a/bench/forward_world_state.h
+++ b/bench/forward_world_state.h
@@ -30,8 +30,9 @@
     SIM_SLOT_FREE,
     SIM_CRASH,
     SIM_RESTART,
-    SIM_RESUME,  /* a silent endpoint goes on */
-    SIM_DROPPED, /* dropped because its node has restarted */
+    SIM_RESUME,      /* a silent endpoint goes on */
+    SIM_ENGINE_STEP, /* end of a step of an engine that reads in chunks */
+    SIM_DROPPED,     /* dropped because its node has restarted */
 };
 
 /* An event of the simulation, handled at at_us. */
@@ -62,6 +63,7 @@
     uint64_t call;
     uint64_t request;
     bool pieces;
+    int urgency;
     int count;
     struct {
         char handle[64];
@@ -86,7 +88,8 @@
     GQueue unread;           /* struct sim_call that arrived meanwhile */
     GQueue waiting;
     int running;
-    GHashTable *results; /* handle -> struct held_result */
+    struct sim_engine *engine; /* NULL: does not read prompts in chunks */
+    GHashTable *results;       /* handle -> struct held_result */
     int64_t used_bytes;
 };
 
@@ -176,6 +179,14 @@
  * those that were not cancelled. */
 void forward_world_resume_endpoint(struct forward_world *w,
                                    struct sim_endpoint *s);
+/** Starts the waiting requests of an engine that reads prompts in chunks. */
+void forward_world_engine_start(struct forward_world *w,
+                                struct sim_endpoint *s);
+/** Ends a step of such an engine and starts the next one. */
+void forward_world_engine_step(struct forward_world *w,
+                               struct sim_endpoint *s);
+/** Drops what runs there, and its cache. */
+void forward_world_engine_stop(struct sim_endpoint *s);
 /** Starts the waiting calls that an endpoint has free slots for. */
 void forward_world_start_calls(struct forward_world *w,
                                struct sim_endpoint *s);
--- a/src/daemon/gateway_link.c
+++ b/src/daemon/gateway_link.c
@@ -46,7 +46,8 @@
 {
     struct gateway_traffic *t = ctx;
     struct msg out = {.from = t->node};
-    if (m->kind == STAGE_MSG_PREFILL && !allow_notice(t, node)) {
+    if ((m->kind == STAGE_MSG_PREFILL || m->kind == STAGE_MSG_ENGINES) &&
+        !allow_notice(t, node)) {
         return;
     }
     switch (m->kind) {
@@ -74,6 +75,10 @@
         out.type = MSG_PARTS;
         out.part_notice = m->parts;
         break;
+    case STAGE_MSG_ENGINES:
+        out.type = MSG_ENGINES;
+        out.engine_notice = m->engines;
+        break;
     case STAGE_MSG_KIND_COUNT:
         return;
     }
@@ -146,6 +151,10 @@
         in.kind = STAGE_MSG_PARTS;
         in.parts = m->part_notice;
         break;
+    case MSG_ENGINES:
+        in.kind = STAGE_MSG_ENGINES;
+        in.engines = m->engine_notice;
+        break;
     case MSG_FEED_ASK:
     case MSG_FEED_ANSWER:
         push_to_control(t, m);
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -216,6 +216,20 @@
     return held;
 }
 
+int64_t
+endpoint_used_tokens(const struct endpoint *e, int64_t since_us)
+{
+    GHashTableIter it;
+    gpointer v;
+    int64_t tokens = 0;
+    g_hash_table_iter_init(&it, e->cached_parts);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct part *p = v;
+        tokens += p->used_us >= since_us ? p->tokens : 0;
+    }
+    return tokens;
+}
+
 /* Engines evict the least recently used parts. */
 static void
 evict_parts(struct endpoint *e)
@@ -280,6 +294,7 @@
 endpoint_clear_cache(struct endpoint *e)
 {
     e->remote_prefill_until_us = 0;
+    engine_load_clear_remote(&e->load);
     g_hash_table_remove_all(e->cached_parts);
     e->cached_tokens = 0;
 }
--- a/src/forward/endpoints.h
+++ b/src/forward/endpoints.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "base/str.h"
+#include "forward/engine_load.h"
 #include "forward/engine_speed.h"
 #include "model/cluster_view.h"
 #include "model/stage_work.h"
@@ -46,14 +47,17 @@
     double latency_us; /**< moving average of the time to the response head */
     double slowness;   /**< moving average of actual / expected duration of
                           stage calls */
-    struct engine_speed speed; /**< of an engine */
-    int64_t prefill_tokens;    /**< prompt tokens sent and not yet prefilled */
+    struct engine_speed speed;      /**< of an engine */
+    struct engine_load load;        /**< of an engine */
+    struct engine_traffic *traffic; /**< of its service; not owned */
+    int64_t prefill_tokens; /**< prompt tokens sent and not yet prefilled */
     int64_t remote_prefill_until_us; /**< when the prompts sent by other nodes
                                         are expected to be prefilled */
     int reported_running;            /**< from its load report; -1: unknown */
     int reported_waiting;
-    int64_t load_report_us; /**< time of the load report; 0: none yet */
-    int64_t engine_tokens;
+    int64_t load_report_us;   /**< time of the load report; 0: none yet */
+    int64_t engine_tokens;    /**< its memory in tokens; 0: unknown */
+    int engine_slots;         /**< requests that it runs at once; 0: unknown */
     GHashTable *cached_parts; /**< prompt parts, by chain digest */
     int64_t cached_tokens;
 };
@@ -103,6 +107,9 @@
  * to cache. */
 int64_t endpoint_cached_tokens(const struct endpoint *e, const uint64_t *chain,
                                const int *tokens, int count);
+/** Returns the tokens of the cached parts that were used since @p since_us,
+ * each counted once. */
+int64_t endpoint_used_tokens(const struct endpoint *e, int64_t since_us);
 /** Records that the endpoint has cached the parts. */
 void endpoint_cache_parts(struct endpoint *e, const uint64_t *chain,
                           const int *tokens, int count, int64_t now_us);
--- a/src/forward/engine_speed.c
+++ b/src/forward/engine_speed.c
@@ -14,9 +14,15 @@
 /* Prompt tokens are counted in thousands in the regression, so that all terms
  * have about the same size. */
 #define TOKEN_UNIT 1000.0
-/* The model remembers about 200 samples: a few seconds at the rates of a large
- * fleet. */
-#define MODEL_DECAY 0.995
+/* The weight of a sample is the time since the engine's last one in seconds,
+ * within these bounds, so that engines which get more work do not count more.
+ * The model remembers a weight of about 500: a few seconds with 140 engines.
+ */
+#define MODEL_DECAY 0.002
+/* Weight of a second of an engine in the mean of all engines' paces. */
+#define RATIO_WEIGHT 0.01
+#define WEIGHT_MIN 0.05
+#define WEIGHT_MAX 4.0
 /* Weights of the defaults in the regression: that of two samples for the idle
  * time, of a prompt of 3,000 tokens and of some samples with 10 running
  * requests. */
@@ -27,24 +33,44 @@
 #define IDLE_MAX_US (500 * MS)
 #define TOKENS_PER_MS_MIN 5.0
 #define TOKENS_PER_MS_MAX 500.0
-#define RUNNING_MAX_US (5 * MS)
-/* Samples that took longer than this many times the expected time count with
- * that time: the request was held up by something else. */
-#define OUTLIER_FACTOR 4.0
+#define RUNNING_MAX_US (0.6 * MS)
+/* Bound of a sample's distance from the model, as in regression by the median:
+ * requests wait for prompts of which this node has not heard, and engines have
+ * cached parts that it does not know of, or have evicted others. */
+#define OUTLIER_FACTOR 1.3
 /* Samples within this time count as one. Slow phases last half a second, so
  * each of them is in one or two samples. */
 #define SAMPLE_SPAN_US SECOND
 /* Older samples do not count, so an engine that was wrongly taken for slow is
  * tried again. */
 #define SAMPLE_MAX_AGE_US (20 * SECOND)
+/* Samples beyond these bounds come from a faulty engine or node. */
+#define SAMPLE_MAX_US (120 * SECOND)
+#define SAMPLE_MAX_TOKENS 5e6
+#define SAMPLE_MAX_RUNNING 1e4
+/* With fewer samples, a mean engine counts as one of them. */
+#define SAMPLES_MIN 3
 /* Bounds of the pace, and the difference from 1 that is taken for noise. VMs
  * differ by 0.6 and 1.6. */
 #define PACE_MAX 8.0
+/* A request that took longer than this many times the time of a mean engine
+ * was held up, as by an engine that was silent or by a queue that this node
+ * does not know. It says nothing of the speed of a VM: the slowest ones take
+ * 1.7 times as long, 4.2 times in a slow phase. */
+#define HELD_UP_FACTOR 4.2
 #define PACE_NOISE 1.22
 #define PACE_CLASS 1.5
+/* Weight of a second in the slowly following pace, and its distance from the
+ * class, in steps, at which the class changes. */
+#define SETTLE_WEIGHT 0.06
+#define CLASS_MARGIN 0.7
+/* Half-life of the pace of an engine of which no sample has come for
+ * SAMPLE_MAX_AGE_US, and the time after which its class ends. */
+#define UNSEEN_HALF_LIFE_US (2 * SECOND)
+#define CLASS_MAX_AGE_US (40 * SECOND)
 /* Half-life of what was seen of a slow phase. */
 #define PHASE_HALF_LIFE_US (300 * MS)
-#define PHASE_MAX 4.0
+#define PHASE_MAX 2.5
 
 void
 engine_model_init(struct engine_model *m)
@@ -87,23 +113,25 @@
 }
 
 static void
-model_add(struct engine_model *m, const struct engine_sample *s)
+model_add(struct engine_model *m, const struct engine_sample *s, double weight)
 {
     const double x[ENGINE_MODEL_TERMS] = {1, s->tokens / TOKEN_UNIT,
                                           s->running};
     const double defaults[ENGINE_MODEL_TERMS] = {
         DEFAULT_IDLE_US, TOKEN_UNIT * MS / DEFAULT_TOKENS_PER_MS,
         DEFAULT_US_PER_RUNNING};
-    double actual_us =
-        MIN(s->actual_us, OUTLIER_FACTOR * engine_model_expected_us(m, s));
+    double expected_us = engine_model_expected_us(m, s);
+    double actual_us = CLAMP(s->actual_us, expected_us / OUTLIER_FACTOR,
+                             expected_us * OUTLIER_FACTOR);
     double a[ENGINE_MODEL_TERMS][ENGINE_MODEL_TERMS];
     double b[ENGINE_MODEL_TERMS];
-    m->samples = m->samples * MODEL_DECAY + 1;
+    double keep = 1 - MODEL_DECAY * weight;
     for (int i = 0; i < ENGINE_MODEL_TERMS; i++) {
-        m->targets[i] = m->targets[i] * MODEL_DECAY + x[i] * actual_us;
+        m->targets[i] = m->targets[i] * keep + weight * x[i] * actual_us;
         b[i] = m->targets[i] + ridge[i] * defaults[i];
         for (int k = 0; k < ENGINE_MODEL_TERMS; k++) {
-            m->products[i][k] = m->products[i][k] * MODEL_DECAY + x[i] * x[k];
+            m->products[i][k] =
+                m->products[i][k] * keep + weight * x[i] * x[k];
             a[i][k] = m->products[i][k] + (i == k ? ridge[i] : 0);
         }
     }
@@ -123,39 +151,80 @@
     return CLAMP(s->actual_us / expected, 1 / PACE_MAX, PACE_MAX);
 }
 
-/* Returns the median of the ratios of the samples that are not too old and of
- * one that stands for the mean engine. */
+/* Returns the median of the ratios of the samples that are not too old,
+ * relative to the mean of the service's engines: what holds up all of them, as
+ * prompts of which this node does not hear, says nothing of one. With fewer
+ * than SAMPLES_MIN samples, one of a mean engine counts as well. */
 static double
 median_ratio(const struct engine_speed *e, int64_t now_us)
 {
-    double sorted[ENGINE_SPEED_SAMPLES + 1] = {1};
-    int n = 1;
-    for (int i = 0; e->model && i < ENGINE_SPEED_SAMPLES; i++) {
-        if (e->samples[i].count == 0 ||
-            now_us - e->samples[i].at_us > SAMPLE_MAX_AGE_US) {
-            continue;
+    double sorted[ENGINE_SPEED_SAMPLES + 1];
+    double mean = e->model ? exp(e->model->ratio_log) : 1;
+    int n = 0;
+    for (int i = 0; e->model && i <= ENGINE_SPEED_SAMPLES; i++) {
+        double ratio = 1;
+        if (i < ENGINE_SPEED_SAMPLES) {
+            if (e->samples[i].count == 0 ||
+                now_us - e->samples[i].at_us > SAMPLE_MAX_AGE_US) {
+                continue;
+            }
+            ratio = sample_ratio(e, i) / mean;
+        }
+        else if (n >= SAMPLES_MIN) {
+            break;
         }
-        double ratio = sample_ratio(e, i);
         int k = n++;
         for (; k > 0 && sorted[k - 1] > ratio; k--) {
             sorted[k] = sorted[k - 1];
         }
         sorted[k] = ratio;
     }
-    return (sorted[(n - 1) / 2] + sorted[n / 2]) / 2;
+    return n > 0 ? (sorted[(n - 1) / 2] + sorted[n / 2]) / 2 : 1;
+}
+
+/* Follows the pace slowly. Each change of the class moves shared parts to
+ * other engines, which have to read them once more. */
+static void
+settle(struct engine_speed *e, double steps, double weight)
+{
+    /* The first samples have the weight of a plain mean. */
+    e->settle_count++;
+    weight = MAX(weight, 1 / (double)(e->settle_count + 1));
+    e->settled += weight * (steps - e->settled);
+    if (fabs(e->settled - e->pace_class) > CLASS_MARGIN) {
+        e->pace_class = (int)lround(e->settled);
+    }
 }
 
 void
 engine_speed_record(struct engine_speed *e, int64_t now_us,
                     const struct engine_sample *s)
 {
-    if (!e->model || s->actual_us <= 0) {
+    if (!e->model || e->model->fixed || s->actual_us <= 0 ||
+        s->actual_us > SAMPLE_MAX_US || s->tokens > SAMPLE_MAX_TOKENS ||
+        s->running > SAMPLE_MAX_RUNNING) {
         return;
     }
-    e->recent = s->actual_us / (engine_model_expected_us(e->model, s) *
-                                median_ratio(e, now_us));
+    bool held_up = s->actual_us > HELD_UP_FACTOR * exp(e->model->ratio_log) *
+                                      engine_model_expected_us(e->model, s);
+    double pace = median_ratio(e, now_us);
+    e->recent = s->actual_us / (engine_model_expected_us(e->model, s) * pace *
+                                exp(e->model->ratio_log));
+    double weight = e->recent_us > 0
+                        ? (double)(now_us - e->recent_us) / (double)SECOND
+                        : 1;
+    weight = CLAMP(weight, WEIGHT_MIN, WEIGHT_MAX);
     e->recent_us = now_us;
-    model_add(e->model, s);
+    /* The time that a mean engine would have taken. Otherwise the model would
+     * explain slow engines by the requests that run there. */
+    struct engine_sample mean = *s;
+    mean.actual_us /= pace;
+    settle(e, log(pace) / log(PACE_CLASS), SETTLE_WEIGHT * weight);
+    e->model->ratio_log += RATIO_WEIGHT * weight * log(pace);
+    model_add(e->model, &mean, weight);
+    if (held_up) {
+        return;
+    }
     int last = (e->next + ENGINE_SPEED_SAMPLES - 1) % ENGINE_SPEED_SAMPLES;
     if (e->samples[last].count > 0 &&
         now_us - e->samples[last].at_us < SAMPLE_SPAN_US) {
@@ -174,14 +243,16 @@
 double
 engine_speed_pace(const struct engine_speed *e, int64_t now_us)
 {
-    double pace = median_ratio(e, now_us);
+    double unseen = (double)MAX(now_us - e->recent_us - SAMPLE_MAX_AGE_US, 0);
+    double pace =
+        pow(PACE_CLASS, e->settled * exp2(-unseen / UNSEEN_HALF_LIFE_US));
     return pace > PACE_NOISE || pace < 1 / PACE_NOISE ? pace : 1;
 }
 
 int
 engine_speed_class(const struct engine_speed *e, int64_t now_us)
 {
-    return (int)lround(log(median_ratio(e, now_us)) / log(PACE_CLASS));
+    return now_us - e->recent_us > CLASS_MAX_AGE_US ? 0 : e->pace_class;
 }
 
 double
--- a/src/forward/engine_speed.h
+++ b/src/forward/engine_speed.h
@@ -4,14 +4,15 @@
  * request and its first event. A model of the service holds what a mean engine
  * needs: idle time, time per prompt token, time per running request. Each
  * engine has a pace, its time relative to that model. A lasting pace (a slow
- * VM) is the median of samples that are seconds apart, so a slow phase of half
- * a second does not change it; what is seen within a phase counts for the
- * moment only. Made for services whose engines get a request every few
- * seconds from all nodes together. Without I/O.
+ * VM) slowly follows the median of samples that are seconds apart, so a slow
+ * phase of half a second does not change it; what is seen within a phase
+ * counts for the moment only. Made for services whose engines get a request
+ * every few seconds from all nodes together. Without I/O.
  */
 #ifndef FORWARD_ENGINE_SPEED_H
 #define FORWARD_ENGINE_SPEED_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /** Number of samples of an engine from which its lasting pace is taken. */
@@ -33,9 +34,10 @@
 struct engine_model {
     double products[ENGINE_MODEL_TERMS][ENGINE_MODEL_TERMS];
     double targets[ENGINE_MODEL_TERMS];
-    double samples; /**< decayed number of samples */
-    double idle_us; /**< time to first event of an idle engine without prompt
-                     */
+    bool fixed;       /**< samples do not count, for comparisons */
+    double ratio_log; /**< logarithm of the mean pace of the engines */
+    double idle_us;   /**< time to first event of an idle engine without prompt
+                       */
     double us_per_token;
     double us_per_running;
 };
@@ -48,8 +50,11 @@
         int count;
         int64_t at_us; /**< first of them */
     } samples[ENGINE_SPEED_SAMPLES];
-    int next;      /**< where the next sample is stored */
-    double recent; /**< newest actual time relative to the lasting pace */
+    int next;         /**< where the next sample is stored */
+    double settled;   /**< pace in steps of the classes, slowly following */
+    int settle_count; /**< samples that it has followed */
+    int pace_class;   /**< class that it was rounded to last */
+    double recent;    /**< newest actual time relative to the lasting pace */
     int64_t recent_us;
 };
 
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -107,6 +107,7 @@
                            f->opts.predecessor_until_us);
         s->groups = 1;
         engine_model_init(&s->engine_model);
+        engine_traffic_init(&s->engine_traffic);
         s->info.name = str_dup(info->name);
         map_put(&f->services, hash, s);
     }
@@ -158,12 +159,14 @@
     e->cold_requests_per_s = info->cold_requests_per_s;
     e->cold_us = info->cold_us;
     e->engine_tokens = info->engine_tokens;
+    e->engine_slots = info->engine_slots;
     if (from->cold_until_us > e->cold_until_us) {
         e->cold_until_us = from->cold_until_us;
         endpoint_clear_cache(e);
     }
     struct service_state *s = map_get(&f->services, hash64(info->name));
     e->speed.model = &s->engine_model;
+    e->traffic = &s->engine_traffic;
     g_ptr_array_add(s->endpoints, e);
 }
 
@@ -214,6 +217,16 @@
     f->opts.max_store_age_us = opts->max_store_age_us;
 }
 
+void
+forward_set_fixed_engines(struct forward *f)
+{
+    size_t at = 0;
+    struct service_state *s;
+    while ((s = map_next(&f->services, &at))) {
+        s->engine_model.fixed = true;
+    }
+}
+
 bool
 forward_accepts_teams(const struct forward *f, int64_t now_us)
 {
--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -40,6 +40,9 @@
 /** Changes the settings that may change at run time. */
 void forward_set_options(struct forward *f,
                          const struct forward_options *opts);
+/** Takes all engines for equal, as if nothing were known of their speed and of
+ * the cost of prompts to other requests. For comparisons in tests. */
+void forward_set_fixed_engines(struct forward *f);
 /** Returns whether requests of teams are accepted. */
 bool forward_accepts_teams(const struct forward *f, int64_t now_us);
 
--- a/src/forward/owners.c
+++ b/src/forward/owners.c
@@ -3,6 +3,7 @@
 
 #include "base/log.h"
 #include "forward/crashes.h"
+#include "forward/engines.h"
 #include "forward/state.h"
 
 /* Maximum number of endpoints in one group. A group is owned by one node,
@@ -37,10 +38,8 @@
 #define STALL_THRESHOLD_US (150 * MS)
 
 /* Prompts that an engine prefills in less than 20 ms are not worth a message.
- * The limit on notified nodes bounds the messages in a large fleet: 9.5
- * requests a second and node make 300 messages of 60 bytes. */
+ */
 #define NOTIFY_MIN_TOKENS 1000
-#define NOTIFY_MAX_NODES 32
 
 struct pool_entry {
     uint64_t service;
@@ -352,12 +351,29 @@
     f->io.send_message(f->io.ctx, node, m);
 }
 
+/* Notifies the nodes that follow this one in the order of hashes, so that
+ * joins change few of the recipients and therefore few connections. */
+void
+owners_notify(struct forward *f, const struct stage_msg *m)
+{
+    int count = f->cluster_view->alive_count;
+    int first = cluster_view_lower_bound(f->cluster_view, f->self);
+    for (int i = 0, notified = 0;
+         i < count && notified < OWNERS_NOTIFY_MAX_NODES; i++) {
+        const struct cluster_node *n =
+            &f->cluster_view->alive[(first + i) % count];
+        if (n->hash != f->self && n->address.len > 0) {
+            f->io.send_message(f->io.ctx, n->hash, m);
+            notified++;
+        }
+    }
+}
+
 void
 owners_notify_prefill(struct forward *f, const struct request *r,
                       const struct endpoint *e, int64_t tokens)
 {
-    int count = f->cluster_view->alive_count;
-    if (tokens < NOTIFY_MIN_TOKENS || count == 0) {
+    if (tokens < NOTIFY_MIN_TOKENS || f->cluster_view->alive_count == 0) {
         return;
     }
     struct stage_msg m = {.kind = STAGE_MSG_PREFILL};
@@ -368,18 +384,7 @@
         m.prefill.parts[i] = r->prompt.chain[i];
         m.prefill.part_tokens[i] = r->prompt.tokens[i];
     }
-    /* Notifies the nodes that follow this one in the order of hashes, so that
-     * joins change few of the recipients and therefore few connections. */
-    int first = cluster_view_lower_bound(f->cluster_view, f->self);
-    for (int i = 0, notified = 0; i < count && notified < NOTIFY_MAX_NODES;
-         i++) {
-        const struct cluster_node *n =
-            &f->cluster_view->alive[(first + i) % count];
-        if (n->hash != f->self && n->address.len > 0) {
-            f->io.send_message(f->io.ctx, n->hash, &m);
-            notified++;
-        }
-    }
+    owners_notify(f, &m);
 }
 
 static void
@@ -389,6 +394,7 @@
     struct endpoint *e = map_get(&f->endpoints, n->endpoint);
     if (e) {
         endpoint_apply_prefill_notice(e, n, now_us);
+        engines_handle_prefill_notice(f, now_us, e, n);
     }
 }
 
@@ -434,6 +440,9 @@
     case STAGE_MSG_PARTS:
         crashes_handle_notice(f, now_us, &m->parts);
         break;
+    case STAGE_MSG_ENGINES:
+        engines_handle_notice(f, now_us, &m->engines);
+        break;
     case STAGE_MSG_KIND_COUNT:
         break;
     case STAGE_MSG_ACK:
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -21,6 +21,33 @@
 #define REPEATED_PREFILL_WEIGHT 2.0
 /* Ratio of capability between two classes of engine speed. */
 #define CLASS_WEIGHT 1.5
+/* Engines are compared by their work if more than this share of them differs
+ * from the mean in speed. */
+#define DIFFERENT_SHARE 0.1
+/* Cost of work that is twice an engine's share. With 200 ms, the busiest of
+ * 140 engines had up to 1.36 of the mean, with 300 ms up to 1.29. Shares of
+ * less than a few prompts are left to chance. */
+#define IMBALANCE_COST_US (300 * MS)
+#define IMBALANCE_TOKENS 3000.0
+/* Spreading work means to read shared parts at more engines. At this inverse
+ * of the share of their time for which engines read prompts, all of it is
+ * needed for the work itself, and only queues and caches decide. */
+#define SPREAD_LOSS 1.5
+/* A prompt is long if it has more than this many times the mean of its service
+ * to read. */
+#define LONG_FACTOR 1.5
+/* Part of the time in which a prompt is read that is lost to each request that
+ * runs beside it. A step that reads a chunk takes about twice as long, and
+ * what is late by that are later tokens, not the first one. */
+#define RUNNING_WEIGHT 0.02
+/* Time until the memory of engines that are full is checked again, unless a
+ * request of this node ends. */
+#define FULL_RETRY_US (20 * MS)
+/* A part is in use for this many mean durations of a call after a request with
+ * it was sent. */
+#define USED_DURATIONS 1.5
+/* Number of other nodes that hear of a prompt. */
+#define NOTIFIED_NODES 32
 /* Load reports older than this are ignored. */
 #define MAX_REPORT_AGE_US (400 * MS)
 
@@ -54,6 +81,13 @@
            MAX(e->remote_prefill_until_us - now_us, 0);
 }
 
+double
+place_remote_scale(int nodes)
+{
+    return nodes > NOTIFIED_NODES + 1 ? (double)(nodes - 1) / NOTIFIED_NODES
+                                      : 1;
+}
+
 double
 place_queued_tokens(const struct endpoint *e, int64_t now_us)
 {
@@ -124,10 +158,90 @@
     }
 }
 
+/* What is compared between the engines of a service. */
+struct engine_view {
+    const struct endpoint *first[PREFERRED_ENGINES];
+    double mean_work; /* of an engine of mean capability, in tokens; 0: the
+                         engines are equally fast, so work is not compared */
+    double imbalance_cost_us;
+    double remote_scale;
+    double expected_per_us; /* requests expected at an engine per us */
+    double long_tokens; /* prompts of more tokens are long for this service; 0:
+                           none are */
+};
+
+/* Compares the work of the engines only if some differ in speed: otherwise
+ * queues and caches decide, as they do without this knowledge. */
+static void
+compare_engines(const GPtrArray *endpoints, const struct place_query *query,
+                int64_t now_us, struct engine_view *v)
+{
+    double work = 0;
+    double capability = 0;
+    int count = 0;
+    int different = 0;
+    double us_per_token = 0;
+    const struct engine_traffic *t = NULL;
+    find_preferred_engines(endpoints, query->prompt, now_us, v->first);
+    v->remote_scale = place_remote_scale(query->nodes);
+    for (guint i = 0; i < endpoints->len; i++) {
+        const struct endpoint *e = g_ptr_array_index(endpoints, i);
+        if (!e->usable || e->leaving || !e->speed.model ||
+            e->speed.model->fixed) {
+            continue;
+        }
+        work += engine_load_work(&e->load, now_us);
+        us_per_token = e->speed.model->us_per_token;
+        capability += 1 / engine_speed_pace(&e->speed, now_us);
+        different += engine_speed_class(&e->speed, now_us) != 0;
+        t = e->traffic;
+        count++;
+    }
+    if (t) {
+        v->expected_per_us =
+            engine_traffic_rate(t, now_us) / 1e6 / (double)count;
+        v->long_tokens = LONG_FACTOR * t->uncached_mean;
+    }
+    if (different > DIFFERENT_SHARE * count) {
+        v->mean_work = work / capability;
+        /* Work per us that the mean engine gets, in us. */
+        double used = engine_load_rate(v->mean_work) * us_per_token;
+        v->imbalance_cost_us =
+            IMBALANCE_COST_US * CLAMP(1 - SPREAD_LOSS * used, 0, 1);
+    }
+}
+
+/* Cost of the work that an engine has got beyond its share; negative below it.
+ */
+static double
+imbalance_cost_us(const struct endpoint *e, const struct engine_view *v,
+                  int64_t now_us)
+{
+    double share = v->mean_work / engine_speed_pace(&e->speed, now_us);
+    double over = engine_load_work(&e->load, now_us) - share;
+    return v->imbalance_cost_us * over / (share + IMBALANCE_TOKENS);
+}
+
+/* Cost of a long prompt to the requests that run beside it, whose tokens come
+ * more slowly while it is read, and to those that are expected meanwhile and
+ * wait for it, half of the time on average. */
+static double
+neighbour_cost_us(const struct endpoint *e, const struct engine_view *v,
+                  int64_t uncached, int64_t now_us)
+{
+    if (v->long_tokens <= 0 || (double)uncached <= v->long_tokens) {
+        return 0;
+    }
+    double read_us = engine_speed_read_us(&e->speed, now_us, (double)uncached);
+    double running = e->in_flight + v->remote_scale * engine_load_remote_count(
+                                                          &e->load, now_us);
+    return read_us *
+           (RUNNING_WEIGHT * running + v->expected_per_us * read_us / 2);
+}
+
 static double
 engine_cost_us(const struct endpoint *e, const struct place_query *query,
-               int64_t now_us,
-               const struct endpoint *const first[PREFERRED_ENGINES])
+               int64_t now_us, const struct engine_view *v)
 {
     const struct place_prompt *p = query->prompt;
     int64_t uncached;
@@ -138,7 +252,7 @@
                                ? (double)(uncached - last_part_tokens)
                                : 0;
     for (int i = 0; i < PREFERRED_ENGINES; i++) {
-        if (e == first[i]) {
+        if (e == v->first[i]) {
             cost -= engine_speed_read_us(
                 &e->speed, now_us, assumed_cached_share[i] * shared_tokens);
             shared_tokens *= 1 - assumed_cached_share[i];
@@ -146,9 +260,37 @@
     }
     cost += REPEATED_PREFILL_WEIGHT *
             engine_speed_read_us(&e->speed, now_us, shared_tokens);
-    return cost * engine_speed_phase(&e->speed, now_us) +
+    cost = cost * engine_speed_phase(&e->speed, now_us) +
            e->in_flight * engine_speed_running_us(&e->speed, now_us) *
                query->nodes;
+    cost += neighbour_cost_us(e, v, uncached, now_us);
+    return cost + (v->mean_work > 0 ? imbalance_cost_us(e, v, now_us) : 0);
+}
+
+/* Returns whether an engine has no memory left for a request. */
+static bool
+is_full(const struct endpoint *e, const struct place_query *query,
+        int64_t now_us)
+{
+    if (!query->prompt || !e->speed.model || e->speed.model->fixed) {
+        return false;
+    }
+    const struct place_prompt *p = query->prompt;
+    struct engine_memory memory = {.limit_tokens = e->engine_tokens,
+                                   .slots = e->engine_slots,
+                                   .cached_tokens = e->cached_tokens,
+                                   .remote_scale =
+                                       place_remote_scale(query->nodes)};
+    int64_t need = p->total -
+                   endpoint_cached_tokens(e, p->chain, p->tokens, p->count) +
+                   query->output_tokens;
+    if (engine_load_fits(&e->load, &memory, e->in_flight, need, now_us)) {
+        return false;
+    }
+    /* Not all parts that it caches are in use. */
+    memory.cached_tokens = endpoint_used_tokens(
+        e, now_us - (int64_t)(USED_DURATIONS * e->traffic->call_us));
+    return !engine_load_fits(&e->load, &memory, e->in_flight, need, now_us);
 }
 
 static double
@@ -170,17 +312,17 @@
 {
     struct endpoint *best = NULL;
     double best_cost = 0;
-    const struct endpoint *first[PREFERRED_ENGINES] = {NULL, NULL};
+    struct engine_view view = {0};
     if (query->prompt) {
-        find_preferred_engines(endpoints, query->prompt, now_us, first);
+        compare_engines(endpoints, query, now_us, &view);
     }
     for (guint i = 0; i < endpoints->len; i++) {
         struct endpoint *e = g_ptr_array_index(endpoints, i);
         if (!endpoint_is_available(e, now_us) ||
-            is_excluded(query, e, now_us)) {
+            is_excluded(query, e, now_us) || is_full(e, query, now_us)) {
             continue;
         }
-        double cost = query->prompt ? engine_cost_us(e, query, now_us, first)
+        double cost = query->prompt ? engine_cost_us(e, query, now_us, &view)
                                     : plain_cost_us(e, now_us);
         cost += endpoint_failure_rate(e, now_us) * FAILURE_COST_US;
         cost += endpoint_is_silent(e, now_us) ? SILENT_COST_US : 0;
@@ -195,6 +337,21 @@
     return best;
 }
 
+bool
+place_engines_full(const GPtrArray *endpoints, const struct place_query *query,
+                   int64_t now_us)
+{
+    bool any = false;
+    for (guint i = 0; i < endpoints->len; i++) {
+        const struct endpoint *e = g_ptr_array_index(endpoints, i);
+        if (endpoint_is_available(e, now_us) && !is_full(e, query, now_us)) {
+            return false;
+        }
+        any |= e->usable;
+    }
+    return any;
+}
+
 int64_t
 place_next_available_us(const GPtrArray *endpoints,
                         const struct place_query *query, int64_t now_us)
@@ -210,6 +367,9 @@
             e->cold_next_send_us > at) {
             at = e->cold_next_send_us;
         }
+        if (is_full(e, query, now_us)) {
+            at = MAX(at, now_us + FULL_RETRY_US);
+        }
         next = at < next ? at : next;
     }
     return next;
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -32,6 +32,7 @@
     int tried_count;
     uint64_t tried[PLACE_MAX_TRIED]; /**< hashes of the endpoint ids */
     int nodes;
+    int64_t output_tokens; /**< memory that the output needs */
     bool skip_silent; /**< endpoints that seem to be silent do not count */
 };
 
@@ -45,6 +46,9 @@
                          const struct place_prompt *p, int64_t now_us,
                          int64_t *uncached);
 
+/** Returns by what the known work of other nodes is multiplied, since each
+ * node hears of some of them only. */
+double place_remote_scale(int nodes);
 /** Returns the prompt tokens that wait at an engine, those of other nodes
  * included. */
 double place_queued_tokens(const struct endpoint *e, int64_t now_us);
@@ -54,6 +58,10 @@
 struct endpoint *place_select(const GPtrArray *endpoints,
                               const struct place_query *query, int64_t now_us);
 
+/** Returns whether an engine is in service and none that is has memory. */
+bool place_engines_full(const GPtrArray *endpoints,
+                        const struct place_query *query, int64_t now_us);
+
 /** Returns when an endpoint will accept work again; INT64_MAX if no endpoint
  * is in service. */
 int64_t place_next_available_us(const GPtrArray *endpoints,
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "forward/crashes.h"
+#include "forward/engines.h"
 #include "forward/state.h"
 
 /* Cost of another zone for plain calls: a round trip. */
@@ -61,6 +62,7 @@
     if (r->state == REQ_RESPONDING && req_is_stream(r) && !r->call_paused) {
         r->endpoint->streams--;
     }
+    engines_call_ended(r->last_activity_us, r);
     r->endpoint->in_flight--;
     r->endpoint->prefill_tokens -= r->prefill_tokens;
     r->prefill_tokens = 0;
@@ -250,16 +252,7 @@
     }
     r->expected_first_byte_us = CONNECT_US + (int64_t)e->latency_us;
     if (r->service->info.is_engine) {
-        int64_t uncached;
-        r->expected_first_byte_us =
-            (int64_t)engine_speed_idle_us(&e->speed, now_us) +
-            place_prefill_us(e, &r->prompt, now_us, &uncached);
-        r->sample_tokens = place_queued_tokens(e, now_us) + (double)uncached;
-        owners_notify_prefill(f, r, e, uncached);
-        r->prefill_tokens = uncached;
-        e->prefill_tokens += uncached;
-        endpoint_cache_parts(e, r->prompt.chain, r->prompt.tokens,
-                             r->prompt.count, now_us);
+        engines_call_started(f, now_us, r, e);
     }
     e->in_flight++;
     endpoint_record_send(e, forward_node_count(f), now_us);
@@ -272,15 +265,13 @@
         .endpoint = e->id,
         .team = r->team,
         .remaining_ms = (left - RESPONSE_TRAVEL_US) / MS,
-        .urgency = r->service->info.is_engine ? r->priority : -1,
+        .urgency =
+            r->service->info.is_engine ? engines_urgency(f, now_us, r) : -1,
         .resume_after = r->last_event_id,
         .inputs = inputs,
         .input_count = pieces_result_handles(r, inputs, MAX_INPUTS),
         .fresh_connection = !req_is_repeatable(r),
         .timeout_ms = left / MS + 1};
-    if (call.urgency > 9) {
-        call.urgency = 9;
-    }
     LOG_EVENT(LOG_DEBUG, "sent", LOG_STR("request", r->in.request_id),
               LOG_STR("endpoint", e->id), LOG_INT("send", r->sends));
     f->io.send_call(f->io.ctx, &call);
@@ -298,6 +289,7 @@
         .zone = f->opts.zone,
         .zone_penalty_us = ZONE_PENALTY_US,
         .nodes = forward_node_count(f),
+        .output_tokens = engines_output_tokens(&r->in),
         .tried_count = r->tried_count};
     int64_t by_us = req_caller_leaves_us(r);
     if (r->preparing) {
@@ -355,6 +347,9 @@
                    next == INT64_MAX ? 500 : (next - now_us) / MS);
         return;
     }
+    f->counters.engines_full +=
+        query.prompt && r->state != REQ_WAITING &&
+        place_engines_full(r->service->endpoints, &query, now_us);
     enqueue_waiting(r, next);
 }
 
--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -1,5 +1,6 @@
 #include "base/log.h"
 #include "forward/crashes.h"
+#include "forward/engines.h"
 #include "forward/state.h"
 #include "forward/stop.h"
 
@@ -284,28 +285,13 @@
     f->io.save_head(f->io.ctx, r->id);
 }
 
-/* Records how long an engine took for its first event. */
-static void
-record_engine_sample(int64_t now_us, const struct request *r)
-{
-    struct endpoint *e = r->endpoint;
-    bool reported = e->load_report_us > r->sent_us && e->reported_running > 0;
-    const struct engine_sample sample = {
-        .actual_us = (double)(now_us - r->sent_us),
-        .tokens = r->sample_tokens,
-        .running = reported ? e->reported_running - 1 : e->in_flight - 1};
-    if (r->status < 300) {
-        engine_speed_record(&e->speed, now_us, &sample);
-    }
-}
-
 static void
 record_first_byte(struct forward *f, int64_t now_us, struct request *r)
 {
     hist_add(&f->first_byte, now_us - r->arrived_us);
     r->first_byte_us = now_us;
     if (r->service->info.is_engine) {
-        record_engine_sample(now_us, r);
+        engines_first_event(f, now_us, r);
         r->endpoint->prefill_tokens -= r->prefill_tokens;
         r->prefill_tokens = 0;
         pieces_release(f, now_us, r);
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -49,7 +49,11 @@
     X(part_refusals,                                                          \
       "requests refused since a prompt part crashes endpoints")               \
     X(parts_blocked, "prompt parts that were blocked")                        \
-    X(contents_blocked, "request contents that were blocked")
+    X(contents_blocked, "request contents that were blocked")                 \
+    X(engine_samples, "first events of engines that this node timed")         \
+    X(engine_notices, "first events of engines that other nodes timed")       \
+    X(engines_full, "requests that waited as all engines were out of memory") \
+    X(urgency_raised, "requests made more urgent as their rank was starved")
 
 enum req_state {
     REQ_RUNNING_STAGES, /* its stages are running */
@@ -105,6 +109,8 @@
     int64_t first_byte_us; /* first byte of the response; 0: none yet */
     int64_t expected_first_byte_us; /* expected time to the first byte */
     int64_t prefill_tokens;         /* counted in endpoint->prefill_tokens */
+    int64_t held_tokens;            /* counted in endpoint->held_tokens */
+    int64_t pinned_tokens;          /* counted in endpoint->pinned_tokens */
     double sample_tokens; /* prompt tokens that the engine reads until the
                              first event */
     int tried_count;
@@ -173,6 +179,7 @@
     struct service info;  /* strings are views into the current cluster view */
     GPtrArray *endpoints; /* usable endpoints of the current cluster view */
     struct engine_model engine_model; /* of its engines */
+    struct engine_traffic engine_traffic;
     struct repeat_budget budget;
     int groups; /* number of groups of its stage endpoints; each group is owned
                    by one node */
@@ -228,8 +235,10 @@
         int64_t since_us; /* start of the second of the number */
         int accepted;
     } crash_notices[CRASH_SUBJECT_COUNT];
-    struct hist latency;    /* until the complete response, us */
-    struct hist first_byte; /* until the first byte, us */
+    struct engine_notice engine_notice; /* samples that are not sent yet */
+    int64_t engine_notice_us;           /* when the last one was sent */
+    struct hist latency;                /* until the complete response, us */
+    struct hist first_byte;             /* until the first byte, us */
 #define X(id, help) uint64_t id;
     struct {
         FORWARD_COUNTER_LIST(X)
@@ -341,6 +350,12 @@
                  const struct stage_msg *m, uint64_t service, int group);
 /** Returns the node that currently owns an endpoint group of a service. */
 uint64_t owners_find(const struct forward *f, uint64_t service, int group);
+/** Maximum number of nodes that receive a notice. It bounds the messages in a
+ * large fleet: 9.5 requests a second and node make 300 messages of 60 bytes.
+ */
+#define OWNERS_NOTIFY_MAX_NODES 32
+/** Sends a notice to other nodes. */
+void owners_notify(struct forward *f, const struct stage_msg *m);
 /** Notifies other nodes of a prompt that an engine has to prefill. */
 void owners_notify_prefill(struct forward *f, const struct request *r,
                            const struct endpoint *e, int64_t tokens);
--- a/src/model/stage_work.h
+++ b/src/model/stage_work.h
@@ -105,6 +105,21 @@
     int part_tokens[PREFILL_MAX_PARTS];
 };
 
+/** Maximum number of first events in one notice. */
+#define ENGINE_NOTICE_MAX 4
+
+/** Reports how long engines took for first events, at most once a second. A
+ * lost notice only delays what is known of their speed. */
+struct engine_notice {
+    int count;
+    struct {
+        uint64_t endpoint; /**< hash of its id */
+        int64_t actual_us; /**< time from the request to the first event */
+        int64_t tokens;    /**< prompt tokens read until then */
+        int running;       /**< requests that ran beside it */
+    } samples[ENGINE_NOTICE_MAX];
+};
+
 struct stage_msg {
     enum stage_msg_kind {
         STAGE_MSG_REQUEST,
@@ -113,6 +128,7 @@
         STAGE_MSG_DROP,
         STAGE_MSG_PREFILL,
         STAGE_MSG_PARTS,
+        STAGE_MSG_ENGINES,
         STAGE_MSG_KIND_COUNT
     } kind;
     union {
@@ -122,6 +138,7 @@
         struct stage_drop drop;
         struct prefill_notice prefill;
         struct part_notice parts;
+        struct engine_notice engines;
     };
 };
 
--- a/src/wire/msg.c
+++ b/src/wire/msg.c
@@ -341,6 +341,18 @@
     }
 }
 
+static void
+io_engine_notice(struct io *io, struct engine_notice *b)
+{
+    io_int(io, &b->count, ENGINE_NOTICE_MAX);
+    for (int i = 0; !io->is_malformed && i < b->count; i++) {
+        io_u64(io, &b->samples[i].endpoint);
+        io_i64(io, &b->samples[i].actual_us, DURATION_MAX_US);
+        io_i64(io, &b->samples[i].tokens, AMOUNT_MAX);
+        io_int(io, &b->samples[i].running, INT32_MAX);
+    }
+}
+
 /* The kinds of notices of contents follow those of parts, so a build that
  * knows only these rejects them. */
 static void
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -124,7 +124,8 @@
     X(PREFILL, "prefill", prefill, struct prefill_notice)                     \
     X(FEED_ASK, "feed_ask", feed_query, struct feed_query)                    \
     X(FEED_ANSWER, "feed_answer", feed_reply, struct feed_reply)              \
-    X(PARTS, "parts", part_notice, struct part_notice)
+    X(PARTS, "parts", part_notice, struct part_notice)                        \
+    X(ENGINES, "engines", engine_notice, struct engine_notice)
 
 enum msg_type {
 #define X(id, name, field, type) MSG_##id,
@@ -156,6 +157,7 @@
         struct feed_query feed_query;
         struct feed_reply feed_reply;
         struct part_notice part_notice;
+        struct engine_notice engine_notice;
     };
 };
 
