--- a/src/forward/engine_speed.c
+++ b/src/forward/engine_speed.c
@@ -56,8 +56,9 @@
 /* A request that took longer than this many times the time of a mean engine
  * was held up, as by an engine that was silent or by a queue that this node
  * does not know. It says nothing of the speed of a VM: the slowest ones take
- * 1.7 times as long, 4.2 times in a slow phase. */
-#define HELD_UP_FACTOR 4.2
+ * 1.7 times as long, 4.2 times in a slow phase, and half of a queue may be
+ * unknown. With 4.2, samples of slow VMs were lost. */
+#define HELD_UP_FACTOR 8.0
 #define PACE_NOISE 1.22
 #define PACE_CLASS 1.5
 /* Weight of a second in the slowly following pace, and its distance from the
