Test that silent engines are not taken for slow

Cause: without it, requests that a silent engine held up made its pace slow (found by /forward-silence/staged). Change: /engine_speed/held_up.

--- a/tests/test_engine_speed.c
+++ b/tests/test_engine_speed.c
@@ -189,6 +189,21 @@
     g_assert_cmpfloat(engine_speed_phase(&s.engines[7], s.now_us), <=, 4);
 }
 
+/* An engine that was silent for seconds is not slow when it goes on. */
+static void
+test_held_up(void)
+{
+    struct service s;
+    service_init(&s);
+    run_rounds(&s, ROUNDS, 20);
+    for (int i = 0; i < 2 * ENGINE_SPEED_SAMPLES; i++) {
+        s.now_us += 1100 * MS;
+        record(&s, 9, 20, 4000, 30);
+    }
+    g_assert_cmpfloat(engine_speed_pace(&s.engines[9], s.now_us), ==, 1);
+    g_assert_cmpint(engine_speed_class(&s.engines[9], s.now_us), ==, 0);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -200,5 +215,6 @@
     g_test_add_func("/engine_speed/slow_phase", test_slow_phase);
     g_test_add_func("/engine_speed/decay", test_decay);
     g_test_add_func("/engine_speed/outlier", test_outlier);
+    g_test_add_func("/engine_speed/held_up", test_held_up);
     return g_test_run();
 }
