--- a/src/control/outbox.c
+++ b/src/control/outbox.c
@@ -140,6 +140,7 @@
     case MSG_PARTS:
     case MSG_STAGE_RESULTS:
     case MSG_RETURNS:
+    case MSG_ENGINES:
     case MSG_FEED_ASK:
     case MSG_FEED_ANSWER:
     case MSG_TYPE_COUNT:
--- a/src/daemon/gateway_link.c
+++ b/src/daemon/gateway_link.c
@@ -46,7 +46,8 @@
 {
     struct gateway_traffic *t = ctx;
     struct msg out = {.from = t->node};
-    if ((m->kind == STAGE_MSG_PREFILL || m->kind == STAGE_MSG_RETURNS) &&
+    if ((m->kind == STAGE_MSG_PREFILL || m->kind == STAGE_MSG_RETURNS ||
+         m->kind == STAGE_MSG_ENGINES) &&
         !allow_notice(t, node)) {
         return;
     }
@@ -83,6 +84,10 @@
         out.type = MSG_RETURNS;
         out.return_notice = m->returns;
         break;
+    case STAGE_MSG_ENGINES:
+        out.type = MSG_ENGINES;
+        out.engine_notice = m->engines;
+        break;
     case STAGE_MSG_KIND_COUNT:
         return;
     }
@@ -163,6 +168,10 @@
         in.kind = STAGE_MSG_RETURNS;
         in.returns = m->return_notice;
         break;
+    case MSG_ENGINES:
+        in.kind = STAGE_MSG_ENGINES;
+        in.engines = m->engine_notice;
+        break;
     case MSG_FEED_ASK:
     case MSG_FEED_ANSWER:
         push_to_control(t, m);
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -127,7 +127,8 @@
     X(FEED_ANSWER, "feed_answer", feed_reply, struct feed_reply)              \
     X(PARTS, "parts", part_notice, struct part_notice)                        \
     X(STAGE_RESULTS, "stage_results", stage_results, struct stage_results)    \
-    X(RETURNS, "returns", return_notice, struct return_notice)
+    X(RETURNS, "returns", return_notice, struct return_notice)                \
+    X(ENGINES, "engines", engine_notice, struct engine_notice)
 
 enum msg_type {
 #define X(id, name, field, type) MSG_##id,
@@ -161,6 +162,7 @@
         struct part_notice part_notice;
         struct stage_results stage_results;
         struct return_notice return_notice;
+        struct engine_notice engine_notice;
     };
 };
 
