--- a/src/settings/gateway_settings.c
+++ b/src/settings/gateway_settings.c
@@ -38,6 +38,9 @@
     {"bounds", "repeat_window_s", FIELD_SECONDS_AS_MS,
      OFFSET(repeat_window_ms), 100, 3600000, 10000, NULL},
     {"limits", "cpu_share", FIELD_REAL, OFFSET(cpu_share), 0, 1000, 0, NULL},
+    {"limits", "memory_mb", FIELD_ROUNDED_INT, OFFSET(memory_mb), 0, 1048576,
+     0, NULL},
+    {"limits", "files", FIELD_ROUNDED_INT, OFFSET(files), 0, 1048576, 0, NULL},
     {"log", "level", FIELD_TEXT, OFFSET(log_level), 0, 15, 0, "info"},
 };
 
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -37,6 +37,11 @@
     int repeat_window_ms; /**< [bounds] repeat_window_s, in ms */
     double cpu_share;     /**< [limits] cpu_share: cores that the machine gives
                              this process; 0: unknown */
+    int memory_mb; /**< [limits] memory_mb: memory of the machine in MiB; 0:
+                        unknown */
+    int files;     /**< [limits] files: descriptors that a process may open,
+                        including those that the platform reserves; 0:
+                        unknown */
     struct str log_level; /**< [log] level */
 };
 
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -47,6 +47,9 @@
      600000, 5000, NULL},
     {"drain", "limit_ms", FIELD_INT, OFFSET(drain_limit_ms), 0, 3600000, 30000,
      NULL},
+    {"limits", "memory_mb", FIELD_ROUNDED_INT, OFFSET(memory_mb), 0, 1048576,
+     0, NULL},
+    {"limits", "files", FIELD_ROUNDED_INT, OFFSET(files), 0, 1048576, 0, NULL},
     {"log", "level", FIELD_TEXT, OFFSET(log_level), 0, 15, 0, "info"},
 };
 
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -48,8 +48,13 @@
     int claim_buckets;      /**< [claims] buckets */
     int balancer_wait_ms;   /**< [drain] balancer_wait_ms */
     int drain_limit_ms;     /**< [drain] limit_ms */
-    struct str log_level;   /**< [log] level */
-    uint64_t seed;          /**< [node] seed; 0: taken from the system */
+    int memory_mb; /**< [limits] memory_mb: memory of the machine in MiB; 0:
+                        unknown */
+    int files;     /**< [limits] files: descriptors that a process may open,
+                        including those that the platform reserves; 0:
+                        unknown */
+    struct str log_level; /**< [log] level */
+    uint64_t seed;        /**< [node] seed; 0: taken from the system */
 };
 
 /**
--- a/tests/platform/rig_platform.c
+++ b/tests/platform/rig_platform.c
@@ -138,18 +138,18 @@
         r->ready_port[i] = rig_find_free_port();
         r->link_port[i] = rig_find_free_port();
     }
-    char *text =
-        g_strdup_printf("[node]\nname = \"%s\"\nzone = \"a\"\n"
-                        "first_start = %s\n"
-                        "[callers]\naddress = \"127.0.0.1:%d\"\n"
-                        "[ready]\naddress = \"127.0.0.1:%d\"\n"
-                        "[link]\naddress = \"127.0.0.1:%d\"\n"
-                        "[store]\naddress = \"127.0.0.1:%d\"\n"
-                        "[stop]\nlimit_s = %d\nbalancer_ms = %d\n"
-                        "[bounds]\nrepeat_slack = %d\n",
-                        name, first_start ? "true" : "false", p->port,
-                        r->ready_port[i], r->link_port[i], r->store_port,
-                        r->stop_limit_s, r->stop_balancer_ms, r->repeat_slack);
+    char *text = g_strdup_printf(
+        "[node]\nname = \"%s\"\nzone = \"a\"\n"
+        "first_start = %s\n"
+        "[callers]\naddress = \"127.0.0.1:%d\"\n"
+        "[ready]\naddress = \"127.0.0.1:%d\"\n"
+        "[link]\naddress = \"127.0.0.1:%d\"\n"
+        "[store]\naddress = \"127.0.0.1:%d\"\n"
+        "[stop]\nlimit_s = %d\nbalancer_ms = %d\n"
+        "[bounds]\nrepeat_slack = %d\n%s",
+        name, first_start ? "true" : "false", p->port, r->ready_port[i],
+        r->link_port[i], r->store_port, r->stop_limit_s, r->stop_balancer_ms,
+        r->repeat_slack, r->node_settings ? r->node_settings : "");
     g_file_set_contents(path, text, -1, NULL);
     g_free(text);
     const char *args[] = {path, NULL};
--- a/tests/platform/rig_platform.h
+++ b/tests/platform/rig_platform.h
@@ -41,8 +41,10 @@
     int repeat_slack;
     int stop_limit_s;
     int stop_balancer_ms;
-    int plain_timeout_ms; /**< of the routes of the plain service, for
-                               configurations written later */
+    const char *node_settings; /**< TOML text appended to the settings of the
+                                    nodes; NULL: none */
+    int plain_timeout_ms;      /**< of the routes of the plain service, for
+                                    configurations written later */
     GMutex lock;
     GPtrArray *actions; /**< struct rig_action, all action requests */
 };
