Limit what callers hold by shares of the machine's memory and descriptors

Request bodies were limited to 256 MB together and responses that callers did not read not at all, whatever the size of the machine; a body over its limit was kept while the rest was read; libcurl passed on up to 1.6 MB of each response at a time; a process accepted connections until it had no descriptors.

caller_budget derives shares for bodies, connections, unread and buffered responses from [limits] memory_mb and files; without them the limits are as before. When the share of bodies is exhausted, the body whose last 16 KiB took longest is dropped: its request is refused (503) and the rest discarded. Unread responses are closed in the same order. When no connection is free, those with incomplete heads, idle ones, and bodies and responses without progress are closed. Responses of endpoints are read in steps of 32 KiB. Large buffers go back to the system when they are freed. The same holds for camphorfalld.

--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -12,6 +12,7 @@
 #include "base/err.h"
 #include "daemon/bridge.h"
 #include "daemon/gateway_stop.h"
+#include "edge/caller_budget.h"
 #include "settings/fields.h"
 #include "settings/gateway_settings.h"
 
@@ -47,6 +48,8 @@
 /** Returns the options of the forwarding core for these settings. */
 struct forward_options
 gateway_forward_options(const struct gateway_settings *s, uint64_t seed);
+/** Returns the shares of memory and descriptors for callers. */
+struct caller_budget gateway_caller_budget(const struct gateway_settings *s);
 
 struct gateway_control;
 enum status gateway_control_start(struct gateway_shared *shared,
--- a/src/daemon/gateway_calls.c
+++ b/src/daemon/gateway_calls.c
@@ -353,7 +353,9 @@
     t->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
                                      out_call_free);
     t->paused_calls = g_array_new(FALSE, FALSE, sizeof(struct paused_call));
-    t->relay = relay_new(t->loop, sink);
+    t->relay = relay_new(
+        t->loop, sink,
+        gateway_caller_budget(t->shared->settings).endpoint_connections);
     io->send_call = io_send;
     io->send_pieces = io_send_pieces;
     io->release_results = io_release;
--- a/src/daemon/gateway_main.c
+++ b/src/daemon/gateway_main.c
@@ -76,9 +76,21 @@
                     s->repeat_window_ms * MS},
         .max_store_age_us =
             (int64_t)(MAX_STORE_AGE_SHARE * (double)s->revoke_ms * 1000),
+        .max_buffered_bytes = gateway_caller_budget(s).buffered_bytes,
         .seed = seed};
 }
 
+struct caller_budget
+gateway_caller_budget(const struct gateway_settings *s)
+{
+    return caller_budget_new(
+        &(struct caller_budget_limits){.memory_mb = s->memory_mb,
+                                       .files = s->files,
+                                       .max_connections = s->max_connections,
+                                       .max_header_bytes = s->max_header_bytes,
+                                       .threads = 1});
+}
+
 static enum log_level
 parse_log_level(struct str name)
 {
@@ -251,6 +263,7 @@
     buf_free(&errors);
     int rc = 0;
     if (!check) {
+        caller_budget_limit_heap(g.settings.memory_mb);
         log_init(parse_log_level(g.settings.log_level), g.settings.name);
         crash_init();
         rc = run(&g, path);
--- a/src/daemon/gateway_traffic.c
+++ b/src/daemon/gateway_traffic.c
@@ -323,7 +323,9 @@
 {
     const struct gateway_settings *set = shared->settings;
     struct gateway_traffic *t = mem_calloc(1, sizeof(*t));
-    struct http_in_options in = {.max_connections = set->max_connections,
+    struct caller_budget budget = gateway_caller_budget(set);
+    struct http_in_options in = {.max_connections = budget.connections,
+                                 .budget = budget,
                                  .receive_timeout_ms =
                                      DEFAULT_HEADER_TIMEOUT_MS,
                                  .idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS,
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -13,6 +13,7 @@
 #include "base/log.h"
 #include "daemon/control_thread.h"
 #include "daemon/traffic.h"
+#include "edge/caller_budget.h"
 #include "edge/loop.h"
 
 #define RING_CAPACITY 4096
@@ -299,6 +300,7 @@
         settings_free(&n.settings);
         return 0;
     }
+    caller_budget_limit_heap(n.settings.memory_mb);
     log_init(parse_log_level(n.settings.log_level), n.settings.name);
     int rc = run(&n);
     curl_global_cleanup();
--- a/src/daemon/traffic_thread.c
+++ b/src/daemon/traffic_thread.c
@@ -457,12 +457,19 @@
     t->gone_callers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     t->pending = g_array_new(FALSE, FALSE, sizeof(struct pending_query));
     t->traces = trace_ring_new(TRACE_RING_CAPACITY);
+    struct caller_budget budget = caller_budget_new(&(
+        struct caller_budget_limits){.memory_mb = set->memory_mb,
+                                     .files = set->files,
+                                     .max_connections = set->max_connections,
+                                     .max_header_bytes = set->max_header_bytes,
+                                     .threads = threads});
     struct http_in_options in = {
         .address = set->listen_address,
         .port = opts->port,
         .tls_cert = opts->shared->tls_cert,
         .tls_key = opts->shared->tls_key,
-        .max_connections = (set->max_connections + threads - 1) / threads,
+        .max_connections = budget.connections,
+        .budget = budget,
         .max_connections_per_caller =
             (set->max_connections_per_caller + threads - 1) / threads,
         .receive_timeout_ms = set->receive_timeout_ms,
@@ -474,7 +481,12 @@
         .request = on_request,
         .gone = on_gone,
     };
-    struct http_out_options call = {.ctx = t, .event = on_call_event};
+    struct http_out_options call = {
+        .ctx = t,
+        .event = on_call_event,
+        .max_buffered_bytes = budget.buffered_bytes,
+        .max_idle_connections =
+            set->files > 0 ? budget.endpoint_connections : 0};
     struct flow_options flow = {
         .node = opts->shared->node,
         .incarnation = opts->shared->incarnation,
--- a/src/edge/http_in.c
+++ b/src/edge/http_in.c
@@ -24,8 +24,6 @@
 #define SLOT_BITS 24
 /* Time within which a caller must read its response. */
 #define SEND_TIMEOUT_US 60000000
-/* Limit of the request bodies in memory, for all requests together. */
-#define MAX_BODY_BYTES_IN_MEMORY (256 << 20)
 
 struct exchange *
 http_in_find_open(const struct http_in *in, uint64_t id)
@@ -110,10 +108,14 @@
             loop_add(in->loop, c->fd, EPOLLRDHUP | EPOLLET, on_hangup, c);
         *socket_ctx = c;
         in->count.connections++;
+        in->connection_count++;
         return;
     }
     struct conn *c = *socket_ctx;
     if (c) {
+        in->connection_count--;
+        /* MHD accepts the next connection in its next run. */
+        in->run_needed = true;
         http_in_set_state(c, CONN_PROCESSING);
         loop_remove(in->loop, c->hangup_source);
         str_free(&c->target);
@@ -171,8 +173,8 @@
     if (x->response) {
         MHD_destroy_response(x->response);
     }
-    in->body_bytes -= x->body.len;
-    buf_free(&x->body);
+    http_in_free_body(x);
+    http_in_charge_unread(x, 0);
     buf_free(&x->out);
     if (x->headers) {
         g_array_free(x->headers, TRUE);
@@ -322,13 +324,6 @@
     return x;
 }
 
-static void
-free_body(struct exchange *x)
-{
-    x->conn->in->body_bytes -= x->body.len;
-    buf_free(&x->body);
-}
-
 /* Stores the next bytes of a body, or discards them after an error. Returns
  * false if the connection must be closed. */
 static bool
@@ -339,21 +334,14 @@
         x->error_kind = ERRKIND_TOO_LARGE;
         x->error_message = "body is too large";
     }
-    if (in->body_bytes + n > MAX_BODY_BYTES_IN_MEMORY && !x->error_kind) {
-        x->error_kind = ERRKIND_OVERLOADED;
-        x->error_message = "too many bodies are being received";
-    }
-    if (x->error_kind) {
+    if (x->error_kind || !http_in_store_body(x, data, n)) {
+        http_in_free_body(x);
         /* Counts the bytes of the body without storing them. */
         x->out_offset += n;
         if (x->out_offset > in->max_body_bytes + MAX_DISCARDED_BYTES) {
             return false;
         }
     }
-    else {
-        buf_append(&x->body, data, n);
-        in->body_bytes += n;
-    }
     *size = 0;
     return true;
 }
@@ -365,6 +353,9 @@
         MHD_queue_response(x->conn->mhd, (unsigned)x->status, x->response);
     MHD_destroy_response(x->response);
     x->response = NULL;
+    if (x->answered) {
+        http_in_free_body(x);
+    }
     return ok;
 }
 
@@ -410,9 +401,11 @@
                 (const struct http_header *)(void *)x->headers->data;
             x->r.header_count = (int)x->headers->len;
         }
+        http_in_deliver_body(x);
         in->opts.request(in->opts.ctx, &x->r);
         if (!in->opts.raw) {
-            free_body(x);
+            /* The owner has a copy, so the share stays in use. */
+            buf_free(&x->body);
             x->r.body = (struct str){0};
         }
     }
@@ -465,6 +458,7 @@
     MHD_UNSIGNED_LONG_LONG ms = 1;
     in->now_us = now_us;
     http_in_expire(in);
+    http_in_enforce_shares(in);
     /* A time-out of zero means that MHD has already buffered input, such as a
      * pipelined request. */
     if (in->run_needed ||
@@ -480,10 +474,10 @@
     if (in->run_needed) {
         return now_us;
     }
-    int64_t wakeup_us = INT64_MAX;
+    int64_t wakeup_us = http_in_next_check_us(in);
     MHD_UNSIGNED_LONG_LONG ms = 0;
     if (MHD_get_timeout(in->daemon, &ms) == MHD_YES) {
-        wakeup_us = now_us + (int64_t)ms * 1000;
+        wakeup_us = MIN(wakeup_us, now_us + (int64_t)ms * 1000);
     }
     for (int s = 0; s < CONN_STATES; s++) {
         const struct conn *c = TAILQ_FIRST(&in->conns_by_state[s]);
@@ -534,6 +528,7 @@
                in->opts.thread, in->count.id);
     HTTP_IN_COUNTER_LIST(X)
 #undef X
+    http_in_append_share_metrics(in, out);
     buf_printf(out, "cf_http_in_open{thread=\"%d\"} %d\n", in->opts.thread,
                in->open_count);
 }
@@ -594,6 +589,8 @@
     for (int s = 0; s < CONN_STATES; s++) {
         TAILQ_INIT(&in->conns_by_state[s]);
     }
+    TAILQ_INIT(&in->bodies);
+    TAILQ_INIT(&in->unread);
     rng_seed(&in->rng, opts->seed);
     /* The memory pool has room for headers up to the limit beside MHD's own
      * buffers, so that this server rejects larger headers with its own JSON
--- a/src/edge/http_in.h
+++ b/src/edge/http_in.h
@@ -17,6 +17,7 @@
 #include "base/err.h"
 #include "base/errkind.h"
 #include "base/str.h"
+#include "edge/caller_budget.h"
 #include "edge/loop.h"
 
 /** One header of a request or a response. */
@@ -52,7 +53,10 @@
     struct str tls_key;
     int max_connections;
     int max_connections_per_caller; /**< per IP address */
-    int receive_timeout_ms;         /**< for the whole request, not per read */
+    /** Shares for what callers hold in memory; its connections are not used
+     * here. */
+    struct caller_budget budget;
+    int receive_timeout_ms; /**< for the whole request, not per read */
     int max_header_bytes;
     int idle_timeout_ms; /**< 0: 60 s */
     /** Raw mode: requests have all headers and the unparsed target, and
--- a/src/edge/http_in_close.c
+++ b/src/edge/http_in_close.c
@@ -8,15 +8,15 @@
 
 /* Returns whether the caller has sent something that was not read yet. Such a
  * connection is not idle: closing it would reset it and lose a request. */
-static bool
-has_unread_bytes(const struct conn *c)
+bool
+http_in_has_unread_bytes(const struct conn *c)
 {
     char byte;
     return recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-static void
-close_connection(struct conn *c)
+void
+http_in_close_connection(struct conn *c)
 {
     http_in_set_state(c, CONN_PROCESSING);
     shutdown(c->fd, SHUT_RDWR);
@@ -67,24 +67,38 @@
 /* The rest of the request is read and discarded until the caller has read the
  * response and closes the connection. Closing it with unread bytes would reset
  * it, and the caller could lose the response. */
-static void
-refuse_receiving(struct conn *c)
+void
+http_in_refuse_incomplete(struct exchange *x, enum errkind kind)
 {
-    struct exchange *x = c->exchange;
-    if (x->answered ||
-        !send_early_error(c, ERRKIND_NOT_READY, "Retry-After: 1\r\n")) {
+    struct conn *c = x->conn;
+    if (x->answered || !send_early_error(c, kind, "Retry-After: 1\r\n")) {
         return;
     }
     shutdown(c->fd, SHUT_WR);
-    x->error_kind = ERRKIND_NOT_READY;
+    x->error_kind = kind;
     x->answered = true;
     x->aborted = true;
     c->in->count.refusals++;
+    http_in_free_body(x);
+}
+
+static void
+refuse_receiving(struct conn *c)
+{
+    struct exchange *x = c->exchange;
+    if (x->answered) {
+        return;
+    }
+    size_t bytes = x->body.len;
+    http_in_refuse_incomplete(x, ERRKIND_NOT_READY);
+    if (!x->answered) {
+        return;
+    }
     LOG_EVENT(LOG_INFO, "refused", LOG_CSTR("why", "the node is stopping"),
               LOG_STR("target", c->target),
               LOG_INT("status", errkind_info(ERRKIND_NOT_READY)->http_status),
               LOG_INT("ms", (c->in->now_us - c->state_since_us) / 1000),
-              LOG_INT("bytes", x->body.len));
+              LOG_INT("bytes", bytes));
 }
 
 void
@@ -121,7 +135,7 @@
         struct conn *c;
         while ((c = TAILQ_FIRST(&in->conns_by_state[s])) &&
                in->now_us - c->state_since_us > in->state_timeout_us[s]) {
-            if (s == CONN_IDLE && has_unread_bytes(c)) {
+            if (s == CONN_IDLE && http_in_has_unread_bytes(c)) {
                 http_in_set_state(c, CONN_IDLE);
                 in->run_needed = true;
                 continue;
@@ -129,7 +143,7 @@
             if (s == CONN_RECEIVING) {
                 reject_slow_sender(in, c);
             }
-            close_connection(c);
+            http_in_close_connection(c);
         }
     }
 }
@@ -141,8 +155,8 @@
     struct conn *next;
     for (c = TAILQ_FIRST(&in->conns_by_state[CONN_IDLE]); c; c = next) {
         next = TAILQ_NEXT(c, link);
-        if (!has_unread_bytes(c)) {
-            close_connection(c);
+        if (!http_in_has_unread_bytes(c)) {
+            http_in_close_connection(c);
         }
     }
 }
--- a/src/edge/http_in_reply.c
+++ b/src/edge/http_in_reply.c
@@ -41,6 +41,7 @@
         MHD_add_response_header(x->response, "Connection", "close");
     }
     x->answered = true;
+    http_in_charge_unread(x, body.len);
     http_in_set_state(x->conn, CONN_SENDING);
 }
 
@@ -92,6 +93,9 @@
     if (x->disconnected) {
         return MHD_CONTENT_READER_END_WITH_ERROR;
     }
+    if (x->answered) {
+        http_in_free_body(x);
+    }
     size_t n = x->out.len - x->out_offset;
     if (n == 0) {
         if (x->aborted) {
@@ -107,7 +111,12 @@
     n = n < max ? n : max;
     memcpy(out, x->out.ptr + x->out_offset, n);
     x->out_offset += n;
+    x->bytes_read += n;
     if (x->out_offset == x->out.len) {
+        /* Large buffers would be kept by each stream that had a burst. */
+        if (x->out.cap > MAX_SENT_BYTES_IN_BUFFER) {
+            buf_free(&x->out);
+        }
         buf_clear(&x->out);
         x->out_offset = 0;
     }
@@ -116,6 +125,7 @@
         memmove(x->out.ptr, x->out.ptr + x->out_offset, x->out.len);
         x->out_offset = 0;
     }
+    http_in_charge_unread(x, x->out.len > 0 ? x->out.cap : 0);
     return (ssize_t)n;
 }
 
@@ -170,6 +180,7 @@
         return 0;
     }
     buf_append_str(&x->out, bytes);
+    http_in_charge_unread(x, x->out.cap);
     http_in_resume(x);
     return x->out.len - x->out_offset;
 }
@@ -201,6 +212,7 @@
     buf_append_str(&x->out, STR_LIT("\ndata: "));
     buf_append_str(&x->out, data);
     buf_append_str(&x->out, STR_LIT("\n\n"));
+    http_in_charge_unread(x, x->out.cap);
     http_in_resume(x);
 }
 
--- a/src/edge/http_in_state.h
+++ b/src/edge/http_in_state.h
@@ -1,7 +1,7 @@
 /**
  * @file http_in_state.h
- * State of the HTTP server, private to http_in.c, http_in_reply.c and
- * http_in_close.c.
+ * State of the HTTP server, private to http_in.c, http_in_reply.c,
+ * http_in_close.c and http_in_shares.c.
  */
 #ifndef EDGE_HTTP_IN_STATE_H
 #define EDGE_HTTP_IN_STATE_H
@@ -55,19 +55,39 @@
     bool suspended;
     bool streaming;
     bool ended;
-    bool aborted;      /* the response must not look complete */
-    GArray *headers;   /* struct http_header; raw mode */
-    struct buf out;    /* stream bytes that MHD has not yet read */
+    bool aborted;    /* the response must not look complete */
+    GArray *headers; /* struct http_header; raw mode */
+    struct buf out;  /* stream bytes that MHD has not yet read */
+    /* Memory of the body that counts against the share of bodies, from its
+     * first byte to the response, and where the body was when it last made
+     * progress. */
+    size_t body_charge;
+    int64_t body_mark_us;
+    size_t body_mark_bytes;
+    bool in_bodies; /* in the list of bodies that are being received */
+    TAILQ_ENTRY(exchange) body_link;
+    /* The same for the response bytes that the caller has not read. */
+    size_t unread_charge;
+    int64_t unread_mark_us;
+    uint64_t unread_mark_bytes;
+    uint64_t bytes_read;
+    bool in_unread;
+    TAILQ_ENTRY(exchange) unread_link;
     size_t out_offset; /* bytes of out that MHD has read; after an error:
                       bytes of the body that were discarded */
 };
 
+TAILQ_HEAD(exchange_list, exchange);
+
 #define HTTP_IN_COUNTER_LIST(X)                                               \
     X(requests, "requests received")                                          \
     X(refusals, "error responses sent")                                       \
     X(gone, "callers that disconnected before their response")                \
     X(slow, "connections closed because of slow sending")                     \
-    X(connections, "connections accepted")
+    X(connections, "connections accepted")                                    \
+    X(dropped_bodies, "incomplete bodies dropped, share exhausted")           \
+    X(dropped_responses, "unread responses dropped, share exhausted")         \
+    X(dropped_connections, "connections without progress closed, none free")
 
 struct http_in {
     struct http_in_options opts;
@@ -81,7 +101,15 @@
     size_t max_body_bytes;
     struct conn_list conns_by_state[CONN_STATES]; /* oldest first */
     int64_t state_timeout_us[CONN_STATES];
-    size_t body_bytes; /* bytes of all request bodies in memory */
+    int connection_count;
+    size_t body_bytes;   /* charges of all request bodies */
+    size_t unread_bytes; /* charges of all responses that were not read */
+    struct exchange_list bodies; /* being received; least recent progress first
+                                  */
+    struct exchange_list unread; /* least recent progress first */
+    int64_t next_check_us; /* next look for connections without progress */
+    uint64_t logged_drops;
+    int64_t last_drop_log_us;
     struct exchange **slots;
     int slot_count;
     int *free_slots;
@@ -113,4 +141,28 @@
 void http_in_set_error_response(struct exchange *x, enum errkind kind,
                                 struct str message, int64_t retry_after_ms);
 
+/** Closes a connection; MHD frees it later. */
+void http_in_close_connection(struct conn *c);
+/** Returns whether the caller has sent something that was not read yet. */
+bool http_in_has_unread_bytes(const struct conn *c);
+/** Writes an error to a caller whose request is incomplete; the rest of the
+ * request is read and discarded. Over TLS the error follows at its end. */
+void http_in_refuse_incomplete(struct exchange *x, enum errkind kind);
+
+/** Stores bytes of a body and drops bodies without progress if the share is
+ * exhausted. @return false if this body was dropped */
+bool http_in_store_body(struct exchange *x, const char *data, size_t n);
+/** Ends the receipt of a body; it still counts against the share. */
+void http_in_deliver_body(struct exchange *x);
+/** Frees a body and its part of the share. */
+void http_in_free_body(struct exchange *x);
+/** Sets the memory of the response that the caller has not read. */
+void http_in_charge_unread(struct exchange *x, size_t bytes);
+/** Drops responses without progress if their share is exhausted, and
+ * connections if none is free. Calls the owner's gone. */
+void http_in_enforce_shares(struct http_in *in);
+/** @return monotonic time at which http_in_enforce_shares must be called */
+int64_t http_in_next_check_us(const struct http_in *in);
+void http_in_append_share_metrics(const struct http_in *in, struct buf *out);
+
 #endif
--- a/src/edge/http_out.c
+++ b/src/edge/http_out.c
@@ -8,7 +8,7 @@
 
 #include "base/clean.h"
 
-#define MAX_IDLE_CONNECTIONS 4096L
+#define MAX_IDLE_CONNECTIONS 4096
 
 static void
 clear_tokens(struct call *c)
@@ -46,6 +46,7 @@
     str_free(&c->endpoint);
     str_free(&c->body);
     str_free(&c->start_id);
+    c->out->buffered_bytes -= c->response_body.len;
     buf_free(&c->response_body);
     sse_free(&c->sse);
     free(c);
@@ -401,10 +402,14 @@
     if (o->opts.max_response_bytes == 0) {
         o->opts.max_response_bytes = 16 << 20;
     }
+    if (o->opts.max_idle_connections == 0) {
+        o->opts.max_idle_connections = MAX_IDLE_CONNECTIONS;
+    }
     o->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
     o->probes = g_ptr_array_new();
     o->failed_to_start = g_ptr_array_new();
-    o->curl = curl_loop_new(l, MAX_IDLE_CONNECTIONS, on_done, on_progress, o);
+    o->curl = curl_loop_new(l, o->opts.max_idle_connections, on_done,
+                            on_progress, o);
     return o;
 }
 
--- a/src/edge/http_out.h
+++ b/src/edge/http_out.h
@@ -24,6 +24,10 @@
     int64_t connect_timeout_ms; /**< 0: 1000 */
     int64_t probe_timeout_ms;   /**< 0: 1000 */
     size_t max_response_bytes;  /**< 0: 16 MiB */
+    /** Limit of all responses that are not yet whole; 0: none. When it is
+     * exceeded, those longer than 32 KiB fail. */
+    size_t max_buffered_bytes;
+    int max_idle_connections; /**< 0: 4096 */
 };
 
 struct http_out;
--- a/src/edge/http_out_answer.c
+++ b/src/edge/http_out_answer.c
@@ -8,6 +8,9 @@
 
 /* Reported numbers of requests above this one count as it. */
 #define MAX_LOAD 1000000
+/* Responses up to this size are buffered also when the share is exhausted:
+ * those of working endpoints have a few kilobytes. */
+#define SMALL_RESPONSE_BYTES (32u << 10)
 
 static void
 mark_active(struct call *c)
@@ -58,7 +61,15 @@
         c->too_large = true;
         return 0;
     }
+    size_t limit = c->out->opts.max_buffered_bytes;
+    if (limit > 0 && c->out->buffered_bytes + len > limit &&
+        c->response_body.len + len > SMALL_RESPONSE_BYTES &&
+        c->out->buffered_bytes > c->response_body.len) {
+        c->too_large = true;
+        return 0;
+    }
     buf_append(&c->response_body, p, len);
+    c->out->buffered_bytes += len;
     return len;
 }
 
--- a/src/edge/http_out_state.h
+++ b/src/edge/http_out_state.h
@@ -71,7 +71,8 @@
 struct http_out {
     struct http_out_options opts;
     struct curl_loop *curl;
-    GHashTable *calls; /* struct call by attempt */
+    size_t buffered_bytes; /* of the responses that are not yet whole */
+    GHashTable *calls;     /* struct call by attempt */
     GPtrArray *probes;
     struct call *active; /* calls with tokens or bytes to report */
     GPtrArray
--- a/src/edge/relay.c
+++ b/src/edge/relay.c
@@ -13,7 +13,9 @@
 #include "base/log.h"
 #include "edge/curl_loop.h"
 
-#define MAX_IDLE_CONNECTIONS 1024L
+/* Bytes of one response that are received before they are passed on. libcurl
+ * reads up to 1.6 MB at a time, and hundreds of endpoints may send at once. */
+#define MAX_RECEIVED_BYTES (32u << 10)
 /* A connection that has been idle for longer than this is not reused, because
  * endpoints close idle connections after a few seconds. */
 #define MAX_REUSE_IDLE_S 2L
@@ -41,6 +43,7 @@
     bool head_complete;
     bool head_reported;
     bool paused;
+    bool full; /* libcurl was told to wait until received is passed on */
     size_t head_bytes; /* of all headers and trailers */
     int status;
     int64_t length;
@@ -176,6 +179,10 @@
     if (c->paused) {
         return CURL_WRITEFUNC_PAUSE;
     }
+    if (c->received.len >= MAX_RECEIVED_BYTES) {
+        c->full = true;
+        return CURL_WRITEFUNC_PAUSE;
+    }
     buf_append(&c->received, p, size * n);
     mark_active(c);
     return size * n;
@@ -368,6 +375,13 @@
         c->received = (struct buf){0};
         r->callbacks.bytes(r->callbacks.ctx, id, buf_str(&bytes));
         buf_free(&bytes);
+        c = g_hash_table_lookup(r->calls, &id);
+    }
+    if (c && c->full) {
+        c->full = false;
+        if (!c->paused) {
+            curl_easy_pause(c->easy, CURLPAUSE_CONT);
+        }
     }
 }
 
@@ -375,6 +389,7 @@
 finish(struct relay *r, struct call *c, enum relay_result result)
 {
     uint64_t id = c->id;
+    c->full = false; /* libcurl has no more to pass on */
     report_received(r, c);
     c = g_hash_table_lookup(r->calls, &id);
     if (!c) {
@@ -528,14 +543,15 @@
 }
 
 struct relay *
-relay_new(struct loop *l, struct relay_callbacks callbacks)
+relay_new(struct loop *l, struct relay_callbacks callbacks,
+          int max_idle_connections)
 {
     struct relay *r = mem_calloc(1, sizeof(*r));
     r->callbacks = callbacks;
     r->overdue_check_us = INT64_MAX;
     r->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
     r->failed_to_start = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-    r->curl = curl_loop_new(l, MAX_IDLE_CONNECTIONS, on_done, on_progress, r);
+    r->curl = curl_loop_new(l, max_idle_connections, on_done, on_progress, r);
     return r;
 }
 
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -66,7 +66,9 @@
 
 struct relay;
 
-struct relay *relay_new(struct loop *l, struct relay_callbacks callbacks);
+/** @param max_idle_connections that are kept open for later calls */
+struct relay *relay_new(struct loop *l, struct relay_callbacks callbacks,
+                        int max_idle_connections);
 void relay_free(struct relay *r);
 /** Enables TCP keepalive on new connections, for calls that wait long for a
  * response. */
--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -22,6 +22,8 @@
     /** Time since the last contact with the store after which team credentials
      * are no longer accepted. */
     int64_t max_store_age_us;
+    /** Limit of all responses that are not yet whole; 0: 16 MiB. */
+    size_t max_buffered_bytes;
     uint64_t seed;
 };
 
--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -21,11 +21,14 @@
  * a node has 260 MB and more. */
 #define RESPONSE_MAX_BYTES (4u << 20)
 #define EVENT_MAX_BYTES (256u << 10)
-/* Limit on all buffered responses together, without those that are smaller
- * than BUFFERED_CHECK_BYTES: hundreds of callers may wait for endpoints that
- * respond without end. */
+/* Default limit on all buffered responses together, without those that are
+ * smaller than BUFFERED_CHECK_BYTES: hundreds of callers may wait for
+ * endpoints that respond without end. */
 #define BUFFERED_MAX_BYTES (16u << 20)
 #define BUFFERED_CHECK_BYTES (32u << 10)
+/* An empty buffer of a stream is kept up to this size: hundreds of streams may
+ * have had a burst. */
+#define KEPT_BUFFER_BYTES (16u << 10)
 /* Reading of a stream is paused when its caller's backlog exceeds this. */
 #define CALLER_BACKLOG_BYTES (256u << 10)
 /* The limit is at least this many of the longest pauses that a route allows.
@@ -325,6 +328,9 @@
         r->response.ptr[i] = r->response.ptr[whole + i];
     }
     r->response.len = rest;
+    if (rest == 0 && r->response.cap > KEPT_BUFFER_BYTES) {
+        buf_free(&r->response);
+    }
     return true;
 }
 
@@ -400,7 +406,9 @@
                           : largest;
         }
     }
-    if (largest && sum > BUFFERED_MAX_BYTES) {
+    size_t limit = f->opts.max_buffered_bytes > 0 ? f->opts.max_buffered_bytes
+                                                  : BUFFERED_MAX_BYTES;
+    if (largest && sum > limit) {
         cancel_too_long(f, now_us, largest);
     }
 }
--- a/tests/crowd.c
+++ b/tests/crowd.c
@@ -75,7 +75,7 @@
         struct sockaddr_in from = {
             .sin_family = AF_INET,
             .sin_addr.s_addr = htonl(0x7f010000u + (uint32_t)number + 1)};
-        bind(fd, (void *)&from, sizeof(from));
+        g_assert_cmpint(bind(fd, (void *)&from, sizeof(from)), ==, 0);
     }
     int rc = connect(fd, (void *)&to, sizeof(to));
     if (rc != 0 && errno != EINPROGRESS) {
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -13,6 +13,7 @@
 
 #include "edge/relay.h"
 
+#define IDLE_CONNECTIONS 16
 #define CALLS 200
 #define TIMEOUT_MS 2000
 #define SHORT_TIMEOUT_MS 100
@@ -150,8 +151,10 @@
 {
     memset(c, 0, sizeof(*c));
     c->loop = loop_new();
-    c->relay = relay_new(c->loop, (struct relay_callbacks){
-                                      &c->outcome, on_head, on_bytes, on_end});
+    c->relay = relay_new(
+        c->loop,
+        (struct relay_callbacks){&c->outcome, on_head, on_bytes, on_end},
+        IDLE_CONNECTIONS);
 }
 
 static void
@@ -305,7 +308,8 @@
         struct timed_calls t = {0};
         struct loop *l = loop_new();
         struct relay *r = relay_new(
-            l, (struct relay_callbacks){&t, on_head, on_bytes, on_timed_end});
+            l, (struct relay_callbacks){&t, on_head, on_bytes, on_timed_end},
+            IDLE_CONNECTIONS);
         for (int k = 0; k < 3; k++) {
             struct relay_call call = {
                 .id = (uint64_t)k + 1,
