Close the connection to an endpoint after an error response

A server that had refused a request (503, not executed) and wrote the refusal once more as the next request arrived on the connection made a node take it for the answer to the request that it had sent again there: its id is the same. The request was executed and its caller got 503, which says that it was not. A connection on which a response of 400 or more has come is now closed, so that a request is never sent again where it was refused; a refusal of another request was told apart by its id before.

--- a/src/daemon/gateway_calls.c
+++ b/src/daemon/gateway_calls.c
@@ -76,6 +76,7 @@
                            .header_count = count,
                            .body = x->request.body,
                            .new_connection = call->fresh_connection,
+                           .close_after_error = true,
                            .connect_timeout_ms = CONNECT_TIMEOUT_MS,
                            .timeout_ms = call->timeout_ms};
     relay_start_call(t->relay, &r);
--- a/src/edge/relay.c
+++ b/src/edge/relay.c
@@ -42,6 +42,7 @@
     bool in_active_list;
     bool head_complete;
     bool head_reported;
+    bool close_after_error;
     bool paused;
     bool full; /* libcurl was told to wait until received is passed on */
     size_t head_bytes; /* of all headers and trailers */
@@ -166,6 +167,10 @@
         return len;
     }
     if (c->status >= 200) {
+        if (c->close_after_error && c->status >= 400) {
+            /* libcurl reads this when the response has ended. */
+            curl_easy_setopt(c->easy, CURLOPT_FORBID_REUSE, 1L);
+        }
         c->head_complete = true;
         mark_active(c);
     }
@@ -296,6 +301,7 @@
     c->relay = r;
     c->id = call->id;
     c->length = -1;
+    c->close_after_error = call->close_after_error;
     c->response_headers =
         g_array_new(FALSE, FALSE, sizeof(struct http_header));
     c->easy =
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -22,6 +22,10 @@
     int header_count;
     struct str body;     /**< must stay valid until the call has ended */
     bool new_connection; /**< use a new connection and close it afterwards */
+    /** Close the connection after a response with a status of 400 or more. A
+     * server may write a refusal once more on its connection; if the same
+     * request were sent again there, its id would not tell the two apart. */
+    bool close_after_error;
     int64_t connect_timeout_ms; /**< time-out of connecting */
     int64_t timeout_ms;         /**< for the whole call */
 };
