--- a/tests/test_http_in.c
+++ b/tests/test_http_in.c
@@ -576,6 +576,86 @@
     rig_close(&g);
 }
 
+#define BODY_SHARE_BYTES 65536
+/* Longer than the receipt of the ordinary bodies below, on the rig's clock. */
+#define STALL_US 400000
+
+static int
+connect_and_send(struct rig *g, const char *path, int announced, int sent)
+{
+    CLEANUP(buf_free) struct buf out = {0};
+    char *body = g_strnfill((gsize)sent, 'x');
+    buf_printf(&out,
+               "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s",
+               path, announced, body);
+    int fd = client_connect(http_in_port(g->in));
+    client_send(fd, buf_str(&out));
+    g_free(body);
+    return fd;
+}
+
+static void
+wait_body_bytes(struct rig *g, const char *expected)
+{
+    int64_t end = loop_now_us() + TIMEOUT_US;
+    for (;;) {
+        CLEANUP(buf_free) struct buf text = {0};
+        http_in_append_metrics(g->in, &text);
+        if (strstr(text.ptr, expected)) {
+            return;
+        }
+        g_assert_cmpint(loop_now_us(), <, end);
+        pump(g);
+    }
+}
+
+/* When the share of bodies is exhausted, the body that made least progress is
+ * dropped, also if a single byte of it arrives now and then, and its caller
+ * gets a refusal. Guards against ordinary bodies that are refused instead. */
+static void
+test_body_share(void)
+{
+    struct rig g = {.loop = loop_new()};
+    CLEANUP(buf_free) struct buf in = {0};
+    CLEANUP(buf_free) struct buf refused = {0};
+    const struct http_in_options opts = {
+        .address = STR_LIT("127.0.0.1"),
+        .max_connections = 8,
+        .receive_timeout_ms = 10000,
+        .max_header_bytes = 2048,
+        .budget = {.body_bytes = BODY_SHARE_BYTES},
+        .raw = true,
+        .ctx = &g,
+        .request = on_request,
+        .gone = on_gone};
+    g_assert_cmpint(http_in_new(g.loop, &opts, &g.in), ==, ST_OK);
+    http_in_set_max_body(g.in, 1 << 20);
+    buf_printf(&g.log, "%s", "");
+    int stalled = connect_and_send(&g, "/stalled", 40000, 32000);
+    wait_body_bytes(&g, "cf_http_in_body_bytes{thread=\"0\"} 32768\n");
+    int ordinary = connect_and_send(&g, "/echo", 30000, 20000);
+    g.clock_offset_us = STALL_US;
+    wait_body_bytes(&g, "cf_http_in_body_bytes{thread=\"0\"} 65536\n");
+    client_send(stalled, STR_LIT("x"));
+    for (int i = 0; i < 10; i++) {
+        pump(&g);
+    }
+    int large = connect_and_send(&g, "/echo", 20000, 20000);
+    read_until_text(&g, large, &in, "xxxx");
+    read_until_text(&g, stalled, &refused, "HTTP/1.1 503");
+    g_assert_nonnull(strstr(refused.ptr, "Retry-After"));
+    char *rest = g_strnfill(10000, 'x');
+    client_send(ordinary, str_from_cstr(rest));
+    buf_clear(&in);
+    read_until_text(&g, ordinary, &in, "HTTP/1.1 200");
+    g_assert_null(strstr(g.log.ptr, "/stalled"));
+    close(stalled);
+    close(ordinary);
+    close(large);
+    g_free(rest);
+    rig_close(&g);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -592,6 +672,7 @@
                     test_connections_per_caller);
     g_test_add_func("/http-in/free-while-open", test_free_while_open);
     g_test_add_func("/http-in/large-head", test_large_head);
+    g_test_add_func("/http-in/body-share", test_body_share);
     g_test_add_func("/http-in/tls", test_tls);
     return g_test_run();
 }
