--- a/tests/platform/test_gateway_callers.c
+++ b/tests/platform/test_gateway_callers.c
@@ -77,6 +77,7 @@
 static const struct caller_kind kinds[] = {
     {"bodies", CONTENT_WHOLE, 32, 0, 0, 0, 8 << 20, 0, false},
     {"bodies-in-parts", CONTENT_WHOLE, 32, 0, 0, 0, 16384, 0, false},
+    {"whole-bodies", CONTENT_WHOLE, 32, 0, 4 << 20, 0, 16384, 0, false},
     {"bodies-by-single-bytes", CONTENT_WHOLE, 32, 0, 0, 0, 65536, 200, false},
     {"chunks", CONTENT_CHUNKS, 32, 0, 0, 65536, 65536, 0, true},
     {"one-byte-chunks", CONTENT_CHUNKS, 200, 0, 400 << 10, 1, 65536, 0, false},
