Read orders, records and versions of roll-outs from the store

Cause: the decision core of roll-outs needs orders, records, versions of servers and a message with counts. Change: the feed reports orders (op/rollout) and records; endpoint records carry a version; KV_PUT_IF writes under a condition; message kind rollout; settings expose_share, expose_slack, rollback_ms. Nothing uses them yet. Measured: test_feed, test_feed_era, test_feed_fleet, test_msg, test_platform, test_settings pass.

--- a/src/control/control.c
+++ b/src/control/control.c
@@ -340,6 +340,7 @@
     case MSG_STAGE_DROP:
     case MSG_PREFILL:
     case MSG_PARTS:
+    case MSG_ROLLOUT:
     case MSG_FEED_ASK:
     case MSG_FEED_ANSWER:
     case MSG_TYPE_COUNT:
--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -107,6 +107,7 @@
     f->suspected_until =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     g_queue_init(&f->due_replies);
+    feed_rollout_init(f);
     return f;
 }
 
@@ -131,6 +132,7 @@
     g_hash_table_destroy(f->nodes);
     g_hash_table_destroy(f->registrations);
     g_hash_table_destroy(f->capacities);
+    feed_rollout_free(f);
     g_free(f->node);
     str_free(&f->registered);
     for (int i = 0; i < FEED_RANGE_COUNT; i++) {
--- a/src/control/feed.h
+++ b/src/control/feed.h
@@ -21,6 +21,7 @@
 #include "base/err.h"
 #include "model/feed_relay.h"
 #include "model/cluster_view.h"
+#include "rollout/record.h"
 #include "store/kv.h"
 
 enum feed_key_kind {
@@ -29,6 +30,8 @@
     FEED_KEY_ZONE_OUT,      /**< a zone that is out of service */
     FEED_KEY_NODE,          /**< a node of this system */
     FEED_KEY_CAPACITY,      /**< what a node's machine can do */
+    FEED_KEY_ORDER,         /**< the operator's order for a service */
+    FEED_KEY_ROLLOUT,       /**< the record of a service's roll-out */
     FEED_KEY_OTHER,         /**< ignored */
 };
 
@@ -53,6 +56,9 @@
     void (*node_key)(struct buf *out, struct str name);
     /** Appends the key of a node's capacity; in the same key range. */
     void (*capacity_key)(struct buf *out, struct str name);
+    /** Reads target and duration of an order for a roll-out.
+     * @return ST_INVALID if the bytes do not describe one */
+    enum status (*order)(struct str bytes, struct rollout_order *out);
 };
 
 struct feed;
@@ -100,6 +106,18 @@
  * reference. NULL if it has not changed or no configuration is known. */
 struct cluster_view *feed_take_site(struct feed *f, int64_t now_us);
 
+/** A change of an order for a roll-out, or of the record of one. */
+struct feed_rollout_change {
+    struct str service;
+    bool is_order;
+    struct rollout_order order; /**< target empty: withdrawn */
+    struct str record;          /**< text; empty: the key does not exist */
+    int64_t revision;           /**< of the record */
+};
+/** The next change, in the order in which they became known. Its strings are
+ * valid until the next call into the feed. @return false if there is none */
+bool feed_next_rollout(struct feed *f, struct feed_rollout_change *out);
+
 /** Time of the contact: the send time of the newest answered call that shows
  * the store's state; 0 if there was none. */
 int64_t feed_contact_us(const struct feed *f);
--- a/src/control/feed_records.c
+++ b/src/control/feed_records.c
@@ -354,6 +354,12 @@
     case FEED_KEY_CAPACITY:
         set_capacity(f, key, item);
         break;
+    case FEED_KEY_ORDER:
+        feed_apply_order(f, now_us, key, item);
+        break;
+    case FEED_KEY_ROLLOUT:
+        feed_apply_rollout(f, key, item);
+        break;
     case FEED_KEY_OTHER:
         break;
     }
@@ -380,6 +386,7 @@
 {
     GHashTableIter it;
     gpointer v;
+    feed_mark_rollouts_unseen(f, range);
     switch (range) {
     case FEED_RANGE_OPERATOR:
         mark_names_unseen(f->evacuated_zones);
@@ -445,6 +452,7 @@
 void
 feed_remove_unseen(struct feed *f, int64_t now_us, enum feed_range range)
 {
+    feed_remove_unseen_rollouts(f, now_us, range);
     switch (range) {
     case FEED_RANGE_OPERATOR:
         if (!feed_is_copy_list(f, now_us, range)) {
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -163,8 +163,14 @@
     GHashTable *nodes;           /* name -> 1: unseen, 2: seen in the list */
     GHashTable *registrations;   /* name of node -> what it registered */
     GHashTable *capacities;      /* name of node -> thousandths of a core */
-    uint64_t nodes_version;      /* rises with each change of nodes and
-                                    registrations */
+    GHashTable *orders;          /* service -> struct order_entry */
+    GHashTable *rollouts; /* service with a record -> 1: unseen, 2: seen in the
+                             list */
+    GQueue rollout_changes;                    /* struct feed_rollout_change */
+    struct feed_rollout_change *rollout_taken; /* by the last
+                                                  feed_next_rollout */
+    uint64_t nodes_version; /* rises with each change of nodes and
+                               registrations */
     int sharing_nodes;      /* number of nodes that limits are divided by */
     int64_t fewer_since_us; /* since when there are fewer nodes than that; 0:
                                there are not */
@@ -236,6 +242,19 @@
 /** Frees a struct endpoint_entry. */
 void feed_record_free(gpointer p);
 
+/* feed_rollout.c: orders and records of roll-outs */
+void feed_rollout_init(struct feed *f);
+void feed_rollout_free(struct feed *f);
+/** Applies an item whose key names this service. */
+void feed_apply_order(struct feed *f, int64_t now_us, const char *service,
+                      const struct kv_item *item);
+void feed_apply_rollout(struct feed *f, const char *service,
+                        const struct kv_item *item);
+/** As feed_mark_unseen and feed_remove_unseen. */
+void feed_mark_rollouts_unseen(struct feed *f, enum feed_range range);
+void feed_remove_unseen_rollouts(struct feed *f, int64_t now_us,
+                                 enum feed_range range);
+
 /* feed_register.c: the registration of this node */
 /** Handles the result of the operation lease_op_id. */
 void feed_handle_lease_result(struct feed *f, int64_t now_us,
--- a/src/control/outbox.c
+++ b/src/control/outbox.c
@@ -138,6 +138,7 @@
     case MSG_STAGE_DROP:
     case MSG_PREFILL:
     case MSG_PARTS:
+    case MSG_ROLLOUT:
     case MSG_FEED_ASK:
     case MSG_FEED_ANSWER:
     case MSG_TYPE_COUNT:
--- a/src/daemon/gateway_link.c
+++ b/src/daemon/gateway_link.c
@@ -148,6 +148,7 @@
         break;
     case MSG_FEED_ASK:
     case MSG_FEED_ANSWER:
+    case MSG_ROLLOUT:
         push_to_control(t, m);
         return;
     default:
--- a/src/model/cluster_view.c
+++ b/src/model/cluster_view.c
@@ -43,6 +43,7 @@
         str_free(&s->endpoints[i].id);
         str_free(&s->endpoints[i].address);
         str_free(&s->endpoints[i].zone);
+        str_free(&s->endpoints[i].version);
     }
     for (int i = 0; i < s->alive_count; i++) {
         str_free(&s->alive[i].address);
@@ -63,6 +64,7 @@
     to->id = str_dup(e->id);
     to->address = str_dup(e->address);
     to->zone = str_dup(e->zone);
+    to->version = str_dup(e->version);
     to->service = service;
     to->slots = e->slots;
     to->cold_until_us = cold_until_us;
@@ -177,5 +179,6 @@
     str_free(&e->service);
     str_free(&e->address);
     str_free(&e->zone);
+    str_free(&e->version);
     *e = (struct endpoint_record){0};
 }
--- a/src/model/cluster_view.h
+++ b/src/model/cluster_view.h
@@ -15,6 +15,7 @@
     struct str service; /**< owned, name of its service */
     struct str address; /**< owned, "IP:PORT" */
     struct str zone;    /**< owned */
+    struct str version; /**< owned, of its program; empty: not reported */
     int slots;
     bool draining;      /**< finishes its requests and then stops */
     int64_t cold_us;    /**< remaining time with reduced capacity, as of the
@@ -27,6 +28,7 @@
     struct str id;      /**< owned */
     struct str address; /**< owned */
     struct str zone;    /**< owned */
+    struct str version; /**< owned; empty: not reported */
     int service;        /**< index into the routing's services */
     int slots;
     int64_t cold_until_us; /**< 0: warm */
--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -569,6 +569,7 @@
             (struct rollout_directive){.active = true,
                                        .service = s->hash,
                                        .order = s->has_order ? s->order.id : 0,
+                                       .reports = needs_reports(s),
                                        .valid_until_us = INT64_MAX};
         if (!s->has_record) {
             memcpy(out->target, s->order.target, sizeof(out->target));
--- a/src/rollout/rollout.h
+++ b/src/rollout/rollout.h
@@ -32,6 +32,7 @@
     char target[ROLLOUT_NAME_BYTES];
     char rejected[ROLLOUT_NAME_BYTES];
     int share_ppm;          /**< share of the target, in millionths */
+    bool reports;           /**< counts are needed */
     bool strict;            /**< old servers get no request, even if no new one
                                takes work */
     int64_t valid_until_us; /**< then the share is 0; INT64_MAX: no end */
--- a/src/rollout/traffic.c
+++ b/src/rollout/traffic.c
@@ -50,6 +50,21 @@
     return ROLLOUT_NEW;
 }
 
+bool
+rollout_traffic_is_due(const struct rollout_traffic *t, int64_t now_us)
+{
+    return rollout_traffic_allows_new(t, now_us) &&
+           t->credit + t->directive.share_ppm / PPM >= 1;
+}
+
+void
+rollout_traffic_take(struct rollout_traffic *t, enum rollout_side side)
+{
+    t->credit += t->directive.share_ppm / PPM - (side == ROLLOUT_NEW ? 1 : 0);
+    /* What new servers could not take in time is not made up for. */
+    t->credit = t->credit > 1 ? 1 : t->credit;
+}
+
 int
 rollout_traffic_servers(const struct rollout_traffic *t,
                         const int count[ROLLOUT_SIDES])
--- a/src/rollout/traffic.h
+++ b/src/rollout/traffic.h
@@ -36,6 +36,11 @@
 /** Chooses the version of the next request. */
 enum rollout_side rollout_traffic_choose(struct rollout_traffic *t,
                                          int64_t now_us);
+/** Whether the next request is to go to the new version, for callers that
+ * choose a server before its version; rollout_traffic_take follows. */
+bool rollout_traffic_is_due(const struct rollout_traffic *t, int64_t now_us);
+/** Counts a request that went to this version. */
+void rollout_traffic_take(struct rollout_traffic *t, enum rollout_side side);
 /** The number of new servers that together get the share, each with at least
  * the load that an old one has without a roll-out, as a version may be bad
  * under load only.
--- a/src/settings/gateway_settings.c
+++ b/src/settings/gateway_settings.c
@@ -37,6 +37,12 @@
      1000000, 10, NULL},
     {"bounds", "repeat_window_s", FIELD_SECONDS_AS_MS,
      OFFSET(repeat_window_ms), 100, 3600000, 10000, NULL},
+    {"bounds", "expose_share", FIELD_REAL, OFFSET(expose_share), 0, 1, 0,
+     NULL},
+    {"bounds", "expose_slack", FIELD_ROUNDED_INT, OFFSET(expose_slack), 0,
+     1000000, 0, NULL},
+    {"bounds", "rollback_ms", FIELD_ROUNDED_INT, OFFSET(rollback_ms), 0,
+     3600000, 0, NULL},
     {"limits", "cpu_share", FIELD_REAL, OFFSET(cpu_share), 0, 1000, 0, NULL},
     {"log", "level", FIELD_TEXT, OFFSET(log_level), 0, 15, 0, "info"},
 };
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -35,6 +35,12 @@
     double repeat_ratio; /**< [bounds] repeat_ratio: repeats per request */
     int repeat_slack; /**< [bounds] repeat_slack: repeats added per window */
     int repeat_window_ms; /**< [bounds] repeat_window_s, in ms */
+    double expose_share;  /**< [bounds] expose_share: largest share of a
+                             service's requests for a bad version */
+    int expose_slack;     /**< [bounds] expose_slack: requests beyond it */
+    int rollback_ms;      /**< [bounds] rollback_ms: time from the 50th bad
+                             response to the last request; 0: this node takes
+                             no part in roll-outs */
     double cpu_share;     /**< [limits] cpu_share: cores that the machine gives
                              this process; 0: unknown */
     struct str log_level; /**< [log] level */
--- a/src/store/kv.h
+++ b/src/store/kv.h
@@ -19,6 +19,7 @@
     KV_LEASE_RENEW,  /**< renews lease */
     KV_LEASE_REVOKE, /**< revokes lease */
     KV_PUT,          /**< writes value to key under lease (0: none) */
+    KV_PUT_IF,       /**< as PUT without a lease, if key has if_revision */
 };
 
 /** Strings are not owned and must stay valid until the operation is submitted.
@@ -37,6 +38,7 @@
     struct str second_key; /**< PUT: written with the first one, under the same
                               lease */
     struct str second_value; /**< empty: there is only one key */
+    int64_t if_revision;     /**< PUT_IF: 0: the key does not exist */
     int64_t timeout_ms;
     uint64_t
         via_node; /**< WATCH: hash of a node to query instead; 0: the store */
@@ -47,6 +49,7 @@
     KV_OK,
     KV_COMPACTED,       /**< WATCH: the store no longer keeps the changes after
                            revision */
+    KV_CONFLICT,        /**< PUT_IF: key has another revision */
     KV_LEASE_EXPIRED,   /**< renewal or PUT: the lease has expired */
     KV_NOT_EXECUTED,    /**< the operation was certainly not executed */
     KV_OUTCOME_UNKNOWN, /**< no valid response: a write may have taken effect
--- a/src/wire/msg.c
+++ b/src/wire/msg.c
@@ -391,6 +391,49 @@
     }
 }
 
+/* Most buckets are empty, so a tally has only those from the first one to the
+ * last one that are not. */
+static void
+io_tally(struct io *io, struct rollout_tally *t)
+{
+    int first = 0;
+    int end = ROLLOUT_BUCKETS;
+    io_i64(io, &t->sent, AMOUNT_MAX);
+    io_i64(io, &t->failed, AMOUNT_MAX);
+    while (end > 0 && t->buckets[end - 1] == 0) {
+        end--;
+    }
+    while (first < end && t->buckets[first] == 0) {
+        first++;
+    }
+    io_int(io, &first, ROLLOUT_BUCKETS);
+    io_int(io, &end, ROLLOUT_BUCKETS);
+    for (int i = first; !io->is_malformed && i < end; i++) {
+        io_i64(io, &t->buckets[i], AMOUNT_MAX);
+    }
+}
+
+static void
+io_rollout_report(struct io *io, struct rollout_report *b)
+{
+    io_u64(io, &b->service);
+    io_u64(io, &b->order);
+    io_i64(io, &b->step, INT64_MAX);
+    io_bool(io, &b->is_ack);
+    io_bool(io, &b->stop);
+    io_i64(io, &b->longest_us, DURATION_MAX_US);
+    for (int side = 0; side < ROLLOUT_SIDES; side++) {
+        io_i64(io, &b->counts.running[side], AMOUNT_MAX);
+    }
+    io_int(io, &b->counts.route_count, ROLLOUT_MAX_ROUTES);
+    for (int i = 0; !io->is_malformed && i < b->counts.route_count; i++) {
+        io_u64(io, &b->counts.routes[i].route);
+        for (int side = 0; side < ROLLOUT_SIDES; side++) {
+            io_tally(io, &b->counts.routes[i].sides[side]);
+        }
+    }
+}
+
 static void
 io_msg(struct io *io, struct msg *m)
 {
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -15,6 +15,7 @@
 #include "model/control_request.h"
 #include "model/feed_relay.h"
 #include "model/stage_work.h"
+#include "rollout/record.h"
 
 #define MSG_VERSION 1
 #define MSG_MAX_GOSSIP 8
@@ -99,6 +100,7 @@
  * CREDIT_QUERY, CREDIT_STATE: repeated until answered or settled.
  * STAGE_*: see model/stage_work.h. FEED_*: see model/feed_relay.h.
  * PARTS: see model/part_notice.h.
+ * ROLLOUT: see struct rollout_report.
  */
 #define MSG_LIST(X)                                                           \
     X(PING, "ping", probe, struct probe_body)                                 \
@@ -124,7 +126,8 @@
     X(PREFILL, "prefill", prefill, struct prefill_notice)                     \
     X(FEED_ASK, "feed_ask", feed_query, struct feed_query)                    \
     X(FEED_ANSWER, "feed_answer", feed_reply, struct feed_reply)              \
-    X(PARTS, "parts", part_notice, struct part_notice)
+    X(PARTS, "parts", part_notice, struct part_notice)                        \
+    X(ROLLOUT, "rollout", rollout_report, struct rollout_report)
 
 enum msg_type {
 #define X(id, name, field, type) MSG_##id,
@@ -156,6 +159,7 @@
         struct feed_query feed_query;
         struct feed_reply feed_reply;
         struct part_notice part_notice;
+        struct rollout_report rollout_report;
     };
 };
 
--- a/tests/feed_script.c
+++ b/tests/feed_script.c
@@ -263,6 +263,7 @@
     case KV_LEASE_RENEW:
     case KV_LEASE_REVOKE:
     case KV_PUT:
+    case KV_PUT_IF:
         break;
     }
     return respond_lease(w, c);
