Carry out roll-outs: selection by version, counts, decisions, writes

Change: the traffic thread selects endpoints by version (requests and calls of pieces), counts responses by version and route, and moves resumable streams; the control thread feeds the core and writes records and status by conditional writes. Services without an order use all endpoints as before.

--- a/src/daemon/bridge.c
+++ b/src/daemon/bridge.c
@@ -86,6 +86,7 @@
     if (m->reply) {
         reply_free(m->reply);
     }
+    free(m->report);
     free(m);
 }
 
--- a/src/daemon/bridge.h
+++ b/src/daemon/bridge.h
@@ -17,6 +17,7 @@
 #include "model/control_request.h"
 #include "model/cluster_view.h"
 #include "model/snapshot.h"
+#include "rollout/rollout.h"
 
 /** The fields that each kind of message uses. */
 enum bridge_kind {
@@ -31,8 +32,10 @@
     BRIDGE_METRICS,       /**< to control: id (0: no answer), text */
     BRIDGE_CLUSTER_VIEW,  /**< to traffic: cluster view */
     BRIDGE_FORWARD_OPTIONS, /**< to traffic: forward */
-    BRIDGE_NODE_MESSAGE, /**< both ways: id (node), text (encoded message) */
-    BRIDGE_TRACE_GET,    /**< both ways: id, thread, text, team, is_operator */
+    BRIDGE_NODE_MESSAGE,   /**< both ways: id (node), text (encoded message) */
+    BRIDGE_ROLLOUT,        /**< to traffic: rollout */
+    BRIDGE_ROLLOUT_REPORT, /**< to control: report */
+    BRIDGE_TRACE_GET, /**< both ways: id, thread, text, team, is_operator */
 };
 
 struct bridge_msg {
@@ -48,6 +51,8 @@
     struct snapshot *snapshot;
     struct cluster_view *cluster_view;
     struct forward_options forward;
+    struct rollout_directive rollout;
+    struct rollout_report *report; /**< owned */
     struct control_request *ask;
     struct reply *reply;
 };
--- a/src/daemon/control_thread.c
+++ b/src/daemon/control_thread.c
@@ -321,6 +321,8 @@
     case BRIDGE_CLUSTER_VIEW:
     case BRIDGE_FORWARD_OPTIONS:
     case BRIDGE_NODE_MESSAGE:
+    case BRIDGE_ROLLOUT:
+    case BRIDGE_ROLLOUT_REPORT:
     case BRIDGE_SNAPSHOT:
     case BRIDGE_FRESHNESS:
     case BRIDGE_CONTROL_REPLY:
--- a/src/daemon/gateway_control.c
+++ b/src/daemon/gateway_control.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "control/feed.h"
 #include "daemon/gateway.h"
+#include "daemon/gateway_rollout.h"
 #include "edge/http_in.h"
 #include "edge/loop.h"
 #include "platform/platform.h"
@@ -40,6 +41,7 @@
     struct loop_source *sources[2];
     struct platform_store *store;
     struct feed *feed;
+    struct gateway_rollout *rollout;
     struct http_in *ready_server;
     struct http_in *metrics_server; /* NULL: ready_server serves metrics */
     GArray *metrics_requests;       /* ids of open requests for metrics */
@@ -51,7 +53,10 @@
 on_store(void *ctx, const struct kv_result *r)
 {
     struct gateway_control *c = ctx;
-    feed_handle_result(c->feed, gateway_now_us(), r);
+    int64_t now_us = gateway_now_us();
+    if (!gateway_rollout_handle_result(c->rollout, now_us, r)) {
+        feed_handle_result(c->feed, now_us, r);
+    }
 }
 
 static bool
@@ -138,6 +143,7 @@
                (unsigned long long)platform_store_request_count(c->store));
     buf_printf(&out, "cf_store_contact_age_ms %lld\n",
                contact ? (long long)((gateway_now_us() - contact) / MS) : -1);
+    gateway_rollout_metrics(c->rollout, gateway_now_us(), &out);
     for (guint i = 0; i < c->metrics_requests->len; i++) {
         http_in_send_response(in,
                               g_array_index(c->metrics_requests, uint64_t, i),
@@ -163,12 +169,16 @@
     else if (m.type == MSG_FEED_ANSWER) {
         feed_handle_peer_reply(c->feed, gateway_now_us(), &m.feed_reply);
     }
+    else if (m.type == MSG_ROLLOUT) {
+        gateway_rollout_handle_message(c->rollout, gateway_now_us(), b->id,
+                                       &m.rollout_report);
+    }
 }
 
 static void
-send_peer_message(struct gateway_control *c, uint64_t node,
-                  const struct msg *m)
+send_peer_message(void *ctx, uint64_t node, const struct msg *m)
 {
+    struct gateway_control *c = ctx;
     struct bridge_msg *b = bridge_msg_new(BRIDGE_NODE_MESSAGE);
     struct buf text = {0};
     msg_encode(m, &text);
@@ -191,6 +201,9 @@
         else if (m->kind == BRIDGE_NODE_MESSAGE) {
             handle_peer_message(c, m);
         }
+        else if (m->kind == BRIDGE_ROLLOUT_REPORT) {
+            gateway_rollout_set_counts(c->rollout, m->report);
+        }
         bridge_msg_free(m);
     }
 }
@@ -235,6 +248,7 @@
     m->forward = gateway_forward_options(&next, c->shared->seed);
     m->forward.zone = (struct str){0};
     bridge_push(c->to_traffic, m);
+    gateway_rollout_set_settings(c->rollout, &next);
     gateway_settings_free(&c->current);
     c->current = next;
     LOG_EVENT(LOG_INFO, "reloaded", LOG_STR("store", next.store),
@@ -294,8 +308,11 @@
     if (cluster_view) {
         struct bridge_msg *m = bridge_msg_new(BRIDGE_CLUSTER_VIEW);
         m->cluster_view = cluster_view;
+        gateway_rollout_set_view(c->rollout, cluster_view);
         bridge_push(c->to_traffic, m);
     }
+    gateway_rollout_run(c->rollout, now_us, c->feed, c->store, c->to_traffic,
+                        send_peer_message, c);
     /* Stored after the cluster view that was current at that contact. */
     atomic_store(&c->shared->store_contact_us, feed_contact_us(c->feed));
     bridge_flush(c->to_traffic);
@@ -321,7 +338,9 @@
         platform_store_process_events(c->store, loop_now);
         http_in_process_events(c->ready_server, loop_now);
         int64_t until = gateway_to_loop_time(
-            earliest(feed_next_wakeup_us(c->feed), c->next_settings_check_us));
+            earliest(earliest(feed_next_wakeup_us(c->feed),
+                              gateway_rollout_next_wakeup_us(c->rollout)),
+                     c->next_settings_check_us));
         until = earliest(until, platform_store_next_wakeup_us(c->store));
         until =
             earliest(until, http_in_next_wakeup_us(c->ready_server, loop_now));
@@ -342,6 +361,7 @@
     http_in_free(c->ready_server);
     platform_store_free(c->store);
     feed_free(c->feed);
+    gateway_rollout_free(c->rollout);
     for (int i = 0; i < 2; i++) {
         if (c->sources[i]) {
             loop_remove(c->loop, c->sources[i]);
@@ -396,6 +416,7 @@
                        shared->seed);
     feed_set_capacity(c->feed, (int)lround(set->cpu_share * 1000));
     buf_free(&registered);
+    c->rollout = gateway_rollout_new(set);
     c->store = platform_store_new(c->loop, set->store, on_store, c);
     if (st == ST_OK) {
         st = open_probe_server(c, set->ready, on_ready_request,
--- a/src/daemon/gateway_traffic.c
+++ b/src/daemon/gateway_traffic.c
@@ -20,6 +20,7 @@
 #define DEFAULT_IDLE_TIMEOUT_MS 60000
 /* The loop runs at least this often, so that a stalled thread is noticed. */
 #define MAX_TURN_US (200 * MS)
+#define ROLLOUT_REPORT_US (80 * MS)
 /* While the node drains, requests whose body takes longer are refused before
  * its end; most bodies arrive with their head. */
 #define SLOW_BODY_US (200 * MS)
@@ -217,6 +218,9 @@
         case BRIDGE_METRICS:
             send_metrics(t);
             break;
+        case BRIDGE_ROLLOUT:
+            forward_set_rollout(t->forward, gateway_now_us(), &m->rollout);
+            break;
         default:
             break;
         }
@@ -244,6 +248,26 @@
     }
 }
 
+/* Reports the counts of roll-outs, if any is in progress. */
+static void
+report_rollouts(struct gateway_traffic *t, int64_t now_us)
+{
+    struct rollout_report report;
+    int at = 0;
+    if (now_us < t->next_rollout_report_us) {
+        return;
+    }
+    t->next_rollout_report_us = now_us + ROLLOUT_REPORT_US;
+    t->reports_rollouts = false;
+    while ((at = forward_rollout_report(t->forward, at, &report)) > 0) {
+        struct bridge_msg *m = bridge_msg_new(BRIDGE_ROLLOUT_REPORT);
+        m->report = mem_calloc(1, sizeof(*m->report));
+        *m->report = report;
+        t->reports_rollouts = true;
+        bridge_push(t->to_control, m);
+    }
+}
+
 static void
 report_open_requests(struct gateway_traffic *t, int phase)
 {
@@ -284,12 +308,16 @@
         }
         forward_run(t->forward, gateway_now_us());
         report_open_requests(t, phase);
+        report_rollouts(t, now);
         int64_t until =
             earliest(loop_now + MAX_TURN_US,
                      gateway_to_loop_time(forward_next_wakeup_us(t->forward)));
         until = earliest(until, http_in_next_wakeup_us(t->in, loop_now));
         until = earliest(until, relay_next_wakeup_us(t->relay));
         until = t->link_ready ? loop_now : until;
+        if (t->reports_rollouts) {
+            until = earliest(until, loop_now + ROLLOUT_REPORT_US);
+        }
         loop_run_once(t->loop, until);
     }
     return NULL;
--- a/src/daemon/gateway_traffic_state.h
+++ b/src/daemon/gateway_traffic_state.h
@@ -48,6 +48,8 @@
     int64_t next_notice_connect_us; /* earliest time of the next connection for
                                      notices */
     uint64_t last_release_id;
+    int64_t next_rollout_report_us;
+    bool reports_rollouts; /* a roll-out needs counts */
     bool draining;
 };
 
--- a/src/daemon/traffic_thread.c
+++ b/src/daemon/traffic_thread.c
@@ -312,6 +312,8 @@
     case BRIDGE_CLUSTER_VIEW:
     case BRIDGE_FORWARD_OPTIONS:
     case BRIDGE_NODE_MESSAGE:
+    case BRIDGE_ROLLOUT:
+    case BRIDGE_ROLLOUT_REPORT:
         break;
     }
     bridge_msg_free(m);
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -51,6 +51,7 @@
     e->id = str_dup(from->id);
     e->address = str_dup(from->address);
     e->zone = str_dup(from->zone);
+    e->version = str_dup(from->version);
     e->hash = hash64(from->id);
     e->slowness = 1.0;
     e->reported_running = -1;
@@ -66,6 +67,7 @@
     str_free(&e->id);
     str_free(&e->address);
     str_free(&e->zone);
+    str_free(&e->version);
     g_hash_table_destroy(e->cached_parts);
     free(e);
 }
@@ -184,8 +186,8 @@
 bool
 endpoint_is_available(const struct endpoint *e, int64_t now_us)
 {
-    if (!e->usable || e->leaving || now_us < e->ejected_until_us ||
-        now_us < e->paused_until_us) {
+    if (!e->usable || e->leaving || e->withheld ||
+        now_us < e->ejected_until_us || now_us < e->paused_until_us) {
         return false;
     }
     return now_us >= e->cold_until_us || e->cold_requests_per_s <= 0 ||
--- a/src/forward/endpoints.h
+++ b/src/forward/endpoints.h
@@ -12,6 +12,7 @@
 #include "base/str.h"
 #include "model/cluster_view.h"
 #include "model/stage_work.h"
+#include "rollout/traffic.h"
 
 /** Assumed prefill speed of an engine, in tokens per ms. Only used to rank
  * engines against each other. */
@@ -21,10 +22,18 @@
     struct str id;      /**< owned */
     struct str address; /**< owned */
     struct str zone;    /**< owned */
+    struct str version; /**< owned, of its program */
     uint64_t hash;      /**< hash of id */
-    bool usable;        /**< listed in the current cluster view */
-    bool leaving; /**< has said that it is about to stop; it gets no new work
-                     until it starts again */
+    uint64_t service;   /**< hash of the name of its service */
+    /** See versions.h. */
+    enum rollout_class version_class;
+    bool version_chosen;      /**< gets requests of the new version's share */
+    uint64_t version_rank;    /**< order in which new endpoints are chosen */
+    int64_t version_break_us; /**< when its calls last broke; 0: never */
+    bool withheld; /**< may not be selected now, because of its version */
+    bool usable;   /**< listed in the current cluster view */
+    bool leaving;  /**< has said that it is about to stop; it gets no new work
+                      until it starts again */
     int64_t paused_until_us; /**< it has asked for no work until then */
     int64_t unlisted_us;     /**< when it left the cluster view */
     int64_t started_ms;      /**< start time of its process; 0: unknown */
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "forward/crashes.h"
 #include "forward/state.h"
+#include "forward/versions.h"
 
 /* An unknown route or credential is refused permanently only if the
  * configuration is at most this old; otherwise it may have been added since.
@@ -49,6 +50,7 @@
 {
     str_free(&s->info.name);
     g_ptr_array_free(s->endpoints, TRUE);
+    free(s->rollout);
     free(s->waiting);
     free(s);
 }
@@ -70,6 +72,7 @@
     }
     owners_free(f);
     crashes_free(f);
+    versions_free(f);
     for (at = 0; (v = map_next(&f->services, &at));) {
         service_free(v);
     }
@@ -152,6 +155,11 @@
         str_free(&e->address);
         e->address = str_dup(from->address);
     }
+    if (!str_eq(e->version, from->version)) {
+        str_free(&e->version);
+        e->version = str_dup(from->version);
+    }
+    e->service = hash64(info->name);
     e->usable = true;
     endpoint_set_start(e, from->started_ms);
     e->cold_requests_per_s = info->cold_requests_per_s;
@@ -195,6 +203,9 @@
         }
     }
     owners_set_site(f, now_us);
+    for (at = 0; (v = map_next(&f->services, &at));) {
+        versions_update(f, v);
+    }
     free_unused(f, now_us);
     f->dispatch_needed = true;
 }
@@ -478,6 +489,7 @@
     f->last_run_us = now_us;
     stop_run(f, now_us);
     crashes_run(f, now_us);
+    versions_run(f, now_us);
     owners_run(f, now_us);
 }
 
--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -11,6 +11,7 @@
 #include "forward/types.h"
 #include "forward/window.h"
 #include "model/cluster_view.h"
+#include "rollout/rollout.h"
 
 struct forward_options {
     struct str node; /**< name of this node */
@@ -43,6 +44,15 @@
 /** Returns whether requests of teams are accepted. */
 bool forward_accepts_teams(const struct forward *f, int64_t now_us);
 
+/** Applies the directive of a service's roll-out. */
+void forward_set_rollout(struct forward *f, int64_t now_us,
+                         const struct rollout_directive *d);
+/** Writes the counts of the next service whose roll-out needs them.
+ * @param from 0 for the first one, then the returned value
+ * @return 0: there are no more */
+int forward_rollout_report(const struct forward *f, int from,
+                           struct rollout_report *out);
+
 /** Handles a request that has been received completely. */
 void forward_accept(struct forward *f, int64_t now_us,
                     const struct forward_request *r);
--- a/src/forward/owners.c
+++ b/src/forward/owners.c
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "forward/crashes.h"
 #include "forward/state.h"
+#include "forward/versions.h"
 
 /* Maximum number of endpoints in one group. A group is owned by one node,
  * which batches the pieces of all nodes for it. With fewer than four endpoints
@@ -85,6 +86,7 @@
     struct forward *f = ctx;
     f->counters.piece_calls++;
     f->counters.pieces += (uint64_t)call->item_count;
+    versions_pieces_sent(f, call);
     f->io.send_pieces(f->io.ctx, call);
 }
 
@@ -608,6 +610,10 @@
     detect_silent_owners(f, now_us);
     pieces_check_requests(f, now_us);
     while ((e = map_next(&f->pools, &at))) {
+        struct service_state *s = map_get(&f->services, e->service);
+        if (s) {
+            versions_prepare_group(f, now_us, s, e->group);
+        }
         stage_pool_run(e->pool, now_us);
     }
     while ((m = g_queue_pop_head(&f->inbox))) {
@@ -640,6 +646,7 @@
     size_t at = 0;
     struct pool_entry *e;
     f->dispatch_needed = true;
+    versions_pieces_ended(f, now_us, call, end, status, meta, count, results);
     while ((e = map_next(&f->pools, &at))) {
         if (stage_pool_call_ended(e->pool, now_us, call, end, status, meta,
                                   count, results)) {
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -91,7 +91,7 @@
     uint64_t key = p->chain[p->count - 2];
     for (guint i = 0; i < endpoints->len; i++) {
         const struct endpoint *e = g_ptr_array_index(endpoints, i);
-        if (!e->usable || e->leaving) {
+        if (!e->usable || e->leaving || e->withheld) {
             continue;
         }
         if (!out[0] ||
@@ -187,7 +187,8 @@
     int64_t next = INT64_MAX;
     for (guint i = 0; i < endpoints->len; i++) {
         const struct endpoint *e = g_ptr_array_index(endpoints, i);
-        if (!e->usable || e->leaving || is_excluded(query, e, now_us)) {
+        if (!e->usable || e->leaving || e->withheld ||
+            is_excluded(query, e, now_us)) {
             continue;
         }
         int64_t at = MAX(now_us, MAX(e->ejected_until_us, e->paused_until_us));
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "forward/crashes.h"
 #include "forward/state.h"
+#include "forward/versions.h"
 
 /* Cost of another zone for plain calls: a round trip. */
 #define ZONE_PENALTY_US (1 * MS)
@@ -265,6 +266,7 @@
     endpoint_record_send(e, forward_node_count(f), now_us);
     map_put(&f->calls, r->call, r);
     f->counters.sends++;
+    versions_call_sent(f, r);
     struct forward_call call = {
         .id = r->call,
         .request = r->id,
@@ -335,12 +337,12 @@
         query.zone = results_zone(f, r);
         query.zone_penalty_us = RESULT_ZONE_PENALTY_US;
     }
-    struct endpoint *e = place_select(r->service->endpoints, &query, now_us);
+    struct endpoint *e = versions_select(f, now_us, r, &query);
     if (!e && query.tried_count > 0) {
         /* All other endpoints are unavailable; one that was tried may accept
          * work by now. */
         query.tried_count = r->may_have_run ? query.tried_count : 0;
-        e = place_select(r->service->endpoints, &query, now_us);
+        e = versions_select(f, now_us, r, &query);
     }
     if (e) {
         remove_waiting(r);
--- a/src/forward/response.c
+++ b/src/forward/response.c
@@ -2,6 +2,7 @@
 #include "forward/crashes.h"
 #include "forward/state.h"
 #include "forward/stop.h"
+#include "forward/versions.h"
 
 /* Maximum number of sends of one request that reached no endpoint or were
  * rejected without being run. */
@@ -116,11 +117,13 @@
     req_send_or_wait(f, now_us, r);
 }
 
-/* Handles a call that ended without a usable response. */
+/* Handles a call that ended without a usable response.
+ * @param broke its connection broke */
 static void
 handle_broken_call(struct forward *f, int64_t now_us, struct request *r,
-                   const char *why)
+                   bool broke, const char *why)
 {
+    versions_call_bad(f, now_us, r, broke);
     detach_broken_call(f, now_us, r, why);
     if (req_take_repeat(f, now_us, r)) {
         send_repeat(f, now_us, r);
@@ -236,6 +239,9 @@
     }
     record_progress(f, now_us, r);
     const char *why = NULL;
+    if (status >= 500 && meta->same_request) {
+        versions_call_bad(f, now_us, r, false);
+    }
     if (!meta->same_request) {
         f->counters.crossed++;
         why = "the answer belongs to another request";
@@ -251,7 +257,7 @@
                 meta->content_encoded)) {
         endpoint_record_failure(e, now_us, false);
         f->io.cancel_call(f->io.ctx, r->call);
-        handle_broken_call(f, now_us, r, why);
+        handle_broken_call(f, now_us, r, false, why);
         return;
     }
     if (why && !crashes_is_blocked(f, r) && !stop_refuses(f, r, now_us) &&
@@ -276,7 +282,8 @@
         /* A resumed stream keeps the response head of its first endpoint. */
         if (!is_success_status(status)) {
             f->io.cancel_call(f->io.ctx, r->call);
-            handle_broken_call(f, now_us, r, "the stream was not resumed");
+            handle_broken_call(f, now_us, r, false,
+                               "the stream was not resumed");
         }
         return;
     }
@@ -365,6 +372,7 @@
         crashes_response_started(f, now_us, r);
     }
     if (req_is_stream(r)) {
+        versions_call_good(f, now_us, r);
         r->endpoint->streams++;
         response_watch_silence(f, now_us, r);
     }
@@ -376,7 +384,7 @@
     f->counters.too_long++;
     endpoint_record_failure(r->endpoint, now_us, false);
     f->io.cancel_call(f->io.ctx, r->call);
-    handle_broken_call(f, now_us, r, "the answer is too long");
+    handle_broken_call(f, now_us, r, false, "the answer is too long");
 }
 
 /* If the buffered responses exceed their limit, cancels the largest one: those
@@ -447,6 +455,7 @@
     }
     f->io.finish_response(f->io.ctx, r->id);
     f->counters.answers++;
+    versions_call_good(f, now_us, r);
     stop_record_call(f, r, now_us);
     crashes_request_answered(f, now_us, r);
     hist_add(&f->latency, now_us - r->arrived_us);
@@ -489,12 +498,12 @@
     case CALL_END_TIMED_OUT:
         endpoint_record_failure(e, now_us, false);
         crashes_call_broken(f, now_us, r);
-        handle_broken_call(f, now_us, r,
+        handle_broken_call(f, now_us, r, true,
                            "the connection to the endpoint broke");
         return;
     case CALL_END_MALFORMED:
         endpoint_record_failure(e, now_us, false);
-        handle_broken_call(f, now_us, r,
+        handle_broken_call(f, now_us, r, false,
                            "what the endpoint sent is no answer");
         return;
     case CALL_END_COMPLETE:
@@ -502,7 +511,7 @@
     }
     if (!is_whole_response(r)) {
         crashes_call_broken(f, now_us, r);
-        handle_broken_call(f, now_us, r, "the answer is not whole");
+        handle_broken_call(f, now_us, r, false, "the answer is not whole");
         return;
     }
     req_detach_call(f, r);
@@ -520,6 +529,7 @@
     for (int i = 0; i < r->tried_count; i++) {
         query.tried[i] = r->tried[i];
     }
+    versions_withhold_for(f, now_us, r);
     return !crashes_is_blocked(f, r) && !stop_refuses(f, r, now_us) &&
            place_next_available_us(r->service->endpoints, &query, now_us) <=
                now_us;
@@ -529,6 +539,7 @@
 abandon_silent_call(struct forward *f, int64_t now_us, struct request *r)
 {
     f->counters.silent++;
+    versions_call_bad(f, now_us, r, false);
     endpoint_record_silence(r->endpoint, now_us);
     f->io.cancel_call(f->io.ctx, r->call);
     detach_broken_call(f, now_us, r, "the endpoint is silent");
@@ -583,6 +594,17 @@
     abandon_silent_call(f, now_us, r);
 }
 
+void
+response_move_stream(struct forward *f, int64_t now_us, struct request *r)
+{
+    if (can_be_sent_elsewhere(f, r, now_us) && !pieces_were_released(r) &&
+        req_take_repeat(f, now_us, r)) {
+        f->io.cancel_call(f->io.ctx, r->call);
+        detach_broken_call(f, now_us, r, "the service moves to a version");
+        send_repeat(f, now_us, r);
+    }
+}
+
 /* Returns whether the endpoint of a call may have been silent since the call
  * was sent: nothing came from it, and an endpoint of the service that has
  * streams to send sent nothing either. */
@@ -622,6 +644,7 @@
 response_handle_deadline(struct forward *f, int64_t now_us, struct request *r)
 {
     if (r->call) {
+        versions_call_bad(f, now_us, r, false);
         f->io.cancel_call(f->io.ctx, r->call);
         endpoint_record_failure(r->endpoint, now_us, false);
         req_detach_call(f, r);
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -121,7 +121,11 @@
     bool results_released;    /* stage results were released */
     bool preparing;           /* the stages run again beside the silent call,
                                  for a repeat */
-    bool trial;               /* sent although its prompt parts are blocked */
+    bool version_asked;       /* version_side is set */
+    bool version_counted;     /* the current call's response was counted */
+    bool version_failed;      /* as bad */
+    enum rollout_side version_side; /* chosen, or of the last call */
+    bool trial; /* sent although its prompt parts are blocked */
 };
 
 /* A request for pieces that was sent to the owner of an endpoint group. */
@@ -179,6 +183,11 @@
     } waits[WAIT_PRIORITIES];
     struct request **waiting; /* for an endpoint, oldest first */
     int waiting_count;
+    struct rollout_traffic *rollout;   /* NULL: there was no directive */
+    int version_counts[ROLLOUT_SIDES]; /* of endpoints, without rejected ones
+                                        */
+    int64_t moved_us; /* when all traffic went to the new version; 0: it does
+                         not */
     int64_t waiting_retry_us; /* when an endpoint may accept work again */
     int waiting_cap;
 };
@@ -217,10 +226,12 @@
                                 call_duration */
     bool dispatch_needed;    /* pieces or waiting requests may be sendable */
     struct blame *blames[CRASH_SUBJECT_COUNT];
-    struct map probes;    /* call -> struct crash_probe */
-    int64_t probe_due_us; /* next repeated probe; INT64_MAX: none */
-    int64_t sync_due_us;  /* next repetition of the blocks; INT64_MAX: none
-                           */
+    struct map version_calls;  /* call -> struct version_call */
+    int64_t versions_check_us; /* next versions_run */
+    struct map probes;         /* call -> struct crash_probe */
+    int64_t probe_due_us;      /* next repeated probe; INT64_MAX: none */
+    int64_t sync_due_us; /* next repetition of the blocks; INT64_MAX: none
+                          */
     struct {
         int64_t since_us; /* start of the second of the number */
         int accepted;
@@ -291,6 +302,10 @@
 void response_handle_deadline(struct forward *f, int64_t now_us,
                               struct request *r);
 
+/** Continues a stream at another endpoint, if it may be repeated. */
+void response_move_stream(struct forward *f, int64_t now_us,
+                          struct request *r);
+
 /* pieces.c */
 /** Initializes the stages. @return false if a stage has no service */
 bool pieces_init(struct forward *f, int64_t now_us, struct request *r);
--- a/src/rollout/record.c
+++ b/src/rollout/record.c
@@ -4,7 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#define PPM 1000000
+#define PPM ROLLOUT_PPM
 
 static const char *const phase_names[] = {"observe", "move", "close",
                                           "completed", "rolled_back"};
--- a/src/rollout/record.h
+++ b/src/rollout/record.h
@@ -13,6 +13,9 @@
 /** Longest name of a version or service, with a NUL. */
 #define ROLLOUT_NAME_BYTES 64
 
+/** Shares are in millionths. */
+#define ROLLOUT_PPM 1000000
+
 enum rollout_phase {
     ROLLOUT_OBSERVE,     /**< the new version gets a share */
     ROLLOUT_MOVE,        /**< it gets all requests; may be taken back */
--- a/src/rollout/rollout_state.h
+++ b/src/rollout/rollout_state.h
@@ -12,7 +12,7 @@
 
 #define MS 1000LL
 #define SECOND 1000000LL
-#define PPM 1000000
+#define PPM ROLLOUT_PPM
 
 /* Interval of reports and decisions. Detection, report and acknowledgement
  * take three of them, which is far below rollback_us. */
