--- a/tests/platform/fake_platform.c
+++ b/tests/platform/fake_platform.c
@@ -15,6 +15,9 @@
 
 #define HISTORY 4096
 
+/* Entries of a transaction. */
+#define MAX_TRANSACTION 32
+
 struct item {
     char *key;
     char *value; /* base64 */
@@ -295,6 +298,24 @@
 {
     size_t i;
     const json_t *w;
+    const json_t *conditions = json_object_get(body, "ifRevision");
+    if (json_array_size(conditions) +
+            json_array_size(json_object_get(body, "writes")) +
+            json_array_size(json_object_get(body, "remove")) >
+        MAX_TRANSACTION) {
+        reply(r, 400, json_object());
+        return;
+    }
+    json_array_foreach(conditions, i, w)
+    {
+        const struct item *old = g_hash_table_lookup(
+            st.items, json_string_value(json_object_get(w, "key")));
+        if ((old ? old->revision : 0) !=
+            json_integer_value(json_object_get(w, "revision"))) {
+            reply(r, 412, json_object());
+            return;
+        }
+    }
     json_array_foreach(json_object_get(body, "writes"), i, w)
     {
         int64_t lease = json_integer_value(json_object_get(w, "lease"));
--- a/tests/platform/fake_server.c
+++ b/tests/platform/fake_server.c
@@ -43,12 +43,13 @@
     int64_t retry_after_s; /* pause that rejections ask for; 0: none */
     int64_t crash_part; /* exits after the response head of a request with this
                            prompt part; 0: none */
-    int64_t leaving;    /* says in all responses that it is about to stop */
-    int64_t arrivals;   /* requests that arrived */
-    int64_t break_at;   /* the next stream stops after this event; -1: none */
-    int64_t inputs;     /* requests that had inputs */
-    GArray *log;        /* struct arrival, requests other than for pieces */
-    int64_t silent_us;  /* length of a silence, with open connections */
+    int64_t fail_tenths; /* of the responses are failures */
+    int64_t leaving;     /* says in all responses that it is about to stop */
+    int64_t arrivals;    /* requests that arrived */
+    int64_t break_at;    /* the next stream stops after this event; -1: none */
+    int64_t inputs;      /* requests that had inputs */
+    GArray *log;         /* struct arrival, requests other than for pieces */
+    int64_t silent_us;   /* length of a silence, with open connections */
     int64_t silent_every_us; /* from one begin to the next; 0: only one */
     uint64_t silence_timer;
     bool protocol_error; /* a request violated the protocol */
@@ -191,6 +192,10 @@
         return;
     }
     sign(r, id);
+    if ((sv.arrivals * 7) % 10 < sv.fail_tenths) {
+        fh_reply_json(r, 500, json_object());
+        return;
+    }
     if (sv.events > 0) {
         begin_stream(r, id);
         return;
@@ -328,6 +333,7 @@
                 &sv.drop_after, "shed", &sv.shed, "break_at", &sv.break_at,
                 "delay_us", &sv.delay_us, "retry_after_s", &sv.retry_after_s,
                 "leaving", &sv.leaving, "crash_part", &sv.crash_part);
+    json_unpack(o, "{s?I}", "fail_tenths", &sv.fail_tenths);
     json_unpack(o, "{s?I,s?I,s?I,s?I,s?I}", "events", &sv.events,
                 "event_gap_us", &sv.event_gap_us, "tag_events", &sv.tag_events,
                 "read_inputs", &sv.read_inputs, "stage_delay_us",
--- a/tests/platform/rig_platform.c
+++ b/tests/platform/rig_platform.c
@@ -40,15 +40,43 @@
     g_free(path);
 }
 
+bool
+platform_rig_get(const struct platform_rig *r, const char *key,
+                 struct buf *out)
+{
+    char *path = g_strdup_printf("/kv-range?prefix=%s", key);
+    struct buf body = {0};
+    bool found = false;
+    if (proc_http_request(r->store.port, "GET", path, "", STR_LIT(""),
+                          &body) == 200) {
+        json_t *doc = json_loadb(body.ptr, body.len, 0, NULL);
+        const char *value = json_string_value(json_object_get(
+            json_array_get(json_object_get(doc, "items"), 0), "value"));
+        struct str text = str_from_base64(value);
+        found = value != NULL;
+        buf_clear(out);
+        buf_append_str(out, text);
+        str_free(&text);
+        json_decref(doc);
+    }
+    buf_free(&body);
+    g_free(path);
+    return found;
+}
+
 void
 platform_rig_register_server_at(struct platform_rig *r, int server,
                                 const char *state, int port)
 {
+    const char *version = r->versions[server];
     char *key = g_strdup_printf("servers/%s", server_specs[server].id);
     char *text = g_strdup_printf(
         "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\","
-        "\"slots\":8,\"state\":\"%s\",\"coldRemainingMs\":0,\"born\":%d}",
-        server_specs[server].service, port, state ? state : "", server + 1);
+        "\"slots\":8,\"state\":\"%s\",\"coldRemainingMs\":0,\"born\":%d%s%s%"
+        "s}",
+        server_specs[server].service, port, state ? state : "", server + 1,
+        version ? ",\"version\":\"" : "", version ? version : "",
+        version ? "\"" : "");
     platform_rig_put(r, key, state ? text : NULL);
     g_free(key);
     g_free(text);
@@ -138,18 +166,21 @@
         r->ready_port[i] = rig_find_free_port();
         r->link_port[i] = rig_find_free_port();
     }
-    char *text =
-        g_strdup_printf("[node]\nname = \"%s\"\nzone = \"a\"\n"
-                        "first_start = %s\n"
-                        "[callers]\naddress = \"127.0.0.1:%d\"\n"
-                        "[ready]\naddress = \"127.0.0.1:%d\"\n"
-                        "[link]\naddress = \"127.0.0.1:%d\"\n"
-                        "[store]\naddress = \"127.0.0.1:%d\"\n"
-                        "[stop]\nlimit_s = %d\nbalancer_ms = %d\n"
-                        "[bounds]\nrepeat_slack = %d\n",
-                        name, first_start ? "true" : "false", p->port,
-                        r->ready_port[i], r->link_port[i], r->store_port,
-                        r->stop_limit_s, r->stop_balancer_ms, r->repeat_slack);
+    char *text = g_strdup_printf(
+        "[node]\nname = \"%s\"\nzone = \"a\"\n"
+        "first_start = %s\n"
+        "[callers]\naddress = \"127.0.0.1:%d\"\n"
+        "[ready]\naddress = \"127.0.0.1:%d\"\n"
+        "[link]\naddress = \"127.0.0.1:%d\"\n"
+        "[store]\naddress = \"127.0.0.1:%d\"\n"
+        "[stop]\nlimit_s = %d\nbalancer_ms = %d\n"
+        "[bounds]\nrepeat_slack = %d\n%s",
+        name, first_start ? "true" : "false", p->port, r->ready_port[i],
+        r->link_port[i], r->store_port, r->stop_limit_s, r->stop_balancer_ms,
+        r->repeat_slack,
+        r->decides_rollouts ? "expose_share = 0.1\nexpose_slack = 50\n"
+                              "rollback_ms = 5000\n"
+                            : "");
     g_file_set_contents(path, text, -1, NULL);
     g_free(text);
     const char *args[] = {path, NULL};
--- a/tests/platform/rig_platform.h
+++ b/tests/platform/rig_platform.h
@@ -39,6 +39,9 @@
     int version;
     /** Settings of the nodes; set before they start. */
     int repeat_slack;
+    bool decides_rollouts;            /**< the bounds of roll-outs are set */
+    const char *versions[PR_SERVERS]; /**< of the servers' records; NULL:
+                                         none */
     int stop_limit_s;
     int stop_balancer_ms;
     int plain_timeout_ms; /**< of the routes of the plain service, for
@@ -61,6 +64,9 @@
  * NULL removes it. */
 void platform_rig_put(const struct platform_rig *r, const char *key,
                       const char *text);
+/** Reads an item of the store into @p out. @return false if there is none */
+bool platform_rig_get(const struct platform_rig *r, const char *key,
+                      struct buf *out);
 /** Writes a configuration with these credentials (JSON strings). */
 void platform_rig_set_credentials(struct platform_rig *r, const char *keys);
 /** Writes the record of a server; @p state NULL removes it. */
