--- a/src/rollout/decide.c
+++ b/src/rollout/decide.c
@@ -377,7 +377,8 @@
     take_snapshot(s, now_us, &sum);
     if (s->stopped_order == s->order.id || rollout_is_bad(s, &why)) {
         stop_nodes(r, s);
-        propose(r, s, now_us, ROLLOUT_ROLLED_BACK, 0, why ? why : "bad");
+        propose(r, s, now_us, ROLLOUT_ROLLED_BACK, 0,
+                why ? why : "bad by an earlier decision");
         return;
     }
     if (elapsed_us >= s->order.duration_us - DEADLINE_MARGIN_US) {
