Show roll-outs at /rollouts and with the command rollouts

Change: the readiness address serves the roll-outs as JSON with the evidence of this node; camphorfall rollouts prints them.

--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -225,6 +225,7 @@
     {"zone", 2, 2, true, true, zone, "zone out|in ZONE --reason TEXT"},
     {"vm", 2, 2, true, true, vm, "vm out|in VM --reason TEXT"},
     {"status", 0, 0, false, true, cli_show_status, "status"},
+    {"rollouts", 0, 0, false, true, cli_show_rollouts, "rollouts"},
     {"run", 1, 2, false, true, cli_run_pipeline,
      "run PIPELINE [FILE] [--key KEY] [--stream] [--deadline-ms N]"},
     {"trace", 1, 1, false, true, cli_show_trace, "trace REQUEST-ID"},
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -101,6 +101,7 @@
 int cli_run_pipeline(const struct cli *c);
 int cli_show_trace(const struct cli *c);
 int cli_show_status(const struct cli *c);
+int cli_show_rollouts(const struct cli *c);
 int cli_show_diff(const struct cli *c, json_t *file);
 
 /** Parses a configuration file: TOML if its name ends in .toml, else JSON.
--- a/src/cli/show.c
+++ b/src/cli/show.c
@@ -137,13 +137,14 @@
     fputc('\n', c->io.out);
 }
 
-int
-cli_show_status(const struct cli *c)
+/* Prints an object of the node at @p path, its lists as tables. */
+static int
+show_object(const struct cli *c, const char *path)
 {
     CLEANUP(decref) json_t *o = NULL;
     const char *key;
     json_t *v;
-    int rc = cli_get(c, "/admin/status", &o);
+    int rc = cli_get(c, path, &o);
     if (rc != CLI_DONE) {
         return rc;
     }
@@ -165,3 +166,15 @@
     }
     return rc;
 }
+
+int
+cli_show_status(const struct cli *c)
+{
+    return show_object(c, "/admin/status");
+}
+
+int
+cli_show_rollouts(const struct cli *c)
+{
+    return show_object(c, "/rollouts");
+}
--- a/src/daemon/gateway_control.c
+++ b/src/daemon/gateway_control.c
@@ -103,6 +103,16 @@
     request_metrics(ctx, r->id);
 }
 
+static void
+answer_rollouts(struct gateway_control *c, uint64_t id)
+{
+    struct buf out = {0};
+    gateway_rollout_show(c->rollout, gateway_now_us(), &out);
+    http_in_send_response(c->ready_server, id, 200, "application/json",
+                          buf_str(&out));
+    buf_free(&out);
+}
+
 static void
 on_ready_request(void *ctx, const struct http_in_request *r)
 {
@@ -113,6 +123,9 @@
     else if (!c->metrics_server && str_eq_cstr(r->path, "/metrics")) {
         request_metrics(c, r->id);
     }
+    else if (str_eq_cstr(r->path, "/rollouts")) {
+        answer_rollouts(c, r->id);
+    }
     else {
         http_in_send_error(c->ready_server, r->id, ERRKIND_NOT_FOUND,
                            STR_LIT(""), 0);
--- a/src/daemon/gateway_rollout.c
+++ b/src/daemon/gateway_rollout.c
@@ -263,6 +263,13 @@
     return g->sent->len > 0 ? MIN(at, g->next_resend_us) : at;
 }
 
+void
+gateway_rollout_show(const struct gateway_rollout *g, int64_t now_us,
+                     struct buf *out)
+{
+    rollout_show(g->core, now_us, out);
+}
+
 void
 gateway_rollout_metrics(const struct gateway_rollout *g, int64_t now_us,
                         struct buf *out)
--- a/src/daemon/gateway_rollout.h
+++ b/src/daemon/gateway_rollout.h
@@ -39,6 +39,9 @@
     struct platform_store *store, struct bridge *to_traffic,
     void (*send)(void *ctx, uint64_t node, const struct msg *m), void *ctx);
 int64_t gateway_rollout_next_wakeup_us(const struct gateway_rollout *g);
+/** Appends all roll-outs as JSON, see rollout_show. */
+void gateway_rollout_show(const struct gateway_rollout *g, int64_t now_us,
+                          struct buf *out);
 void gateway_rollout_metrics(const struct gateway_rollout *g, int64_t now_us,
                              struct buf *out);
 
--- a/src/rollout/evidence.c
+++ b/src/rollout/evidence.c
@@ -45,6 +45,12 @@
     return &c->routes[c->route_count++];
 }
 
+int64_t
+rollout_bucket_limit_us(int bucket)
+{
+    return (int64_t)(FIRST_LIMIT_US * pow(LIMIT_RATIO, bucket));
+}
+
 void
 rollout_tally_end(struct rollout_tally *t, bool failed, int64_t duration_us)
 {
--- a/src/rollout/evidence.h
+++ b/src/rollout/evidence.h
@@ -40,6 +40,8 @@
  * maximum share the last row. */
 struct rollout_route *rollout_counts_route(struct rollout_counts *c,
                                            uint64_t route);
+/** Upper limit of a bucket of durations. */
+int64_t rollout_bucket_limit_us(int bucket);
 /** Counts the end of a request. @param duration_us to the first byte for
  * streams */
 void rollout_tally_end(struct rollout_tally *t, bool failed,
--- a/src/rollout/record.c
+++ b/src/rollout/record.c
@@ -27,7 +27,8 @@
 rollout_is_valid_name(struct str name)
 {
     for (size_t i = 0; i < name.len; i++) {
-        if (name.ptr[i] <= ' ' || name.ptr[i] > '~') {
+        if (name.ptr[i] <= ' ' || name.ptr[i] > '~' || name.ptr[i] == '"' ||
+            name.ptr[i] == '\\') {
             return false;
         }
     }
@@ -81,6 +82,12 @@
     }
 }
 
+static bool
+is_name(const char *name)
+{
+    return rollout_is_valid_name(str_from_cstr(name));
+}
+
 enum status
 rollout_record_read(struct str text, struct rollout_record *out)
 {
@@ -104,6 +111,12 @@
         return err_set(ST_INVALID, "not a roll-out record");
     }
     snprintf(r.reason, sizeof(r.reason), "%.63s", copy + used);
+    for (char *c = r.reason; *c; c++) {
+        *c = *c < ' ' || *c > '~' || *c == '"' || *c == '\\' ? '?' : *c;
+    }
+    if (!is_name(r.target) || !is_name(r.rejected) || !is_name(r.decider)) {
+        return err_set(ST_INVALID, "a name in a roll-out record is invalid");
+    }
     clear_dash(r.target);
     clear_dash(r.rejected);
     clear_dash(r.decider);
--- a/src/rollout/record.h
+++ b/src/rollout/record.h
@@ -64,7 +64,7 @@
 /** Whether the roll-out has neither completed nor been rolled back. */
 bool rollout_is_running(const struct rollout_record *r);
 /** Returns whether a text can be a version or service in a record: 1 to 63
- * visible ASCII characters. */
+ * visible ASCII characters without quotes and backslashes. */
 bool rollout_is_valid_name(struct str name);
 /** Copies a valid name; others become empty. */
 void rollout_copy_name(char out[ROLLOUT_NAME_BYTES], struct str name);
--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -271,9 +271,9 @@
 
 /* A node decides while it is first in its own order, or others report to it:
  * they may have lost contact with the nodes before it. */
-static bool
-acts_as_decider(const struct rollout *r, const struct rollout_service *s,
-                int64_t now_us)
+bool
+rollout_acts_as_decider(const struct rollout *r,
+                        const struct rollout_service *s, int64_t now_us)
 {
     return rollout_has_contact(r, now_us) &&
            (find_decider(r, s, now_us) == r->self ||
@@ -285,7 +285,7 @@
 rollout_is_decider(const struct rollout *r, int64_t now_us, struct str service)
 {
     const struct rollout_service *s = find_by_hash(r, hash64(service));
-    return s && acts_as_decider(r, s, now_us);
+    return s && rollout_acts_as_decider(r, s, now_us);
 }
 
 void
@@ -345,7 +345,7 @@
         s->last_ack_us = now_us;
         return;
     }
-    if (acts_as_decider(r, s, now_us)) {
+    if (rollout_acts_as_decider(r, s, now_us)) {
         rollout_take_report(s, now_us, r->self, &m);
     }
     rollout_send(r, decider, &m);
@@ -404,7 +404,7 @@
         }
         return;
     }
-    if (acts_as_decider(r, s, now_us)) {
+    if (rollout_acts_as_decider(r, s, now_us)) {
         rollout_decide(r, s, now_us);
     }
     else if (!s->writing) {
@@ -600,39 +600,3 @@
     const struct rollout_service *s = find_by_hash(r, hash64(service));
     return s && s->has_record ? &s->record : NULL;
 }
-
-void
-rollout_metrics(const struct rollout *r, int64_t now_us, struct buf *out)
-{
-    buf_printf(out, "cf_rollouts_started_total %" PRId64 "\n",
-               r->counters.started);
-    buf_printf(out, "cf_rollouts_completed_total %" PRId64 "\n",
-               r->counters.completed);
-    buf_printf(out, "cf_rollouts_rolled_back_total %" PRId64 "\n",
-               r->counters.rolled_back);
-    buf_printf(out, "cf_rollout_write_conflicts_total %" PRId64 "\n",
-               r->counters.conflicts);
-    for (guint i = 0; i < r->services->len; i++) {
-        const struct rollout_service *s = g_ptr_array_index(r->services, i);
-        if (!s->has_record) {
-            continue;
-        }
-        buf_printf(out,
-                   "cf_rollout{service=\"%s\",target=\"%s\",phase=\"%s\","
-                   "decider=\"%s\",reason=\"%s\"} %d\n",
-                   s->name, s->record.target,
-                   rollout_phase_name(s->record.phase), s->record.decider,
-                   s->record.reason, acts_as_decider(r, s, now_us));
-        buf_printf(out, "cf_rollout_share_ppm{service=\"%s\"} %d\n", s->name,
-                   s->record.share_ppm);
-        for (int side = 0; side < ROLLOUT_SIDES; side++) {
-            buf_printf(out,
-                       "cf_rollout_sent{service=\"%s\",side=\"%s\"} %" PRId64
-                       "\n",
-                       s->name, side == ROLLOUT_OLD ? "old" : "new",
-                       s->record.sent[side]);
-        }
-        buf_printf(out, "cf_rollout_failed{service=\"%s\"} %" PRId64 "\n",
-                   s->name, s->record.failed);
-    }
-}
--- a/src/rollout/rollout.h
+++ b/src/rollout/rollout.h
@@ -106,6 +106,9 @@
 /** Whether this node decides for the service at present. */
 bool rollout_is_decider(const struct rollout *r, int64_t now_us,
                         struct str service);
+/** Appends all roll-outs as JSON: the records, and the evidence that this node
+ * has, which is all of it at the decider. */
+void rollout_show(const struct rollout *r, int64_t now_us, struct buf *out);
 /** Appends the metrics in text format. */
 void rollout_metrics(const struct rollout *r, int64_t now_us, struct buf *out);
 
--- a/src/rollout/rollout_state.h
+++ b/src/rollout/rollout_state.h
@@ -102,6 +102,9 @@
 /** Queues a message. */
 void rollout_send(struct rollout *r, uint64_t node,
                   const struct rollout_report *m);
+/** Whether this node decides for the service at present. */
+bool rollout_acts_as_decider(const struct rollout *r,
+                             const struct rollout_service *s, int64_t now_us);
 /** Interval of reports for the number of nodes. */
 int64_t rollout_tick_us(const struct rollout *r);
 /** Whether the store and the decider are in contact with this node. */
--- a/tests/platform/test_gateway_rollout.c
+++ b/tests/platform/test_gateway_rollout.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "base/clean.h"
+#include "cli/cli.h"
 #include "tests/platform/rig_platform.h"
 #include "tests/proc.h"
 
@@ -139,6 +140,26 @@
     return at_us;
 }
 
+/* The command line shows the roll-out, with its evidence and reason. */
+static void
+check_command(const struct platform_rig *r, const char *expected)
+{
+    char *url = g_strdup_printf("http://127.0.0.1:%d", r->ready_port[0]);
+    char *argv[] = {"camphorfall", "--node", url, "rollouts", NULL};
+    char *text = NULL;
+    size_t len = 0;
+    FILE *to = open_memstream(&text, &len);
+    int rc = cli_run(4, argv, (struct cli_io){stdin, to, to});
+    fclose(to);
+    g_test_message("%s", text);
+    g_assert_cmpint(rc, ==, CLI_DONE);
+    g_assert_nonnull(strstr(text, "desk"));
+    g_assert_nonnull(strstr(text, "v2"));
+    g_assert_nonnull(strstr(text, expected));
+    free(text);
+    g_free(url);
+}
+
 /* The old server is killed at completion. No caller may notice, and it may
  * have no request then. */
 static void
@@ -157,6 +178,7 @@
     write_order(&r, "desk");
     int64_t took_us = wait_for_end(&r, "desk", start_us, state);
     long before = platform_rig_server_stat(&r, 0, "arrivals");
+    check_command(&r, "all nodes have moved");
     g_assert_cmpstr(state, ==, "completed");
     g_assert_cmpint(took_us, <=, DURATION_S * G_USEC_PER_SEC);
     g_usleep(200000);
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -33,13 +33,16 @@
     struct node *n = ctx;
     if (str_eq_cstr(r->method, "GET")) {
         bool trace = str_starts_with(r->path, STR_LIT("/v1/traces/"));
+        bool rollouts = str_eq_cstr(r->path, "/rollouts");
         const char *out =
-            trace ? "{\"spans\":[{\"name\":\"request\",\"start_us\":0,"
-                    "\"end_us\":9000,\"outcome\":\"ok\"},{\"name\":\"call\","
-                    "\"stage\":1,\"endpoint\":\"e1\",\"start_us\":1000,"
-                    "\"end_us\":3000,\"outcome\":\"ok\",\"parent\":"
-                    "\"request\"}]}"
-                  : "{\"revision\":4,\"config\":{\"zones\":{}}}";
+            rollouts
+                ? "{\"rollouts\":[{\"service\":\"desk\",\"target\":\"v2\"}]}"
+            : trace ? "{\"spans\":[{\"name\":\"request\",\"start_us\":0,"
+                      "\"end_us\":9000,\"outcome\":\"ok\"},{\"name\":\"call\","
+                      "\"stage\":1,\"endpoint\":\"e1\",\"start_us\":1000,"
+                      "\"end_us\":3000,\"outcome\":\"ok\",\"parent\":"
+                      "\"request\"}]}"
+                    : "{\"revision\":4,\"config\":{\"zones\":{}}}";
         fh_reply(r, 200, "application/json", str_from_cstr(out));
         return;
     }
@@ -136,6 +139,7 @@
         {"c show --node " REFUSING " --node A", 1, "", 1, "", 0, 0, 0,
          "zones"},
         {"c status --node A", 1, "", 1, "", 0, 0, 0, "revision"},
+        {"c rollouts --node A", 1, "", 1, "", 0, 0, 0, "target"},
         {"c trace x --node A", 1, "", 1, "", 0, 0, 0, "  call"},
         {"c zone out okha --reason r --node A", 200, "{}", 1, "", 0, 1, 0, ""},
         {"c zone in okha --reason r --node A --node B", 0, "", 200, "{}", 0, 1,
