--- a/tests/feed_script.c
+++ b/tests/feed_script.c
@@ -61,7 +61,11 @@
     int answer_era; /* watchers reply at once, from this era; 0: they do not */
     int store_polls; /* watches of the operator's range without waiting */
     char *node;
-    int64_t foreign_lease; /* of another node; 0: none */
+    int64_t foreign_lease;          /* of another node; 0: none */
+    char order[ROLLOUT_NAME_BYTES]; /* target for the service pool; empty: no
+                                       order */
+    int order_changes;
+    char record[64]; /* of the roll-out of the service pool; empty: none */
 };
 
 static int
@@ -290,6 +294,23 @@
     w->store_polls += is_operator && op->kind == KV_WATCH && op->wait_ms <= 1;
 }
 
+static void
+take_rollouts(struct world *w)
+{
+    struct feed_rollout_change c;
+    while (feed_next_rollout(w->feed, &c)) {
+        g_assert_true(str_eq_cstr(c.service, "pool"));
+        if (c.is_order) {
+            memcpy(w->order, c.order.target, sizeof(w->order));
+            w->order_changes++;
+        }
+        else {
+            g_snprintf(w->record, sizeof(w->record), "%.*s",
+                       STR_FMT(c.record));
+        }
+    }
+}
+
 /* Calls that start now are answered in the next step, a millisecond later. */
 static void
 step(struct world *w)
@@ -308,6 +329,7 @@
     while (feed_next_op(w->feed, w->now, &op)) {
         submit(w, &op);
     }
+    take_rollouts(w);
     if (w->query_open && w->answer_era) {
         struct feed_reply r = {.correlation_id = w->query.id,
                                .known = true,
@@ -414,6 +436,15 @@
     else if (strcmp(what, "no-contact") == 0) {
         g_assert_cmpint(feed_contact_us(w->feed), ==, 0);
     }
+    else if (strcmp(what, "order") == 0) {
+        g_assert_cmpstr(w->order, ==, argument ? argument : "");
+    }
+    else if (strcmp(what, "order-changes") == 0) {
+        g_assert_cmpint(w->order_changes, ==, atoi(argument));
+    }
+    else if (strcmp(what, "record") == 0) {
+        g_assert_cmpstr(w->record, ==, argument ? argument : "");
+    }
     else if (strcmp(what, "registered") == 0) {
         g_assert_nonnull(find_item(w, argument));
     }
