Wait for reports of all nodes in large fleets

Cause: reports of more than 250 nodes are further apart than the time after which a node counted as silent, so a roll-out could have completed without it.

--- a/src/rollout/budget.c
+++ b/src/rollout/budget.c
@@ -29,6 +29,8 @@
 #define SETTLE_MIN_US (2500 * MS)
 #define SETTLE_MAX_US (5000 * MS)
 #define SETTLE_PART 0.35
+/* Steps that wait for a report of each node. */
+#define STEP_REPORTS 2
 #define LONGEST_FACTOR 1.2
 /* The new version is observed for at least this part of the time. */
 #define MIN_OBSERVED_PART 0.4
@@ -71,12 +73,12 @@
 }
 
 int64_t
-rollout_move_time_us(int64_t duration_us, int64_t longest_us)
+rollout_move_time_us(int64_t duration_us, int64_t longest_us, int64_t tick_us)
 {
     int64_t settle_us = (int64_t)(SETTLE_PART * (double)duration_us);
     settle_us = CLAMP(settle_us, SETTLE_MIN_US, SETTLE_MAX_US);
-    int64_t need_us =
-        settle_us + (int64_t)(LONGEST_FACTOR * (double)longest_us);
+    int64_t need_us = settle_us + STEP_REPORTS * tick_us +
+                      (int64_t)(LONGEST_FACTOR * (double)longest_us);
     int64_t least_us = (int64_t)(MIN_OBSERVED_PART * (double)duration_us);
     return MAX(duration_us - need_us, least_us);
 }
--- a/src/rollout/decide.c
+++ b/src/rollout/decide.c
@@ -30,7 +30,8 @@
 /* The last write is made this long before the deadline: the order was known
  * later than it was written, and the store may be slow. */
 #define DEADLINE_MARGIN_US (1000 * MS)
-/* A registered node that sends no reports is waited for this long, since the
+/* A registered node that sends no reports is waited for this long and two
+ * intervals, since the
  * registration of a node that was killed lasts for 10 s. */
 #define SILENT_NODE_US (1 * SECOND)
 /* Before completion: a node that is in contact with the store alone follows
@@ -201,7 +202,7 @@
         const struct rollout_node *n = g_hash_table_lookup(s->nodes, &id);
         int64_t heard_us =
             n ? MAX(n->received_us, s->reports_since_us) : s->reports_since_us;
-        if (now_us - heard_us > SILENT_NODE_US &&
+        if (now_us - heard_us > SILENT_NODE_US + 2 * rollout_tick_us(r) &&
             (s->record.phase == ROLLOUT_MOVE ||
              now_us - s->record_us > FOLLOW_US)) {
             continue;
@@ -372,8 +373,8 @@
     struct rollout_counts sum;
     const char *why = NULL;
     int64_t elapsed_us = now_us - s->start_us;
-    int64_t move_us =
-        rollout_move_time_us(s->order.duration_us, longest_us(s));
+    int64_t move_us = rollout_move_time_us(s->order.duration_us, longest_us(s),
+                                           rollout_tick_us(r));
     rollout_sum(s, &sum);
     take_snapshot(s, now_us, &sum);
     if (s->stopped_order == s->order.id || rollout_is_bad(s, &why)) {
--- a/src/rollout/rollout_state.h
+++ b/src/rollout/rollout_state.h
@@ -139,7 +139,9 @@
  * the move, in millionths. */
 int rollout_budget_share(const struct rollout_budget *b);
 /** The time of the move, since the order.
- * @param longest_us longest request at an old server */
-int64_t rollout_move_time_us(int64_t duration_us, int64_t longest_us);
+ * @param longest_us longest request at an old server
+ * @param tick_us interval of reports */
+int64_t rollout_move_time_us(int64_t duration_us, int64_t longest_us,
+                             int64_t tick_us);
 
 #endif
--- a/tests/rollout_sim.h
+++ b/tests/rollout_sim.h
@@ -12,8 +12,8 @@
 #include "rollout/rollout.h"
 #include "rollout/traffic.h"
 
-#define SIM_MAX_NODES 128
-#define SIM_MAX_SERVERS 160
+#define SIM_MAX_NODES 400
+#define SIM_MAX_SERVERS 600
 #define SIM_ROUTES 3
 
 enum sim_kind {
