Let requests overlap in the test of roll-outs

Cause: under the thread sanitizer no request went to the second server before the order: one request at a time goes to the endpoint that is known to be fast. Change: responses take 30 ms, so that requests overlap; the check stays.

--- a/tests/platform/test_gateway_rollout.c
+++ b/tests/platform/test_gateway_rollout.c
@@ -92,6 +92,17 @@
     platform_rig_start_nodes(r);
 }
 
+/* Plain responses take long enough for requests to overlap, as a single
+ * request at a time goes to the endpoint that is known to be fast. */
+static void
+slow_desks(struct platform_rig *r)
+{
+    for (int i = 0; i < 2; i++) {
+        platform_rig_post_control(r, r->servers[i].port,
+                                  "{\"delay_us\":30000}");
+    }
+}
+
 static void
 write_order(struct platform_rig *r, const char *service)
 {
@@ -171,6 +182,7 @@
     int requests;
     int failures;
     open_rig(&r, 0, 1);
+    slow_desks(&r);
     start_callers(&r, &all, "check");
     g_usleep(G_USEC_PER_SEC);
     g_assert_cmpint(platform_rig_server_stat(&r, 1, "arrivals"), >, 0);
@@ -282,9 +294,10 @@
     platform_rig_register_servers(&r);
     platform_rig_start_nodes(&r);
     write_order(&r, "desk");
+    slow_desks(&r);
     g_usleep(G_USEC_PER_SEC);
     start_callers(&r, &all, "check");
-    g_usleep(G_USEC_PER_SEC);
+    g_usleep(2 * G_USEC_PER_SEC);
     stop_callers(&all);
     g_assert_cmpint(platform_rig_server_stat(&r, 0, "arrivals"), >, 10);
     g_assert_cmpint(platform_rig_server_stat(&r, 1, "arrivals"), >, 10);
