--- a/tests/platform/test_gateway_rollout.c
+++ b/tests/platform/test_gateway_rollout.c
@@ -207,8 +207,9 @@
     platform_rig_close(&r);
 }
 
-/* Three of ten responses of the new version are failures.
- * @param kill_node a node that is killed after two seconds; -1: none */
+/* Some responses of the new version are failures: three of ten, or one of ten
+ * if a node is killed, so that this is before the decision.
+ * @param kill_node -1: none */
 static void
 check_bad(int kill_node)
 {
@@ -223,11 +224,13 @@
     write_order(&r, "desk");
     g_usleep(G_USEC_PER_SEC); /* The order is known before the first request */
     long arrivals = platform_rig_server_stat(&r, 1, "arrivals");
-    platform_rig_post_control(&r, r.servers[1].port, "{\"fail_tenths\":3}");
+    platform_rig_post_control(&r, r.servers[1].port,
+                              kill_node >= 0 ? "{\"fail_tenths\":1}"
+                                             : "{\"fail_tenths\":3}");
     start_callers(&r, &all, "check");
     count_requests(&all, &before, &failures);
     if (kill_node >= 0) {
-        g_usleep(G_USEC_PER_SEC);
+        g_usleep(G_USEC_PER_SEC / 5);
         proc_signal_and_wait(r.nodes[kill_node].pid, SIGKILL);
         r.nodes[kill_node].pid = 0;
     }
