Judge versions with few responses more strictly after the move

Cause: 2 of 100 versions whose every tenth response is bad got up to 1.11 of the bound at 5 nodes and 60 requests per second; 2 of 200 good versions were rolled back where both versions fail in 2 of 100 responses.

--- a/src/rollout/decide.c
+++ b/src/rollout/decide.c
@@ -10,8 +10,10 @@
  * may be wrong in 100 roll-outs. The rates that it is compared with are upper
  * bounds, so a good version hardly gets there. */
 #define BAD_CHANCE 1e-4
-/* All traffic uses the budget within a second, so less evidence must do. */
-#define BAD_CHANCE_MOVED 1e-3
+/* When all traffic has moved it uses the budget within a second, so less
+ * evidence must do where there are few responses. */
+#define BAD_CHANCE_MOVED 2e-3
+#define FEW_RESPONSES 200
 /* A version is not moved to if its responses are chance with at most this
  * probability. More responses then decide. */
 #define DOUBTFUL_CHANCE 5e-3
@@ -137,13 +139,15 @@
         return false;
     }
     rollout_sum(s, &sum);
-    double limit =
-        s->record.phase == ROLLOUT_OBSERVE ? BAD_CHANCE : BAD_CHANCE_MOVED;
-    if (rollout_chance(&sum, ROLLOUT_TEST_BAD, why) < limit) {
+    bool hurry = s->record.phase != ROLLOUT_OBSERVE &&
+                 rollout_counts_ended(&sum, ROLLOUT_NEW) < FEW_RESPONSES;
+    double limit = hurry ? BAD_CHANCE_MOVED : BAD_CHANCE;
+    enum rollout_test test = hurry ? ROLLOUT_TEST_MOVED : ROLLOUT_TEST_BAD;
+    if (rollout_chance(&sum, test, why) < limit) {
         return true;
     }
     recent_counts(s, &sum, &recent);
-    return rollout_chance(&recent, ROLLOUT_TEST_BAD, why) < limit;
+    return rollout_chance(&recent, test, why) < limit;
 }
 
 static void
--- a/src/rollout/evidence.c
+++ b/src/rollout/evidence.c
@@ -5,28 +5,40 @@
 
 #define FIRST_LIMIT_US 2000.0
 #define LIMIT_RATIO 1.5
+/* Slow responses are compared with this many quantiles. */
+#define QUANTILES 4
+
 /* Parameters of the tests, by enum rollout_test. Rates of the old version are
- * assumed to be at least these, so that a few failures by chance are no
- * evidence at small counts. */
+ * assumed to be at least failure_rate, so that a few failures by chance are no
+ * evidence at small counts. Slow responses come in groups, as durations also
+ * depend on load and on what other requests run beside them, so they need more
+ * evidence than one test per quantile would. */
 static const struct {
     int min_bad;           /* fewer bad responses are no evidence */
     double failure_rate;   /* least rate of the old version */
     double old_deviations; /* the old version's rate is known only as well as
                               its counts tell */
-} tests[] = {{3, 0.005, 2}, {2, 0.002, 0}};
+    double slow_factor;    /* on the chance of slow responses */
+} tests[] = {{3, 0.005, 2, 5 * QUANTILES},
+             {2, 0.002, 0, 5 * QUANTILES},
+             {2, 0.002, 0, QUANTILES}};
+/* Smaller differences are no reason to roll back, however certain they are:
+ * versions that differ by two failures in 100 are alike for callers. */
+#define FAILURE_EXCESS 0.03
+/* Durations are compared if the old version has this many. */
+#define MIN_OLD_DURATIONS 20
+/* A version is slow if its share of slow responses exceeds the old version's
+ * by this: servers that have just started have cold caches. */
+#define SLOW_EXCESS 0.08
+/* Least rate of slow responses of the old version. */
+#define MIN_SLOW_RATE 0.02
 /* The old version is taken for good before it has many responses: as if it had
  * so many more. */
 #define PRIOR_RESPONSES 20.0
 #define PRIOR_BAD 0.1
-/* Durations vary more than failures do, so they are always tested as
- * ROLLOUT_TEST_BAD, against at least this rate. */
-#define MIN_SLOW_RATE 0.02
-/* Slow responses are tested against this many quantiles, so each needs more
- * evidence. */
-#define QUANTILES 4
-/* As durations also depend on load and on what other requests run beside
- * them, slow ones come in groups, and need more evidence by this factor. */
-#define SLOW_FACTOR 20
+/* Smaller differences are no reason to roll back, however certain they are:
+ * versions that differ by two failures in 100 are alike for callers. */
+#define FAILURE_EXCESS 0.03
 /* Durations are compared if the old version has this many. */
 #define MIN_OLD_DURATIONS 20
 /* A version is slow if its share of slow responses exceeds the old version's
@@ -182,11 +194,12 @@
 failure_chance(const struct rollout_tally *fresh, double rate,
                enum rollout_test test)
 {
-    if (fresh->failed < tests[test].min_bad) {
+    int64_t n = fresh->failed + good_count(fresh);
+    if (fresh->failed < tests[test].min_bad ||
+        (double)fresh->failed < (rate + FAILURE_EXCESS) * (double)n) {
         return 1;
     }
-    return rollout_binomial_tail(fresh->failed + good_count(fresh),
-                                 fresh->failed,
+    return rollout_binomial_tail(n, fresh->failed,
                                  fmax(rate, tests[test].failure_rate));
 }
 
@@ -204,7 +217,8 @@
 /* Compares the shares of responses that are slower than about 1.5 to 2.3
  * times several quantiles of the old version. */
 static double
-slow_chance(const struct rollout_tally *fresh, const struct rollout_tally *old)
+slow_chance(const struct rollout_tally *fresh, const struct rollout_tally *old,
+            enum rollout_test test)
 {
     static const double above[QUANTILES] = {0.5, 0.25, 0.1, 0.04};
     int64_t old_n = good_count(old);
@@ -229,7 +243,8 @@
             fmax(old_rate(old_n, old_bad, ROLLOUT_TEST_BAD), MIN_SLOW_RATE);
         double p = bad < tests[ROLLOUT_TEST_BAD].min_bad
                        ? 1
-                       : rollout_binomial_tail(n, bad, rate) * SLOW_FACTOR;
+                       : rollout_binomial_tail(n, bad, rate) *
+                             tests[test].slow_factor;
         least = p < least ? p : least;
     }
     return least;
@@ -256,7 +271,8 @@
         /* Each route is one more chance of a false alarm. */
         double failures =
             failure_chance(&sides[ROLLOUT_NEW], rate, test) * c->route_count;
-        double slow = slow_chance(&sides[ROLLOUT_NEW], &sides[ROLLOUT_OLD]);
+        double slow =
+            slow_chance(&sides[ROLLOUT_NEW], &sides[ROLLOUT_OLD], test);
         if (failures < least) {
             least = failures;
             name = "failures on a route";
--- a/src/rollout/evidence.h
+++ b/src/rollout/evidence.h
@@ -65,6 +65,8 @@
 enum rollout_test {
     ROLLOUT_TEST_BAD,   /**< against an upper bound of the old version's rate,
                            for what a good version must not show */
+    ROLLOUT_TEST_MOVED, /**< as DOUBT for failures and as BAD for slow
+                           responses, when a decision cannot wait */
     ROLLOUT_TEST_DOUBT, /**< against the rate itself and from fewer bad
                            responses, for what needs more evidence */
 };
