Count all requests until the deadline in the test of roll-outs

Cause: once, under load, 112 of the 216 requests until the roll-back were exposed (the share is larger before the first requests are seen), and the test compared this with a tenth of these 216 plus 50; the stated bound counts all requests until the deadline. Old servers could also get a request after completion, if no new one took work at that moment. Change: the test goes on to the deadline and counts only requests that reached the service; after completion old servers get nothing while a new one is registered.

--- a/src/forward/versions.c
+++ b/src/forward/versions.c
@@ -193,8 +193,9 @@
     if (e) {
         return e;
     }
-    if (side == ROLLOUT_NEW && !s->rollout->directive.strict &&
-        s->version_counts[ROLLOUT_OLD] > 0) {
+    bool strict =
+        s->rollout->directive.strict && s->version_counts[ROLLOUT_NEW] > 0;
+    if (side == ROLLOUT_NEW && !strict && s->version_counts[ROLLOUT_OLD] > 0) {
         withhold(s, ROLLOUT_OLD, false);
         return place_select(s->endpoints, query, now_us);
     }
@@ -318,7 +319,8 @@
         }
         switch (e->version_class) {
         case ROLLOUT_CLASS_OLD:
-            e->withheld = use_new || s->rollout->directive.strict;
+            e->withheld =
+                use_new || (s->rollout->directive.strict && new_listed);
             break;
         case ROLLOUT_CLASS_NEW:
             e->withheld = old_listed && !(use_new && e->version_chosen);
--- a/src/rollout/rollout.c
+++ b/src/rollout/rollout.c
@@ -588,7 +588,9 @@
         }
         memcpy(out->target, s->record.target, sizeof(out->target));
         out->share_ppm = share_ppm(r, s, now_us, &out->valid_until_us);
-        out->strict = s->record.phase == ROLLOUT_CLOSE && out->share_ppm > 0;
+        out->strict =
+            out->share_ppm > 0 && (s->record.phase == ROLLOUT_CLOSE ||
+                                   s->record.phase == ROLLOUT_COMPLETED);
         return true;
     }
     return false;
--- a/src/rollout/rollout.h
+++ b/src/rollout/rollout.h
@@ -34,7 +34,7 @@
     int share_ppm;          /**< share of the target, in millionths */
     bool reports;           /**< counts are needed */
     bool strict;            /**< old servers get no request, even if no new one
-                               takes work */
+                               takes work, unless none is registered */
     int64_t valid_until_us; /**< then the share is 0; INT64_MAX: no end */
 };
 
--- a/tests/platform/test_gateway_rollout.c
+++ b/tests/platform/test_gateway_rollout.c
@@ -237,12 +237,17 @@
     int64_t took_us = wait_for_end(&r, "desk", start_us, state);
     g_assert_cmpstr(state, ==, "rolled_back");
     g_assert_cmpint(took_us, <=, DURATION_S * G_USEC_PER_SEC);
-    count_requests(&all, &requests, &failures);
     long exposed = platform_rig_server_stat(&r, 1, "arrivals") - arrivals;
     g_usleep(G_USEC_PER_SEC);
     long later = platform_rig_server_stat(&r, 1, "arrivals");
     g_usleep(G_USEC_PER_SEC);
     g_assert_cmpint(platform_rig_server_stat(&r, 1, "arrivals"), ==, later);
+    /* The bound counts all requests until the deadline. */
+    g_usleep((gulong)MAX(
+        start_us + DURATION_S * G_USEC_PER_SEC - g_get_monotonic_time(), 0));
+    count_requests(&all, &requests, &failures);
+    requests -= failures; /* Those to a dead node did not reach the service. */
+    g_assert_cmpint(platform_rig_server_stat(&r, 1, "arrivals"), ==, later);
     stop_callers(&all);
     g_test_message("%ld of %d requests exposed", exposed, requests);
     g_assert_cmpfloat((double)exposed, <=, 0.1 * requests + 50);
