--- a/src/control/outbox.c
+++ b/src/control/outbox.c
@@ -141,6 +141,7 @@
     case MSG_STAGE_RESULTS:
     case MSG_RETURNS:
     case MSG_ENGINES:
+    case MSG_ROLLOUT:
     case MSG_FEED_ASK:
     case MSG_FEED_ANSWER:
     case MSG_TYPE_COUNT:
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -7,6 +7,7 @@
 #include "forward/crashes.h"
 #include "forward/engines.h"
 #include "forward/state.h"
+#include "forward/versions.h"
 
 /* Cost of another zone for plain calls: a round trip. */
 #define ZONE_PENALTY_US (1 * MS)
@@ -332,6 +333,7 @@
     team_share_charge(r->service->share, r->team_hash, 1, now_us);
     map_put(&f->calls, r->call, r);
     f->counters.sends++;
+    versions_call_sent(f, r);
     struct forward_call call = {
         .id = r->call,
         .request = r->id,
@@ -407,12 +409,12 @@
         wait_or_refuse(f, now_us, r, &query, now_us);
         return;
     }
-    struct endpoint *e = place_select(r->service->endpoints, &query, now_us);
+    struct endpoint *e = versions_select(f, now_us, r, &query);
     if (!e && query.tried_count > 0) {
         /* All other endpoints are unavailable; one that was tried may accept
          * work by now. */
         query.tried_count = r->may_have_run ? query.tried_count : 0;
-        e = place_select(r->service->endpoints, &query, now_us);
+        e = versions_select(f, now_us, r, &query);
     }
     if (e) {
         remove_waiting(r);
--- a/src/forward/state.h
+++ b/src/forward/state.h
@@ -158,7 +158,11 @@
     bool results_released;    /* stage results were released */
     bool preparing;           /* the stages run again beside the silent call,
                                  for a repeat */
-    bool trial;               /* sent although its prompt parts are blocked */
+    bool version_asked;       /* version_side is set */
+    bool version_counted;     /* the current call's response was counted */
+    bool version_failed;      /* as bad */
+    enum rollout_side version_side; /* chosen, or of the last call */
+    bool trial; /* sent although its prompt parts are blocked */
 };
 
 /* A request for pieces that was sent to the owner of an endpoint group. */
@@ -222,6 +226,11 @@
     int64_t above_share_us;   /* when a request of a team above its share last
                                  arrived for the final call; 0: never */
     struct wait_list waiting; /* requests that wait for an endpoint */
+    struct rollout_traffic *rollout;   /* NULL: there was no directive */
+    int version_counts[ROLLOUT_SIDES]; /* of endpoints, without rejected ones
+                                        */
+    int64_t moved_us; /* when all traffic went to the new version; 0: it does
+                         not */
     int64_t waiting_retry_us; /* when an endpoint may accept work again */
     bool waiting_retried;     /* the list is being retried */
     struct team_share *share; /* recent use by teams, in requests */
@@ -263,10 +272,12 @@
     struct return_slots *returns;
     struct team_counts *team_counts;
     struct blame *blames[CRASH_SUBJECT_COUNT];
-    struct map probes;    /* call -> struct crash_probe */
-    int64_t probe_due_us; /* next repeated probe; INT64_MAX: none */
-    int64_t sync_due_us;  /* next repetition of the blocks; INT64_MAX: none
-                           */
+    struct map version_calls;  /* call -> struct version_call */
+    int64_t versions_check_us; /* next versions_run */
+    struct map probes;         /* call -> struct crash_probe */
+    int64_t probe_due_us;      /* next repeated probe; INT64_MAX: none */
+    int64_t sync_due_us; /* next repetition of the blocks; INT64_MAX: none
+                          */
     struct {
         int64_t since_us; /* start of the second of the number */
         int accepted;
@@ -366,6 +377,9 @@
  * of the final call if none waits. */
 const struct service_state *waits_slowest_service(int64_t now_us,
                                                   const struct request *r);
+/** Continues a stream at another endpoint, if it may be repeated. */
+void response_move_stream(struct forward *f, int64_t now_us,
+                          struct request *r);
 
 /* pieces.c */
 /** Initializes the stages. @return false if a stage has no service */
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -15,6 +15,7 @@
 #include "model/control_request.h"
 #include "model/feed_relay.h"
 #include "model/stage_work.h"
+#include "rollout/record.h"
 
 #define MSG_VERSION 1
 #define MSG_MAX_GOSSIP 8
@@ -100,6 +101,7 @@
  * STAGE_*: see model/stage_work.h. FEED_*: see model/feed_relay.h.
  * PARTS: see model/part_notice.h. RETURNS: see model/return_notice.h; builds
  * before it count it as malformed and ignore it.
+ * ROLLOUT: see struct rollout_report.
  */
 #define MSG_LIST(X)                                                           \
     X(PING, "ping", probe, struct probe_body)                                 \
@@ -128,7 +130,8 @@
     X(PARTS, "parts", part_notice, struct part_notice)                        \
     X(STAGE_RESULTS, "stage_results", stage_results, struct stage_results)    \
     X(RETURNS, "returns", return_notice, struct return_notice)                \
-    X(ENGINES, "engines", engine_notice, struct engine_notice)
+    X(ENGINES, "engines", engine_notice, struct engine_notice)                \
+    X(ROLLOUT, "rollout", rollout_report, struct rollout_report)
 
 enum msg_type {
 #define X(id, name, field, type) MSG_##id,
@@ -163,6 +166,7 @@
         struct stage_results stage_results;
         struct return_notice return_notice;
         struct engine_notice engine_notice;
+        struct rollout_report rollout_report;
     };
 };
 
