Free the memory of stage results when their endpoints drop them

Cause: an owner counted the results of a request until its caller's deadline and the lifetime of a result after it. Nodes that end with their zone send no drops, so their results blocked the endpoints of the other zones: free memory below zero, no calls, and 3,302 pieces in one queue. Change: a result counts until its endpoint drops it, its lifetime after the end of its call. A repeated request for a result that has expired since makes it again. Measured: /stage_pool/expired-results and /stage_pool/repeated-after-expiry fail before and pass now.

--- a/src/forward/stage_ends.c
+++ b/src/forward/stage_ends.c
@@ -46,6 +46,9 @@
     piece->state = PIECE_STATE_DONE;
     piece->result_endpoint = pe->endpoint;
     piece->handle = g_strdup(text);
+    piece->expires_us = now_us + p->limits.result_ttl_us;
+    piece->result_expired = false;
+    j->next_expiry_us = MIN(j->next_expiry_us, piece->expires_us);
     stage_pool_send_result(p, now_us, j, piece, PIECE_DONE);
 }
 
--- a/src/forward/stage_pool.c
+++ b/src/forward/stage_pool.c
@@ -364,6 +364,17 @@
     p->io.send_message(p->io.ctx, j->key.node, &m);
 }
 
+static bool
+is_listed(const struct stage_work_request *request, int number)
+{
+    for (int k = 0; k < request->piece_count; k++) {
+        if (request->pieces[k] == number) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Sends the results that a repeated request lists as missing. */
 static void
 resend_results(struct stage_pool *p, int64_t now_us, struct job *j,
@@ -371,12 +382,21 @@
 {
     j->last_request_us = now_us;
     for (int i = 0; i < j->piece_count; i++) {
-        const struct piece *piece = &j->pieces[i];
-        for (int k = 0; k < request->piece_count && piece->handle; k++) {
-            if (request->pieces[k] == piece->number) {
-                stage_pool_send_result(p, now_us, j, piece, PIECE_DONE);
-                break;
-            }
+        struct piece *piece = &j->pieces[i];
+        if (!is_listed(request, piece->number)) {
+            continue;
+        }
+        if (piece->handle) {
+            stage_pool_send_result(p, now_us, j, piece, PIECE_DONE);
+        }
+        else if (piece->result_expired) {
+            /* The result did not reach the node while it existed. */
+            piece->result_expired = false;
+            piece->state = PIECE_STATE_WAITING;
+            j->waiting_count++;
+            p->stats.queued++;
+            stage_pool_enqueue(p, j);
+            p->dispatch_needed = true;
         }
     }
 }
@@ -402,6 +422,7 @@
     j->latest_useful_start_us = now_us + request->expiry_left_us;
     j->deadline_us = now_us + request->end_left_us;
     j->results_expire_us = j->deadline_us + p->limits.result_ttl_us;
+    j->next_expiry_us = INT64_MAX;
     j->result_bytes = request->bytes;
     j->holds_large_results = request->held_bytes >= LARGE_HELD_BYTES;
     j->zone = stage_pool_copy_str(request->zone);
@@ -582,6 +603,33 @@
     buf_free(&states);
 }
 
+/* Frees the memory of results that their endpoints have dropped. A node that
+ * has ended sends no drop: after the loss of a zone, the results of its nodes
+ * blocked the endpoints of the other zones until the callers' deadlines. */
+static void
+expire_results(struct stage_pool *p, int64_t now_us, struct job *j)
+{
+    j->next_expiry_us = INT64_MAX;
+    for (int i = 0; i < j->piece_count; i++) {
+        struct piece *piece = &j->pieces[i];
+        if (!piece->handle) {
+            continue;
+        }
+        if (now_us < piece->expires_us) {
+            j->next_expiry_us = MIN(j->next_expiry_us, piece->expires_us);
+            continue;
+        }
+        struct pool_endpoint *pe =
+            g_hash_table_lookup(p->endpoints, piece->result_endpoint);
+        if (pe) {
+            pe->used_bytes -= j->result_bytes;
+        }
+        g_clear_pointer(&piece->handle, g_free);
+        piece->result_expired = true;
+        p->dispatch_needed = true;
+    }
+}
+
 /* Ends jobs whose pieces cannot start in time, and jobs whose results have
  * expired. Reminds nodes that have not repeated a request: the node may have
  * dropped it, or be a new process. It replies to an acknowledgement of an
@@ -602,6 +650,9 @@
             drop_job(p, now_us, j);
             continue;
         }
+        if (now_us >= j->next_expiry_us) {
+            expire_results(p, now_us, j);
+        }
         if (now_us - j->last_request_us >= REMINDER_INTERVAL_US) {
             j->last_request_us = now_us;
             send_ack(p, now_us, &j->key, j->priority);
--- a/src/forward/stage_pool_state.h
+++ b/src/forward/stage_pool_state.h
@@ -33,7 +33,9 @@
     int64_t sent_us; /* when it was last sent */
     int calls;       /* calls in flight that contain it */
     struct endpoint *result_endpoint;
-    char *handle; /* NULL: none */
+    char *handle;        /* NULL: none */
+    int64_t expires_us;  /* when the endpoint drops the result */
+    bool result_expired; /* the endpoint has dropped the result */
 };
 
 struct job_key {
@@ -57,6 +59,7 @@
     int64_t latest_useful_start_us; /* latest start that meets the deadline */
     int64_t deadline_us;            /* deadline of the caller */
     int64_t results_expire_us;      /* when all its results have expired */
+    int64_t next_expiry_us; /* when its next result expires; INT64_MAX: none */
     int64_t result_bytes;
     bool holds_large_results; /* at endpoints of other stages */
     bool sent_any_piece;      /* a piece was sent */
