--- a/src/forward/stage_pool.c
+++ b/src/forward/stage_pool.c
@@ -603,33 +603,6 @@
     buf_free(&states);
 }
 
-/* Frees the memory of results that their endpoints have dropped. A node that
- * has ended sends no drop: after the loss of a zone, the results of its nodes
- * blocked the endpoints of the other zones until the callers' deadlines. */
-static void
-expire_results(struct stage_pool *p, int64_t now_us, struct job *j)
-{
-    j->next_expiry_us = INT64_MAX;
-    for (int i = 0; i < j->piece_count; i++) {
-        struct piece *piece = &j->pieces[i];
-        if (!piece->handle) {
-            continue;
-        }
-        if (now_us < piece->expires_us) {
-            j->next_expiry_us = MIN(j->next_expiry_us, piece->expires_us);
-            continue;
-        }
-        struct pool_endpoint *pe =
-            g_hash_table_lookup(p->endpoints, piece->result_endpoint);
-        if (pe) {
-            pe->used_bytes -= j->result_bytes;
-        }
-        g_clear_pointer(&piece->handle, g_free);
-        piece->result_expired = true;
-        p->dispatch_needed = true;
-    }
-}
-
 /* Ends jobs whose pieces cannot start in time, and jobs whose results have
  * expired. Reminds nodes that have not repeated a request: the node may have
  * dropped it, or be a new process. It replies to an acknowledgement of an
@@ -651,7 +624,7 @@
             continue;
         }
         if (now_us >= j->next_expiry_us) {
-            expire_results(p, now_us, j);
+            stage_pool_expire_results(p, now_us, j);
         }
         if (now_us - j->last_request_us >= REMINDER_INTERVAL_US) {
             j->last_request_us = now_us;
--- a/src/forward/stage_pool_state.h
+++ b/src/forward/stage_pool_state.h
@@ -213,6 +213,12 @@
  * its result. */
 void stage_pool_handle_no_memory(struct stage_pool *p,
                                  struct pool_endpoint *pe, int64_t now_us);
+/** Frees the memory of a job's results that their endpoints have dropped. A
+ * node that has ended sends no drop: after the loss of a zone, the results of
+ * its nodes blocked the endpoints of the other zones until the callers'
+ * deadlines. */
+void stage_pool_expire_results(struct stage_pool *p, int64_t now_us,
+                               struct job *j);
 void stage_pool_query_memory(struct stage_pool *p, int64_t now_us);
 
 #endif
--- a/src/forward/stage_room.c
+++ b/src/forward/stage_room.c
@@ -58,6 +58,30 @@
     }
 }
 
+void
+stage_pool_expire_results(struct stage_pool *p, int64_t now_us, struct job *j)
+{
+    j->next_expiry_us = INT64_MAX;
+    for (int i = 0; i < j->piece_count; i++) {
+        struct piece *piece = &j->pieces[i];
+        if (!piece->handle) {
+            continue;
+        }
+        if (now_us < piece->expires_us) {
+            j->next_expiry_us = MIN(j->next_expiry_us, piece->expires_us);
+            continue;
+        }
+        struct pool_endpoint *pe =
+            g_hash_table_lookup(p->endpoints, piece->result_endpoint);
+        if (pe) {
+            pe->used_bytes -= j->result_bytes;
+        }
+        g_clear_pointer(&piece->handle, g_free);
+        piece->result_expired = true;
+        p->dispatch_needed = true;
+    }
+}
+
 void
 stage_pool_start_memory_queries(struct stage_pool *p, struct pool_endpoint *pe,
                                 int64_t now_us)
