--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -1,5 +1,6 @@
 /* The cases of the second review: cases NUMBER TROUBLE RECORD. Exits with 1 if
  * the rule was broken, 0 if it held, 2 if the case could not run. */
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -557,6 +558,160 @@
     return broken > 0;
 }
 
+/* Case: servers whose heads do not end. */
+
+/* Streams a second and machine of the site, and its largest burst. */
+#define STREAMS_PER_S (194.4 / 63)
+#define BURST_FACTOR 2.5
+#define BURST_S 6.7
+enum { BURSTS = 3, ENDS = 3 };
+
+/* Kinds of requests of the site: how often they come, when their clients leave
+ * without an event, and their deadlines. */
+static const struct {
+    const char *path;
+    double share;
+    int leaves_ms;
+    int deadline_ms;
+} kinds[] = {{"/digest/a", 66.2 / 194.4, 5200, 10000},
+             {"/translate/a", 49.8 / 194.4, 6800, 8000},
+             {"/tidy/a", 78.4 / 194.4, 6400, 15000}};
+
+static json_t *
+stream_route(const char *prefix, int timeout_ms, int target_ms, int attempts,
+             bool resumable)
+{
+    json_t *r = route(prefix, "streaming", "huvo11a", false);
+    json_object_set_new(r, "timeoutMs", json_integer(timeout_ms));
+    json_object_set_new(r, "targetLatencyMs", json_integer(target_ms));
+    json_object_set_new(r, "maxAttempts", json_integer(attempts));
+    json_object_set_new(r, "resumable", json_boolean(resumable));
+    json_object_set_new(r, "gapAimMs", json_integer(400));
+    return r;
+}
+
+struct client {
+    int port;
+    size_t kind;
+};
+
+static struct {
+    pthread_mutex_t lock;
+    int sent;
+    int served;
+    int open;
+    int most_open;
+} load = {.lock = PTHREAD_MUTEX_INITIALIZER};
+
+static void *
+run_client(void *arg)
+{
+    struct client *c = arg;
+    char id[32];
+    char text[2048];
+    pthread_mutex_lock(&load.lock);
+    make_id(id);
+    load.sent++;
+    load.open++;
+    load.most_open = load.open > load.most_open ? load.open : load.most_open;
+    pthread_mutex_unlock(&load.lock);
+    int n = write_head(text, sizeof(text), "POST", kinds[c->kind].path, id,
+                       KEY, kinds[c->kind].deadline_ms);
+    n += snprintf(text + n, sizeof(text) - (size_t)n,
+                  "Camphorfall-Model: m\r\n"
+                  "Camphorfall-Token-Usage: 1460,80\r\n"
+                  "Camphorfall-Prompt-Prefix: 5c1e07a2:800,%.8s:660\r\n"
+                  "Content-Length: 0\r\n\r\n",
+                  id + 8);
+    int status =
+        rig_request(c->port, text, (size_t)n, kinds[c->kind].leaves_ms);
+    pthread_mutex_lock(&load.lock);
+    load.served += status == 200;
+    load.open--;
+    pthread_mutex_unlock(&load.lock);
+    free(c);
+    return NULL;
+}
+
+static void
+start_client(int port)
+{
+    struct client *c = calloc(1, sizeof(*c));
+    double at = (double)rand() / RAND_MAX;
+    pthread_t t;
+    c->port = port;
+    while (c->kind < 2 && at >= kinds[c->kind].share) {
+        at -= kinds[c->kind].share;
+        c->kind++;
+    }
+    if (pthread_create(&t, NULL, run_client, c) == 0) {
+        pthread_detach(t);
+    }
+}
+
+static int
+case_heads(bool trouble)
+{
+    static const struct rig_settings site = {.gateways = 2,
+                                             .cpu_share = 0.09,
+                                             .memory_mb = 120,
+                                             .files = 3075,
+                                             .repeat_slack = 166};
+    long most_kb[RIG_GATEWAYS] = {0};
+    for (int i = 0; i < 8; i++) {
+        rig_add_server(&rig, "huvo11a", true, 0)->endless = trouble;
+    }
+    rig_put_json(
+        "op/config",
+        rig_config(1,
+                   json_pack("[o,o,o]",
+                             stream_route("/digest/", 10000, 1300, 1, false),
+                             stream_route("/translate/", 8000, 1700, 2, true),
+                             stream_route("/tidy/", 15000, 1600, 1, false)),
+                   json_pack("[o]", engine_service("huvo11a")),
+                   tenants(KEY, NULL)));
+    need(rig_start_gateways(&rig, &site), "a gateway is not ready");
+    rig_limit_memory(&rig, &site);
+    srand(1);
+    double begin_s = rig_now_s();
+    double next_s[RIG_GATEWAYS] = {begin_s, begin_s};
+    double end_s = begin_s + BURSTS * 20;
+    double report_s = begin_s;
+    while (rig_now_s() < end_s) {
+        double now_s = rig_now_s();
+        double in_period_s = now_s - begin_s;
+        while (in_period_s >= 20) {
+            in_period_s -= 20;
+        }
+        bool burst = in_period_s >= 8 && in_period_s < 8 + BURST_S;
+        for (int i = 0; i < site.gateways; i++) {
+            long kb = rig_memory_kb(&rig.gateways[i]);
+            most_kb[i] = kb > most_kb[i] ? kb : most_kb[i];
+            if (now_s >= next_s[i]) {
+                next_s[i] += 1 / (STREAMS_PER_S * (burst ? BURST_FACTOR : 1));
+                next_s[i] = next_s[i] < now_s ? now_s : next_s[i];
+                start_client(rig.gateways[i].front);
+            }
+        }
+        if (now_s >= report_s) {
+            report_s += 2;
+            rig_record("%s: %d requests sent, %d answered with 200, %d open; "
+                       "gateways have %ld and %ld kB",
+                       burst ? "burst" : "steady", load.sent, load.served,
+                       load.open, rig_memory_kb(&rig.gateways[0]),
+                       rig_memory_kb(&rig.gateways[1]));
+        }
+        rig_sleep(0.01);
+    }
+    for (int i = 0; i < site.gateways; i++) {
+        rig_record("gateway %d: most %ld kB of %d MB, ended %d times", i,
+                   most_kb[i], site.memory_mb, rig.gateways[i].ends);
+    }
+    rig_record("%d requests sent, %d answered with 200", load.sent,
+               load.served);
+    return rig.gateways[0].ends >= ENDS && rig.gateways[1].ends >= ENDS;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -565,7 +720,8 @@
         int (*run)(bool trouble);
     } cases[] = {{"outage", case_outage},     {"last-key", case_last_key},
                  {"smuggled", case_smuggled}, {"order", case_stage_order},
-                 {"inputs", case_inputs},     {"headers", case_headers}};
+                 {"inputs", case_inputs},     {"headers", case_headers},
+                 {"heads", case_heads}};
     if (argc != 4) {
         fprintf(stderr, "usage: cases NAME TROUBLE RECORD\n");
         return 2;
--- a/review/standin-2/rig.c
+++ b/review/standin-2/rig.c
@@ -756,6 +756,26 @@
     return ok && send_text(fd, "0\r\n\r\n");
 }
 
+/* Sends header lines without a value, just below 64 KiB of them, then a byte
+ * now and then until the caller closes. */
+static bool
+send_endless_head(int fd)
+{
+    enum { LINES = 16200, LINE_BYTES = 4 };
+    char *lines = malloc(LINES * LINE_BYTES + 1);
+    for (int i = 0; i < LINES; i++) {
+        memcpy(lines + (ptrdiff_t)i * LINE_BYTES, "a:\r\n", LINE_BYTES);
+    }
+    bool ok = send_text(fd, "HTTP/1.1 200 OK\r\n") &&
+              send_all(fd, lines, LINES * LINE_BYTES);
+    free(lines);
+    while (ok) {
+        rig_sleep(0.5);
+        ok = send_all(fd, "a", 1);
+    }
+    return false;
+}
+
 static bool
 answer(struct server *s, int fd, const struct http_request *r)
 {
@@ -781,6 +801,9 @@
         return run_pieces(s, fd, r);
     }
     note_arrival(s, r);
+    if (s->endless) {
+        return send_endless_head(fd);
+    }
     find_header(r->head, "Camphorfall-Request-Id", id, sizeof(id));
     if (s->streams) {
         return send_stream(s, fd, id);
@@ -1069,6 +1092,62 @@
     return ready;
 }
 
+long
+rig_memory_kb(const struct gateway *g)
+{
+    char path[64];
+    char line[128];
+    long kb = 0;
+    snprintf(path, sizeof(path), "/proc/%d/status", (int)g->pid);
+    FILE *f = fopen(path, "r");
+    while (f && fgets(line, sizeof(line), f)) {
+        if (sscanf(line, "VmRSS: %ld", &kb) == 1) {
+            break;
+        }
+    }
+    if (f) {
+        fclose(f);
+    }
+    return kb;
+}
+
+struct memory_limit {
+    struct rig *rig;
+    const struct rig_settings *settings;
+};
+
+static void *
+limit_memory(void *arg)
+{
+    const struct memory_limit *l = arg;
+    for (;;) {
+        rig_sleep(0.02);
+        for (int i = 0; i < l->rig->gateway_count; i++) {
+            struct gateway *g = &l->rig->gateways[i];
+            long kb = rig_memory_kb(g);
+            if (kb <= l->settings->memory_mb * 1024L) {
+                continue;
+            }
+            kill(g->pid, SIGKILL);
+            waitpid(g->pid, NULL, 0);
+            g->ends++;
+            rig_record("gateway %d has %ld kB of %d MB: killed, end %d", i, kb,
+                       l->settings->memory_mb, g->ends);
+            rig_sleep(1);
+            start_gateway(g);
+        }
+    }
+    return NULL;
+}
+
+void
+rig_limit_memory(struct rig *r, const struct rig_settings *s)
+{
+    static struct memory_limit limit;
+    limit = (struct memory_limit){r, s};
+    start_thread(limit_memory, &limit);
+}
+
 static struct rig *opened;
 
 static void
--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -34,6 +34,7 @@
     int fd;
     bool streams; /**< a model server: answers with three events */
     int batch_ms; /**< duration of a call for pieces */
+    bool endless; /**< its answers to requests have a head without end */
     int64_t next_handle;
 };
 
@@ -66,6 +67,7 @@
     int link;
     char settings[160];
     char log[160];
+    volatile int ends; /**< how often it was killed for its memory */
 };
 
 struct rig {
@@ -106,6 +108,12 @@
  * command of the deploy file. @return false if one does not become ready */
 bool rig_start_gateways(struct rig *r, const struct rig_settings *s);
 
+/** From now on kills a gateway whose resident memory exceeds @p memory_mb, as
+ * the platform does, and starts it again a second later. */
+void rig_limit_memory(struct rig *r, const struct rig_settings *s);
+/** Resident memory of a gateway, in kilobytes; 0: it does not run. */
+long rig_memory_kb(const struct gateway *g);
+
 /** @return the configuration with these routes, services and tenants, which
  * are consumed */
 json_t *rig_config(int version, json_t *routes, json_t *services,
