--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -1,4 +1,4 @@
-/* The cases of the second review: cases NUMBER TROUBLE RECORD. Exits with 1 if
+/* The cases of the second review: cases NAME TROUBLE RECORD. Exits with 1 if
  * the rule was broken, 0 if it held, 2 if the case could not run. */
 #include <pthread.h>
 #include <stdio.h>
@@ -294,7 +294,7 @@
     return broken > 0;
 }
 
-/* Case 8: a request inside the body of another one. */
+/* Case 9: a request inside the body of another one. */
 
 enum framing { TWO_LENGTHS, LENGTH_AND_CHUNKS, SPACE_BEFORE_COLON, FRAMINGS };
 
@@ -375,7 +375,7 @@
     return broken[0] + broken[1] + broken[2] > 0;
 }
 
-/* Cases 9 and 10: routes with stages */
+/* Routes with stages; these two are described in REPORT-2.md only. */
 
 static json_t *
 staged_config(int version, bool in_order, json_t *of_tenants)
@@ -513,7 +513,7 @@
     return broken > 0;
 }
 
-/* Case 11: a client with many headers. */
+/* Case 10: a client with many headers. */
 
 static int
 case_headers(bool trouble)
@@ -558,7 +558,7 @@
     return broken > 0;
 }
 
-/* Case: servers whose heads do not end. */
+/* Case 8: servers whose heads do not end. */
 
 /* Streams a second and machine of the site, and its largest burst. */
 #define STREAMS_PER_S (194.4 / 63)
