--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -513,7 +513,7 @@
     return broken > 0;
 }
 
-/* Case 10: a client with many headers. */
+/* A client with many headers. */
 
 static int
 case_headers(bool trouble)
