Review case 8: bursts within the site's doses

The script multiplied all traffic by 2.5 for 6.7 s. The site file has these doses for single kinds of requests only, and x 1.8 for 4 s for all. Now the three largest bursts of the list overlap, each with its own dose.

--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -560,11 +560,16 @@
 
 /* Case 8: servers whose heads do not end. */
 
-/* Streams a second and machine of the site, and its largest burst. */
+/* Streams a second and machine of the site, and the largest bursts of its list
+ * for two kinds of requests and for all, which overlap. */
 #define STREAMS_PER_S (194.4 / 63)
-#define BURST_FACTOR 2.5
-#define BURST_S 6.7
 enum { BURSTS = 3 };
+static const struct {
+    int kind; /* -1: all */
+    double from_s;
+    double for_s;
+    double factor;
+} bursts[] = {{0, 8, 6.7, 2.3}, {1, 8, 6.5, 2.5}, {-1, 10.5, 4, 1.8}};
 /* The rule allows this many lost requests. */
 enum { LOST_ALLOWED = 3 };
 /* Clients of the sound service at each node, and the time until the first
@@ -581,6 +586,22 @@
 } kinds[] = {{"/digest/a", 66.2 / 194.4, 5200, 10000},
              {"/translate/a", 49.8 / 194.4, 6800, 8000},
              {"/tidy/a", 78.4 / 194.4, 6400, 15000}};
+enum { KINDS = sizeof(kinds) / sizeof(kinds[0]) };
+
+/* Requests a second of one kind at a machine. */
+static double
+kind_rate(size_t kind, double in_period_s)
+{
+    double rate = STREAMS_PER_S * kinds[kind].share;
+    for (size_t i = 0; i < sizeof(bursts) / sizeof(bursts[0]); i++) {
+        if ((bursts[i].kind < 0 || (size_t)bursts[i].kind == kind) &&
+            in_period_s >= bursts[i].from_s &&
+            in_period_s < bursts[i].from_s + bursts[i].for_s) {
+            rate *= bursts[i].factor;
+        }
+    }
+    return rate;
+}
 
 static json_t *
 stream_route(const char *prefix, int timeout_ms, int target_ms, int attempts,
@@ -639,16 +660,12 @@
 }
 
 static void
-start_client(int port)
+start_client(int port, size_t kind)
 {
     struct client *c = calloc(1, sizeof(*c));
-    double at = (double)rand() / RAND_MAX;
     pthread_t t;
     c->port = port;
-    while (c->kind < 2 && at >= kinds[c->kind].share) {
-        at -= kinds[c->kind].share;
-        c->kind++;
-    }
+    c->kind = kind;
     if (pthread_create(&t, NULL, run_client, c) == 0) {
         pthread_detach(t);
     }
@@ -732,9 +749,9 @@
             pthread_detach(t);
         }
     }
-    srand(1);
     double begin_s = rig_now_s();
-    double next_s[RIG_GATEWAYS] = {begin_s, begin_s};
+    double last_s = begin_s;
+    double due[RIG_GATEWAYS][KINDS] = {{0}};
     double end_s = begin_s + BURSTS * 20;
     double report_s = begin_s;
     while (rig_now_s() < end_s) {
@@ -743,24 +760,25 @@
         while (in_period_s >= 20) {
             in_period_s -= 20;
         }
-        bool burst = in_period_s >= 8 && in_period_s < 8 + BURST_S;
         for (int i = 0; i < site.gateways; i++) {
             long kb = rig_memory_kb(&rig.gateways[i]);
             most_kb[i] = kb > most_kb[i] ? kb : most_kb[i];
-            if (now_s >= next_s[i]) {
-                next_s[i] += 1 / (STREAMS_PER_S * (burst ? BURST_FACTOR : 1));
-                next_s[i] = next_s[i] < now_s ? now_s : next_s[i];
-                start_client(rig.gateways[i].front);
+            for (size_t k = 0; k < KINDS; k++) {
+                due[i][k] += (now_s - last_s) * kind_rate(k, in_period_s);
+                for (; due[i][k] >= 1; due[i][k] -= 1) {
+                    start_client(rig.gateways[i].front, k);
+                }
             }
         }
         if (now_s >= report_s) {
             report_s += 2;
-            rig_record("%s: %d requests sent, %d answered with 200, %d open; "
+            rig_record("%d requests sent, %d answered with 200, %d open; "
                        "gateways have %ld and %ld kB",
-                       burst ? "burst" : "steady", load.sent, load.served,
-                       load.open, rig_memory_kb(&rig.gateways[0]),
+                       load.sent, load.served, load.open,
+                       rig_memory_kb(&rig.gateways[0]),
                        rig_memory_kb(&rig.gateways[1]));
         }
+        last_s = now_s;
         rig_sleep(0.01);
     }
     for (int i = 0; i < site.gateways; i++) {
