Require credentials when the list of teams is empty

Cause: routing_has_teams told from the number of teams whether routes need a credential, so an empty list counted as a missing one.

The configuration now keeps whether it has the member "tenants". authorize asks for that; sharing between teams still asks for teams. null counts as an empty list, and a value of another type makes the configuration unusable, as a number of another type does.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -296,7 +296,7 @@
                    "no route", age, RETRY_AFTER_MS);
         return false;
     }
-    if ((*route)->is_public || !routing_has_teams(rt)) {
+    if ((*route)->is_public || !routing_requires_credentials(rt)) {
         return true;
     }
     if (age > f->opts.max_store_age_us) {
--- a/src/model/routing.c
+++ b/src/model/routing.c
@@ -15,6 +15,7 @@
         routes_by_host; /* host -> GPtrArray of routes, longest prefix first */
     GArray *services;
     GHashTable *service_index; /* name -> index + 1 */
+    bool requires_credentials;
     GArray *teams;
     GHashTable *keys; /* credential -> team index + 1 */
 };
@@ -127,9 +128,16 @@
     g_ptr_array_insert(list, (gint)at, copy);
 }
 
+void
+routing_require_credentials(struct routing *r)
+{
+    r->requires_credentials = true;
+}
+
 int
 routing_add_team(struct routing *r, const struct routing_team *t)
 {
+    routing_require_credentials(r);
     g_array_append_val(r->teams, *t);
     return (int)r->teams->len - 1;
 }
@@ -173,6 +181,12 @@
     return r->teams->len > 0;
 }
 
+bool
+routing_requires_credentials(const struct routing *r)
+{
+    return r->requires_credentials;
+}
+
 const struct routing_team *
 routing_team(const struct routing *r, int index)
 {
--- a/src/model/routing.h
+++ b/src/model/routing.h
@@ -115,7 +115,11 @@
 int routing_add_service(struct routing *r, const struct service *s);
 /** Adds a route and takes ownership of its strings. */
 void routing_add_route(struct routing *r, const struct route *route);
-/** Adds a team and takes ownership of its strings. @return its index */
+/** Makes all routes that are not public require a team's credential, also if
+ * there is no team. */
+void routing_require_credentials(struct routing *r);
+/** Adds a team and takes ownership of its strings. Implies
+ * routing_require_credentials. @return its index */
 int routing_add_team(struct routing *r, const struct routing_team *t);
 /** Adds a credential that authenticates callers as a team. */
 void routing_add_credential(struct routing *r, struct str key, int team);
@@ -126,6 +130,9 @@
 int routing_find_service(const struct routing *r, struct str name);
 
 bool routing_has_teams(const struct routing *r);
+/** Whether callers need a team's credential, except on public routes. True
+ * without any team if the last one was removed. */
+bool routing_requires_credentials(const struct routing *r);
 const struct routing_team *routing_team(const struct routing *r, int index);
 /** @return the index of the credential's team, -1 if there is none */
 int routing_find_team_by_credential(const struct routing *r, struct str key);
--- a/tests/platform/rig_platform.c
+++ b/tests/platform/rig_platform.c
@@ -89,8 +89,9 @@
     platform_rig_register_server_at(r, server, state, r->servers[server].port);
 }
 
-void
-platform_rig_set_credentials(struct platform_rig *r, const char *keys)
+/* @param tenants the value of the configuration's member "tenants" */
+static void
+put_configuration(struct platform_rig *r, const char *tenants)
 {
     char *text = g_strdup_printf(
         "{\"version\":%d,\"routes\":["
@@ -117,12 +118,27 @@
         "{\"slots\":1,\"queue\":2,\"batch\":8,\"callMs\":100.0,\"itemMs\":0.1,"
         "\"roomMb\":36,\"handleS\":4}}],\"limits\":{\"headerBytes\":16384,"
         "\"bodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":"
-        "15000},\"tenants\":[{\"name\":\"team\",\"apiKeys\":[%s]}]}",
-        ++r->version, r->plain_timeout_ms, r->plain_timeout_ms, keys);
+        "15000},\"tenants\":%s}",
+        ++r->version, r->plain_timeout_ms, r->plain_timeout_ms, tenants);
     platform_rig_put(r, "op/config", text);
     g_free(text);
 }
 
+void
+platform_rig_set_credentials(struct platform_rig *r, const char *keys)
+{
+    char *tenants =
+        g_strdup_printf("[{\"name\":\"team\",\"apiKeys\":[%s]}]", keys);
+    put_configuration(r, tenants);
+    g_free(tenants);
+}
+
+void
+platform_rig_remove_teams(struct platform_rig *r)
+{
+    put_configuration(r, "[]");
+}
+
 static void
 start(struct platform_rig *r, struct rig_process *p, const char *name,
       const char *program, const char *const *args)
--- a/tests/platform/rig_platform.h
+++ b/tests/platform/rig_platform.h
@@ -71,6 +71,8 @@
                       struct buf *out);
 /** Writes a configuration with these credentials (JSON strings). */
 void platform_rig_set_credentials(struct platform_rig *r, const char *keys);
+/** Writes a configuration whose list of teams is empty. */
+void platform_rig_remove_teams(struct platform_rig *r);
 /** Writes the record of a server; @p state NULL removes it. */
 void platform_rig_set_server_state(struct platform_rig *r, int server,
                                    const char *state);
--- a/tests/platform/test_gateway_store.c
+++ b/tests/platform/test_gateway_store.c
@@ -110,6 +110,26 @@
     platform_rig_close(&r);
 }
 
+/* Guards against callers that are admitted with any credential, or with none,
+ * once the last team has been removed. */
+static void
+test_last_team(void)
+{
+    struct platform_rig r;
+    platform_rig_open(&r);
+    g_assert_true(wait_for_all(&r, PR_KEY, 200, 2000));
+    platform_rig_remove_teams(&r);
+    g_assert_true(wait_for_all(&r, PR_KEY, 401, 2000));
+    for (int n = 0; n < PR_NODES; n++) {
+        g_assert_cmpint(ask(&r, n, KEY_4), ==, 401);
+        g_assert_cmpint(ask(&r, n, ""), ==, 401);
+    }
+    platform_rig_set_credentials(&r, "\"key-1\"");
+    g_assert_true(wait_for_all(&r, PR_KEY, 200, 2000));
+    g_assert_true(wait_for_all(&r, KEY_4, 401, 0));
+    platform_rig_close(&r);
+}
+
 /* The other server of the service rejects all requests, so they go to the
  * draining one if a node takes it for ready. */
 static void
@@ -184,6 +204,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/gateway-store/configuration", test_configuration);
     g_test_add_func("/gateway-store/revocation", test_revocation);
+    g_test_add_func("/gateway-store/last-team", test_last_team);
     g_test_add_func("/gateway-store/draining", test_draining);
     g_test_add_func("/gateway-store/silent-connections",
                     test_silent_connections);
--- a/tests/platform/test_platform_odd.c
+++ b/tests/platform/test_platform_odd.c
@@ -210,6 +210,48 @@
     }
 }
 
+/* Guards against a list of teams that is empty, or of which nothing can be
+ * read, and is taken for a missing one: everybody would be admitted. */
+static void
+test_empty_teams(void)
+{
+    static const struct {
+        const char *members;
+        enum status st;
+        bool requires_credentials;
+    } rows[] = {
+        {"", ST_OK, false},
+        {",\"tenants\":[]", ST_OK, true},
+        {",\"tenants\":null", ST_OK, true},
+        {",\"tenants\":[{\"name\":\"t\",\"apiKeys\":[]}]", ST_OK, true},
+        {",\"tenants\":[{\"name\":\"t\"}]", ST_OK, true},
+        {",\"tenants\":[{\"name\":\"t\",\"apiKeys\":\"k\"}]", ST_OK, true},
+        {",\"tenants\":[7,null]", ST_OK, true},
+        {",\"tenants\":{}", ST_INVALID, true},
+        {",\"tenants\":{\"t\":{\"apiKeys\":[\"k\"]}}", ST_INVALID, true},
+        {",\"tenants\":\"t\"", ST_INVALID, true},
+        {",\"tenants\":false", ST_INVALID, true},
+        {",\"tenants\":[{\"apiKeys\":[\"\"]}]", ST_INVALID, true},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        CLEANUP(buf_free) struct buf b = {0};
+        struct routing *rt = NULL;
+        buf_printf(&b, "{\"version\":1%s}", rows[i].members);
+        g_test_message("%s", b.ptr);
+        enum status st = platform_codec.routing(buf_str(&b), &rt);
+        g_assert_cmpint(st, ==, rows[i].st);
+        if (st == ST_OK) {
+            g_assert_cmpint(routing_requires_credentials(rt), ==,
+                            rows[i].requires_credentials);
+            g_assert_cmpint(routing_find_team_by_credential(rt, STR_LIT("k")),
+                            ==, -1);
+            g_assert_cmpint(routing_find_team_by_credential(rt, STR_LIT("")),
+                            ==, -1);
+            routing_unref(rt);
+        }
+    }
+}
+
 /* Guards against calls whose results do not fit into the memory for them. */
 static void
 test_large_batch(void)
@@ -233,6 +275,7 @@
     g_test_add_func("/platform-odd/endpoint-address", test_endpoint_address);
     g_test_add_func("/platform-odd/deep-record", test_deep_record);
     g_test_add_func("/platform-odd/routing", test_odd_routing);
+    g_test_add_func("/platform-odd/empty-teams", test_empty_teams);
     g_test_add_func("/platform-odd/batch", test_large_batch);
     return g_test_run();
 }
