Let answers of the store take as long as they make progress

Cause: the limit of a call to the store covered the whole answer: 700 ms while the key range fails, 1.5 s to 2 s otherwise. The next try had the same limit, and a watch whose answer exceeded 8 MiB was sent again.

The limit now holds until the first byte. Then a call ends when less than 4 KiB arrive in a second, or after 30 s. A watch with more than 1.5 MiB of changes is replaced by a list. After an outage the other key ranges are called when the store begins to answer for the operator's records, and a call whose answer is arriving is not repeated because of the silence of another one.

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -164,7 +164,8 @@
 }
 
 /* Repeats the calls of the other key ranges. Their connections are as old as
- * one that has turned out to be silent. */
+ * one that has turned out to be silent, except those on which the store is
+ * answering. */
 static void
 repeat_other_calls(struct feed *f, int64_t now_us,
                    const struct range_watch *silent)
@@ -172,7 +173,7 @@
     for (int i = 0; i < FEED_RANGE_COUNT; i++) {
         struct range_watch *rw = &f->range_watches[i];
         if (rw != silent && rw->busy && !rw->via_node && rw->watching &&
-            !rw->failing && !rw->retrying) {
+            !rw->answering_us && !rw->failing && !rw->retrying) {
             rw->busy = false;
             rw->call_id = 0;
             rw->bypass_watcher = true;
@@ -215,6 +216,7 @@
     }
     rw->failing = true;
     rw->retrying = false;
+    rw->answering_us = 0;
     int64_t interval_us =
         silent ? PROBE_SILENT_INTERVAL_US : PROBE_INTERVAL_US;
     if (rw->range == FEED_RANGE_NODES) {
@@ -237,6 +239,23 @@
     }
 }
 
+/* The other key ranges are called at once: a large answer for the operator's
+ * range may take seconds, and what has changed meanwhile must be known then.
+ */
+void
+feed_handle_answering(struct feed *f, int64_t now_us, uint64_t op)
+{
+    struct range_watch *rw = &f->range_watches[FEED_RANGE_OPERATOR];
+    for (int i = 0; i < FEED_RANGE_COUNT; i++) {
+        if (f->range_watches[i].call_id == op) {
+            f->range_watches[i].answering_us = now_us;
+        }
+    }
+    if (rw->call_id == op && rw->failing) {
+        call_failing_ranges(f, now_us);
+    }
+}
+
 /* Time of the newest response for any key range. */
 static int64_t
 latest_response_us(const struct feed *f)
@@ -252,9 +271,10 @@
 handle_call_success(struct feed *f, int64_t now_us, struct range_watch *rw)
 {
     int64_t last = latest_response_us(f);
+    int64_t began_us = rw->answering_us ? rw->answering_us : now_us;
     bool failed = rw->failing || rw->retrying;
-    if (failed && last && now_us - last > MIN_OUTAGE_US) {
-        f->outage_end_us = now_us;
+    if (failed && last && began_us - last > MIN_OUTAGE_US) {
+        f->outage_end_us = began_us;
     }
     if (rw->failing && rw->range == FEED_RANGE_OPERATOR) {
         call_failing_ranges(f, now_us);
@@ -331,6 +351,7 @@
     rw->busy = false;
     rw->retrying = false;
     rw->call_id = 0;
+    rw->answering_us = 0;
     g_free(rw->list_after_key);
     rw->list_after_key = NULL;
     rw->next_call_us = now_us;
@@ -355,8 +376,10 @@
                    const struct kv_result *r, int64_t contact_us)
 {
     rw->busy = false;
-    if (r->outcome == KV_COMPACTED) {
-        LOG_EVENT(LOG_INFO, "store_history_gone",
+    if (r->outcome == KV_COMPACTED || r->outcome == KV_TOO_LARGE) {
+        LOG_EVENT(LOG_INFO,
+                  r->outcome == KV_COMPACTED ? "store_history_gone"
+                                             : "store_changes_too_large",
                   LOG_STR("prefix", rw->prefix),
                   LOG_INT("revision", rw->revision));
         feed_restart_range(rw, now_us);
@@ -521,8 +544,10 @@
     if (rw->busy || now_us < rw->next_call_us) {
         return false;
     }
-    if (rw->failing && rw->range != FEED_RANGE_OPERATOR &&
-        f->range_watches[FEED_RANGE_OPERATOR].failing) {
+    const struct range_watch *operator_range =
+        &f->range_watches[FEED_RANGE_OPERATOR];
+    if (rw->failing && rw != operator_range && operator_range->failing &&
+        !operator_range->answering_us) {
         /* The operator's range detects the return of the store for all ranges.
          */
         rw->next_call_us = now_us + PROBE_INTERVAL_US;
@@ -559,6 +584,7 @@
         rw->bypass_watcher = false;
     }
     rw->busy = true;
+    rw->answering_us = 0;
     rw->call_sent_us = now_us;
     rw->call_id = out->id = feed_query_id(f->era, ++f->next_id);
     return true;
--- a/src/control/feed.h
+++ b/src/control/feed.h
@@ -80,6 +80,8 @@
  * of other nodes that have waited for the maximum time.
  * @return false if there is none now */
 bool feed_next_op(struct feed *f, int64_t now_us, struct kv_op *out);
+/** The store has begun to answer an operation; the result follows. */
+void feed_handle_answering(struct feed *f, int64_t now_us, uint64_t op);
 /** Handles the result of an operation. */
 void feed_handle_result(struct feed *f, int64_t now_us,
                         const struct kv_result *r);
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -99,6 +99,7 @@
     bool listed_once;
     uint64_t call_id; /* of the call in progress */
     int64_t call_sent_us;
+    int64_t answering_us; /* when the store began to answer it; 0: not yet */
     int64_t call_wait_us; /* how long the store holds it without changes */
     int64_t next_call_us;
     int64_t revision;
--- a/src/daemon/gateway_control.c
+++ b/src/daemon/gateway_control.c
@@ -59,6 +59,13 @@
     }
 }
 
+static void
+on_store_answering(void *ctx, uint64_t id)
+{
+    struct gateway_control *c = ctx;
+    feed_handle_answering(c->feed, gateway_now_us(), id);
+}
+
 static bool
 is_ready(struct gateway_control *c)
 {
@@ -430,7 +437,9 @@
     feed_set_capacity(c->feed, (int)lround(set->cpu_share * 1000));
     buf_free(&registered);
     c->rollout = gateway_rollout_new(set);
-    c->store = platform_store_new(c->loop, set->store, on_store, c);
+    c->store = platform_store_new(
+        c->loop, set->store,
+        (struct platform_store_callbacks){c, on_store_answering, on_store});
     if (st == ST_OK) {
         st = open_probe_server(c, set->ready, on_ready_request,
                                &c->ready_server);
--- a/src/edge/relay.c
+++ b/src/edge/relay.c
@@ -48,7 +48,12 @@
     size_t head_bytes; /* of all headers and trailers */
     int status;
     int64_t length;
-    int64_t overdue_us;       /* monotonic */
+    int64_t overdue_us; /* monotonic */
+    int64_t stall_timeout_us;
+    int64_t stalled_us;       /* monotonic; when the call ends if no more bytes
+                                 arrive; INT64_MAX: it does not */
+    size_t progress_bytes;    /* received since stalled_us was set */
+    bool responding;          /* a byte of the response has arrived */
     GArray *response_headers; /* struct http_header; strings are owned */
     struct buf received;      /* received bytes not yet reported */
     struct call *next_active;
@@ -142,11 +147,24 @@
     g_array_append_val(c->response_headers, h);
 }
 
+static void
+note_progress(struct call *c, size_t bytes)
+{
+    c->progress_bytes += bytes;
+    if (c->stall_timeout_us > 0 &&
+        (!c->responding || c->progress_bytes >= RELAY_MIN_PROGRESS_BYTES)) {
+        c->responding = true;
+        c->progress_bytes = 0;
+        c->stalled_us = loop_now_us() + c->stall_timeout_us;
+    }
+}
+
 static size_t
 on_header(char *p, size_t size, size_t n, void *ctx)
 {
     struct call *c = ctx;
     size_t len = size * n;
+    note_progress(c, len);
     c->head_bytes += len;
     if (c->head_bytes > RELAY_MAX_HEADER_BYTES) {
         return 0; /* makes libcurl end the call */
@@ -188,6 +206,7 @@
         c->full = true;
         return CURL_WRITEFUNC_PAUSE;
     }
+    note_progress(c, size * n);
     buf_append(&c->received, p, size * n);
     mark_active(c);
     return size * n;
@@ -294,6 +313,13 @@
     g_free(url);
 }
 
+/* When end_overdue_calls ends the call. */
+static int64_t
+call_limit_us(const struct call *c)
+{
+    return MIN(c->overdue_us, c->stalled_us);
+}
+
 void
 relay_start_call(struct relay *r, const struct relay_call *call)
 {
@@ -325,9 +351,13 @@
     set_headers(c, call);
     set_request(c, call);
     r->calls_started++;
-    c->overdue_us =
-        loop_now_us() + MAX(call->timeout_ms, 1) * 1000 + OVERDUE_US;
-    r->overdue_check_us = MIN(r->overdue_check_us, c->overdue_us);
+    int64_t now_us = loop_now_us();
+    c->overdue_us = now_us + MAX(call->timeout_ms, 1) * 1000 + OVERDUE_US;
+    c->stall_timeout_us = call->stall_timeout_ms * 1000;
+    c->stalled_us = call->first_byte_timeout_ms > 0
+                        ? now_us + call->first_byte_timeout_ms * 1000
+                        : INT64_MAX;
+    r->overdue_check_us = MIN(r->overdue_check_us, call_limit_us(c));
     g_hash_table_insert(r->calls, &c->id, c);
     if (curl_loop_add(r->curl, e) != CURLM_OK) {
         g_array_append_val(r->failed_to_start, c->id);
@@ -479,7 +509,8 @@
     finish(r, c, result);
 }
 
-/* Ends the calls that libcurl should have ended. */
+/* Ends the calls whose response has stalled, and those that libcurl should
+ * have ended. */
 static void
 end_overdue_calls(struct relay *r, int64_t now_us)
 {
@@ -490,11 +521,11 @@
     g_hash_table_iter_init(&it, r->calls);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct call *c = v;
-        if (c->overdue_us <= now_us) {
+        if (call_limit_us(c) <= now_us) {
             g_array_append_val(overdue, c->id);
         }
         else {
-            next_us = MIN(next_us, c->overdue_us);
+            next_us = MIN(next_us, call_limit_us(c));
         }
     }
     r->overdue_check_us = MAX(next_us, now_us + OVERDUE_CHECK_US);
@@ -505,8 +536,10 @@
         uint64_t id = g_array_index(overdue, uint64_t, i);
         struct call *c = g_hash_table_lookup(r->calls, &id);
         if (c) {
-            LOG_EVENT(LOG_INFO, "call_overdue",
-                      LOG_INT("ms", (now_us - c->overdue_us) / 1000));
+            if (c->overdue_us <= now_us) {
+                LOG_EVENT(LOG_INFO, "call_overdue",
+                          LOG_INT("ms", (now_us - c->overdue_us) / 1000));
+            }
             finish(r, c, c->send_count > 0 ? RELAY_TIMEOUT : RELAY_NOT_SENT);
         }
     }
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -28,8 +28,17 @@
     bool close_after_error;
     int64_t connect_timeout_ms; /**< time-out of connecting */
     int64_t timeout_ms;         /**< for the whole call */
+    /** Limits for a response that may be large: the time until its first byte,
+     * and the longest time in which fewer than RELAY_MIN_PROGRESS_BYTES of it
+     * arrive. 0: only timeout_ms applies. */
+    int64_t first_byte_timeout_ms;
+    int64_t stall_timeout_ms;
 };
 
+/** See relay_call.stall_timeout_ms. Small enough for a slow link and too large
+ * for a server that sends a byte now and then. */
+#define RELAY_MIN_PROGRESS_BYTES 4096
+
 /** Limit of the total size of all headers and trailers of one response, in
  * bytes. */
 #define RELAY_MAX_HEADER_BYTES (64 << 10)
@@ -45,7 +54,7 @@
     RELAY_INVALID_RESPONSE, /**< sent; the received bytes are not a valid
                         response, or its headers and trailers exceed
                         RELAY_MAX_HEADER_BYTES */
-    RELAY_TIMEOUT, /**< sent; the response was incomplete at the time limit */
+    RELAY_TIMEOUT, /**< sent; the response was incomplete at a time limit */
 };
 
 const char *relay_result_name(enum relay_result r);
--- a/src/store/kv.h
+++ b/src/store/kv.h
@@ -39,7 +39,8 @@
                               lease */
     struct str second_value; /**< empty: there is only one key */
     int64_t if_revision;     /**< PUT_IF: 0: the key does not exist */
-    int64_t timeout_ms;
+    int64_t timeout_ms; /**< until the response begins; then it may take as
+                           long as its size and the link require */
     uint64_t
         via_node; /**< WATCH: hash of a node to query instead; 0: the store */
     bool wait_for_contact; /**< if via_node is set: see struct feed_query */
@@ -49,6 +50,8 @@
     KV_OK,
     KV_COMPACTED,       /**< WATCH: the store no longer keeps the changes after
                            revision */
+    KV_TOO_LARGE,       /**< WATCH: the changes after revision are likely to be
+                           larger than a list */
     KV_CONFLICT,        /**< PUT_IF: key has another revision */
     KV_LEASE_EXPIRED,   /**< renewal or PUT: the lease has expired */
     KV_NOT_EXECUTED,    /**< the operation was certainly not executed */
--- a/tests/platform/proxy.c
+++ b/tests/platform/proxy.c
@@ -20,6 +20,10 @@
 #define POLL_TIMEOUT_MS 10
 #define DELAY_US 150000
 #define CHUNK 16384
+/* Bytes that a slow connection forwards at a time, and how much time it makes
+ * up for after a turn that came late. */
+#define SLOW_CHUNK 4096
+#define SLOW_BURST_US 20000
 /* Maximum number of buffered bytes per direction; beyond it the sender has to
  * wait. */
 #define BUFFER_MAX_BYTES 65536
@@ -29,7 +33,8 @@
     int from;
     int to;
     struct buf buffer;
-    int64_t due_us; /* when to forward the buffered bytes */
+    int64_t due_us;  /* when to forward the buffered bytes */
+    int bytes_per_s; /* 0: no limit */
     bool ended;
 };
 
@@ -48,6 +53,7 @@
     int target;
     _Atomic int fault;
     _Atomic int resets;
+    _Atomic int bytes_per_s;
     int last_resets;
     int last_fault;
     _Atomic int stop;
@@ -124,7 +130,7 @@
             return n == 0 || errno == EAGAIN || errno == EINTR;
         }
         if (p->buffer.len == 0) {
-            p->due_us = now_us + (delayed ? DELAY_US : 0);
+            p->due_us = MAX(p->due_us, now_us + (delayed ? DELAY_US : 0));
         }
         buf_append(&p->buffer, chunk, (size_t)n);
     }
@@ -135,12 +141,18 @@
 send_due_bytes(struct half_connection *p, int64_t now_us)
 {
     while (p->buffer.len > 0 && now_us >= p->due_us) {
-        ssize_t n = send(p->to, p->buffer.ptr, p->buffer.len, MSG_NOSIGNAL);
+        size_t len = p->bytes_per_s > 0 ? MIN(p->buffer.len, SLOW_CHUNK)
+                                        : p->buffer.len;
+        ssize_t n = send(p->to, p->buffer.ptr, len, MSG_NOSIGNAL);
         if (n <= 0) {
             return n < 0 && (errno == EAGAIN || errno == EINTR);
         }
         memmove(p->buffer.ptr, p->buffer.ptr + n, p->buffer.len - (size_t)n);
         p->buffer.len -= (size_t)n;
+        if (p->bytes_per_s > 0) {
+            p->due_us = MAX(p->due_us, now_us - SLOW_BURST_US) +
+                        n * 1000000 / p->bytes_per_s;
+        }
     }
     if (p->ended && p->buffer.len == 0) {
         shutdown(p->to, SHUT_WR);
@@ -149,12 +161,13 @@
 }
 
 static void
-serve(struct proxied_connection *p, int fault, int64_t now_us)
+serve(struct proxied_connection *p, int fault, int bytes_per_s, int64_t now_us)
 {
     bool delayed = fault == PROXY_DELAY;
     if (p->silent) {
         return;
     }
+    p->down.bytes_per_s = bytes_per_s;
     bool ok = fill(&p->up, now_us, delayed) && send_due_bytes(&p->up, now_us);
     ok = ok && fill(&p->down, now_us, delayed);
     /* TCP delivers nothing after a gap. */
@@ -199,7 +212,8 @@
         if (!p->silent && !p->up.ended) {
             fds[n++] = (struct pollfd){p->up.from, POLLIN, 0};
         }
-        if (!p->silent && !p->down.ended) {
+        if (!p->silent && !p->down.ended &&
+            p->down.buffer.len < BUFFER_MAX_BYTES) {
             fds[n++] = (struct pollfd){p->down.from, POLLIN, 0};
         }
     }
@@ -224,7 +238,7 @@
                 continue;
             }
             p->silent |= fault == PROXY_SILENCE && fault != x->last_fault;
-            serve(p, fault, loop_now_us());
+            serve(p, fault, atomic_load(&x->bytes_per_s), loop_now_us());
         }
         x->last_resets = resets;
         x->last_fault = fault;
@@ -271,6 +285,12 @@
     atomic_store(&x->fault, (int)fault);
 }
 
+void
+proxy_set_speed(struct proxy *x, int bytes_per_s)
+{
+    atomic_store(&x->bytes_per_s, bytes_per_s);
+}
+
 void
 proxy_reset_connections(struct proxy *x)
 {
--- a/tests/platform/rig_platform.c
+++ b/tests/platform/rig_platform.c
@@ -93,6 +93,16 @@
 static void
 put_configuration(struct platform_rig *r, const char *tenants)
 {
+    GString *fillers = g_string_new(NULL);
+    for (int i = 0; i < r->filler_routes; i++) {
+        g_string_append_printf(
+            fillers,
+            ",{\"name\":\"filler-%d\",\"host\":\"filler-%d.example\","
+            "\"prefix\":\"/filler/\",\"kind\":\"idempotent\",\"timeoutMs\":"
+            "5000,\"targetLatencyMs\":100,\"service\":\"desk\","
+            "\"maxAttempts\":2}",
+            i, i);
+    }
     char *text = g_strdup_printf(
         "{\"version\":%d,\"routes\":["
         "{\"name\":\"action\",\"host\":\"action\",\"prefix\":\"/\",\"kind\":"
@@ -112,16 +122,18 @@
         "\"service\":\"desk\",\"maxAttempts\":1},"
         "{\"name\":\"draft\",\"host\":\"draft\",\"prefix\":\"/\",\"kind\":"
         "\"streaming\",\"resumable\":false,\"timeoutMs\":6000,"
-        "\"targetLatencyMs\":1000,\"service\":\"pool\",\"maxAttempts\":1}],"
+        "\"targetLatencyMs\":1000,\"service\":\"pool\",\"maxAttempts\":1}%s],"
         "\"services\":[{\"name\":\"desk\"},{\"name\":\"pool\",\"engine\":{"
         "\"slots\":8,\"kvCapacity\":100000}},{\"name\":\"ledger\",\"pieces\":"
         "{\"slots\":1,\"queue\":2,\"batch\":8,\"callMs\":100.0,\"itemMs\":0.1,"
         "\"roomMb\":36,\"handleS\":4}}],\"limits\":{\"headerBytes\":16384,"
         "\"bodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":"
         "15000},\"tenants\":%s}",
-        ++r->version, r->plain_timeout_ms, r->plain_timeout_ms, tenants);
+        ++r->version, r->plain_timeout_ms, r->plain_timeout_ms, fillers->str,
+        tenants);
     platform_rig_put(r, "op/config", text);
     g_free(text);
+    g_string_free(fillers, TRUE);
 }
 
 void
--- a/tests/platform/rig_platform.h
+++ b/tests/platform/rig_platform.h
@@ -48,6 +48,8 @@
                                     nodes; NULL: none */
     int plain_timeout_ms;      /**< of the routes of the plain service, for
                                     configurations written later */
+    int filler_routes;         /**< that no request uses, in configurations
+                                    written later */
     GMutex lock;
     GPtrArray *actions; /**< struct rig_action, all action requests */
 };
--- a/tests/platform/test_gateway_store.c
+++ b/tests/platform/test_gateway_store.c
@@ -16,6 +16,8 @@
 /* Nodes count as connected again this long after connections went silent. */
 #define CONTACT_US 3000000
 #define SILENT_ROUNDS 3
+/* 10 Mbit/s, the slowest link of a node. */
+#define SLOW_LINK_BYTES_PER_S 1250000
 
 static int
 ask(struct platform_rig *r, int node, const char *headers)
@@ -198,6 +200,44 @@
     proxy_free(store);
 }
 
+/* Guards against nodes that never follow the configuration again after an
+ * outage, because the changes that they have missed take longer than a probe
+ * of the store on a slow link, or are larger than one answer may be. */
+static void
+test_slow_link(void)
+{
+    static const struct {
+        int filler_routes;
+        int missed_changes;
+    } rows[] = {{6000, 1}, {6000, 8}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct platform_rig r;
+        platform_rig_open_without_nodes(&r);
+        struct proxy *store = proxy_new(r.store.port);
+        r.store_port = proxy_port(store);
+        proxy_set_speed(store, SLOW_LINK_BYTES_PER_S);
+        platform_rig_register_servers(&r);
+        r.filler_routes = rows[i].filler_routes;
+        platform_rig_set_credentials(&r, "\"key-1\",\"key-2\"");
+        platform_rig_start_nodes(&r);
+        g_assert_true(wait_for_all(&r, KEY_2, 200, 5000));
+        set_store(&r, "{\"mode\":\"busy\"}");
+        g_usleep(2000000);
+        for (int k = 0; k < rows[i].missed_changes; k++) {
+            platform_rig_set_credentials(&r, "\"key-1\",\"key-3\"");
+        }
+        g_usleep(500000);
+        set_store(&r, "{\"mode\":\"ok\"}");
+        int64_t back_us = g_get_monotonic_time();
+        sleep_until(back_us + CONTACT_US);
+        g_test_message("%d missed changes", rows[i].missed_changes);
+        g_assert_true(wait_for_all(&r, KEY_3, 200, 0));
+        g_assert_true(wait_for_all(&r, KEY_2, 401, 0));
+        platform_rig_close(&r);
+        proxy_free(store);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -208,5 +248,6 @@
     g_test_add_func("/gateway-store/draining", test_draining);
     g_test_add_func("/gateway-store/silent-connections",
                     test_silent_connections);
+    g_test_add_func("/gateway-store/slow-link", test_slow_link);
     return g_test_run();
 }
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -705,6 +705,95 @@
     }
 }
 
+static int
+count_ops(struct feed_fixture *r, const char *prefix)
+{
+    int count = 0;
+    collect_ops(r);
+    for (int i = 0; i < r->count; i++) {
+        count += str_eq_cstr(r->ops[i].prefix, prefix);
+    }
+    return count;
+}
+
+/* Guards against a watch that is repeated for ever although its answer is too
+ * large. */
+static void
+test_too_many_changes(void)
+{
+    struct feed_fixture r;
+    struct kv_item config[] = {make_item("o/config", "9", 30)};
+    fixture_init(&r);
+    list_initial_records(&r);
+    struct kv_op op = take_op(&r, KV_WATCH, "o/");
+    give_result(&r, &op, KV_NOT_EXECUTED, 0, NULL, 0);
+    r.now += SECOND;
+    op = take_op(&r, KV_WATCH, "o/");
+    give_result(&r, &op, KV_TOO_LARGE, 0, NULL, 0);
+    op = take_op(&r, KV_LIST, "o/");
+    give_result(&r, &op, KV_OK, 40, config, 1);
+    struct cluster_view *s = feed_take_site(r.f, r.now);
+    g_assert_nonnull(s);
+    g_assert_cmpint(routing_version(s->routing), ==, 9);
+    cluster_view_unref(s);
+    op = take_op(&r, KV_WATCH, "o/");
+    g_assert_cmpint(op.revision, ==, 40);
+    feed_free(r.f);
+}
+
+/* Guards against endpoints that are used after they have left, because a large
+ * configuration is still being received after an outage. */
+static void
+test_slow_answer(void)
+{
+    struct feed_fixture r;
+    struct kv_item gone[] = {make_item("e/two", NULL, 12)};
+    fixture_init(&r);
+    list_initial_records(&r);
+    struct kv_op endpoints = take_op(&r, KV_WATCH, "e/");
+    struct kv_op config = take_op(&r, KV_WATCH, "o/");
+    give_result(&r, &endpoints, KV_NOT_EXECUTED, 0, NULL, 0);
+    give_result(&r, &config, KV_NOT_EXECUTED, 0, NULL, 0);
+    r.now += 3 * SECOND;
+    config = take_op(&r, KV_WATCH, "o/");
+    g_assert_cmpint(count_ops(&r, "e/"), ==, 0);
+    int64_t back_us = r.now;
+    feed_handle_answering(r.f, r.now, config.id);
+    endpoints = take_op(&r, KV_WATCH, "e/");
+    give_result(&r, &endpoints, KV_OK, 12, gone, 1);
+    /* The endpoint may write its record again. */
+    g_assert_cmpint(new_site_endpoint_count(&r), ==, 2);
+    r.now = back_us + 2300 * MS;
+    g_assert_cmpint(new_site_endpoint_count(&r), ==, 1);
+    give_result(&r, &config, KV_OK, 12, NULL, 0);
+    r.now = back_us + 3 * SECOND;
+    g_assert_cmpint(new_site_endpoint_count(&r), ==, -1);
+    feed_free(r.f);
+}
+
+/* Guards against a large answer that is given up and queried again because
+ * another connection is silent. */
+static void
+test_answer_beside_silence(void)
+{
+    static const bool rows[] = {false, true};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct feed_fixture r;
+        fixture_init(&r);
+        list_initial_records(&r);
+        struct kv_op config = take_op(&r, KV_WATCH, "o/");
+        struct kv_op endpoints = take_op(&r, KV_WATCH, "e/");
+        if (rows[i]) {
+            feed_handle_answering(r.f, r.now, config.id);
+        }
+        r.now += endpoints.timeout_ms * MS;
+        give_result(&r, &endpoints, KV_OUTCOME_UNKNOWN, 0, NULL, 0);
+        g_assert_cmpint(count_ops(&r, "e/"), ==, 1);
+        g_assert_cmpint(count_ops(&r, "o/"), ==, rows[i] ? 0 : 1);
+        feed_free(r.f);
+    }
+}
+
 /* Limits that nodes share grow only when a node has been missing for ten
  * seconds. */
 static void
@@ -806,6 +895,9 @@
     g_test_add_func("/feed/compacted", test_compacted);
     g_test_add_func("/feed/outage", test_outage);
     g_test_add_func("/feed/silent-connection", test_silent_connection);
+    g_test_add_func("/feed/too-many-changes", test_too_many_changes);
+    g_test_add_func("/feed/slow-answer", test_slow_answer);
+    g_test_add_func("/feed/answer-beside-silence", test_answer_beside_silence);
     g_test_add_func("/feed/end-of-cut", test_end_of_cut);
     g_test_add_func("/feed/cold", test_restart_is_cold);
     g_test_add_func("/feed/registration", test_registration);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -1,6 +1,7 @@
 /* Guards against connections that are closed before the request is sent being
- * reported as if no connection had been made in time, and against responses
- * that are read too late on a connection that follows a failed one. */
+ * reported as if no connection had been made in time, against responses that
+ * are read too late on a connection that follows a failed one, and against
+ * large responses that are cut although they make progress. */
 #include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
@@ -341,6 +342,108 @@
     close(fd);
 }
 
+#define FIRST_BYTE_TIMEOUT_MS 300
+#define STALL_TIMEOUT_MS 200
+#define SLOW_BODY_BYTES 60000
+#define SLOW_PAUSE_US 50000
+
+/* How a server sends a response of SLOW_BODY_BYTES. */
+struct slow_response {
+    const char *name;
+    int pieces; /* in which it sends the body, with a pause after each */
+    int bytes;  /* that it sends; the head counts as none */
+    bool sends_head;
+    enum relay_result result;
+    int limit_ms; /* of the time until the call ends */
+};
+
+struct slow_server {
+    struct test_server server;
+    const struct slow_response *response;
+};
+
+static void
+respond_slowly(int fd, const struct slow_response *r, _Atomic bool *stop)
+{
+    char request[4096];
+    char piece[SLOW_BODY_BYTES] = {0};
+    recv(fd, request, sizeof(request), 0);
+    if (r->sends_head) {
+        int n = snprintf(request, sizeof(request),
+                         "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n",
+                         SLOW_BODY_BYTES);
+        send(fd, request, (size_t)n, MSG_NOSIGNAL);
+    }
+    for (int i = 0; i < r->pieces && !atomic_load(stop); i++) {
+        usleep(SLOW_PAUSE_US);
+        send(fd, piece, (size_t)(r->bytes / r->pieces), MSG_NOSIGNAL);
+    }
+    while (!atomic_load(stop)) {
+        usleep(SLOW_PAUSE_US);
+    }
+    close(fd);
+}
+
+static void *
+respond_slowly_once(void *arg)
+{
+    struct slow_server *s = arg;
+    int fd = -1;
+    while (fd < 0 && !atomic_load(&s->server.stop)) {
+        fd = accept(s->server.fd, NULL, NULL);
+    }
+    if (fd >= 0) {
+        respond_slowly(fd, s->response, &s->server.stop);
+    }
+    return NULL;
+}
+
+static void
+test_slow_responses(void)
+{
+    static const struct slow_response rows[] = {
+        {"in time", 1, SLOW_BODY_BYTES, true, RELAY_COMPLETE, 1000},
+        {"slow, with progress", 20, SLOW_BODY_BYTES, true, RELAY_COMPLETE,
+         5000},
+        {"no response", 0, 0, false, RELAY_TIMEOUT, 1000},
+        {"nothing after the head", 0, 0, true, RELAY_TIMEOUT, 1000},
+        {"nothing after a half", 10, SLOW_BODY_BYTES / 2, true, RELAY_TIMEOUT,
+         2000},
+        {"a byte now and then", 100, 100, true, RELAY_TIMEOUT, 1000},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct slow_server s = {.response = &rows[i]};
+        struct client c;
+        char address[32];
+        client_open(&c);
+        s.server.fd = listen_on_port(16, &s.server.port);
+        pthread_create(&s.server.thread, NULL, respond_slowly_once, &s);
+        snprintf(address, sizeof(address), "127.0.0.1:%d", s.server.port);
+        struct relay_call call = {.id = 1,
+                                  .address = str_from_cstr(address),
+                                  .method = STR_LIT("GET"),
+                                  .target = STR_LIT("/"),
+                                  .connect_timeout_ms = TIMEOUT_MS,
+                                  .timeout_ms = 10 * TIMEOUT_MS,
+                                  .first_byte_timeout_ms =
+                                      FIRST_BYTE_TIMEOUT_MS,
+                                  .stall_timeout_ms = STALL_TIMEOUT_MS};
+        int64_t start_us = loop_now_us();
+        relay_start_call(c.relay, &call);
+        while (!c.outcome.ended) {
+            loop_run_once(c.loop, relay_next_wakeup_us(c.relay));
+            relay_process_events(c.relay, loop_now_us());
+        }
+        int64_t took_us = loop_now_us() - start_us;
+        g_test_message("%s: %s after %d us", rows[i].name,
+                       relay_result_name(c.outcome.result), (int)took_us);
+        g_assert_cmpint(c.outcome.result, ==, rows[i].result);
+        g_assert_cmpint(took_us, <, rows[i].limit_ms * 1000);
+        server_close(&s.server);
+        client_close(&c);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -350,5 +453,6 @@
     g_test_add_func("/relay/after-failed-connection",
                     test_after_failed_connection);
     g_test_add_func("/relay/time-outs", test_timeouts);
+    g_test_add_func("/relay/slow-responses", test_slow_responses);
     return g_test_run();
 }
