Take early responses that end with their connection as incomplete

Callers could see a part of an answer as a whole one: a server that answers before it has read a long upload, without a length, and ends while its receive buffer is empty closes the connection with a FIN; the reset follows when more of the upload arrives. libcurl reports success at the FIN.

A response below 300 that ends with its connection is now incomplete if the request had not been sent in full.

Whole responses, also those without a length, stay complete.

--- a/src/edge/relay.c
+++ b/src/edge/relay.c
@@ -46,8 +46,10 @@
     bool paused;
     bool full; /* libcurl was told to wait until received is passed on */
     size_t head_bytes; /* of all headers and trailers */
+    size_t request_body_bytes;
     int status;
     int64_t length;
+    bool chunked;
     int64_t overdue_us; /* monotonic */
     int64_t stall_timeout_us;
     int64_t stalled_us;       /* monotonic; when the call ends if no more bytes
@@ -144,6 +146,7 @@
         !str_to_i64(h.value, &c->length)) {
         c->length = -1;
     }
+    c->chunked |= strcasecmp(h.name.ptr, "transfer-encoding") == 0;
     g_array_append_val(c->response_headers, h);
 }
 
@@ -178,6 +181,7 @@
         clear_headers(c);
         c->status = (int)status;
         c->length = -1;
+        c->chunked = false;
         return len;
     }
     if (str_trim(str_from_bytes(p, len)).len > 0) {
@@ -327,6 +331,7 @@
     c->relay = r;
     c->id = call->id;
     c->length = -1;
+    c->request_body_bytes = call->body.len;
     c->close_after_error = call->close_after_error;
     c->response_headers =
         g_array_new(FALSE, FALSE, sizeof(struct http_header));
@@ -480,6 +485,21 @@
     return closed ? RELAY_CLOSED_UNSENT : RELAY_NOT_SENT;
 }
 
+/* Whether the end of the connection is taken for the end of the response
+ * although the server had not received the request: it may as well have failed
+ * in the middle of the response. libcurl sends no more of a request after a
+ * status of 300 or more. */
+static bool
+has_ended_early(const struct call *c)
+{
+    curl_off_t sent = 0;
+    curl_easy_getinfo(c->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+    bool ends_with_connection =
+        c->length < 0 && !c->chunked && c->status != 204;
+    return ends_with_connection && c->status < 300 &&
+           (size_t)sent < c->request_body_bytes;
+}
+
 static void
 on_done(void *ctx, CURL *easy, CURLcode rc)
 {
@@ -495,7 +515,7 @@
     r->connections_opened += (uint64_t)connects;
     enum relay_result result = RELAY_INCOMPLETE;
     if (rc == CURLE_OK && c->head_complete) {
-        result = RELAY_COMPLETE;
+        result = has_ended_early(c) ? RELAY_INCOMPLETE : RELAY_COMPLETE;
     }
     else if (c->send_count == 0 || (sent == 0 && c->send_count < 2)) {
         result = unsent_result(rc, os_error);
