Refuse responses whose status line is none of HTTP/1

Callers could see a status that does not exist: 600 of a server was passed on. "200abc", "200.5" and "HTTP/2 200" counted as 200. 000 was refused before.

Cause: libcurl parses the status line loosely, and the relay took its code; the client of camphorfalld used atoi.

Both clients now read the line with status_line_parse: "HTTP/1.x", a space, a code from 100 to 599, and a space or the end of the line. The call ends as one with bytes that are no answer otherwise.

Evidence: /relay-odd/status-lines, 51 lines with and without a length: 14 of 102 rows failed before, none now. /gateway-odd/statuses, with real processes, failed before ("status == 502": 600). test_http_out reported "done 999 hi" before.

--- a/src/edge/http_out_answer.c
+++ b/src/edge/http_out_answer.c
@@ -1,10 +1,10 @@
 #include <jansson.h>
-#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
 #include "base/number.h"
 #include "edge/http_out_state.h"
+#include "edge/status_line.h"
 
 /* Reported numbers of requests above this one count as it. */
 #define MAX_LOAD 1000000
@@ -114,10 +114,11 @@
     c->bytes_received = true;
     mark_active(c);
     if (str_starts_with(line, STR_LIT("HTTP/"))) {
-        struct str rest = str_from_bytes(p + 5, line.len - 5);
-        const char *space = memchr(rest.ptr, ' ', rest.len);
-        c->status = space ? atoi(space) : 0;
+        c->status = status_line_parse(line);
         c->attempt_matches = false;
+        if (c->status < 0) {
+            return 0; /* makes libcurl end the call */
+        }
     }
     else if (match_header(line, STR_LIT("X-Attempt"), &v)) {
         c->attempt_matches =
--- a/src/edge/relay.c
+++ b/src/edge/relay.c
@@ -12,6 +12,7 @@
 #include "base/clean.h"
 #include "base/log.h"
 #include "edge/curl_loop.h"
+#include "edge/status_line.h"
 
 /* Bytes of one response that are received before they are passed on. libcurl
  * reads up to 1.6 MB at a time, and hundreds of endpoints may send at once. */
@@ -42,6 +43,7 @@
     bool in_active_list;
     bool head_complete;
     bool head_reported;
+    bool bad_status_line;
     bool close_after_error;
     bool paused;
     bool full; /* libcurl was told to wait until received is passed on */
@@ -176,10 +178,12 @@
         return len; /* this line is a trailer */
     }
     if (len > 5 && memcmp(p, "HTTP/", 5) == 0) {
-        long status = 0;
-        curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
         clear_headers(c);
-        c->status = (int)status;
+        c->status = status_line_parse(str_from_bytes(p, len));
+        if (c->status < 0) {
+            c->bad_status_line = true;
+            return 0;
+        }
         c->length = -1;
         c->chunked = false;
         return len;
@@ -523,7 +527,8 @@
     else if (rc == CURLE_OPERATION_TIMEDOUT) {
         result = RELAY_TIMEOUT;
     }
-    else if (c->head_bytes > RELAY_MAX_HEADER_BYTES || is_protocol_error(rc)) {
+    else if (c->bad_status_line || c->head_bytes > RELAY_MAX_HEADER_BYTES ||
+             is_protocol_error(rc)) {
         result = RELAY_INVALID_RESPONSE;
     }
     finish(r, c, result);
--- a/tests/platform/test_gateway_odd.c
+++ b/tests/platform/test_gateway_odd.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/clean.h"
+#include "tests/platform/endless.h"
 #include "tests/platform/rig_platform.h"
 #include "tests/proc.h"
 
@@ -284,6 +285,37 @@
     platform_rig_close(&r);
 }
 
+#define SEALED(status)                                                        \
+    "HTTP/1.1 " status "\r\nCamphorfall-Request-Id: {id}\r\n"                 \
+    "Camphorfall-Response-Seal: odd.{id}\r\nContent-Length: 2\r\n\r\nok"
+
+/* Guards against a status that does not exist that callers get as an answer.
+ */
+static void
+test_odd_statuses(void)
+{
+    static const char *const rows[] = {SEALED("000 OK"), SEALED("600 x"),
+                                       SEALED("999 x"), SEALED("200.5 OK")};
+    static const char *const hosts[] = {"check", "action"};
+    struct platform_rig r;
+    struct endless_server *odd = endless_server_new();
+    platform_rig_open(&r);
+    for (int i = 0; i < 2; i++) {
+        platform_rig_register_server_at(&r, i, "ready",
+                                        endless_server_port(odd));
+    }
+    g_usleep(1000000);
+    for (size_t i = 0; i < G_N_ELEMENTS(rows) * G_N_ELEMENTS(hosts); i++) {
+        struct endless_response response = {rows[i / 2], "", 0, 20};
+        endless_server_set_response(odd, &response);
+        int status = ask(&r, (int)i % PR_NODES, hosts[i % 2], PR_KEY);
+        g_test_message("%.13s, %s: %d", rows[i / 2], hosts[i % 2], status);
+        g_assert_cmpint(status, ==, 502);
+    }
+    platform_rig_close(&r);
+    endless_server_free(odd);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -291,5 +323,6 @@
     g_test_add_func("/gateway-odd/entries", test_odd_entries);
     g_test_add_func("/gateway-odd/texts", test_odd_texts);
     g_test_add_func("/gateway-odd/requests", test_odd_requests);
+    g_test_add_func("/gateway-odd/statuses", test_odd_statuses);
     return g_test_run();
 }
--- a/tests/test_http_out.c
+++ b/tests/test_http_out.c
@@ -187,6 +187,19 @@
         {"accept|read|>HTTP/1.1 200 OK\r\nX-Att|close", false, "reset"},
         {"accept|read|hold", false, "timeout"},
         {"accept|read|>garbage\r\n\r\n|close", false, "reset"},
+        /* Statuses that do not exist, and lines that are no status line. */
+        {"accept|read|>HTTP/1.1 999 x\r\nX-Attempt: $A\r\n"
+         "Content-Length: 2\r\n\r\nhi|hold",
+         false, "truncated"},
+        {"accept|read|>HTTP/1.1 000 OK\r\nX-Attempt: $A\r\n"
+         "Content-Length: 2\r\n\r\nhi|hold",
+         false, "reset"},
+        {"accept|read|>HTTP/1.1 200.5 OK\r\nX-Attempt: $A\r\n"
+         "Content-Length: 2\r\n\r\nhi|hold",
+         false, "truncated"},
+        {"accept|read|>HTTP/2 200\r\nX-Attempt: $A\r\n"
+         "Content-Length: 2\r\n\r\nhi|hold",
+         false, "truncated"},
         /* Streams. */
         {"accept|read|>" SSE "\r\n" CHUNK("a") CHUNK("b") "data: [DONE]\n\n|"
                                                           "close",
--- a/tests/test_relay_odd.c
+++ b/tests/test_relay_odd.c
@@ -163,10 +163,121 @@
     g_assert_cmpint(failures, ==, 0);
 }
 
+struct odd_server {
+    struct test_server server;
+    const char *head;
+};
+
+static void *
+respond_oddly(void *arg)
+{
+    struct odd_server *s = arg;
+    char request[4096];
+    int fd = accept(s->server.fd, NULL, NULL);
+    g_assert_cmpint(fd, >=, 0);
+    recv(fd, request, sizeof(request), 0);
+    send(fd, s->head, strlen(s->head), MSG_NOSIGNAL);
+    send(fd, "\r\nok", 4, MSG_NOSIGNAL);
+    close(fd);
+    return NULL;
+}
+
+/* Guards against bytes that are no status line of HTTP/1, and statuses that do
+ * not exist, that count as an answer. */
+static void
+test_status_lines(void)
+{
+    static const struct {
+        const char *line;
+        int status; /* 0: there is no answer */
+    } rows[] = {
+        {"HTTP/1.1 200 OK", 200},
+        {"HTTP/1.0 200 OK", 200},
+        {"HTTP/1.1 200 ", 200},
+        {"HTTP/1.1 599 x", 599},
+        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 x", 204},
+        {"HTTP/1.1 000 OK", 0},
+        {"HTTP/1.1 0 OK", 0},
+        {"HTTP/1.1 001 OK", 0},
+        {"HTTP/1.1 099 OK", 0},
+        {"HTTP/1.1 99 OK", 0},
+        {"HTTP/1.1 20 OK", 0},
+        {"HTTP/1.1 2 OK", 0},
+        {"HTTP/1.1 600 x", 0},
+        {"HTTP/1.1 999 x", 0},
+        {"HTTP/1.1 1000 x", 0},
+        {"HTTP/1.1 2000 OK", 0},
+        {"HTTP/1.1 200abc", 0},
+        {"HTTP/1.1 200.5 OK", 0},
+        {"HTTP/1.1 -200 OK", 0},
+        {"HTTP/1.1 +200 OK", 0},
+        {"HTTP/1.1 +20 OK", 0},
+        {"HTTP/1.1 -20 OK", 0},
+        {"HTTP/1.1 0x0 OK", 0},
+        {"HTTP/1.1 abc OK", 0},
+        {"HTTP/1.1 OK", 0},
+        {"HTTP/1.1 ", 0},
+        {"HTTP/1.1", 0},
+        {"HTTP/1.1  200 OK", 0},
+        {"HTTP/1.1\t200 OK", 0},
+        {"HTTP/1.1200 OK", 0},
+        {"HTTP/1.2 200 OK", 0},
+        {"HTTP/1.9 200 OK", 0},
+        {"HTTP/0.9 200 OK", 0},
+        {"HTTP/2 200", 0},
+        {"HTTP/2.0 200 OK", 0},
+        {"HTTP/3 200", 0},
+        {"HTTP/11 200 OK", 0},
+        {"HTTP/1.10 200 OK", 0},
+        {"HTTP/ 200 OK", 0},
+        {"http/1.1 200 OK", 0},
+        {" HTTP/1.1 200 OK", 0},
+        {"\r\nHTTP/1.1 200 OK", 0},
+        {"ICY 200 OK", 0},
+        {"RTSP/1.0 200 OK", 0},
+        {"200 OK", 0},
+        {"HTTP/1.1 101 Switching Protocols", 0},
+        {"HTTP/1.1 100 Continue", 0},
+        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 x", 0},
+        {"HTTP/1.1 200 OK\r\nHTTP/1.1 000 x", 0},
+        {"HTTP/1.1 000 OK\r\nHTTP/1.1 200 OK", 0},
+        {"HTTP/1.1 500 x\r\nHTTP/1.1 200 OK", 0},
+    };
+    static const char *const framings[] = {"", "Content-Length: 2\r\n"};
+    int failures = 0;
+    for (size_t i = 0; i < 2 * G_N_ELEMENTS(rows); i++) {
+        int status = rows[i / 2].status;
+        char *head =
+            g_strdup_printf("%s\r\n%s", rows[i / 2].line, framings[i % 2]);
+        struct odd_server s = {.head = head};
+        struct client c;
+        client_open(&c);
+        s.server.fd = listen_on_port(16, &s.server.port);
+        pthread_create(&s.server.thread, NULL, respond_oddly, &s);
+        struct relay_call call = {.method = STR_LIT("GET"),
+                                  .target = STR_LIT("/"),
+                                  .connect_timeout_ms = TIMEOUT_MS,
+                                  .timeout_ms = TIMEOUT_MS};
+        bool complete = client_run(&c, s.server.port, &call) == RELAY_COMPLETE;
+        if (complete != (status != 0) ||
+            (complete && c.outcome.status != status)) {
+            failures++;
+            g_test_message("%s: %s, status %d", head,
+                           relay_result_name(c.outcome.result),
+                           c.outcome.status);
+        }
+        server_close(&s.server);
+        client_close(&c);
+        g_free(head);
+    }
+    g_assert_cmpint(failures, ==, 0);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/relay-odd/early-responses", test_early_responses);
+    g_test_add_func("/relay-odd/status-lines", test_status_lines);
     return g_test_run();
 }
