Keep a probe of the store open while the next one is sent

Callers would see: a node that has lost the store refuses all keys as long as the store takes more than 700 ms for an answer, though it answers every call. A slow store takes some hundred ms, and more than a second at worst.

Cause: while a key range fails, a call got 700 ms until the first byte, so that the return of a silent store is noticed soon; each next call had the same limit.

A probe now has 1.5 s, and another one is sent after 700 ms, on a new connection. The first answer counts. The probes of a range move to feed_probe.c.

Evidence: /feed/slow-after-outage failed before for answers after 1,200 ms (no contact within 5 s). Now contact is back 1,250 to 1,960 ms after the store's return with such answers; with answers after 4 ms and 600 ms the times are the same as before (60 to 770 ms, 650 to 1,360 ms).

--- a/src/control/feed.c
+++ b/src/control/feed.c
@@ -46,20 +46,6 @@
 /* Owners that are gone are detected by their silence. If a join is seen late,
  * the limits that nodes share are too high for that time only. */
 #define NODES_WATCH_WAIT_MS 15000
-/* After a failure the store is polled without waiting and with short
- * time-outs, so that its return is noticed soon. The store counts each such
- * call, so nodes that share watches query a watcher most of these times. */
-#define PROBE_WAIT_MS 1
-#define PROBE_TIMEOUT_MS 700
-#define PROBE_INTERVAL_US (400 * MS)
-/* A call that gets no answer has lasted long enough itself. The return of the
- * store must be noticed within 0.8 s: removed records stay in effect for 2.2 s
- * from then, and must not when this node counts as connected, after 3 s. */
-#define PROBE_SILENT_INTERVAL_US (150 * MS)
-/* The list of nodes may be older than the other data. It is queried at this
- * interval while its calls fail and those for the operator's records do not.
- */
-#define NODES_PROBE_INTERVAL_US (2 * SECOND)
 #define LIST_TIMEOUT_MS 2000
 /* Records expire after three missed heartbeats of a second or more each, so an
  * outage shorter than this removes no record of a live endpoint. */
@@ -217,14 +203,7 @@
     rw->failing = true;
     rw->retrying = false;
     rw->answering_us = 0;
-    int64_t interval_us =
-        silent ? PROBE_SILENT_INTERVAL_US : PROBE_INTERVAL_US;
-    if (rw->range == FEED_RANGE_NODES) {
-        interval_us = NODES_PROBE_INTERVAL_US;
-    }
-    rw->next_call_us = now_us + interval_us / 2 +
-                       (int64_t)rng_below(&f->rng, (uint64_t)interval_us);
-    feed_reject_queries(f, now_us, rw);
+    feed_schedule_probe(f, now_us, rw, silent);
 }
 
 /* The store is back, which the operator's range detects for all ranges. */
@@ -247,6 +226,7 @@
 {
     struct range_watch *rw = &f->range_watches[FEED_RANGE_OPERATOR];
     for (int i = 0; i < FEED_RANGE_COUNT; i++) {
+        feed_take_late_probe(&f->range_watches[i], op);
         if (f->range_watches[i].call_id == op) {
             f->range_watches[i].answering_us = now_us;
         }
@@ -291,6 +271,7 @@
     }
     rw->failing = false;
     rw->retrying = false;
+    rw->late_call_id = 0;
     rw->last_response_us = now_us;
     rw->next_call_us = now_us;
 }
@@ -351,6 +332,7 @@
     rw->busy = false;
     rw->retrying = false;
     rw->call_id = 0;
+    rw->late_call_id = 0;
     rw->answering_us = 0;
     g_free(rw->list_after_key);
     rw->list_after_key = NULL;
@@ -541,6 +523,7 @@
               struct kv_op *out)
 {
     suspect_silent_watcher(f, now_us, rw);
+    feed_supersede_probe(f, now_us, rw);
     if (rw->busy || now_us < rw->next_call_us) {
         return false;
     }
@@ -558,7 +541,7 @@
     if (!rw->watching) {
         out->kind = KV_LIST;
         out->after_key = str_from_cstr(rw->list_after_key);
-        out->timeout_ms = rw->failing ? PROBE_TIMEOUT_MS : LIST_TIMEOUT_MS;
+        out->timeout_ms = LIST_TIMEOUT_MS;
     }
     else {
         out->kind = KV_WATCH;
@@ -573,9 +556,6 @@
         out->wait_ms = choose_wait_ms(f, rw, now_us);
         out->timeout_ms =
             out->wait_ms + (rw->retrying ? CALL_SLACK_MS : WATCH_SLACK_MS);
-        if (rw->failing) {
-            out->timeout_ms = PROBE_TIMEOUT_MS;
-        }
         rw->call_wait_us = out->wait_ms * MS;
         rw->peer_timeout_us =
             now_us + (rw->failing
@@ -583,6 +563,10 @@
                           : feed_query_hold_us(rw->range) + WATCHER_SLACK_US);
         rw->bypass_watcher = false;
     }
+    if (rw->failing) {
+        out->timeout_ms = CALL_SLACK_MS;
+        out->new_connection = rw->late_call_id != 0;
+    }
     rw->busy = true;
     rw->answering_us = 0;
     rw->call_sent_us = now_us;
@@ -633,10 +617,14 @@
         return;
     }
     for (int i = 0; i < FEED_RANGE_COUNT; i++) {
-        if (r->id == f->range_watches[i].call_id) {
-            handle_call_result(
-                f, now_us, &f->range_watches[i], r,
-                result_contact_us(&f->range_watches[i], now_us, r));
+        struct range_watch *rw = &f->range_watches[i];
+        if (r->outcome == KV_OK || r->outcome == KV_COMPACTED ||
+            r->outcome == KV_TOO_LARGE) {
+            feed_take_late_probe(rw, r->id);
+        }
+        if (r->id == rw->call_id) {
+            handle_call_result(f, now_us, rw, r,
+                               result_contact_us(rw, now_us, r));
         }
     }
 }
@@ -658,7 +646,7 @@
         const struct range_watch *rw = &f->range_watches[i];
         int64_t due = rw->next_call_us;
         if (rw->busy) {
-            due = rw->via_node ? rw->peer_timeout_us : INT64_MAX;
+            due = rw->via_node ? rw->peer_timeout_us : feed_probe_due_us(rw);
         }
         at = due < at ? due : at;
     }
--- a/src/control/feed_state.h
+++ b/src/control/feed_state.h
@@ -31,6 +31,14 @@
  * new connection: what a silent connection hides must be known within 2 s. */
 #define WATCH_SLACK_MS 500
 
+/* After a failure the store is polled without waiting, so that its return is
+ * noticed soon. The store counts each such call, so nodes that share watches
+ * query a watcher most of these times. */
+#define PROBE_WAIT_MS 1
+#define PROBE_INTERVAL_US (400 * MS)
+/* A probe without an answer is followed by another one after this time. */
+#define PROBE_TIMEOUT_MS 700
+
 enum lease_state {
     LEASE_NONE,
     LEASE_REQUESTED,
@@ -99,8 +107,11 @@
     bool listed_once;
     uint64_t call_id; /* of the call in progress */
     int64_t call_sent_us;
-    int64_t answering_us; /* when the store began to answer it; 0: not yet */
-    int64_t call_wait_us; /* how long the store holds it without changes */
+    int64_t answering_us;  /* when the store began to answer it; 0: not yet */
+    int64_t call_wait_us;  /* how long the store holds it without changes */
+    uint64_t late_call_id; /* of a probe whose answer may still arrive although
+                              another one has been or will be sent; 0: none */
+    int64_t late_sent_us;
     int64_t next_call_us;
     int64_t revision;
     char *list_after_key;  /* last key of the previous page; NULL: none */
@@ -192,6 +203,21 @@
 /** Lists a key range again. The result of a call in progress is ignored. */
 void feed_restart_range(struct range_watch *rw, int64_t now_us);
 
+/* feed_probe.c: calls after a failure. A silent store must be probed again
+ * soon, and a slow one needs more time, so two probes may be open. */
+/** Sets when the next probe is due after one that failed or got no answer. */
+void feed_schedule_probe(struct feed *f, int64_t now_us,
+                         struct range_watch *rw, bool silent);
+/** When feed_supersede_probe is due if a call is in progress. */
+int64_t feed_probe_due_us(const struct range_watch *rw);
+/** Makes room for another probe if the one in progress got no answer yet. */
+void feed_supersede_probe(struct feed *f, int64_t now_us,
+                          struct range_watch *rw);
+/** Makes the superseded probe the call in progress again, as its answer
+ * arrives, unless the newer probe is being answered.
+ * @return false if this operation is not that probe */
+bool feed_take_late_probe(struct range_watch *rw, uint64_t op);
+
 /* feed_era.c: the store comes back from an older copy */
 /** Takes the era from a result.
  * @return false if the result must be ignored, because the data of this node
--- a/src/store/kv.h
+++ b/src/store/kv.h
@@ -39,8 +39,9 @@
                               lease */
     struct str second_value; /**< empty: there is only one key */
     int64_t if_revision;     /**< PUT_IF: 0: the key does not exist */
-    int64_t timeout_ms; /**< until the response begins; then it may take as
-                           long as its size and the link require */
+    int64_t timeout_ms;  /**< until the response begins; then it may take as
+                            long as its size and the link require */
+    bool new_connection; /**< the others may be silent */
     uint64_t
         via_node; /**< WATCH: hash of a node to query instead; 0: the store */
     bool wait_for_contact; /**< if via_node is set: see struct feed_query */
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -17,6 +17,8 @@
 #define MAX_PENDING_OPS 16
 /* Time of a response of a store that is 300 times as slow as usual. */
 #define SLOW_STORE_MS 1200
+/* The return of a store that was silent must be noticed within this time. */
+#define PROBE_NOTICE_MS 800
 
 struct feed_fixture {
     struct feed *f;
@@ -771,6 +773,73 @@
     feed_free(r.f);
 }
 
+/* Answers each call after a time; a call that it receives in an outage, or
+ * that may not last so long, gets no answer. */
+struct slow_store {
+    int64_t sent_us[MAX_PENDING_OPS]; /* of the operations of the fixture */
+    bool lost[MAX_PENDING_OPS];
+    int count;
+};
+
+/* @return the time until a call for the operator's records is answered; -1: it
+ * is not within @p limit_ms */
+static int
+run_slow_store(struct feed_fixture *r, struct slow_store *s, bool outage,
+               int answer_ms, int limit_ms)
+{
+    int64_t begin_us = r->now;
+    for (; r->now < begin_us + limit_ms * MS; r->now += 10 * MS) {
+        collect_ops(r);
+        for (; s->count < r->count; s->count++) {
+            s->sent_us[s->count] = r->now;
+            s->lost[s->count] = outage;
+        }
+        for (int i = 0; i < r->count;) {
+            struct kv_op op = r->ops[i];
+            int64_t took_ms = (r->now - s->sent_us[i]) / MS;
+            bool answered = !s->lost[i] && took_ms >= answer_ms &&
+                            took_ms <= op.timeout_ms;
+            if (!answered && took_ms < op.timeout_ms) {
+                i++;
+                continue;
+            }
+            s->count = --r->count;
+            r->ops[i] = r->ops[s->count];
+            s->sent_us[i] = s->sent_us[s->count];
+            s->lost[i] = s->lost[s->count];
+            give_result(r, &op, answered ? KV_OK : KV_OUTCOME_UNKNOWN, 20,
+                        NULL, 0);
+            if (answered && str_eq_cstr(op.prefix, "o/")) {
+                return (int)((r->now - begin_us) / MS);
+            }
+        }
+    }
+    return -1;
+}
+
+/* Guards against a node that has no contact as long as the store is slow,
+ * because it probes a store that may be silent with a shorter time-out. */
+static void
+test_slow_after_outage(void)
+{
+    static const int answers_ms[] = {4, 600, SLOW_STORE_MS, 1400};
+    for (size_t i = 0; i < G_N_ELEMENTS(answers_ms); i++) {
+        for (int outage_ms = 3500; outage_ms < 4500; outage_ms += 150) {
+            struct feed_fixture r;
+            struct slow_store s = {0};
+            fixture_init(&r);
+            list_initial_records(&r);
+            run_slow_store(&r, &s, true, 0, outage_ms);
+            int took_ms = run_slow_store(&r, &s, false, answers_ms[i], 5000);
+            g_test_message("answers after %d ms: contact after %d ms",
+                           answers_ms[i], took_ms);
+            g_assert_cmpint(took_ms, >=, 0);
+            g_assert_cmpint(took_ms, <=, PROBE_NOTICE_MS + answers_ms[i]);
+            feed_free(r.f);
+        }
+    }
+}
+
 /* Guards against a large answer that is given up and queried again because
  * another connection is silent. */
 static void
@@ -897,6 +966,7 @@
     g_test_add_func("/feed/silent-connection", test_silent_connection);
     g_test_add_func("/feed/too-many-changes", test_too_many_changes);
     g_test_add_func("/feed/slow-answer", test_slow_answer);
+    g_test_add_func("/feed/slow-after-outage", test_slow_after_outage);
     g_test_add_func("/feed/answer-beside-silence", test_answer_beside_silence);
     g_test_add_func("/feed/end-of-cut", test_end_of_cut);
     g_test_add_func("/feed/cold", test_restart_is_cold);
