--- a/tests/relay_rig.c
+++ b/tests/relay_rig.c
@@ -31,6 +31,16 @@
     pthread_create(&s->thread, NULL, run, s);
 }
 
+int
+server_accept(struct test_server *s)
+{
+    int fd = -1;
+    while (fd < 0 && !atomic_load(&s->stop)) {
+        fd = accept(s->fd, NULL, NULL);
+    }
+    return fd;
+}
+
 void
 server_close(struct test_server *s)
 {
--- a/tests/relay_rig.h
+++ b/tests/relay_rig.h
@@ -26,6 +26,8 @@
 /** Starts a thread that serves connections until s->stop is set.
  * @param run receives @p s */
 void server_open(struct test_server *s, void *(*run)(void *arg));
+/** @return the next connection; -1: s->stop was set before one was made */
+int server_accept(struct test_server *s);
 void server_close(struct test_server *s);
 
 /** Callbacks of a relay that do nothing. */
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -252,7 +252,7 @@
 };
 
 struct slow_server {
-    struct test_server server;
+    struct test_server server; /* first, as the thread receives it */
     const struct slow_response *response;
 };
 
@@ -282,10 +282,7 @@
 respond_slowly_once(void *arg)
 {
     struct slow_server *s = arg;
-    int fd = -1;
-    while (fd < 0 && !atomic_load(&s->server.stop)) {
-        fd = accept(s->server.fd, NULL, NULL);
-    }
+    int fd = server_accept(&s->server);
     if (fd >= 0) {
         respond_slowly(fd, s->response, &s->server.stop);
     }
@@ -309,8 +306,7 @@
         struct slow_server s = {.response = &rows[i]};
         struct client c;
         client_open(&c);
-        s.server.fd = listen_on_port(16, &s.server.port);
-        pthread_create(&s.server.thread, NULL, respond_slowly_once, &s);
+        server_open(&s.server, respond_slowly_once);
         struct relay_call call = {.method = STR_LIT("GET"),
                                   .target = STR_LIT("/"),
                                   .connect_timeout_ms = TIMEOUT_MS,
--- a/tests/test_relay_odd.c
+++ b/tests/test_relay_odd.c
@@ -33,7 +33,7 @@
 };
 
 struct early_server {
-    struct test_server server;
+    struct test_server server; /* first, as the thread receives it */
     const struct early_response *response;
 };
 
@@ -61,7 +61,7 @@
     const struct early_response *r = s->response;
     struct linger reset = {1, 0};
     struct timeval wait = {0, 200000};
-    int fd = accept(s->server.fd, NULL, NULL);
+    int fd = server_accept(&s->server);
     g_assert_cmpint(fd, >=, 0);
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
     read_request_bytes(fd, (size_t)r->read_bytes);
@@ -140,8 +140,7 @@
         struct early_server s = {.response = r};
         struct client c;
         client_open(&c);
-        s.server.fd = listen_on_port(16, &s.server.port);
-        pthread_create(&s.server.thread, NULL, respond_early, &s);
+        server_open(&s.server, respond_early);
         struct relay_call call = {.method = STR_LIT("POST"),
                                   .target = STR_LIT("/"),
                                   .body = {upload, UPLOAD_BYTES},
@@ -164,7 +163,7 @@
 }
 
 struct odd_server {
-    struct test_server server;
+    struct test_server server; /* first, as the thread receives it */
     const char *head;
 };
 
@@ -173,7 +172,7 @@
 {
     struct odd_server *s = arg;
     char request[4096];
-    int fd = accept(s->server.fd, NULL, NULL);
+    int fd = server_accept(&s->server);
     g_assert_cmpint(fd, >=, 0);
     recv(fd, request, sizeof(request), 0);
     send(fd, s->head, strlen(s->head), MSG_NOSIGNAL);
@@ -252,8 +251,7 @@
         struct odd_server s = {.head = head};
         struct client c;
         client_open(&c);
-        s.server.fd = listen_on_port(16, &s.server.port);
-        pthread_create(&s.server.thread, NULL, respond_oddly, &s);
+        server_open(&s.server, respond_oddly);
         struct relay_call call = {.method = STR_LIT("GET"),
                                   .target = STR_LIT("/"),
                                   .connect_timeout_ms = TIMEOUT_MS,
