End the limit for the first byte when the response begins

A relay call with a limit for the first byte and none for stalls would have been ended in the middle of its response; no caller asks for that yet. Only "chunked" counts as framing of its own when an early response is judged, not other transfer codings.

--- a/src/control/feed_probe.c
+++ b/src/control/feed_probe.c
@@ -1,4 +1,3 @@
-#include "base/log.h"
 #include "control/feed_state.h"
 
 /* A call that gets no answer has lasted long enough itself. The return of the
--- a/src/edge/relay.c
+++ b/src/edge/relay.c
@@ -148,19 +148,24 @@
         !str_to_i64(h.value, &c->length)) {
         c->length = -1;
     }
-    c->chunked |= strcasecmp(h.name.ptr, "transfer-encoding") == 0;
+    c->chunked |= strcasecmp(h.name.ptr, "transfer-encoding") == 0 &&
+                  h.value.len > 0 && strcasestr(h.value.ptr, "chunked");
     g_array_append_val(c->response_headers, h);
 }
 
 static void
 note_progress(struct call *c, size_t bytes)
 {
+    if (c->stalled_us == INT64_MAX) {
+        return;
+    }
     c->progress_bytes += bytes;
-    if (c->stall_timeout_us > 0 &&
-        (!c->responding || c->progress_bytes >= RELAY_MIN_PROGRESS_BYTES)) {
+    if (!c->responding || c->progress_bytes >= RELAY_MIN_PROGRESS_BYTES) {
         c->responding = true;
         c->progress_bytes = 0;
-        c->stalled_us = loop_now_us() + c->stall_timeout_us;
+        c->stalled_us = c->stall_timeout_us > 0
+                            ? loop_now_us() + c->stall_timeout_us
+                            : INT64_MAX;
     }
 }
 
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -28,10 +28,10 @@
     bool close_after_error;
     int64_t connect_timeout_ms; /**< time-out of connecting */
     int64_t timeout_ms;         /**< for the whole call */
-    /** Limits for a response that may be large: the time until its first byte,
-     * and the longest time in which fewer than RELAY_MIN_PROGRESS_BYTES of it
-     * arrive. 0: only timeout_ms applies. */
+    /** Until the first byte of the response; 0: only timeout_ms applies. */
     int64_t first_byte_timeout_ms;
+    /** If there is a limit for the first byte: the longest time from then in
+     * which fewer than RELAY_MIN_PROGRESS_BYTES arrive; 0: no limit. */
     int64_t stall_timeout_ms;
 };
 
