--- a/tests/platform/test_gateway_store.c
+++ b/tests/platform/test_gateway_store.c
@@ -209,7 +209,7 @@
     static const struct {
         int filler_routes;
         int missed_changes;
-    } rows[] = {{6000, 1}, {6000, 4}};
+    } rows[] = {{6000, 1}, {6000, 8}};
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         struct platform_rig r;
         platform_rig_open_without_nodes(&r);
